--- /dev/null
+++ b/test/support/Support.cpp
@@ -0,0 +1,1 @@
+#include "support/ManualClock.h"
