--- /dev/null
+++ b/src/HostList.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "generated/Platform.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace sequoiakeel {
+
+/** The platform's list of live and leaving hosts, which lags behind reality.
+ * Thread safe. */
+class HostList
+{
+public:
+  virtual ~HostList() = default;
+
+  /** Reads the list; empty if it can't be read. */
+  virtual boost::asio::awaitable<std::optional<HostListing>> Read() = 0;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/HttpClient.cpp
@@ -0,0 +1,264 @@
+#include "HttpClient.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::use_awaitable;
+using boost::system::error_code;
+
+namespace {
+
+/** Idle connections are dropped well before servers usually close them, so that
+ * a request rarely meets a closing one.
+ */
+constexpr std::chrono::seconds kMaxIdleTime{ 10 };
+
+constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+
+http::request<http::string_body>
+ToBeast(HttpRequest& aRequest)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.method);
+  message.target(aRequest.target);
+  for (const HttpHeader& field : aRequest.headers.All()) {
+    message.insert(field.name, field.value);
+  }
+  message.body() = std::move(aRequest.body);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse
+FromBeast(http::response<http::string_body>&& aMessage)
+{
+  HttpResponse response;
+  response.status = aMessage.result_int();
+  for (const auto& field : aMessage) {
+    response.headers.Add(
+      std::string_view(field.name_string().data(), field.name_string().size()),
+      std::string_view(field.value().data(), field.value().size()));
+  }
+  response.body = std::move(aMessage.body());
+  return response;
+}
+
+bool
+IsTimeout(const error_code& aError)
+{
+  return aError == beast::error::timeout;
+}
+
+} // namespace
+
+struct HttpConnection::Implementation
+{
+  explicit Implementation(asio::any_io_executor aExecutor)
+    : stream(std::move(aExecutor))
+  {
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool reusable = false;
+};
+
+HttpConnection::HttpConnection(asio::any_io_executor aExecutor)
+  : implementation(std::make_unique<Implementation>(std::move(aExecutor)))
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+asio::awaitable<std::string>
+HttpConnection::Connect(Endpoint aEndpoint, Duration aTimeout)
+{
+  error_code error;
+  const auto address = asio::ip::make_address(aEndpoint.address, error);
+  if (error) {
+    co_return "invalid address " + aEndpoint.address;
+  }
+  const asio::ip::tcp::endpoint endpoint(
+    address, static_cast<std::uint16_t>(aEndpoint.port));
+  this->implementation->stream.expires_after(aTimeout);
+  co_await this->implementation->stream.async_connect(
+    endpoint, asio::redirect_error(use_awaitable, error));
+  if (error) {
+    co_return error.message();
+  }
+  this->implementation->stream.socket().set_option(
+    asio::ip::tcp::no_delay(true), error);
+  this->implementation->reusable = true;
+  co_return std::string();
+}
+
+asio::awaitable<ExchangeResult>
+HttpConnection::Exchange(HttpRequest aRequest, Duration aTimeout)
+{
+  Implementation& state = *this->implementation;
+  ExchangeResult result;
+  error_code error;
+  http::request<http::string_body> message = ToBeast(aRequest);
+  state.reusable = false;
+  state.stream.expires_after(aTimeout);
+  const std::size_t written = co_await http::async_write(
+    state.stream, message, asio::redirect_error(use_awaitable, error));
+  if (error) {
+    result.progress =
+      written == 0 ? ExchangeProgress::NotSent : ExchangeProgress::Sent;
+    result.error = error.message();
+    result.timedOut = IsTimeout(error);
+    this->Close();
+    co_return result;
+  }
+  result.progress = ExchangeProgress::Sent;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxResponseBytes);
+  parser.header_limit(kMaxHeaderBytes);
+  co_await http::async_read(state.stream,
+                            state.buffer,
+                            parser,
+                            asio::redirect_error(use_awaitable, error));
+  if (error) {
+    result.error = error.message();
+    result.timedOut = IsTimeout(error);
+    this->Close();
+    co_return result;
+  }
+  const bool keepAlive = parser.get().keep_alive();
+  result.progress = ExchangeProgress::Complete;
+  result.response = FromBeast(parser.release());
+  state.stream.expires_never();
+  state.reusable = keepAlive && state.buffer.size() == 0;
+  if (!state.reusable) {
+    this->Close();
+  }
+  co_return result;
+}
+
+bool
+HttpConnection::Reusable()
+{
+  Implementation& state = *this->implementation;
+  if (!state.reusable || !state.stream.socket().is_open()) {
+    return false;
+  }
+  // A quiet, open connection has nothing to read: data would belong to no
+  // request, and end of file means closed.
+  error_code error;
+  char byte = 0;
+  state.stream.socket().non_blocking(true, error);
+  state.stream.socket().receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+void
+HttpConnection::Close()
+{
+  error_code error;
+  this->implementation->reusable = false;
+  this->implementation->stream.socket().close(error);
+}
+
+HttpClient::HttpClient(asio::any_io_executor aExecutor,
+                       Endpoint aEndpoint,
+                       std::size_t aMaxIdle)
+  : executor(std::move(aExecutor))
+  , endpoint(std::move(aEndpoint))
+  , maxIdle(aMaxIdle)
+{
+}
+
+asio::awaitable<ExchangeResult>
+HttpClient::Call(HttpRequest aRequest, Duration aTimeout)
+{
+  Idle taken = this->TakeIdle();
+  const asio::any_io_executor strand = taken.strand;
+  asio::awaitable<ExchangeResult> call =
+    this->CallOnStrand(std::move(aRequest), aTimeout, std::move(taken));
+  ExchangeResult result =
+    co_await asio::co_spawn(strand, std::move(call), use_awaitable);
+  co_return result;
+}
+
+asio::awaitable<ExchangeResult>
+HttpClient::CallOnStrand(HttpRequest aRequest, Duration aTimeout, Idle aIdle)
+{
+  const TimePoint start = std::chrono::steady_clock::now();
+  if (aIdle.connection && !aIdle.connection->Reusable()) {
+    aIdle.connection.reset();
+  }
+  if (!aIdle.connection) {
+    aIdle.connection = std::make_unique<HttpConnection>(aIdle.strand);
+    const std::string error =
+      co_await aIdle.connection->Connect(this->endpoint, aTimeout);
+    if (!error.empty()) {
+      ExchangeResult failed;
+      failed.error = error;
+      co_return failed;
+    }
+  }
+  aRequest.headers.Set("Host", this->endpoint.address);
+  const Duration spent = std::chrono::steady_clock::now() - start;
+  const Duration left =
+    std::max<Duration>(aTimeout - spent, std::chrono::milliseconds(1));
+  ExchangeResult result =
+    co_await aIdle.connection->Exchange(std::move(aRequest), left);
+  if (result.timedOut) {
+    this->DropIdle();
+  }
+  if (result.Complete() && aIdle.connection->Reusable()) {
+    this->PutIdle(std::move(aIdle));
+  }
+  co_return result;
+}
+
+HttpClient::Idle
+HttpClient::TakeIdle()
+{
+  const TimePoint oldest = std::chrono::steady_clock::now() - kMaxIdleTime;
+  const std::lock_guard lock(this->mutex);
+  while (!this->idle.empty()) {
+    Idle taken = std::move(this->idle.back());
+    this->idle.pop_back();
+    if (taken.since >= oldest) {
+      return taken;
+    }
+  }
+  return Idle{ nullptr, asio::make_strand(this->executor), {} };
+}
+
+void
+HttpClient::PutIdle(Idle aIdle)
+{
+  aIdle.since = std::chrono::steady_clock::now();
+  const std::lock_guard lock(this->mutex);
+  if (this->idle.size() < this->maxIdle) {
+    this->idle.push_back(std::move(aIdle));
+  }
+}
+
+void
+HttpClient::DropIdle()
+{
+  std::vector<Idle> dropped;
+  const std::lock_guard lock(this->mutex);
+  dropped.swap(this->idle);
+}
+
+} // namespace sequoiakeel
