--- /dev/null
+++ b/src/HttpHostList.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "HostList.h"
+#include "HttpClient.h"
+
+namespace sequoiakeel {
+
+/** Host list over HTTP and JSON (docs/api.md, section Platform). Thread safe.
+ */
+class HttpHostList : public HostList
+{
+public:
+  HttpHostList(boost::asio::any_io_executor aExecutor, Endpoint aEndpoint);
+
+  boost::asio::awaitable<std::optional<HostListing>> Read() override;
+
+private:
+  HttpClient client;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/PeerCodec.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <optional>
+#include <sstream>
+#include <string>
+
+namespace sequoiakeel {
+
+/** Encodes a generated message in cereal's portable binary form. Thread safe.
+ */
+template<class Message>
+std::string
+EncodeMessage(const Message& aMessage)
+{
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(aMessage);
+  }
+  return std::move(stream).str();
+}
+
+/**
+ * Decodes a message of a trusted peer; empty if it is malformed. The input is
+ * bounded by the frame's limit, but a forged element count can still make a
+ * vector reserve memory, so datagrams from the network need their own checks.
+ * Thread safe.
+ */
+template<class Message>
+std::optional<Message>
+DecodeMessage(const std::string& aBytes)
+{
+  std::istringstream stream(aBytes);
+  Message message;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(message);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/PeerRpc.cpp
@@ -0,0 +1,373 @@
+#include "PeerRpc.h"
+
+#include "Error.h"
+#include "Log.h"
+
+#include <array>
+#include <atomic>
+#include <set>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+using asio::use_awaitable;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kHeaderBytes = 14;
+constexpr std::chrono::milliseconds kAcceptBackOff{ 100 };
+
+struct Frame
+{
+  std::uint16_t kind = 0;
+  std::uint64_t correlation = 0;
+  std::string body;
+};
+
+std::string
+EncodeFrame(const Frame& aFrame)
+{
+  std::array<unsigned char, kHeaderBytes> header{};
+  boost::endian::store_big_u32(header.data(),
+                               static_cast<std::uint32_t>(aFrame.body.size()));
+  boost::endian::store_big_u16(header.data() + 4, aFrame.kind);
+  boost::endian::store_big_u64(header.data() + 6, aFrame.correlation);
+  std::string bytes(header.begin(), header.end());
+  bytes += aFrame.body;
+  return bytes;
+}
+
+/** Reads one frame; empty on an error or an oversized length. */
+asio::awaitable<std::optional<Frame>>
+ReadFrame(Tcp::socket& aSocket)
+{
+  error_code error;
+  std::array<unsigned char, kHeaderBytes> header{};
+  co_await asio::async_read(
+    aSocket, asio::buffer(header), asio::redirect_error(use_awaitable, error));
+  const std::uint32_t length = boost::endian::load_big_u32(header.data());
+  if (error || length > kMaxPeerMessageBytes) {
+    co_return std::nullopt;
+  }
+  Frame frame;
+  frame.kind = boost::endian::load_big_u16(header.data() + 4);
+  frame.correlation = boost::endian::load_big_u64(header.data() + 6);
+  frame.body.resize(length);
+  co_await asio::async_read(aSocket,
+                            asio::buffer(frame.body),
+                            asio::redirect_error(use_awaitable, error));
+  if (error) {
+    co_return std::nullopt;
+  }
+  co_return frame;
+}
+
+/** Tells whether an open connection is quiet; data would belong to no request, and end of file means closed. */
+bool
+IsQuiet(Tcp::socket& aSocket)
+{
+  error_code error;
+  char byte = 0;
+  aSocket.non_blocking(true, error);
+  aSocket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+asio::awaitable<bool>
+WriteFrame(Tcp::socket& aSocket, const Frame& aFrame)
+{
+  error_code error;
+  const std::string bytes = EncodeFrame(aFrame);
+  co_await asio::async_write(
+    aSocket, asio::buffer(bytes), asio::redirect_error(use_awaitable, error));
+  co_return !error;
+}
+
+} // namespace
+
+struct PeerServer::Shared
+{
+  explicit Shared(asio::io_context& aContext)
+    : context(aContext)
+    , acceptor(asio::make_strand(aContext))
+  {
+  }
+
+  asio::io_context& context;
+  Tcp::acceptor acceptor;
+  std::uint16_t port = 0;
+  std::map<std::uint16_t, PeerHandler> handlers;
+  std::atomic<bool> stopping{ false };
+  std::mutex mutex;
+  std::set<std::shared_ptr<Tcp::socket>> sockets;
+};
+
+namespace {
+
+using SharedPointer = std::shared_ptr<PeerServer::Shared>;
+
+asio::awaitable<bool>
+AnswerFrame(SharedPointer aShared, std::shared_ptr<Tcp::socket> aSocket)
+{
+  std::optional<Frame> request = co_await ReadFrame(*aSocket);
+  if (!request) {
+    co_return false;
+  }
+  const auto handler = aShared->handlers.find(request->kind);
+  if (handler == aShared->handlers.end()) {
+    Event("peer_request_unknown", LogLevel::Warning)
+      .Add("kind", static_cast<int>(request->kind));
+    co_return false;
+  }
+  Frame reply;
+  reply.kind = request->kind;
+  reply.correlation = request->correlation;
+  try {
+    reply.body = co_await handler->second(std::move(request->body));
+  } catch (const std::exception& error) {
+    Event("peer_request_failed", LogLevel::Warning)
+      .Add("kind", static_cast<int>(request->kind))
+      .Add("error", error.what());
+    co_return false;
+  }
+  const bool written = co_await WriteFrame(*aSocket, reply);
+  co_return written;
+}
+
+asio::awaitable<void>
+ServeSocket(SharedPointer aShared, std::shared_ptr<Tcp::socket> aSocket)
+{
+  bool open = true;
+  while (open && !aShared->stopping) {
+    open = co_await AnswerFrame(aShared, aSocket);
+  }
+  const std::lock_guard lock(aShared->mutex);
+  aShared->sockets.erase(aSocket);
+}
+
+asio::awaitable<void>
+AcceptPeers(SharedPointer aShared)
+{
+  while (!aShared->stopping) {
+    error_code error;
+    const auto strand = asio::make_strand(aShared->context);
+    Tcp::socket socket = co_await aShared->acceptor.async_accept(
+      strand, asio::redirect_error(use_awaitable, error));
+    if (aShared->stopping) {
+      co_return;
+    }
+    if (error) {
+      asio::steady_timer timer(aShared->context, kAcceptBackOff);
+      co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true), error);
+    auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+    {
+      const std::lock_guard lock(aShared->mutex);
+      aShared->sockets.insert(shared);
+    }
+    asio::co_spawn(
+      strand, ServeSocket(aShared, std::move(shared)), asio::detached);
+  }
+}
+
+} // namespace
+
+PeerServer::PeerServer(asio::io_context& aContext, const Endpoint& aEndpoint)
+  : shared(std::make_shared<Shared>(aContext))
+{
+  error_code error;
+  const auto address = asio::ip::make_address(aEndpoint.address, error);
+  UserAssert(!error, "invalid address " + aEndpoint.address);
+  const Tcp::endpoint endpoint(address,
+                               static_cast<std::uint16_t>(aEndpoint.port));
+  this->shared->acceptor.open(endpoint.protocol(), error);
+  this->shared->acceptor.set_option(asio::socket_base::reuse_address(true),
+                                    error);
+  this->shared->acceptor.bind(endpoint, error);
+  UserAssert(!error,
+             "cannot bind " + aEndpoint.address + ":" +
+               std::to_string(aEndpoint.port) + ": " + error.message());
+  this->shared->acceptor.listen(asio::socket_base::max_listen_connections,
+                                error);
+  UserAssert(!error, "cannot listen: " + error.message());
+  this->shared->port = this->shared->acceptor.local_endpoint().port();
+}
+
+PeerServer::~PeerServer()
+{
+  this->Stop();
+}
+
+void
+PeerServer::Handle(PeerMessage aKind, PeerHandler aHandler)
+{
+  this->shared->handlers[static_cast<std::uint16_t>(aKind)] =
+    std::move(aHandler);
+}
+
+void
+PeerServer::Start()
+{
+  asio::co_spawn(this->shared->acceptor.get_executor(),
+                 AcceptPeers(this->shared),
+                 asio::detached);
+}
+
+void
+PeerServer::Stop()
+{
+  if (this->shared->stopping.exchange(true)) {
+    return;
+  }
+  asio::post(this->shared->acceptor.get_executor(), [shared = this->shared] {
+    error_code error;
+    shared->acceptor.close(error);
+  });
+  const std::lock_guard lock(this->shared->mutex);
+  for (const std::shared_ptr<Tcp::socket>& socket : this->shared->sockets) {
+    asio::post(socket->get_executor(), [socket] {
+      error_code error;
+      socket->close(error);
+    });
+  }
+}
+
+std::uint16_t
+PeerServer::Port() const
+{
+  return this->shared->port;
+}
+
+struct PeerClient::Connection
+{
+  explicit Connection(asio::any_io_executor aStrand)
+    : strand(aStrand)
+    , socket(aStrand)
+  {
+  }
+
+  asio::any_io_executor strand;
+  Tcp::socket socket;
+};
+
+PeerClient::PeerClient(asio::any_io_executor aExecutor)
+  : executor(std::move(aExecutor))
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+std::shared_ptr<PeerClient::Connection>
+PeerClient::Take(const Endpoint& aPeer)
+{
+  const std::lock_guard lock(this->mutex);
+  auto& available = this->idle[{ aPeer.address, aPeer.port }];
+  if (available.empty()) {
+    return std::make_shared<Connection>(asio::make_strand(this->executor));
+  }
+  std::shared_ptr<Connection> taken = std::move(available.back());
+  available.pop_back();
+  return taken;
+}
+
+void
+PeerClient::Put(const Endpoint& aPeer, std::shared_ptr<Connection> aConnection)
+{
+  constexpr std::size_t kMaxIdle = 4;
+  const std::lock_guard lock(this->mutex);
+  auto& available = this->idle[{ aPeer.address, aPeer.port }];
+  if (available.size() < kMaxIdle) {
+    available.push_back(std::move(aConnection));
+  }
+}
+
+asio::awaitable<std::optional<std::string>>
+PeerClient::Call(Endpoint aPeer,
+                 PeerMessage aKind,
+                 std::string aBody,
+                 Duration aTimeout)
+{
+  std::shared_ptr<Connection> connection = this->Take(aPeer);
+  const asio::any_io_executor strand = connection->strand;
+  asio::awaitable<std::optional<std::string>> call = this->CallOnStrand(
+    std::move(aPeer), aKind, std::move(aBody), aTimeout, std::move(connection));
+  std::optional<std::string> reply =
+    co_await asio::co_spawn(strand, std::move(call), use_awaitable);
+  co_return reply;
+}
+
+asio::awaitable<std::optional<std::string>>
+PeerClient::CallOnStrand(Endpoint aPeer,
+                         PeerMessage aKind,
+                         std::string aBody,
+                         Duration aTimeout,
+                         std::shared_ptr<Connection> aConnection)
+{
+  error_code error;
+  asio::steady_timer timer(aConnection->strand, aTimeout);
+  timer.async_wait(
+    [weak = std::weak_ptr<Connection>(aConnection)](const error_code& aError) {
+      const std::shared_ptr<Connection> connection = weak.lock();
+      if (!aError && connection) {
+        error_code ignored;
+        connection->socket.close(ignored);
+      }
+    });
+  if (aConnection->socket.is_open() && !IsQuiet(aConnection->socket)) {
+    aConnection->socket.close(error);
+  }
+  if (!aConnection->socket.is_open()) {
+    const auto address = asio::ip::make_address(aPeer.address, error);
+    if (error) {
+      co_return std::nullopt;
+    }
+    const Tcp::endpoint endpoint(address,
+                                 static_cast<std::uint16_t>(aPeer.port));
+    co_await aConnection->socket.async_connect(
+      endpoint, asio::redirect_error(use_awaitable, error));
+    if (error) {
+      co_return std::nullopt;
+    }
+    aConnection->socket.set_option(Tcp::no_delay(true), error);
+  }
+  Frame request;
+  request.kind = static_cast<std::uint16_t>(aKind);
+  request.body = std::move(aBody);
+  {
+    const std::lock_guard lock(this->mutex);
+    request.correlation = this->nextCorrelation++;
+  }
+  const bool written = co_await WriteFrame(aConnection->socket, request);
+  if (!written) {
+    co_return std::nullopt;
+  }
+  std::optional<Frame> reply = co_await ReadFrame(aConnection->socket);
+  timer.cancel();
+  if (!reply || reply->correlation != request.correlation ||
+      reply->kind != request.kind) {
+    co_return std::nullopt;
+  }
+  if (aConnection->socket.is_open()) {
+    this->Put(aPeer, std::move(aConnection));
+  }
+  co_return std::move(reply->body);
+}
+
+} // namespace sequoiakeel
