Add the views and interfaces of placement and eviction

The cell's state machine and the policies are written at the same time, so the interfaces come first.

--- /dev/null
+++ b/src/PlacementViews.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "Clock.h"
+#include "generated/Resources.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** What the evidence on failed tasks says of a worker. */
+enum class QuarantineState : std::uint8_t
+{
+  Healthy,
+  /** Receives one evictable task at a time, to find out whether it recovered.
+   */
+  Probation,
+  /** Receives no new task. */
+  Quarantined,
+};
+
+/** A task that holds resources on a worker. */
+struct RunningTaskView
+{
+  std::string task;
+  std::string job;
+  std::string team;
+  std::string taskClass;
+  std::string kind;
+  /** Amount that the ledger has committed. */
+  Resources committed;
+  /** Last reported usage; zero until the first report. */
+  Resources usage;
+  std::int64_t priority = 50;
+  bool urgent = false;
+  bool latencyCritical = false;
+  bool longRunning = false;
+  bool evictable = true;
+  /** An eviction has begun; the task still holds its resources. */
+  bool evicting = false;
+  std::optional<TimePoint> deadline;
+  TimePoint startedAt;
+  /** Declared run time at full speed; zero: unknown. */
+  Duration runTime{};
+  std::int64_t progressPermille = 0;
+  /** Time of the last checkpoint; none: the task has none. */
+  std::optional<TimePoint> lastCheckpoint;
+  /** Progress that the last checkpoint holds. */
+  std::int64_t checkpointPermille = 0;
+  /** Last reported run time relative to running alone; 1000: undisturbed. */
+  std::int64_t slowdownPermille = 1000;
+  /** Processor share that the task is limited to; 1000: not throttled. */
+  std::int64_t throttlePermille = 1000;
+  std::int64_t evictions = 0;
+};
+
+/** A worker as its cell sees it. */
+struct WorkerView
+{
+  std::string name;
+  std::string zone;
+  std::string rack;
+  Resources capacity;
+  /** Sum that the ledger has committed. */
+  Resources committed;
+  /** Last reported usage of the whole worker. */
+  Resources observed;
+  /** Age of the last report. */
+  Duration observedAge{};
+  std::vector<RunningTaskView> tasks;
+  /** Receives no new task; its tasks are to be moved. */
+  bool leaving = false;
+  /** No report within the limit, or the lease can't be renewed. */
+  bool unreachable = false;
+  QuarantineState quarantine = QuarantineState::Healthy;
+};
+
+/** A task that waits for a worker. */
+struct TaskView
+{
+  std::string task;
+  std::string job;
+  std::string team;
+  std::string taskClass;
+  std::string kind;
+  /** Declared sizes. */
+  Resources resources;
+  std::int64_t priority = 50;
+  bool urgent = false;
+  bool latencyCritical = false;
+  bool longRunning = false;
+  bool evictable = true;
+  std::optional<TimePoint> deadline;
+  TimePoint queuedSince;
+  /** Declared run time at full speed; zero: unknown. */
+  Duration runTime{};
+  /** Progress of the checkpoint that it resumes from. */
+  std::int64_t checkpointPermille = 0;
+  std::int64_t evictions = 0;
+  /** Workers on which an attempt of it has failed. */
+  std::vector<std::string> failedOn;
+};
+
+/** The part of a team's quota that the cell holds. */
+struct TeamView
+{
+  std::string team;
+  Resources quota;
+  Resources committed;
+};
+
+/** What a decision about a cell is based on. */
+struct CellView
+{
+  TimePoint now;
+  std::span<const WorkerView> workers;
+  /** Teams that are not listed have no quota. */
+  std::span<const TeamView> teams;
+};
+
+/** Returns the sum of two amounts. Thread safe. */
+Resources
+Sum(const Resources& aLeft, const Resources& aRight);
+
+/** Returns the difference of two amounts; it may be negative. Thread safe. */
+Resources
+Difference(const Resources& aLeft, const Resources& aRight);
+
+/** Returns the larger of two amounts for each resource. Thread safe. */
+Resources
+Larger(const Resources& aLeft, const Resources& aRight);
+
+/** Returns whether aPart is within aWhole for every resource. Thread safe. */
+bool
+Within(const Resources& aPart, const Resources& aWhole);
+
+/** Returns what counts as taken on a worker: the larger of the ledger's sum
+ * and of the sum over tasks of the larger of committed and reported usage.
+ * Thread safe. */
+Resources
+CountedOn(const WorkerView& aWorker);
+
+/** Returns whether a worker accepts new tasks at all: reachable, not leaving,
+ * not quarantined. Thread safe. */
+bool
+AcceptsTasks(const WorkerView& aWorker);
+
+/** Returns the name of the first resource of which aNeeded exceeds aFree; empty
+ * if it fits. Thread safe. */
+std::string
+LimitingResource(const Resources& aNeeded, const Resources& aFree);
+
+/** Formats an amount for reasons, for example "cpu=500m,memory=2048MB".
+ * Thread safe. */
+std::string
+Format(const Resources& aAmount);
+
+} // namespace sequoiakeel
