Add the interfaces of the routing decisions

The table ties health, limits and policy together so that the request path reports each event once. No implementation yet.

--- /dev/null
+++ b/src/ServerTable.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "ConcurrencyLimit.h"
+#include "RoutingPolicy.h"
+#include "ServerHealth.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** Parameters of a table of servers. */
+struct ServerTableOptions
+{
+  /** Availability zone of this entry. */
+  std::string zone;
+  std::uint32_t slots = 8;
+  std::uint32_t connectionsPerWorker = 64;
+  std::uint32_t entriesMax = 10;
+  /** "naive" or "current". The naive table has neither health checks nor
+   * adapted limits. */
+  std::string policy = "current";
+  RoutingOptions routing;
+  HealthOptions health;
+};
+
+/**
+ * The backend servers of one service at one entry: keeps the views of the
+ * routing policy up to date from what happens to requests. Not thread safe:
+ * one object for each shard.
+ */
+class ServerTable
+{
+public:
+  explicit ServerTable(const ServerTableOptions& aOptions);
+
+  /** Adds a server and returns its id; returns the known id if there is one of
+   * that name. */
+  ServerId Add(const std::string& aName, const std::string& aZone);
+
+  /** Removes a server. Feedback on requests in progress there is ignored from
+   * then on. */
+  void Remove(const std::string& aName);
+
+  /** Returns the id of a server; empty if unknown. */
+  std::optional<ServerId> Find(std::string_view aName) const;
+
+  /** Marks a server as leaving or not. */
+  void SetLeaving(ServerId aServer, bool aLeaving);
+
+  /** Sets the requests that the peers together reported in progress. */
+  void SetPeersInFlight(ServerId aServer,
+                        double aInFlight,
+                        TimePoint aReported);
+
+  /** Chooses a server for a request. The index of the decision refers to
+   * Views(). A choice that is used is followed by OnStart. */
+  RoutingDecision Choose(const RequestView& aRequest,
+                         TimePoint aNow,
+                         Random& aRandom);
+
+  /** A request was sent to aServer; exactly one of the next four follows. */
+  void OnStart(ServerId aServer, TimePoint aNow);
+  void OnResponse(ServerId aServer, Duration aLatency, TimePoint aNow);
+  void OnRefusal(ServerId aServer, TimePoint aNow);
+  void OnFailure(ServerId aServer, TimePoint aNow);
+  /** aWaited is the time since the request was sent. */
+  void OnTimeout(ServerId aServer, Duration aWaited, TimePoint aNow);
+
+  /** The caller hung up or the request was given up; says nothing about the
+   * server. */
+  void OnAbandoned(ServerId aServer, TimePoint aNow);
+
+  /** Updates health states; call about every 100 ms. */
+  void Tick(TimePoint aNow, Random& aRandom);
+
+  /** Returns the views, valid until the next call that changes the table. */
+  std::span<const ServerView> Views() const { return this->views; }
+
+  /** Returns the changes of health since the last call. */
+  std::vector<HealthChange> TakeHealthChanges();
+
+  /** Returns the name of a server. aServer is known. */
+  std::string_view Name(ServerId aServer) const;
+
+private:
+  struct Entry;
+  ServerTableOptions options;
+  std::unique_ptr<RoutingPolicy> policy;
+  std::vector<ServerView> views;
+};
+
+} // namespace sequoiakeel
