Implement the routing decisions, each with its naive version

Routing policy (naive: evenly at random; current: lowest expected response time among a few drawn servers), request queue (naive: first in, first out; current: earliest deadline first, weighted fair between teams), retry budget, server health, soft concurrency limit, subset by rendezvous hash and the server table that ties them together. Constants are not measured yet.

--- /dev/null
+++ b/src/ConcurrencyLimit.cpp
@@ -0,0 +1,88 @@
+#include "ConcurrencyLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Factor of a decrease after an explicit refusal. */
+constexpr double kRefusalFactor = 0.7;
+/** Factor of a decrease after a slow response or a peers' report. */
+constexpr double kOverloadFactor = 0.85;
+/** Slowdown from which a response counts as a sign of overload. */
+constexpr double kSlowdown = 3;
+/** Requests over slots, as the peers report them, that count as overload. */
+constexpr double kPeersOverload = 1.5;
+/** Reports older than this are ignored. */
+constexpr Duration kReportAgeLimit = std::chrono::seconds(5);
+/** Signs of overload within this time of a decrease are about the same one. */
+constexpr Duration kDecreaseInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(const ConcurrencyOptions& aOptions)
+  : options(aOptions)
+  , limit(std::max(1.0, aOptions.connectionShare / 2.0))
+{
+}
+
+void
+ConcurrencyLimit::OnResponse(std::uint32_t aInFlight,
+                             double aSlowdown,
+                             TimePoint aNow)
+{
+  if (aSlowdown > kSlowdown) {
+    this->Decrease(kOverloadFactor, aNow);
+    return;
+  }
+  // Only a limit that is in use shows whether a higher one is safe.
+  if (aInFlight + 1 < this->Limit()) {
+    return;
+  }
+  this->limit = std::min(this->limit + 1 / this->limit, this->UpperBound());
+}
+
+void
+ConcurrencyLimit::OnRefusal(TimePoint aNow)
+{
+  this->Decrease(kRefusalFactor, aNow);
+}
+
+void
+ConcurrencyLimit::OnPeerReport(double aInFlight, Duration aAge, TimePoint aNow)
+{
+  if (aAge > kReportAgeLimit) {
+    return;
+  }
+  if (aInFlight > kPeersOverload * this->options.slots) {
+    this->Decrease(kOverloadFactor, aNow);
+  }
+}
+
+std::uint32_t
+ConcurrencyLimit::Limit() const
+{
+  const double bounded =
+    std::min(std::max(1.0, this->limit), this->UpperBound());
+  return static_cast<std::uint32_t>(std::floor(bounded));
+}
+
+double
+ConcurrencyLimit::UpperBound() const
+{
+  return static_cast<double>(this->options.connectionShare);
+}
+
+void
+ConcurrencyLimit::Decrease(double aFactor, TimePoint aNow)
+{
+  if (aNow - this->lastDecrease < kDecreaseInterval) {
+    return;
+  }
+  this->lastDecrease = aNow;
+  this->limit = std::max(1.0, this->limit * aFactor);
+}
+
+} // namespace sequoiakeel
--- a/src/ConcurrencyLimit.h
+++ b/src/ConcurrencyLimit.h
@@ -46,10 +46,14 @@
   /** The peers together reported aInFlight requests in progress, aAge ago. */
   void OnPeerReport(double aInFlight, Duration aAge, TimePoint aNow);
 
-  /** Returns the limit: at least 1, at most the connection share. */
+  /** Returns the limit: at least 1, at most the connection share (0 if that is
+   * 0). */
   std::uint32_t Limit() const;
 
 private:
+  double UpperBound() const;
+  void Decrease(double aFactor, TimePoint aNow);
+
   ConcurrencyOptions options;
   double limit;
   TimePoint lastDecrease;
--- /dev/null
+++ b/src/RequestQueue.cpp
@@ -0,0 +1,420 @@
+#include "RequestQueue.h"
+
+#include "Error.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Weight of one interval in the smoothed interval between departures. */
+constexpr double kIntervalWeight = 0.05;
+/** Departures after which the smoothed interval is trusted. */
+constexpr std::uint32_t kIntervalSamples = 20;
+
+/** One first-in, first-out list. */
+class NaiveQueue : public RequestQueue
+{
+public:
+  explicit NaiveQueue(std::size_t aLimit)
+    : limit(aLimit)
+  {
+  }
+
+  void SetWeight(const std::string&, std::uint32_t) override {}
+
+  std::optional<QueueRefusal> Push(QueuedRequest aRequest,
+                                   TimePoint aNow) override
+  {
+    if (aRequest.deadline <= aNow) {
+      return QueueRefusal::DeadlinePassed;
+    }
+    if (this->requests.size() >= this->limit) {
+      return QueueRefusal::QueueFull;
+    }
+    this->requests.push_back(std::move(aRequest));
+    return std::nullopt;
+  }
+
+  const QueuedRequest* Front(TimePoint aNow) override
+  {
+    while (!this->requests.empty() && this->requests.front().deadline <= aNow) {
+      this->DropAt(this->requests.begin());
+    }
+    return this->requests.empty() ? nullptr : &this->requests.front();
+  }
+
+  std::optional<QueuedRequest> Pop(TimePoint aNow) override
+  {
+    if (this->Front(aNow) == nullptr) {
+      return std::nullopt;
+    }
+    QueuedRequest request = std::move(this->requests.front());
+    this->requests.pop_front();
+    return request;
+  }
+
+  bool Remove(std::uint64_t aId) override
+  {
+    const auto place = std::ranges::find(
+      this->requests, aId, [](const auto& aRequest) { return aRequest.id; });
+    if (place == this->requests.end()) {
+      return false;
+    }
+    this->requests.erase(place);
+    return true;
+  }
+
+  void Expire(TimePoint aNow) override
+  {
+    auto place = this->requests.begin();
+    while (place != this->requests.end()) {
+      place = place->deadline <= aNow ? this->DropAt(place) : place + 1;
+    }
+  }
+
+  std::vector<DroppedRequest> TakeDropped() override
+  {
+    return std::exchange(this->dropped, {});
+  }
+
+  std::size_t Size() const override { return this->requests.size(); }
+
+  Duration ExpectedWait(std::string_view, TimePoint) const override
+  {
+    return Duration(0);
+  }
+
+private:
+  std::deque<QueuedRequest>::iterator DropAt(
+    std::deque<QueuedRequest>::iterator aPlace)
+  {
+    this->dropped.push_back({ aPlace->id, QueueRefusal::DeadlinePassed });
+    return this->requests.erase(aPlace);
+  }
+
+  std::size_t limit;
+  std::deque<QueuedRequest> requests;
+  std::vector<DroppedRequest> dropped;
+};
+
+/** Place of a request in its team: urgent ones first, then by deadline, then by
+ * arrival. */
+using Rank = std::tuple<bool, TimePoint, std::uint64_t>;
+
+/** The waiting requests of one team and its share. */
+struct Team
+{
+  std::uint32_t weight = 1;
+  /** Virtual time at which the team's next request starts (start-time fair
+   * queueing): the team with the lowest goes next. */
+  double start = 0;
+  std::map<Rank, QueuedRequest> requests;
+};
+
+/** Earliest deadline first within a team, weighted fair between teams. */
+class CurrentQueue : public RequestQueue
+{
+public:
+  explicit CurrentQueue(std::size_t aLimit)
+    : limit(aLimit)
+  {
+  }
+
+  void SetWeight(const std::string& aTeam, std::uint32_t aWeight) override
+  {
+    UserAssert(aWeight > 0, "the weight of team " + aTeam + " is not positive");
+    this->teams[aTeam].weight = aWeight;
+  }
+
+  std::optional<QueueRefusal> Push(QueuedRequest aRequest,
+                                   TimePoint aNow) override
+  {
+    InternalAssert(!this->places.contains(aRequest.id),
+                   "a request is queued twice");
+    if (aRequest.deadline <= aNow) {
+      return QueueRefusal::DeadlinePassed;
+    }
+    Team& team = this->teams[aRequest.team];
+    const Rank rank{ !aRequest.urgent, aRequest.deadline, this->arrivals++ };
+    if (this->Unreachable(team, rank, aRequest, aNow)) {
+      return QueueRefusal::DeadlineUnreachable;
+    }
+    if (this->size >= this->limit) {
+      const std::optional<QueueRefusal> refusal = this->MakeRoom(team);
+      if (refusal) {
+        return refusal;
+      }
+    }
+    if (team.requests.empty()) {
+      // An idle team saves up no share.
+      team.start = std::max(team.start, this->virtualTime);
+    }
+    if (this->size == 0) {
+      this->lastDeparture = aNow;
+    }
+    this->places.emplace(aRequest.id, Place{ aRequest.team, rank });
+    team.requests.emplace(rank, std::move(aRequest));
+    ++this->size;
+    return std::nullopt;
+  }
+
+  const QueuedRequest* Front(TimePoint aNow) override
+  {
+    Team* team = this->NextTeam(aNow);
+    return team == nullptr ? nullptr : &team->requests.begin()->second;
+  }
+
+  std::optional<QueuedRequest> Pop(TimePoint aNow) override
+  {
+    Team* team = this->NextTeam(aNow);
+    if (team == nullptr) {
+      return std::nullopt;
+    }
+    QueuedRequest request = std::move(team->requests.begin()->second);
+    this->Erase(*team, team->requests.begin(), request.id);
+    this->virtualTime = team->start;
+    team->start += 1.0 / team->weight;
+    this->OnDeparture(aNow);
+    return request;
+  }
+
+  bool Remove(std::uint64_t aId) override
+  {
+    const auto place = this->places.find(aId);
+    if (place == this->places.end()) {
+      return false;
+    }
+    Team& team = this->teams[place->second.team];
+    this->Erase(team, team.requests.find(place->second.rank), aId);
+    return true;
+  }
+
+  void Expire(TimePoint aNow) override
+  {
+    for (auto& [name, team] : this->teams) {
+      auto next = team.requests.begin();
+      while (next != team.requests.end()) {
+        const auto place = next++;
+        if (place->second.deadline <= aNow) {
+          this->Drop(team, place, QueueRefusal::DeadlinePassed);
+        }
+      }
+    }
+  }
+
+  std::vector<DroppedRequest> TakeDropped() override
+  {
+    return std::exchange(this->dropped, {});
+  }
+
+  std::size_t Size() const override { return this->size; }
+
+  Duration ExpectedWait(std::string_view aTeam, TimePoint aNow) const override
+  {
+    const auto place = this->teams.find(aTeam);
+    if (place == this->teams.end()) {
+      return this->WaitBehind(Team(), 0, aNow);
+    }
+    return this->WaitBehind(place->second, place->second.requests.size(), aNow);
+  }
+
+private:
+  struct Place
+  {
+    std::string team;
+    Rank rank;
+  };
+  using Waiting = std::map<Rank, QueuedRequest>;
+
+  /** Tells whether a request's response cannot come before its deadline. */
+  static bool TooLate(const QueuedRequest& aRequest, TimePoint aStart)
+  {
+    return aStart + aRequest.expected >= aRequest.deadline;
+  }
+
+  bool Unreachable(const Team& aTeam,
+                   const Rank& aRank,
+                   const QueuedRequest& aRequest,
+                   TimePoint aNow) const
+  {
+    if (this->size == 0) {
+      return false;
+    }
+    const auto next = aTeam.requests.lower_bound(aRank);
+    const auto ahead = std::distance(aTeam.requests.begin(), next);
+    const Duration wait =
+      this->WaitBehind(aTeam, static_cast<std::size_t>(ahead), aNow);
+    return TooLate(aRequest, aNow + wait);
+  }
+
+  /** Returns the expected wait of a request with aAhead others of its team
+   * before it. */
+  Duration WaitBehind(const Team& aTeam,
+                      std::size_t aAhead,
+                      TimePoint aNow) const
+  {
+    if (this->intervals < kIntervalSamples || this->size == 0) {
+      return Duration(0);
+    }
+    std::uint64_t weights = aTeam.weight;
+    std::size_t others = 0;
+    for (const auto& [name, team] : this->teams) {
+      if (&team == &aTeam || team.requests.empty()) {
+        continue;
+      }
+      weights += team.weight;
+      others += team.requests.size();
+    }
+    const double turns = static_cast<double>(aAhead + 1);
+    const double shared = turns * static_cast<double>(weights) / aTeam.weight;
+    const double before = std::min(shared, turns + static_cast<double>(others));
+    // A stall that is longer than the usual interval is not over yet.
+    const double stall =
+      static_cast<double>((aNow - this->lastDeparture).count());
+    const double wait =
+      std::max(stall, this->interval) + (before - 1) * this->interval;
+    return Duration(static_cast<Duration::rep>(wait));
+  }
+
+  /** Drops a request of the team that is furthest above its share, unless that
+   * is aTeam. */
+  std::optional<QueueRefusal> MakeRoom(const Team& aTeam)
+  {
+    Team* largest = nullptr;
+    double most = static_cast<double>(aTeam.requests.size() + 1) / aTeam.weight;
+    bool others = false;
+    for (auto& [name, team] : this->teams) {
+      if (&team == &aTeam || team.requests.empty()) {
+        continue;
+      }
+      others = true;
+      const double held =
+        static_cast<double>(team.requests.size()) / team.weight;
+      if (held > most) {
+        most = held;
+        largest = &team;
+      }
+    }
+    if (largest == nullptr) {
+      return others ? QueueRefusal::TeamShareFull : QueueRefusal::QueueFull;
+    }
+    this->Drop(*largest,
+               std::prev(largest->requests.end()),
+               QueueRefusal::TeamShareFull);
+    return std::nullopt;
+  }
+
+  /** Returns the team that goes next, with a first request that can still be
+   * answered in time; null if there is none. */
+  Team* NextTeam(TimePoint aNow)
+  {
+    Team* next = nullptr;
+    for (auto& [name, team] : this->teams) {
+      this->DropLate(team, aNow);
+      if (team.requests.empty()) {
+        continue;
+      }
+      if (next == nullptr || team.start < next->start) {
+        next = &team;
+      }
+    }
+    return next;
+  }
+
+  /** Drops requests at the head of the team whose deadline cannot be met:
+   * sending them would only make the next ones late as well. */
+  void DropLate(Team& aTeam, TimePoint aNow)
+  {
+    while (!aTeam.requests.empty()) {
+      const QueuedRequest& first = aTeam.requests.begin()->second;
+      if (first.deadline <= aNow) {
+        this->Drop(aTeam, aTeam.requests.begin(), QueueRefusal::DeadlinePassed);
+        continue;
+      }
+      if (TooLate(first, aNow)) {
+        this->Drop(
+          aTeam, aTeam.requests.begin(), QueueRefusal::DeadlineUnreachable);
+        continue;
+      }
+      return;
+    }
+  }
+
+  void Drop(Team& aTeam, Waiting::iterator aPlace, QueueRefusal aReason)
+  {
+    const std::uint64_t id = aPlace->second.id;
+    this->dropped.push_back({ id, aReason });
+    this->Erase(aTeam, aPlace, id);
+  }
+
+  void Erase(Team& aTeam, Waiting::iterator aPlace, std::uint64_t aId)
+  {
+    aTeam.requests.erase(aPlace);
+    this->places.erase(aId);
+    --this->size;
+  }
+
+  void OnDeparture(TimePoint aNow)
+  {
+    const auto sample =
+      static_cast<double>((aNow - this->lastDeparture).count());
+    this->lastDeparture = aNow;
+    this->interval =
+      this->intervals == 0
+        ? sample
+        : this->interval + kIntervalWeight * (sample - this->interval);
+    ++this->intervals;
+  }
+
+  std::size_t limit;
+  std::size_t size = 0;
+  std::uint64_t arrivals = 0;
+  std::map<std::string, Team, std::less<>> teams;
+  std::unordered_map<std::uint64_t, Place> places;
+  std::vector<DroppedRequest> dropped;
+  /** Start of the last request that left, in virtual time. */
+  double virtualTime = 0;
+  /** Smoothed ticks between departures while requests wait. */
+  double interval = 0;
+  std::uint32_t intervals = 0;
+  TimePoint lastDeparture;
+};
+
+} // namespace
+
+std::string_view
+ToText(QueueRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case QueueRefusal::QueueFull:
+      return "queue-full";
+    case QueueRefusal::TeamShareFull:
+      return "team-share-full";
+    case QueueRefusal::DeadlineUnreachable:
+      return "deadline-unreachable";
+    case QueueRefusal::DeadlinePassed:
+      return "deadline-passed";
+  }
+  throw InternalError("unknown queue refusal");
+}
+
+std::unique_ptr<RequestQueue>
+MakeRequestQueue(std::string_view aName, std::size_t aLimit)
+{
+  if (aName == "naive") {
+    return std::make_unique<NaiveQueue>(aLimit);
+  }
+  if (aName == "current") {
+    return std::make_unique<CurrentQueue>(aLimit);
+  }
+  throw UserError("unknown request queue: " + std::string(aName));
+}
+
+} // namespace sequoiakeel
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -65,6 +65,10 @@
   virtual std::optional<QueueRefusal> Push(QueuedRequest aRequest,
                                            TimePoint aNow) = 0;
 
+  /** Returns the request that Pop would return, dropping the same ones; null if
+   * there is none. Valid until the next call that changes the queue. */
+  virtual const QueuedRequest* Front(TimePoint aNow) = 0;
+
   /** Removes and returns the next request whose deadline can still be met.
    * Those found on the way that cannot are dropped. */
   virtual std::optional<QueuedRequest> Pop(TimePoint aNow) = 0;
--- /dev/null
+++ b/src/RetryBudget.cpp
@@ -0,0 +1,56 @@
+#include "RetryBudget.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** The budget is counted in hundredths of a retry. */
+constexpr std::uint64_t kOneRetry = 100;
+/** Doublings after which the backoff is at its longest in any case. */
+constexpr std::uint32_t kMaxDoublings = 20;
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryOptions& aOptions)
+  : options(aOptions)
+  , hundredths(aOptions.percent > 0 ? aOptions.burst * kOneRetry : 0)
+{
+}
+
+void
+RetryBudget::OnRequest()
+{
+  this->hundredths = std::min<std::uint64_t>(
+    this->hundredths + this->options.percent, this->options.burst * kOneRetry);
+}
+
+bool
+RetryBudget::TryTake()
+{
+  if (this->hundredths < kOneRetry) {
+    return false;
+  }
+  this->hundredths -= kOneRetry;
+  return true;
+}
+
+void
+RetryBudget::Return()
+{
+  this->hundredths = std::min<std::uint64_t>(this->hundredths + kOneRetry,
+                                             this->options.burst * kOneRetry);
+}
+
+Duration
+RetryBudget::Backoff(std::uint32_t aAttempt, Random& aRandom) const
+{
+  const std::uint32_t doublings =
+    std::min(aAttempt > 0 ? aAttempt - 1 : 0, kMaxDoublings);
+  const Duration longest = std::min(
+    this->options.firstBackoff * (1U << doublings), this->options.maxBackoff);
+  return std::chrono::duration_cast<Duration>(longest * DrawUnit(aRandom));
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/RoutingPolicy.cpp
@@ -0,0 +1,467 @@
+#include "RoutingPolicy.h"
+
+#include "Error.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Random draws before all servers are looked at. */
+constexpr std::size_t kNaiveDraws = 8;
+/** Draws for each wanted candidate before all servers are looked at. */
+constexpr std::size_t kDrawsPerCandidate = 2;
+/** Largest number of candidates that are compared. */
+constexpr std::size_t kMaxChoices = 16;
+/** Latency in milliseconds that is assumed before the first response. */
+constexpr double kUnknownLatency = 1;
+
+double
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+bool
+WasTried(const RequestView& aRequest, ServerId aServer)
+{
+  return std::ranges::find(aRequest.tried, aServer) != aRequest.tried.end();
+}
+
+/** Names the reason why none of aServers is eligible. */
+RoutingReason
+ReasonForNone(std::span<const ServerView> aServers)
+{
+  if (aServers.empty()) {
+    return RoutingReason::NoServers;
+  }
+  bool allLeaving = true;
+  bool allUnhealthy = true;
+  for (const ServerView& server : aServers) {
+    if (server.leaving) {
+      continue;
+    }
+    allLeaving = false;
+    allUnhealthy = allUnhealthy && server.health != HealthState::Healthy;
+  }
+  if (allLeaving) {
+    return RoutingReason::AllLeaving;
+  }
+  return allUnhealthy ? RoutingReason::AllUnhealthy : RoutingReason::AllAtLimit;
+}
+
+/** Evenly at random among the eligible servers. */
+class NaivePolicy : public RoutingPolicy
+{
+public:
+  RoutingDecision Choose(const RequestView& aRequest,
+                         std::span<const ServerView> aServers,
+                         TimePoint aNow,
+                         Random& aRandom) override
+  {
+    RoutingDecision decision;
+    if (aRequest.deadline <= aNow) {
+      decision.reason = RoutingReason::DeadlinePassed;
+      return decision;
+    }
+    for (std::size_t draw = 0; draw < kNaiveDraws && !aServers.empty();
+         ++draw) {
+      const std::size_t index = DrawIndex(aRandom, aServers.size());
+      if (IsEligible(aServers[index])) {
+        decision.index = index;
+        decision.reason = RoutingReason::Drawn;
+        return decision;
+      }
+    }
+    return this->ChooseByScan(aServers, aRandom);
+  }
+
+private:
+  static RoutingDecision ChooseByScan(std::span<const ServerView> aServers,
+                                      Random& aRandom)
+  {
+    RoutingDecision decision;
+    std::size_t seen = 0;
+    for (std::size_t index = 0; index < aServers.size(); ++index) {
+      if (!IsEligible(aServers[index])) {
+        continue;
+      }
+      ++seen;
+      if (DrawIndex(aRandom, seen) == 0) {
+        decision.index = index;
+      }
+    }
+    decision.reason =
+      decision.index ? RoutingReason::Drawn : ReasonForNone(aServers);
+    return decision;
+  }
+};
+
+/** The lowest expected response time among a few servers drawn at random. */
+class CurrentPolicy : public RoutingPolicy
+{
+public:
+  explicit CurrentPolicy(const RoutingOptions& aOptions)
+    : options(aOptions)
+  {
+    this->options.choices =
+      std::clamp<std::size_t>(this->options.choices, 1, kMaxChoices);
+  }
+
+  RoutingDecision Choose(const RequestView& aRequest,
+                         std::span<const ServerView> aServers,
+                         TimePoint aNow,
+                         Random& aRandom) override
+  {
+    RoutingDecision decision;
+    if (aRequest.deadline <= aNow) {
+      decision.reason = RoutingReason::DeadlinePassed;
+      return decision;
+    }
+    this->Draw(aRequest, aServers, aRandom);
+    if (this->drawn.size() < this->options.choices) {
+      this->DrawByScan(aRequest, aServers, aRandom);
+    }
+    if (this->drawn.empty()) {
+      return ChooseTried(aServers, aRandom);
+    }
+    return this->ChooseDrawn(aRequest, aServers, aNow);
+  }
+
+  void OnStart(ServerId aServer, TimePoint aNow) override
+  {
+    State& state = this->Get(aServer);
+    if (state.inFlight == 0) {
+      state.silentSince = aNow;
+    }
+    ++state.inFlight;
+  }
+
+  void OnResponse(ServerId aServer, Duration aLatency, TimePoint aNow) override
+  {
+    this->OnEnd(aServer, aNow);
+    this->AddSample(aServer, ToMilliseconds(aLatency), aNow);
+  }
+
+  void OnRefusal(ServerId aServer, TimePoint aNow) override
+  {
+    this->OnEnd(aServer, aNow);
+  }
+
+  void OnFailure(ServerId aServer, TimePoint aNow) override
+  {
+    this->OnEnd(aServer, aNow);
+    // A failure is worth no less than twice the usual wait, or a server that
+    // fails at once would look like the fastest one.
+    const double cost = std::max(this->Get(aServer).latency, this->typical);
+    this->AddSample(aServer, 2 * cost, aNow);
+  }
+
+  void OnTimeout(ServerId aServer, Duration aWaited, TimePoint aNow) override
+  {
+    State& state = this->Get(aServer);
+    state.inFlight -= state.inFlight > 0 ? 1 : 0;
+    const double waited = ToMilliseconds(aWaited);
+    if (waited > state.latency) {
+      this->AddSample(aServer, waited, aNow);
+    }
+  }
+
+  void OnAbandoned(ServerId aServer, TimePoint) override
+  {
+    State& state = this->Get(aServer);
+    state.inFlight -= state.inFlight > 0 ? 1 : 0;
+  }
+
+  void Forget(ServerId aServer) override { this->Get(aServer) = State(); }
+
+private:
+  struct State
+  {
+    /** Smoothed milliseconds until the response; zero if unknown. */
+    double latency = 0;
+    std::uint32_t inFlight = 0;
+    TimePoint lastSample;
+    /** Time of the last sign of life, or of the first request after it. */
+    TimePoint silentSince;
+  };
+
+  State& Get(ServerId aServer)
+  {
+    if (aServer >= this->states.size()) {
+      this->states.resize(aServer + 1);
+    }
+    return this->states[aServer];
+  }
+
+  void OnEnd(ServerId aServer, TimePoint aNow)
+  {
+    State& state = this->Get(aServer);
+    state.inFlight -= state.inFlight > 0 ? 1 : 0;
+    state.silentSince = aNow;
+  }
+
+  void AddSample(ServerId aServer, double aMilliseconds, TimePoint aNow)
+  {
+    State& state = this->Get(aServer);
+    if (state.latency == 0) {
+      state.latency = aMilliseconds;
+    }
+    // After a pause the old estimate counts less.
+    const double pause = ToMilliseconds(aNow - state.lastSample);
+    const double decayed =
+      1 - std::exp(-pause / ToMilliseconds(this->options.memory));
+    const double weight = std::max(this->options.sampleWeight, decayed);
+    state.latency += weight * (aMilliseconds - state.latency);
+    state.lastSample = aNow;
+    if (this->typical == 0) {
+      this->typical = aMilliseconds;
+    }
+    this->typical += kTypicalWeight * (aMilliseconds - this->typical);
+  }
+
+  /** Draws distinct eligible servers that were not tried. */
+  void Draw(const RequestView& aRequest,
+            std::span<const ServerView> aServers,
+            Random& aRandom)
+  {
+    this->drawn.clear();
+    if (aServers.empty()) {
+      return;
+    }
+    const std::size_t draws = kDrawsPerCandidate * this->options.choices;
+    for (std::size_t draw = 0; draw < draws; ++draw) {
+      const std::size_t index = DrawIndex(aRandom, aServers.size());
+      const ServerView& server = aServers[index];
+      if (!IsEligible(server) || WasTried(aRequest, server.id) ||
+          std::ranges::find(this->drawn, index) != this->drawn.end()) {
+        continue;
+      }
+      this->drawn.push_back(index);
+      if (this->drawn.size() == this->options.choices) {
+        return;
+      }
+    }
+  }
+
+  /** Draws among all eligible servers (reservoir sampling). */
+  void DrawByScan(const RequestView& aRequest,
+                  std::span<const ServerView> aServers,
+                  Random& aRandom)
+  {
+    this->drawn.clear();
+    std::size_t seen = 0;
+    for (std::size_t index = 0; index < aServers.size(); ++index) {
+      const ServerView& server = aServers[index];
+      if (!IsEligible(server) || WasTried(aRequest, server.id)) {
+        continue;
+      }
+      ++seen;
+      if (this->drawn.size() < this->options.choices) {
+        this->drawn.push_back(index);
+        continue;
+      }
+      const std::size_t place = DrawIndex(aRandom, seen);
+      if (place < this->options.choices) {
+        this->drawn[place] = index;
+      }
+    }
+  }
+
+  /** Falls back to a server that already refused or failed the request. */
+  static RoutingDecision ChooseTried(std::span<const ServerView> aServers,
+                                     Random& aRandom)
+  {
+    RoutingDecision decision;
+    std::size_t seen = 0;
+    for (std::size_t index = 0; index < aServers.size(); ++index) {
+      if (!IsEligible(aServers[index])) {
+        continue;
+      }
+      ++seen;
+      if (DrawIndex(aRandom, seen) == 0) {
+        decision.index = index;
+      }
+    }
+    decision.reason =
+      decision.index ? RoutingReason::TriedBefore : ReasonForNone(aServers);
+    return decision;
+  }
+
+  RoutingDecision ChooseDrawn(const RequestView& aRequest,
+                              std::span<const ServerView> aServers,
+                              TimePoint aNow)
+  {
+    std::array<RoutingCandidate, kMaxChoices> candidates;
+    std::size_t count = 0;
+    for (const std::size_t index : this->drawn) {
+      const ServerView& server = aServers[index];
+      candidates[count] = { index, this->Score(aRequest, server, aNow) };
+      if (server.health == HealthState::Probation && !aRequest.urgent) {
+        return { index, RoutingReason::Trial, candidates[count].score, {}, 0 };
+      }
+      ++count;
+    }
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(candidates.begin(),
+                      candidates.begin() + static_cast<std::ptrdiff_t>(
+                                             std::min<std::size_t>(count, 3)),
+                      end,
+                      [](const auto& aLeft, const auto& aRight) {
+                        return aLeft.score < aRight.score;
+                      });
+    RoutingDecision decision;
+    decision.index = candidates[0].index;
+    decision.score = candidates[0].score;
+    decision.reason =
+      count == 1 ? RoutingReason::OnlyCandidate : RoutingReason::LowestScore;
+    for (std::size_t place = 1; place < std::min<std::size_t>(count, 3);
+         ++place) {
+      decision.alternatives[decision.alternativesCount++] = candidates[place];
+    }
+    return decision;
+  }
+
+  /** Returns the expected milliseconds until the response. */
+  double Score(const RequestView& aRequest,
+               const ServerView& aServer,
+               TimePoint aNow)
+  {
+    const State& state = this->Get(aServer.id);
+    const double distance = aServer.zone == aRequest.zone
+                              ? 0
+                              : 2 * ToMilliseconds(this->options.zoneDelay);
+    double latency = this->Estimate(state, aNow);
+    if (state.inFlight > 0) {
+      // A server that owes responses is at least as slow as its silence.
+      latency = std::max(latency, ToMilliseconds(aNow - state.silentSince));
+    }
+    double load = this->options.loadWeight * aServer.inFlight;
+    if (aServer.peersAge >= Duration(0) && this->options.peersWeight > 0) {
+      const double age = ToMilliseconds(aServer.peersAge);
+      const double trust =
+        std::exp(-age / ToMilliseconds(this->options.peersMemory));
+      load += this->options.peersWeight * trust * aServer.peersInFlight;
+    }
+    return distance + latency * (1 + load);
+  }
+
+  /** Returns the latency estimate; it returns to the usual latency when there
+   * are no samples, so that a server that was slow is used again. */
+  double Estimate(const State& aState, TimePoint aNow) const
+  {
+    const double usual = std::max(this->typical, kUnknownLatency);
+    if (aState.latency == 0) {
+      return usual;
+    }
+    const double pause = ToMilliseconds(aNow - aState.lastSample);
+    const double trust =
+      std::exp(-pause / ToMilliseconds(this->options.forgetting));
+    return usual + trust * (aState.latency - usual);
+  }
+
+  /** Weight of one sample in the usual latency. */
+  static constexpr double kTypicalWeight = 0.01;
+
+  RoutingOptions options;
+  std::vector<State> states;
+  std::vector<std::size_t> drawn;
+  /** Smoothed milliseconds over all servers; zero if unknown. */
+  double typical = 0;
+};
+
+} // namespace
+
+std::string_view
+ToText(RoutingReason aReason)
+{
+  switch (aReason) {
+    case RoutingReason::Drawn:
+      return "drawn";
+    case RoutingReason::LowestScore:
+      return "lowest-score";
+    case RoutingReason::OnlyCandidate:
+      return "only-candidate";
+    case RoutingReason::Trial:
+      return "trial";
+    case RoutingReason::TriedBefore:
+      return "tried-before";
+    case RoutingReason::NoServers:
+      return "no-servers";
+    case RoutingReason::AllLeaving:
+      return "all-leaving";
+    case RoutingReason::AllUnhealthy:
+      return "all-unhealthy";
+    case RoutingReason::AllAtLimit:
+      return "all-at-limit";
+    case RoutingReason::DeadlinePassed:
+      return "deadline-passed";
+  }
+  throw InternalError("unknown routing reason");
+}
+
+bool
+IsEligible(const ServerView& aServer)
+{
+  if (aServer.leaving || aServer.health == HealthState::Ejected) {
+    return false;
+  }
+  if (aServer.health == HealthState::Probation && !aServer.trialAllowed) {
+    return false;
+  }
+  return aServer.inFlight < aServer.softLimit &&
+         aServer.inFlight < aServer.connectionLimit;
+}
+
+void
+RoutingPolicy::OnStart(ServerId, TimePoint)
+{
+}
+
+void
+RoutingPolicy::OnResponse(ServerId, Duration, TimePoint)
+{
+}
+
+void
+RoutingPolicy::OnRefusal(ServerId, TimePoint)
+{
+}
+
+void
+RoutingPolicy::OnFailure(ServerId, TimePoint)
+{
+}
+
+void
+RoutingPolicy::OnTimeout(ServerId, Duration, TimePoint)
+{
+}
+
+void
+RoutingPolicy::OnAbandoned(ServerId, TimePoint)
+{
+}
+
+void
+RoutingPolicy::Forget(ServerId)
+{
+}
+
+std::unique_ptr<RoutingPolicy>
+MakeRoutingPolicy(std::string_view aName, const RoutingOptions& aOptions)
+{
+  if (aName == "naive") {
+    return std::make_unique<NaivePolicy>();
+  }
+  if (aName == "current") {
+    return std::make_unique<CurrentPolicy>(aOptions);
+  }
+  throw UserError("unknown routing policy: " + std::string(aName));
+}
+
+} // namespace sequoiakeel
--- a/src/RoutingPolicy.h
+++ b/src/RoutingPolicy.h
@@ -45,7 +45,8 @@
   double peersInFlight = 0;
   /** Age of the peers' reports; negative if there is none. */
   Duration peersAge{ -1 };
-  /** Smoothed time from sending to the whole response; zero if unknown. */
+  /** Smoothed time from sending to the whole response; zero if unknown. For
+   * logs; the current policy keeps its own estimate. */
   Duration latency{ 0 };
   HealthState health = HealthState::Healthy;
   /** Whether a probation server may take one more trial request now. */
@@ -151,6 +152,9 @@
   /** No whole response came in time; the request waited aWaited. */
   virtual void OnTimeout(ServerId aServer, Duration aWaited, TimePoint aNow);
 
+  /** The request was given up for a reason that says nothing about aServer. */
+  virtual void OnAbandoned(ServerId aServer, TimePoint aNow);
+
   /** aServer is gone; its id may be given to another server. */
   virtual void Forget(ServerId aServer);
 };
@@ -160,6 +164,21 @@
 {
   /** One-way latency between two availability zones. */
   Duration zoneDelay = std::chrono::microseconds(500);
+  /** Servers drawn for each choice, at most 16. */
+  std::size_t choices = 4;
+  /** Growth of the expected time for each own request in progress there. */
+  double loadWeight = 0.5;
+  /** Growth of the expected time for each request that peers reported. */
+  double peersWeight = 0;
+  /** Time after which a peers' report counts 1/e. */
+  Duration peersMemory = std::chrono::seconds(1);
+  /** Least weight of a new latency in a server's estimate. */
+  double sampleWeight = 0.15;
+  /** Pause between two samples after which the older counts 1/e. */
+  Duration memory = std::chrono::seconds(2);
+  /** Time without samples after which an estimate counts 1/e against the usual
+   * latency. */
+  Duration forgetting = std::chrono::seconds(5);
 };
 
 /** Makes the policy "naive" (evenly at random among the eligible servers) or
--- /dev/null
+++ b/src/ServerHealth.cpp
@@ -0,0 +1,393 @@
+#include "ServerHealth.h"
+
+#include "Error.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Weight of one response in a server's smoothed latency. */
+constexpr double kLatencyWeight = 0.15;
+/** Factor on the decaying counts at each request: about the last 30 count. */
+constexpr double kDecay = 0.967;
+/** Servers with known latency that are needed for a median. */
+constexpr std::size_t kMinimumForMedian = 4;
+/** Trial requests at a time. */
+constexpr std::uint32_t kTrialsAtATime = 1;
+/** Silence over the usual latency from which a server counts as a black hole.
+ */
+constexpr double kSilenceRatio = 8;
+/** Unanswered requests that a healthy server needs for that: one long request
+ * alone proves nothing. */
+constexpr std::uint32_t kSilentRequests = 2;
+/** Doublings after which an ejection is at its longest in any case. */
+constexpr std::uint32_t kMaxDoublings = 10;
+/** Time of good health after which earlier ejections are forgotten. */
+constexpr Duration kForgiveness = std::chrono::seconds(60);
+/** Longest jitter of an ejection, as a share of it, so that the entries do not
+ * let a server back in step. */
+constexpr double kJitter = 0.3;
+
+/** Order of ejection reasons: a server that answers nothing goes first. */
+int
+Severity(EjectionReason aReason)
+{
+  switch (aReason) {
+    case EjectionReason::None:
+      return 0;
+    case EjectionReason::Slow:
+      return 1;
+    case EjectionReason::Failing:
+      return 2;
+    case EjectionReason::HalfDead:
+    case EjectionReason::BlackHole:
+      return 3;
+  }
+  throw InternalError("unknown ejection reason");
+}
+
+} // namespace
+
+std::string_view
+ToText(EjectionReason aReason)
+{
+  switch (aReason) {
+    case EjectionReason::None:
+      return "none";
+    case EjectionReason::Failing:
+      return "failing";
+    case EjectionReason::HalfDead:
+      return "half-dead";
+    case EjectionReason::BlackHole:
+      return "black-hole";
+    case EjectionReason::Slow:
+      return "slow";
+  }
+  throw InternalError("unknown ejection reason");
+}
+
+ServerHealth::ServerHealth(const HealthOptions& aOptions)
+  : options(aOptions)
+{
+}
+
+void
+ServerHealth::Add(ServerId aServer)
+{
+  if (aServer >= this->servers.size()) {
+    this->servers.resize(aServer + 1);
+  }
+  InternalAssert(!this->servers[aServer].known, "a server is added twice");
+  this->servers[aServer].known = true;
+  ++this->count;
+}
+
+void
+ServerHealth::Remove(ServerId aServer)
+{
+  Server* server = this->Find(aServer);
+  if (server == nullptr) {
+    return;
+  }
+  this->ejected -= server->state == HealthState::Ejected ? 1 : 0;
+  *server = Server();
+  --this->count;
+}
+
+void
+ServerHealth::OnStart(ServerId aServer, TimePoint aNow)
+{
+  Server* server = this->Find(aServer);
+  if (server == nullptr) {
+    return;
+  }
+  if (server->inFlight == 0) {
+    server->silentSince = aNow;
+  }
+  ++server->inFlight;
+}
+
+void
+ServerHealth::OnResponse(ServerId aServer, Duration aLatency, TimePoint aNow)
+{
+  Server* server = this->OnEnd(aServer, aNow);
+  if (server == nullptr) {
+    return;
+  }
+  const auto sample = static_cast<double>(aLatency.count());
+  server->latency +=
+    server->latency == 0 ? sample : kLatencyWeight * (sample - server->latency);
+  server->answered = server->answered * kDecay + 1;
+  server->failed *= kDecay;
+  server->failuresInRow = 0;
+  this->OnGoodTrial(aServer, aNow);
+}
+
+void
+ServerHealth::OnRefusal(ServerId aServer, TimePoint aNow)
+{
+  this->OnEnd(aServer, aNow);
+}
+
+void
+ServerHealth::OnFailure(ServerId aServer, TimePoint aNow)
+{
+  if (this->OnEnd(aServer, aNow) != nullptr) {
+    this->OnBad(aServer, false, aNow);
+  }
+}
+
+void
+ServerHealth::OnTimeout(ServerId aServer, Duration, TimePoint aNow)
+{
+  Server* server = this->Find(aServer);
+  if (server == nullptr) {
+    return;
+  }
+  server->inFlight -= server->inFlight > 0 ? 1 : 0;
+  this->OnBad(aServer, true, aNow);
+}
+
+void
+ServerHealth::OnAbandoned(ServerId aServer)
+{
+  Server* server = this->Find(aServer);
+  if (server != nullptr) {
+    server->inFlight -= server->inFlight > 0 ? 1 : 0;
+  }
+}
+
+void
+ServerHealth::Tick(TimePoint aNow, Random& aRandom)
+{
+  const double median = this->MedianLatency();
+  for (ServerId id = 0; id < this->servers.size(); ++id) {
+    Server& server = this->servers[id];
+    if (!server.known) {
+      continue;
+    }
+    if (server.state == HealthState::Ejected) {
+      if (server.ejectedUntil <= aNow) {
+        this->ToProbation(id);
+      }
+      continue;
+    }
+    this->jitter = DrawUnit(aRandom);
+    this->CheckSilence(id, median, aNow);
+    this->CheckSlow(id, median, aNow);
+  }
+}
+
+HealthState
+ServerHealth::State(ServerId aServer) const
+{
+  return this->Known(aServer) ? this->servers[aServer].state
+                              : HealthState::Ejected;
+}
+
+bool
+ServerHealth::TrialAllowed(ServerId aServer) const
+{
+  return this->Known(aServer) &&
+         this->servers[aServer].state == HealthState::Probation &&
+         this->servers[aServer].inFlight < kTrialsAtATime;
+}
+
+Duration
+ServerHealth::Latency(ServerId aServer) const
+{
+  if (!this->Known(aServer)) {
+    return Duration(0);
+  }
+  return Duration(static_cast<Duration::rep>(this->servers[aServer].latency));
+}
+
+std::vector<HealthChange>
+ServerHealth::TakeChanges()
+{
+  return std::exchange(this->changes, {});
+}
+
+bool
+ServerHealth::Known(ServerId aServer) const
+{
+  return aServer < this->servers.size() && this->servers[aServer].known;
+}
+
+ServerHealth::Server*
+ServerHealth::Find(ServerId aServer)
+{
+  return this->Known(aServer) ? &this->servers[aServer] : nullptr;
+}
+
+ServerHealth::Server*
+ServerHealth::OnEnd(ServerId aServer, TimePoint aNow)
+{
+  Server* server = this->Find(aServer);
+  if (server == nullptr) {
+    return nullptr;
+  }
+  server->inFlight -= server->inFlight > 0 ? 1 : 0;
+  server->silentSince = aNow;
+  return server;
+}
+
+void
+ServerHealth::OnBad(ServerId aServer, bool aTimedOut, TimePoint aNow)
+{
+  Server& server = this->servers[aServer];
+  server.answered *= kDecay;
+  server.failed = server.failed * kDecay + 1;
+  ++server.failuresInRow;
+  if (server.state == HealthState::Ejected) {
+    return;
+  }
+  const bool inRow = server.failuresInRow >= this->options.consecutiveFailures;
+  const double samples = server.answered + server.failed;
+  const bool share = samples >= this->options.minimumSamples &&
+                     server.failed >= this->options.failedShare * samples;
+  if (server.state != HealthState::Probation && !inRow && !share) {
+    return;
+  }
+  if (aTimedOut) {
+    this->Eject(aServer, EjectionReason::BlackHole, aNow);
+    return;
+  }
+  this->Eject(
+    aServer, inRow ? EjectionReason::HalfDead : EjectionReason::Failing, aNow);
+}
+
+void
+ServerHealth::OnGoodTrial(ServerId aServer, TimePoint aNow)
+{
+  Server& server = this->servers[aServer];
+  if (server.state == HealthState::Healthy) {
+    if (server.ejections > 0 && aNow - server.healthySince > kForgiveness) {
+      server.ejections = 0;
+    }
+    return;
+  }
+  if (server.state != HealthState::Probation) {
+    return;
+  }
+  ++server.goodTrials;
+  if (server.goodTrials < this->options.trials) {
+    return;
+  }
+  server.state = HealthState::Healthy;
+  server.healthySince = aNow;
+  server.reason = EjectionReason::None;
+  this->changes.push_back({ aServer, server.state, server.reason });
+}
+
+void
+ServerHealth::CheckSilence(ServerId aServer, double aMedian, TimePoint aNow)
+{
+  const Server& server = this->servers[aServer];
+  if (server.inFlight == 0) {
+    return;
+  }
+  const double usual = std::max(server.latency, aMedian);
+  const auto ticks = static_cast<Duration::rep>(usual * kSilenceRatio);
+  const Duration limit =
+    std::max(this->options.minimumSilence, Duration(ticks));
+  const bool several =
+    server.inFlight >= kSilentRequests || server.state != HealthState::Healthy;
+  if (several && aNow - server.silentSince > limit) {
+    this->Eject(aServer, EjectionReason::BlackHole, aNow);
+  }
+}
+
+void
+ServerHealth::CheckSlow(ServerId aServer, double aMedian, TimePoint aNow)
+{
+  const Server& server = this->servers[aServer];
+  if (server.state != HealthState::Healthy || aMedian == 0 ||
+      server.answered < this->options.minimumSamples) {
+    return;
+  }
+  if (server.latency > this->options.slowRatio * aMedian) {
+    this->Eject(aServer, EjectionReason::Slow, aNow);
+  }
+}
+
+bool
+ServerHealth::MakeRoom(EjectionReason aReason)
+{
+  // A slow server still does work, so few of them are ejected.
+  const double share = aReason == EjectionReason::Slow
+                         ? this->options.maxSlowShare
+                         : this->options.maxEjectedShare;
+  const auto allowed = static_cast<std::size_t>(
+    std::floor(share * static_cast<double>(this->count)));
+  if (this->ejected < allowed) {
+    return true;
+  }
+  for (ServerId id = 0; id < this->servers.size(); ++id) {
+    const Server& server = this->servers[id];
+    const bool lesser = Severity(server.reason) < Severity(aReason);
+    if (server.known && server.state == HealthState::Ejected && lesser) {
+      this->ToProbation(id);
+      return this->ejected < allowed;
+    }
+  }
+  return false;
+}
+
+void
+ServerHealth::Eject(ServerId aServer, EjectionReason aReason, TimePoint aNow)
+{
+  if (!this->MakeRoom(aReason)) {
+    return;
+  }
+  Server& server = this->servers[aServer];
+  const std::uint32_t doublings = std::min(server.ejections, kMaxDoublings);
+  const Duration length = std::min(
+    this->options.firstEjection * (1U << doublings), this->options.maxEjection);
+  const double jittered =
+    static_cast<double>(length.count()) * (1 + kJitter * this->jitter);
+  server.state = HealthState::Ejected;
+  server.reason = aReason;
+  server.ejectedUntil = aNow + Duration(static_cast<Duration::rep>(jittered));
+  ++server.ejections;
+  ++this->ejected;
+  this->changes.push_back({ aServer, server.state, aReason });
+}
+
+void
+ServerHealth::ToProbation(ServerId aServer)
+{
+  Server& server = this->servers[aServer];
+  server.state = HealthState::Probation;
+  server.goodTrials = 0;
+  server.failuresInRow = 0;
+  server.answered = 0;
+  server.failed = 0;
+  server.latency = 0;
+  --this->ejected;
+  this->changes.push_back({ aServer, server.state, server.reason });
+}
+
+double
+ServerHealth::MedianLatency()
+{
+  this->latencies.clear();
+  for (const Server& server : this->servers) {
+    if (server.known && server.latency > 0) {
+      this->latencies.push_back(server.latency);
+    }
+  }
+  if (this->latencies.size() < kMinimumForMedian) {
+    return 0;
+  }
+  const auto middle = this->latencies.begin() +
+                      static_cast<std::ptrdiff_t>(this->latencies.size() / 2);
+  std::nth_element(this->latencies.begin(), middle, this->latencies.end());
+  return *middle;
+}
+
+} // namespace sequoiakeel
--- a/src/ServerHealth.h
+++ b/src/ServerHealth.h
@@ -34,7 +34,9 @@
 struct HealthOptions
 {
   /** Share of the servers that may be ejected at a time. */
-  double maxEjectedShare = 0.34;
+  double maxEjectedShare = 0.5;
+  /** Share up to which slow servers are ejected. */
+  double maxSlowShare = 0.1;
   /** Consecutive failures or timeouts that eject. */
   std::uint32_t consecutiveFailures = 4;
   /** Failed share of recent requests that ejects. */
@@ -43,6 +45,8 @@
   double minimumSamples = 8;
   /** Ratio to the fleet's median latency from which a server is slow. */
   double slowRatio = 4;
+  /** Least time without a sign of life that makes a black hole. */
+  Duration minimumSilence = std::chrono::milliseconds(200);
   Duration firstEjection = std::chrono::seconds(1);
   Duration maxEjection = std::chrono::seconds(30);
   /** Successful trials that end the probation. */
@@ -91,6 +95,9 @@
   /** No whole response came in time. */
   void OnTimeout(ServerId aServer, Duration aWaited, TimePoint aNow);
 
+  /** The request was given up for a reason that says nothing about aServer. */
+  void OnAbandoned(ServerId aServer);
+
   /** Ends ejections whose time is over and ejects slow servers and black
    * holes. Call about every 100 ms. */
   void Tick(TimePoint aNow, Random& aRandom);
@@ -125,17 +132,32 @@
     std::uint32_t goodTrials = 0;
     /** Smoothed latency in ticks; zero if unknown. */
     double latency = 0;
-    TimePoint lastAnswer;
+    /** Last sign of life, or the first request after it. */
     TimePoint silentSince;
     TimePoint ejectedUntil;
     TimePoint healthySince;
   };
 
+  bool Known(ServerId aServer) const;
+  Server* Find(ServerId aServer);
+  Server* OnEnd(ServerId aServer, TimePoint aNow);
+  void OnBad(ServerId aServer, bool aTimedOut, TimePoint aNow);
+  void OnGoodTrial(ServerId aServer, TimePoint aNow);
+  void CheckSilence(ServerId aServer, double aMedian, TimePoint aNow);
+  void CheckSlow(ServerId aServer, double aMedian, TimePoint aNow);
+  bool MakeRoom(EjectionReason aReason);
+  void Eject(ServerId aServer, EjectionReason aReason, TimePoint aNow);
+  void ToProbation(ServerId aServer);
+  double MedianLatency();
+
   HealthOptions options;
   std::vector<Server> servers;
+  std::vector<double> latencies;
   std::vector<HealthChange> changes;
   std::size_t count = 0;
   std::size_t ejected = 0;
+  /** Drawn at the last tick, from [0, 1). */
+  double jitter = 0;
 };
 
 } // namespace sequoiakeel
--- a/src/ServerTable.h
+++ b/src/ServerTable.h
@@ -4,11 +4,13 @@
 #include "RoutingPolicy.h"
 #include "ServerHealth.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace sequoiakeel {
@@ -52,13 +54,16 @@
   /** Marks a server as leaving or not. */
   void SetLeaving(ServerId aServer, bool aLeaving);
 
-  /** Sets the requests that the peers together reported in progress. */
+  /** Sets the requests that the peers together reported in progress.
+   * aReported is the mean time of the reports. */
   void SetPeersInFlight(ServerId aServer,
                         double aInFlight,
-                        TimePoint aReported);
+                        TimePoint aReported,
+                        TimePoint aNow);
 
-  /** Chooses a server for a request. The index of the decision refers to
-   * Views(). A choice that is used is followed by OnStart. */
+  /** Chooses a server for a request from this entry's zone. The index of the
+   * decision refers to Views(). A choice that is used is followed by OnStart.
+   */
   RoutingDecision Choose(const RequestView& aRequest,
                          TimePoint aNow,
                          Random& aRandom);
@@ -75,6 +80,10 @@
    * server. */
   void OnAbandoned(ServerId aServer, TimePoint aNow);
 
+  /** Returns the smoothed latency over all servers; zero if unknown. Serves as
+   * the expected time of a queued request. */
+  Duration TypicalLatency() const;
+
   /** Updates health states; call about every 100 ms. */
   void Tick(TimePoint aNow, Random& aRandom);
 
@@ -88,10 +97,31 @@
   std::string_view Name(ServerId aServer) const;
 
 private:
-  struct Entry;
+  /** What the table keeps of a server beside its view. */
+  struct Server
+  {
+    std::string name;
+    std::string zone;
+    std::size_t view = 0;
+    bool known = false;
+    ConcurrencyLimit limit;
+    TimePoint reported;
+  };
+
+  Server* FindServer(ServerId aServer);
+  ServerView* Finish(ServerId aServer);
+  void Refresh(ServerId aServer);
+
   ServerTableOptions options;
+  bool adaptive;
   std::unique_ptr<RoutingPolicy> policy;
+  ServerHealth health;
   std::vector<ServerView> views;
+  /** By id; an id is never given again. Names stay in place. */
+  std::deque<Server> servers;
+  std::unordered_map<std::string_view, ServerId> ids;
+  /** Smoothed latency over all servers, in ticks. */
+  double typical = 0;
 };
 
 } // namespace sequoiakeel
