Declare membership, gossip, leaving hosts and the configuration agent

Other modules build on these interfaces, so they come first. Gossip is split into the protocol (datagrams in, datagrams out) and its UDP driver, so that the protocol runs on a manual clock in tests.

Messages: a row is about 110 bytes, so a datagram of 600 bytes holds five of them; for 200 members that renews a row every 20 s on average, longer than the suspicion time of 5 s. GossipDatagram therefore also carries beats of 8 bytes (hash, heartbeat, store reachability). The heartbeat counts tenths of a second since the start instead of rounds, so that a receiver can tell the age of a row that waited on the way. Evidence from the host list names the revision of the list, so that a late report cannot undo a withdrawal.

--- /dev/null
+++ b/src/GossipService.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Gossip.h"
+#include "MembershipView.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** Settings of the gossip of one process. */
+struct GossipSettings
+{
+  /** Name, zone, region, role, address and port of this process. Port 0 lets
+   * the system choose. The incarnation is set if it is 0. */
+  MemberRow own;
+  /** Endpoints contacted while no member is known, and now and then later. */
+  std::vector<GossipEndpoint> seeds;
+  /** Seed of the random choice of peers; 0 takes one from the system. */
+  std::uint64_t randomSeed = 0;
+};
+
+/** Runs Gossip over a UDP socket. All methods but the constructor, Start and
+ * Stop are thread safe. */
+class GossipService : public MembershipView
+{
+public:
+  /** Called with a member that has a higher configuration generation. Must not
+   * block; no lock of the service is held. */
+  using OnGeneration = std::function<void(const MemberRow&)>;
+
+  /** Binds the socket. aClock must outlive the service. Throws UserError if
+   * the endpoint cannot be bound. */
+  GossipService(boost::asio::any_io_executor aExecutor,
+                const GossipSettings& aSettings,
+                const Clock& aClock);
+  ~GossipService() override;
+
+  /** Sets the callback. Call before Start. */
+  void SetOnGeneration(OnGeneration aCallback);
+
+  /** Begins to send and to receive. Call once. */
+  void Start();
+
+  /** Closes the socket; no callback starts afterwards. May be called from any
+   * thread and more than once. */
+  void Stop();
+
+  /** Returns the port that the socket is bound to. */
+  std::uint16_t Port() const;
+
+  MemberRow OwnRow() const override;
+  std::vector<Member> Members() const override;
+  StoreReports CountStoreReports(std::size_t aPlannersExpected) const override;
+  void AnnounceGeneration(std::uint64_t aGeneration) override;
+
+  /** Sets fields of the own row. */
+  void SetLoad(std::uint32_t aPermille);
+  void SetStoreReachable(bool aReachable);
+
+  /** Tells all peers at once that this process is leaving. */
+  void AnnounceLeaving();
+
+  /** Evidence about leaving hosts; new evidence is pushed at once. */
+  void SetHostList(std::uint64_t aRevision,
+                   std::span<const std::string> aLeaving);
+  void SetDocumentLeaving(std::span<const std::string> aLeaving);
+  void ReportRefusal(std::string_view aHost);
+  bool IsLeaving(std::string_view aHost) const;
+  std::vector<std::string> LeavingHostNames() const;
+
+  /** Tells whether this process is one of the two members of its availability
+   * zone that poll the host list. */
+  bool PollsHostList() const;
+
+  /** Returns the counters so far. */
+  GossipCounters Counters() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/LeavingHosts.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Clock.h"
+#include "generated/Messages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** Refusals and peers' reports count for this long unless renewed. */
+inline constexpr std::chrono::seconds kReportLifetime{ 30 };
+
+/** Evidence that hosts are leaving, by source; a host counts as leaving if any
+ * source says so. Not thread safe. */
+class LeavingHosts
+{
+public:
+  /** aClock must outlive the object. */
+  explicit LeavingHosts(const Clock& aClock);
+
+  /** Takes over a whole poll of the host list: aLeaving are the hosts that the
+   * list names as leaving at aRevision. A lower revision than the highest seen
+   * from the list changes nothing. Returns true if evidence to push is new. */
+  bool SetHostList(std::uint64_t aRevision,
+                   std::span<const std::string> aLeaving);
+
+  /** Takes over the operators' document; replaces what it said before. */
+  void SetDocument(std::span<const std::string> aLeaving);
+
+  /** Records that a host refused work because it is leaving. Returns true if
+   * evidence to push is new. */
+  bool ReportRefusal(std::string_view aHost);
+
+  /** Takes over evidence from a peer. Returns true if it is new here and
+   * should be forwarded. */
+  bool Merge(const LeavingEvidence& aEvidence);
+
+  /** Tells whether any source says that the host is leaving. */
+  bool IsLeaving(std::string_view aHost) const;
+
+  /** Returns all leaving hosts in the order of their names. */
+  std::vector<std::string> All() const;
+
+  /** Returns up to aCount pieces of evidence for peers: new ones first, then
+   * the rest in turn. */
+  std::vector<LeavingEvidence> Next(std::size_t aCount);
+
+  /** Drops expired evidence. */
+  void Tick();
+
+private:
+  struct Listed
+  {
+    std::uint64_t revision = 0;
+    bool leaving = false;
+    TimePoint since;
+  };
+
+  bool SetListed(const std::string& aHost,
+                 std::uint64_t aRevision,
+                 bool aLeaving,
+                 Duration aAge);
+  bool SetReported(const std::string& aHost, Duration aAge);
+  bool Describe(const std::string& aKey, LeavingEvidence& aEvidence) const;
+
+  const Clock* clock;
+  std::uint64_t listRevision = 0;
+  /** By host: what the list said last, from a poll or through peers. */
+  std::map<std::string, Listed, std::less<>> listed;
+  /** By host: when a refusal or a peer's report was made. */
+  std::map<std::string, TimePoint, std::less<>> reported;
+  std::set<std::string, std::less<>> document;
+  /** Evidence not sent yet, newest first, then in turn. Keys are the host with
+   * a leading 'l' (list) or 'r' (report). */
+  std::deque<std::string> turn;
+};
+
+} // namespace sequoiakeel
