--- /dev/null
+++ b/src/Gossip.cpp
@@ -0,0 +1,318 @@
+#include "Gossip.h"
+
+#include "Error.h"
+#include "WireShape.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+#include <utility>
+
+namespace sequoiakeel {
+
+namespace {
+
+constexpr std::size_t kPeersPerRound = 2;
+constexpr std::size_t kPeersPerPush = 3;
+
+/** Evidence in the datagram of a round; the rest is left to rows and beats. */
+constexpr std::size_t kEvidencePerRound = 4;
+
+/** Datagrams to one peer in one push. */
+constexpr std::size_t kPushBurst = 4;
+
+/** Answers between two rounds, so that a flood of datagrams is not doubled. */
+constexpr std::size_t kAnswersPerRound = 8;
+
+/** Every so many rounds a seed or a dropped member is contacted. */
+constexpr std::uint64_t kRejoinRounds = 10;
+
+constexpr std::size_t kMaxNameBytes = 60;
+constexpr std::uint64_t kMaxHeartbeat = 0x7fffffff;
+
+bool
+IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::ranges::all_of(
+           aText, [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
+}
+
+bool
+IsAddress(const std::string& aText)
+{
+  boost::system::error_code error;
+  boost::asio::ip::make_address(aText, error);
+  return !error;
+}
+
+bool
+IsConsistent(const MemberRow& aRow)
+{
+  return IsName(aRow.name) && IsName(aRow.zone) && IsName(aRow.region) &&
+         aRow.port > 0 && aRow.port <= UINT16_MAX &&
+         aRow.heartbeat <= kMaxHeartbeat && IsAddress(aRow.address);
+}
+
+bool
+IsConsistent(const GossipDatagram& aDatagram, const GossipEndpoint& aSource)
+{
+  if (aDatagram.rows.empty()) {
+    return false;
+  }
+  const MemberRow& own = aDatagram.rows.front();
+  if (own.name != aDatagram.sender || own.address != aSource.address ||
+      own.port != aSource.port) {
+    return false;
+  }
+  return std::ranges::all_of(
+           aDatagram.rows,
+           [](const MemberRow& aRow) { return IsConsistent(aRow); }) &&
+         std::ranges::all_of(aDatagram.leaving,
+                             [](const LeavingEvidence& aEvidence) {
+                               return IsName(aEvidence.host);
+                             });
+}
+
+GossipEndpoint
+EndpointOf(const MemberRow& aRow)
+{
+  return GossipEndpoint{ aRow.address, aRow.port };
+}
+
+} // namespace
+
+std::string
+EncodeDatagram(const GossipDatagram& aDatagram)
+{
+  std::ostringstream stream(std::ios::binary);
+  cereal::PortableBinaryOutputArchive archive(
+    stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+  archive(aDatagram);
+  return std::move(stream).str();
+}
+
+std::optional<GossipDatagram>
+DecodeDatagram(std::string_view aBytes, const GossipEndpoint& aSource)
+{
+  if (aBytes.size() > kMaxDatagramBytes || !HasShape<GossipDatagram>(aBytes)) {
+    return std::nullopt;
+  }
+  std::istringstream stream(std::string(aBytes), std::ios::binary);
+  cereal::PortableBinaryInputArchive archive(stream);
+  GossipDatagram datagram;
+  archive(datagram);
+  if (!IsConsistent(datagram, aSource)) {
+    return std::nullopt;
+  }
+  return datagram;
+}
+
+Gossip::Gossip(MemberRow aOwn,
+               std::vector<GossipEndpoint> aSeeds,
+               const Clock& aClock,
+               std::uint64_t aRandomSeed,
+               GossipOptions aOptions)
+  : membership(std::move(aOwn), aClock, aOptions.datagram)
+  , leavingHosts(aClock)
+  , seeds(std::move(aSeeds))
+  , random(aRandomSeed)
+  , options(aOptions)
+  , answersLeft(kAnswersPerRound)
+{
+}
+
+void
+Gossip::Send(const GossipDatagram& aDatagram,
+             const GossipEndpoint& aTarget,
+             std::vector<OutgoingDatagram>& aOut)
+{
+  std::string bytes = EncodeDatagram(aDatagram);
+  InternalAssert(bytes.size() <= kMaxDatagramBytes,
+                 "a gossip datagram exceeds its bound");
+  ++this->counters.datagramsSent;
+  this->counters.bytesSent += bytes.size();
+  aOut.push_back(OutgoingDatagram{ aTarget, std::move(bytes) });
+}
+
+std::vector<OutgoingDatagram>
+Gossip::Round()
+{
+  this->membership.Tick();
+  this->leavingHosts.Tick();
+  this->leavingNews |= this->leavingHosts.HasNews();
+  std::vector<OutgoingDatagram> out = this->Flush();
+  this->answersLeft = kAnswersPerRound;
+  const std::size_t space = this->membership.SpaceBesideOwnRow();
+  for (const MemberRow& peer :
+       this->membership.PickPeers(kPeersPerRound, this->random)) {
+    const std::vector<LeavingEvidence> evidence =
+      this->leavingHosts.Next(kEvidencePerRound, space);
+    this->Send(
+      this->membership.Compose(evidence, this->random), EndpointOf(peer), out);
+  }
+  if (const std::optional<GossipEndpoint> target = this->PickRejoinTarget()) {
+    this->Send(this->membership.Compose({}, this->random), *target, out);
+  }
+  ++this->rounds;
+  return out;
+}
+
+std::optional<GossipEndpoint>
+Gossip::PickRejoinTarget()
+{
+  const std::vector<Member> members = this->membership.Members();
+  const bool alone = members.size() == 1;
+  if (!alone && this->rounds % kRejoinRounds != 0) {
+    return std::nullopt;
+  }
+  std::vector<GossipEndpoint> candidates;
+  for (const GossipEndpoint& seed : this->seeds) {
+    const bool known = std::ranges::any_of(members, [&](const Member& aMember) {
+      return EndpointOf(aMember.row) == seed;
+    });
+    if (!known) {
+      candidates.push_back(seed);
+    }
+  }
+  if (const auto dropped = this->membership.PickDropped(this->random)) {
+    candidates.push_back(EndpointOf(*dropped));
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
+  return candidates[pick(this->random)];
+}
+
+std::vector<OutgoingDatagram>
+Gossip::Receive(std::string_view aBytes, const GossipEndpoint& aSource)
+{
+  std::vector<OutgoingDatagram> out;
+  ++this->counters.datagramsReceived;
+  this->counters.bytesReceived += aBytes.size();
+  const std::optional<GossipDatagram> datagram =
+    DecodeDatagram(aBytes, aSource);
+  if (!datagram || datagram->sender == this->membership.Own().name) {
+    ++this->counters.datagramsRejected;
+    return out;
+  }
+  const MergeResult merged = this->membership.Merge(*datagram);
+  for (const LeavingEvidence& evidence : datagram->leaving) {
+    this->leavingNews |= this->leavingHosts.Merge(evidence);
+  }
+  this->rowNews |= merged.newLeaving;
+  if (merged.newGeneration) {
+    this->newGeneration = merged.newGeneration;
+  }
+  if (this->options.pull) {
+    this->Answer(*datagram, merged, out);
+  }
+  std::vector<OutgoingDatagram> news = this->Flush();
+  std::ranges::move(news, std::back_inserter(out));
+  return out;
+}
+
+void
+Gossip::Answer(const GossipDatagram& aDatagram,
+               const MergeResult& aMerged,
+               std::vector<OutgoingDatagram>& aOut)
+{
+  const bool lags = aDatagram.rows.front().configurationGeneration <
+                    this->membership.Own().configurationGeneration;
+  GossipDatagram answer = this->membership.ComposeRows(aDatagram.wanted);
+  const bool helps = answer.rows.size() > 1;
+  if ((!lags && !helps && aMerged.unknown.empty()) || this->answersLeft == 0) {
+    return;
+  }
+  --this->answersLeft;
+  std::size_t used = EncodeDatagram(answer).size();
+  for (const std::uint32_t hash : aMerged.unknown) {
+    used += sizeof(hash);
+    if (used > kMaxDatagramBytes) {
+      break;
+    }
+    answer.wanted.push_back(hash);
+  }
+  this->Send(answer, EndpointOf(aDatagram.rows.front()), aOut);
+}
+
+std::vector<OutgoingDatagram>
+Gossip::Flush()
+{
+  std::vector<OutgoingDatagram> out;
+  if (!this->rowNews && !this->leavingNews) {
+    return out;
+  }
+  const bool evidenceOnly = !this->rowNews;
+  this->rowNews = false;
+  this->leavingNews = false;
+  if (!this->options.push) {
+    return out;
+  }
+  const std::vector<MemberRow> peers =
+    this->membership.PickPeers(kPeersPerPush, this->random);
+  this->SendNews(peers, evidenceOnly, out);
+  return out;
+}
+
+void
+Gossip::SendNews(std::span<const MemberRow> aPeers,
+                 bool aEvidenceOnly,
+                 std::vector<OutgoingDatagram>& aOut)
+{
+  const std::size_t space = this->membership.SpaceBesideOwnRow();
+  for (std::size_t sent = 0; sent < kPushBurst; ++sent) {
+    const std::vector<LeavingEvidence> evidence =
+      this->leavingHosts.NextNews(space);
+    if (evidence.empty() && (aEvidenceOnly || sent > 0)) {
+      break;
+    }
+    const GossipDatagram datagram =
+      this->membership.Compose(evidence, this->random);
+    for (const MemberRow& peer : aPeers) {
+      this->Send(datagram, EndpointOf(peer), aOut);
+    }
+  }
+}
+
+std::optional<MemberRow>
+Gossip::TakeNewGeneration()
+{
+  return std::exchange(this->newGeneration, std::nullopt);
+}
+
+void
+Gossip::AnnounceGeneration(std::uint64_t aGeneration)
+{
+  if (aGeneration <= this->membership.Own().configurationGeneration) {
+    return;
+  }
+  this->membership.SetGeneration(aGeneration);
+  this->rowNews = true;
+}
+
+void
+Gossip::AnnounceLeaving()
+{
+  this->membership.SetLeaving();
+  this->rowNews = true;
+}
+
+void
+Gossip::SetHostList(std::uint64_t aRevision,
+                    std::span<const std::string> aLeaving)
+{
+  this->leavingNews |= this->leavingHosts.SetHostList(aRevision, aLeaving);
+}
+
+void
+Gossip::ReportRefusal(std::string_view aHost)
+{
+  this->leavingNews |= this->leavingHosts.ReportRefusal(aHost);
+}
+
+} // namespace sequoiakeel
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -116,6 +116,7 @@
             const GossipEndpoint& aTarget,
             std::vector<OutgoingDatagram>& aOut);
   void SendNews(std::span<const MemberRow> aPeers,
+                bool aEvidenceOnly,
                 std::vector<OutgoingDatagram>& aOut);
   void Answer(const GossipDatagram& aDatagram,
               const MergeResult& aMerged,
--- a/src/LeavingHosts.h
+++ b/src/LeavingHosts.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -26,8 +27,9 @@
   explicit LeavingHosts(const Clock& aClock);
 
   /** Takes over a whole poll of the host list: aLeaving are the hosts that the
-   * list names as leaving at aRevision. A lower revision than the highest seen
-   * from the list changes nothing. Returns true if evidence to push is new. */
+   * list names as leaving at aRevision. A lower revision than that of an
+   * earlier poll changes nothing: the revision of the list never goes down, so
+   * such a poll is stale. Returns true if evidence to push is new. */
   bool SetHostList(std::uint64_t aRevision,
                    std::span<const std::string> aLeaving);
 
@@ -48,9 +50,16 @@
   /** Returns all leaving hosts in the order of their names. */
   std::vector<std::string> All() const;
 
-  /** Returns up to aCount pieces of evidence for peers: new ones first, then
-   * the rest in turn. */
-  std::vector<LeavingEvidence> Next(std::size_t aCount);
+  /** Returns evidence for peers, at most aCount pieces that encode to at most
+   * aBytes: new ones first, then the rest in turn. */
+  std::vector<LeavingEvidence> Next(std::size_t aCount, std::size_t aBytes);
+
+  /** Returns evidence that was never returned before and encodes to at most
+   * aBytes. */
+  std::vector<LeavingEvidence> NextNews(std::size_t aBytes);
+
+  /** Tells whether there is evidence that was never returned. */
+  bool HasNews() const { return this->unsent > 0; }
 
   /** Drops expired evidence. */
   void Tick();
@@ -68,7 +77,8 @@
                  bool aLeaving,
                  Duration aAge);
   bool SetReported(const std::string& aHost, Duration aAge);
-  bool Describe(const std::string& aKey, LeavingEvidence& aEvidence) const;
+  std::optional<LeavingEvidence> Describe(std::string_view aKey) const;
+  void PutFirst(std::string aKey);
 
   const Clock* clock;
   std::uint64_t listRevision = 0;
@@ -77,9 +87,11 @@
   /** By host: when a refusal or a peer's report was made. */
   std::map<std::string, TimePoint, std::less<>> reported;
   std::set<std::string, std::less<>> document;
-  /** Evidence not sent yet, newest first, then in turn. Keys are the host with
-   * a leading 'l' (list) or 'r' (report). */
+  /** Keys of the evidence in the order in which it is sent: the host with a
+   * leading 'l' (list) or 'r' (report). */
   std::deque<std::string> turn;
+  /** How many keys at the front of the turn were never sent. */
+  std::size_t unsent = 0;
 };
 
 } // namespace sequoiakeel
--- /dev/null
+++ b/src/Membership.cpp
@@ -0,0 +1,546 @@
+#include "Membership.h"
+
+#include "Error.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace sequoiakeel {
+
+namespace {
+
+using Tenths = std::chrono::duration<std::int64_t, std::deci>;
+
+/** Encoded sizes: strings and sequences carry a length of 8 bytes. */
+constexpr std::size_t kRowBytes = 67;
+constexpr std::size_t kHeadBytes = 41;
+constexpr std::size_t kEvidenceBytes = 21;
+constexpr std::size_t kBeatBytes = 8;
+
+constexpr std::uint64_t kHeartbeatMask = 0x7fffffff;
+
+/** Rows in a datagram when heartbeats also go without rows. */
+constexpr std::size_t kNewestRows = 2;
+constexpr std::size_t kRowsInTurn = 1;
+
+/** A change counts as news for this long. */
+constexpr std::chrono::seconds kNewsFor{ 3 };
+
+/** The estimate of a member's start moves later by at most this part of the
+ * time passed; clock rates differ by at most 1% each. */
+constexpr int kDriftDivisor = 50;
+
+/** Bounds the memory that forged rows can take. */
+constexpr std::size_t kMaxMembers = 4096;
+constexpr std::size_t kMaxUnknown = 16;
+
+constexpr std::chrono::hours kDroppedFor{ 2 };
+
+std::size_t
+SizeOf(const MemberRow& aRow)
+{
+  return kRowBytes + aRow.name.size() + aRow.zone.size() + aRow.region.size() +
+         aRow.address.size();
+}
+
+bool
+SameProcess(const MemberRow& aOne, const MemberRow& aOther)
+{
+  return aOne.zone == aOther.zone && aOne.region == aOther.region &&
+         aOne.address == aOther.address && aOne.port == aOther.port &&
+         aOne.role == aOther.role;
+}
+
+bool
+IsNews(const MemberRow& aOld, const MemberRow& aNew)
+{
+  return aOld.incarnation != aNew.incarnation ||
+         aOld.configurationGeneration != aNew.configurationGeneration ||
+         aOld.leaving != aNew.leaving;
+}
+
+std::uint64_t
+PackBeat(std::uint32_t aHash, const MemberRow& aRow)
+{
+  const std::uint64_t heartbeat = aRow.heartbeat & kHeartbeatMask;
+  return static_cast<std::uint64_t>(aHash) << 32 | heartbeat << 1 |
+         (aRow.storeReachable ? 1U : 0U);
+}
+
+void
+Count(const MemberRow& aRow, StoreReports& aReports)
+{
+  if (aRow.role != MemberRole::Planner) {
+    return;
+  }
+  ++(aRow.storeReachable ? aReports.reachable : aReports.unreachable);
+}
+
+} // namespace
+
+std::vector<std::string>
+RankByRendezvous(std::string_view aKey, std::vector<std::string> aNames)
+{
+  const std::uint64_t seed = XXH64(aKey.data(), aKey.size(), 0);
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.reserve(aNames.size());
+  for (std::string& name : aNames) {
+    const std::uint64_t weight = XXH64(name.data(), name.size(), seed);
+    ranked.emplace_back(weight, std::move(name));
+  }
+  std::ranges::sort(ranked, std::greater<>());
+  std::vector<std::string> names;
+  names.reserve(ranked.size());
+  for (auto& [weight, name] : ranked) {
+    names.push_back(std::move(name));
+  }
+  return names;
+}
+
+std::uint32_t
+MemberHash(std::string_view aName, std::uint64_t aIncarnation)
+{
+  return static_cast<std::uint32_t>(
+    XXH64(aName.data(), aName.size(), aIncarnation));
+}
+
+Membership::Membership(MemberRow aOwn,
+                       const Clock& aClock,
+                       DatagramOptions aOptions)
+  : own(std::move(aOwn))
+  , clock(&aClock)
+  , options(aOptions)
+  , started(aClock.Now())
+{
+  InternalAssert(!this->own.name.empty(), "a member needs a name");
+  this->own.heartbeat = 1;
+}
+
+void
+Membership::RaiseHeartbeat()
+{
+  const auto passed =
+    std::chrono::floor<Tenths>(this->clock->Now() - this->started);
+  this->own.heartbeat =
+    std::max<std::uint64_t>(this->own.heartbeat + 1, passed.count());
+}
+
+void
+Membership::SetPort(std::uint32_t aPort)
+{
+  this->own.port = aPort;
+}
+
+void
+Membership::SetLoad(std::uint32_t aPermille)
+{
+  this->own.loadPermille = aPermille;
+}
+
+void
+Membership::SetStoreReachable(bool aReachable)
+{
+  if (this->own.storeReachable == aReachable) {
+    return;
+  }
+  this->own.storeReachable = aReachable;
+  this->RaiseHeartbeat();
+}
+
+void
+Membership::SetGeneration(std::uint64_t aGeneration)
+{
+  if (this->own.configurationGeneration == aGeneration) {
+    return;
+  }
+  this->own.configurationGeneration = aGeneration;
+  this->RaiseHeartbeat();
+}
+
+void
+Membership::SetLeaving()
+{
+  this->own.leaving = true;
+  this->RaiseHeartbeat();
+}
+
+std::vector<std::string>
+Membership::Tick()
+{
+  this->RaiseHeartbeat();
+  const TimePoint now = this->clock->Now();
+  std::erase_if(this->dropped, [now](const auto& aDropped) {
+    return now - aDropped.second.since >= kDroppedFor;
+  });
+  std::vector<std::string> names;
+  for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+    if (now - entry->second.renewed < kRemoveAfter) {
+      ++entry;
+      continue;
+    }
+    names.push_back(entry->first);
+    this->byHash.erase(entry->second.hash);
+    this->dropped[entry->first] = Dropped{ entry->second.row, now };
+    entry = this->entries.erase(entry);
+  }
+  return names;
+}
+
+MergeResult
+Membership::Merge(const GossipDatagram& aDatagram)
+{
+  MergeResult result;
+  std::uint64_t highest = this->own.configurationGeneration;
+  for (const MemberRow& row : aDatagram.rows) {
+    if (!this->MergeRow(row, result)) {
+      continue;
+    }
+    if (row.configurationGeneration > highest) {
+      highest = row.configurationGeneration;
+      result.newGeneration = row;
+    }
+  }
+  for (const std::uint64_t beat : aDatagram.beats) {
+    this->MergeBeat(beat, result);
+  }
+  return result;
+}
+
+bool
+Membership::IsDropped(const MemberRow& aRow) const
+{
+  const auto found = this->dropped.find(aRow.name);
+  if (found == this->dropped.end()) {
+    return false;
+  }
+  const MemberRow& last = found->second.row;
+  return aRow.incarnation < last.incarnation ||
+         (aRow.incarnation == last.incarnation &&
+          aRow.heartbeat <= last.heartbeat);
+}
+
+bool
+Membership::MergeRow(const MemberRow& aRow, MergeResult& aResult)
+{
+  if (aRow.name == this->own.name || this->IsDropped(aRow)) {
+    return false;
+  }
+  const auto found = this->entries.find(aRow.name);
+  if (found == this->entries.end() ||
+      aRow.incarnation > found->second.row.incarnation) {
+    this->Adopt(aRow, aResult);
+    return true;
+  }
+  Entry& entry = found->second;
+  if (aRow.incarnation < entry.row.incarnation ||
+      aRow.heartbeat <= entry.row.heartbeat || !SameProcess(aRow, entry.row)) {
+    return false;
+  }
+  aResult.newLeaving |= aRow.leaving && !entry.row.leaving;
+  if (IsNews(entry.row, aRow)) {
+    entry.changed = this->clock->Now();
+  }
+  this->Renew(entry, aRow.heartbeat);
+  entry.row = aRow;
+  return true;
+}
+
+void
+Membership::Adopt(const MemberRow& aRow, MergeResult& aResult)
+{
+  if (this->entries.size() >= kMaxMembers) {
+    return;
+  }
+  const TimePoint now = this->clock->Now();
+  Entry entry;
+  entry.row = aRow;
+  entry.since = now;
+  entry.renewed = now;
+  entry.changed = now;
+  entry.base = now - Tenths(aRow.heartbeat);
+  entry.hash = MemberHash(aRow.name, aRow.incarnation);
+  aResult.newLeaving |= aRow.leaving;
+  aResult.joined.push_back(aRow.name);
+  const auto old = this->entries.find(aRow.name);
+  if (old != this->entries.end()) {
+    this->byHash.erase(old->second.hash);
+  }
+  this->dropped.erase(aRow.name);
+  this->byHash[entry.hash] = aRow.name;
+  this->entries[aRow.name] = std::move(entry);
+}
+
+void
+Membership::MergeBeat(std::uint64_t aBeat, MergeResult& aResult)
+{
+  const auto hash = static_cast<std::uint32_t>(aBeat >> 32);
+  const std::uint64_t heartbeat = aBeat >> 1 & kHeartbeatMask;
+  if (hash == MemberHash(this->own.name, this->own.incarnation)) {
+    return;
+  }
+  const auto found = this->byHash.find(hash);
+  if (found != this->byHash.end()) {
+    Entry& entry = this->entries.at(found->second);
+    if (heartbeat <= entry.row.heartbeat) {
+      return;
+    }
+    this->Renew(entry, heartbeat);
+    entry.row.storeReachable = (aBeat & 1) != 0;
+    return;
+  }
+  for (const auto& [name, last] : this->dropped) {
+    if (hash == MemberHash(name, last.row.incarnation) &&
+        heartbeat <= last.row.heartbeat) {
+      return;
+    }
+  }
+  if (aResult.unknown.size() < kMaxUnknown) {
+    aResult.unknown.push_back(hash);
+  }
+}
+
+void
+Membership::Renew(Entry& aEntry, std::uint64_t aHeartbeat)
+{
+  const TimePoint now = this->clock->Now();
+  const TimePoint latest = aEntry.base + (now - aEntry.renewed) / kDriftDivisor;
+  aEntry.base = std::min(latest, now - Tenths(aHeartbeat));
+  aEntry.row.heartbeat = aHeartbeat;
+  aEntry.renewed = now;
+}
+
+Duration
+Membership::AgeOf(const Entry& aEntry) const
+{
+  const TimePoint written = aEntry.base + Tenths(aEntry.row.heartbeat);
+  return std::max(Duration(0), this->clock->Now() - written);
+}
+
+bool
+Membership::IsSuspect(const Entry& aEntry) const
+{
+  return this->clock->Now() - aEntry.renewed >= kSuspectAfter;
+}
+
+std::vector<Membership::Entry*>
+Membership::InOrder(std::uint64_t Entry::*aSent,
+                    TimePoint Entry::*aNews,
+                    std::size_t aNewest,
+                    std::mt19937_64& aRandom)
+{
+  const TimePoint now = this->clock->Now();
+  std::vector<Entry*> order;
+  for (auto& [name, entry] : this->entries) {
+    // A suspect's row is not passed on, or it would outlive its removal.
+    if (!this->IsSuspect(entry)) {
+      order.push_back(&entry);
+    }
+  }
+  std::ranges::shuffle(order, aRandom);
+  if (this->options.choice == RowChoice::Random) {
+    return order;
+  }
+  std::ranges::stable_sort(order,
+                           [aNews](const Entry* aOne, const Entry* aTwo) {
+                             return aOne->*aNews > aTwo->*aNews;
+                           });
+  std::size_t newest = 0;
+  while (newest < std::min(aNewest, order.size()) &&
+         now - order[newest]->*aNews <= kNewsFor) {
+    ++newest;
+  }
+  std::stable_sort(order.begin() + static_cast<std::ptrdiff_t>(newest),
+                   order.end(),
+                   [aSent](const Entry* aOne, const Entry* aTwo) {
+                     return aOne->*aSent < aTwo->*aSent;
+                   });
+  return order;
+}
+
+std::size_t
+Membership::AddRows(std::span<Entry* const> aOrder,
+                    std::size_t aMax,
+                    GossipDatagram& aDatagram,
+                    std::size_t& aSpace)
+{
+  std::size_t used = 0;
+  for (Entry* entry : aOrder) {
+    const std::size_t size = SizeOf(entry->row);
+    if (used == aMax || size > aSpace) {
+      break;
+    }
+    aSpace -= size;
+    entry->rowSent = ++this->sequence;
+    entry->beatSent = this->sequence;
+    aDatagram.rows.push_back(entry->row);
+    ++used;
+  }
+  return used;
+}
+
+void
+Membership::AddBeats(GossipDatagram& aDatagram,
+                     std::size_t& aSpace,
+                     std::mt19937_64& aRandom)
+{
+  const std::size_t room = aSpace / kBeatBytes;
+  std::vector<Entry*> order =
+    this->InOrder(&Entry::beatSent, &Entry::renewed, room / 2, aRandom);
+  std::size_t added = 0;
+  for (Entry* entry : order) {
+    if (added == room) {
+      break;
+    }
+    if (std::ranges::find(aDatagram.rows, entry->row.name, &MemberRow::name) !=
+        aDatagram.rows.end()) {
+      continue;
+    }
+    aDatagram.beats.push_back(PackBeat(entry->hash, entry->row));
+    entry->beatSent = ++this->sequence;
+    ++added;
+  }
+  aSpace -= added * kBeatBytes;
+}
+
+std::size_t
+Membership::SpaceBesideOwnRow() const
+{
+  const std::size_t used =
+    kHeadBytes + this->own.name.size() + SizeOf(this->own);
+  return used < kMaxDatagramBytes ? kMaxDatagramBytes - used : 0;
+}
+
+GossipDatagram
+Membership::Compose(std::span<const LeavingEvidence> aLeaving,
+                    std::mt19937_64& aRandom)
+{
+  GossipDatagram datagram;
+  datagram.sender = this->own.name;
+  datagram.rows.push_back(this->own);
+  std::size_t space = this->SpaceBesideOwnRow();
+  for (const LeavingEvidence& evidence : aLeaving) {
+    const std::size_t size = kEvidenceBytes + evidence.host.size();
+    if (size > space) {
+      break;
+    }
+    space -= size;
+    datagram.leaving.push_back(evidence);
+  }
+  const std::vector<Entry*> order =
+    this->InOrder(&Entry::rowSent, &Entry::changed, kNewestRows, aRandom);
+  if (!this->options.beats) {
+    this->AddRows(order, order.size(), datagram, space);
+    return datagram;
+  }
+  const std::size_t used =
+    this->AddRows(order, kNewestRows + kRowsInTurn, datagram, space);
+  this->AddBeats(datagram, space, aRandom);
+  this->AddRows(std::span(order).subspan(used), order.size(), datagram, space);
+  return datagram;
+}
+
+GossipDatagram
+Membership::ComposeRows(std::span<const std::uint32_t> aHashes) const
+{
+  GossipDatagram datagram;
+  datagram.sender = this->own.name;
+  datagram.rows.push_back(this->own);
+  std::size_t space = this->SpaceBesideOwnRow();
+  for (const std::uint32_t hash : aHashes) {
+    const auto found = this->byHash.find(hash);
+    if (found == this->byHash.end()) {
+      continue;
+    }
+    const Entry& entry = this->entries.at(found->second);
+    const std::size_t size = SizeOf(entry.row);
+    if (size > space || this->IsSuspect(entry)) {
+      continue;
+    }
+    space -= size;
+    datagram.rows.push_back(entry.row);
+  }
+  return datagram;
+}
+
+std::vector<MemberRow>
+Membership::PickPeers(std::size_t aCount, std::mt19937_64& aRandom) const
+{
+  std::vector<const MemberRow*> preferred;
+  std::vector<const MemberRow*> others;
+  for (const auto& [name, entry] : this->entries) {
+    const bool usable = !this->IsSuspect(entry) && !entry.row.leaving;
+    (usable ? preferred : others).push_back(&entry.row);
+  }
+  if (preferred.empty()) {
+    preferred = std::move(others);
+  }
+  std::vector<MemberRow> peers;
+  while (peers.size() < aCount && !preferred.empty()) {
+    std::uniform_int_distribution<std::size_t> pick(0, preferred.size() - 1);
+    const std::size_t chosen = pick(aRandom);
+    peers.push_back(*preferred[chosen]);
+    preferred[chosen] = preferred.back();
+    preferred.pop_back();
+  }
+  return peers;
+}
+
+std::optional<MemberRow>
+Membership::PickDropped(std::mt19937_64& aRandom) const
+{
+  if (this->dropped.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, this->dropped.size() - 1);
+  return std::next(this->dropped.begin(),
+                   static_cast<std::ptrdiff_t>(pick(aRandom)))
+    ->second.row;
+}
+
+std::vector<Member>
+Membership::Members() const
+{
+  std::vector<Member> members;
+  members.push_back(Member{ this->own, false, Duration(0) });
+  for (const auto& [name, entry] : this->entries) {
+    members.push_back(
+      Member{ entry.row, this->IsSuspect(entry), this->AgeOf(entry) });
+  }
+  std::ranges::sort(members, {}, [](const Member& aMember) {
+    return std::string_view(aMember.row.name);
+  });
+  return members;
+}
+
+std::optional<Member>
+Membership::Find(std::string_view aName) const
+{
+  if (aName == this->own.name) {
+    return Member{ this->own, false, Duration(0) };
+  }
+  const auto found = this->entries.find(aName);
+  if (found == this->entries.end()) {
+    return std::nullopt;
+  }
+  const Entry& entry = found->second;
+  return Member{ entry.row, this->IsSuspect(entry), this->AgeOf(entry) };
+}
+
+StoreReports
+Membership::CountStoreReports(std::size_t aPlannersExpected) const
+{
+  StoreReports reports;
+  Count(this->own, reports);
+  for (const auto& [name, entry] : this->entries) {
+    if (this->clock->Now() - entry.since < kSuspectAfter ||
+        this->AgeOf(entry) > kStoreReportMaxAge) {
+      continue;
+    }
+    Count(entry.row, reports);
+  }
+  reports.majorityReachable = reports.reachable * 2 > aPlannersExpected;
+  reports.majorityUnreachable = reports.unreachable * 2 > aPlannersExpected;
+  return reports;
+}
+
+} // namespace sequoiakeel
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sequoiakeel {
@@ -63,16 +64,19 @@
 /** What a datagram changed. */
 struct MergeResult
 {
-  /** A member with a higher configuration generation than any known so far. */
+  /** The member with the highest configuration generation, if that is higher
+   * than the own one. */
   std::optional<MemberRow> newGeneration;
   /** Members that were not known or have a new incarnation. */
   std::vector<std::string> joined;
+  /** Whether a member became leaving. */
+  bool newLeaving = false;
   /** Hashes in beats that belong to no known member. */
   std::vector<std::uint32_t> unknown;
 };
 
-/** Names that start with the same letters rank independently for each key:
- * highest xxHash64 of key and name first. Thread safe. */
+/** Ranks names for a key: highest xxHash64 of key and name first. Thread safe.
+ */
 std::vector<std::string>
 RankByRendezvous(std::string_view aKey, std::vector<std::string> aNames);
 
@@ -116,6 +120,9 @@
   GossipDatagram Compose(std::span<const LeavingEvidence> aLeaving,
                          std::mt19937_64& aRandom);
 
+  /** Returns how many bytes of evidence fit beside the own row. */
+  std::size_t SpaceBesideOwnRow() const;
+
   /** A datagram with the own row and the rows named by hash that fit. */
   GossipDatagram ComposeRows(std::span<const std::uint32_t> aHashes) const;
 
@@ -135,13 +142,15 @@
   std::optional<Member> Find(std::string_view aName) const;
 
   /** Counts the planners' reports, with the own one if this is a planner. A
-   * majority is more than half of aPlannersExpected. */
+   * majority is more than half of aPlannersExpected. A member counts once it
+   * is known for kSuspectAfter, since the age of its first row is unknown. */
   StoreReports CountStoreReports(std::size_t aPlannersExpected) const;
 
 private:
   struct Entry
   {
     MemberRow row;
+    TimePoint since;
     /** When a higher heartbeat last came. */
     TimePoint renewed;
     /** When a field other than heartbeat and load last changed. */
@@ -149,7 +158,7 @@
     /** Latest estimate of the local time at heartbeat zero. */
     TimePoint base;
     std::uint32_t hash = 0;
-    /** When the row was last put into a datagram. */
+    /** Position in the turn: when the row or its beat was last sent. */
     std::uint64_t rowSent = 0;
     std::uint64_t beatSent = 0;
   };
@@ -159,22 +168,31 @@
     TimePoint since;
   };
 
-  void Touch();
   bool MergeRow(const MemberRow& aRow, MergeResult& aResult);
+  void Adopt(const MemberRow& aRow, MergeResult& aResult);
   void MergeBeat(std::uint64_t aBeat, MergeResult& aResult);
   void Renew(Entry& aEntry, std::uint64_t aHeartbeat);
+  void RaiseHeartbeat();
   Duration AgeOf(const Entry& aEntry) const;
   bool IsSuspect(const Entry& aEntry) const;
-  std::vector<Entry*> RowsInOrder(std::mt19937_64& aRandom);
-  std::vector<Entry*> BeatsInOrder(std::mt19937_64& aRandom);
-  void IndexHash(const Entry& aEntry);
+  bool IsDropped(const MemberRow& aRow) const;
+  std::vector<Entry*> InOrder(std::uint64_t Entry::*aSent,
+                              TimePoint Entry::*aNews,
+                              std::size_t aNewest,
+                              std::mt19937_64& aRandom);
+  std::size_t AddRows(std::span<Entry* const> aOrder,
+                      std::size_t aMax,
+                      GossipDatagram& aDatagram,
+                      std::size_t& aSpace);
+  void AddBeats(GossipDatagram& aDatagram,
+                std::size_t& aSpace,
+                std::mt19937_64& aRandom);
 
   MemberRow own;
   const Clock* clock;
   DatagramOptions options;
   TimePoint started;
   std::uint64_t sequence = 0;
-  std::uint64_t highestGeneration = 0;
   std::map<std::string, Entry, std::less<>> entries;
   std::unordered_map<std::uint32_t, std::string> byHash;
   std::map<std::string, Dropped> dropped;
