--- a/src/PeerRpc.cpp
+++ b/src/PeerRpc.cpp
@@ -77,14 +77,16 @@
   co_return frame;
 }
 
-/** Tells whether an open connection is quiet; data would belong to no request, and end of file means closed. */
+/** Tells whether an open connection is quiet; data would belong to no request,
+ * and end of file means closed. */
 bool
 IsQuiet(Tcp::socket& aSocket)
 {
   error_code error;
   char byte = 0;
   aSocket.non_blocking(true, error);
-  aSocket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  aSocket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
   return error == asio::error::would_block;
 }
 
