Add the stand-ins and the support for tests with processes

Cause: the whole path runs as separate processes; the platform's store, host list and workers need small stand-ins that can be told to misbehave.

--- /dev/null
+++ b/test/support/Deployment.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "HttpMessage.h"
+#include "generated/Settings.h"
+#include "support/ChildProcess.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** Sends one request over a new connection and waits for the whole response.
+ * Throws std::runtime_error without one. */
+HttpResponse
+CallHttp(const Endpoint& aEndpoint, HttpRequest aRequest);
+
+/** Polls a condition every 50 ms; returns false if it does not hold within
+ * aLimit seconds. */
+bool
+WaitUntil(const std::function<bool()>& aCondition, int aLimit = 60);
+
+/**
+ * Store, workers, entries and planners as separate processes on loopback, on
+ * ports that the system picks. All of them end with the object. Not thread
+ * safe.
+ */
+class Deployment
+{
+public:
+  /** Creates a folder for settings and logs, and starts the store. */
+  Deployment();
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+  ~Deployment();
+
+  /** Starts a worker that enters itself into the host list. */
+  void StartWorker(const std::string& aName,
+                   const std::string& aZone,
+                   std::vector<std::string> aOptions = {});
+
+  /** Puts a configuration document into the store, as the first generation. */
+  void PutConfiguration(const std::string& aDocument);
+
+  /** Starts an entry; the first process started is the others' seed. */
+  void StartEntry(const std::string& aName, const std::string& aZone);
+
+  /** Starts a planner. */
+  void StartPlanner(const std::string& aName, const std::string& aZone);
+
+  /** Returns a process by name. */
+  ChildProcess& Process(const std::string& aName)
+  {
+    return *this->processes.at(aName);
+  }
+
+  /** Returns the HTTP endpoint of an entry, the agent endpoint of a worker or
+   * the store's endpoint ("store"). */
+  Endpoint EndpointOf(const std::string& aName) const
+  {
+    return this->endpoints.at(aName);
+  }
+
+  /** Returns the content of a process's log. */
+  std::string LogOf(const std::string& aName) const;
+
+  /** Sends a request to a process. */
+  HttpResponse Call(const std::string& aName,
+                    const std::string& aMethod,
+                    const std::string& aTarget,
+                    const std::string& aBody = "",
+                    HttpHeaders aHeaders = {});
+
+private:
+  std::string PathOf(const std::string& aFile) const
+  {
+    return this->folder + "/" + aFile;
+  }
+  void StartMember(const std::string& aProgram,
+                   const std::string& aName,
+                   const std::string& aZone);
+  std::string AwaitReadyFile(const std::string& aName);
+
+  std::string folder;
+  std::map<std::string, std::unique_ptr<ChildProcess>> processes;
+  std::map<std::string, Endpoint> endpoints;
+  std::vector<Endpoint> seeds;
+};
+
+/** A small valid configuration: one cell per zone name, a quote service, a
+ * batch and a watcher class, one team. */
+std::string
+SmallConfiguration(const std::vector<std::string>& aZones);
+
+} // namespace sequoiakeel
