--- /dev/null
+++ b/src/CurrentPlacement.cpp
@@ -0,0 +1,267 @@
+#include "CurrentPlacement.h"
+
+#include "PlacementOrder.h"
+#include "PlacementScore.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Workers that are scored for one task; more are sampled. */
+constexpr std::size_t kMaxScored = 128;
+/** A task with at least this share of the largest worker is large. */
+constexpr double kLargeShare = 0.25;
+/** Waiting time after which room is kept for a large task. */
+constexpr Duration kReserveAfter = std::chrono::seconds(30);
+/** One in so many placements tries a worker that is nearly as good, so that
+ * pairs of kinds that are never chosen are measured as well. */
+constexpr std::uint64_t kExploreOneIn = 50;
+/** How much more a worker may cost to be tried. */
+constexpr double kExploreMargin = 0.05;
+constexpr std::size_t kAlternatives = 3;
+
+std::string
+FormatCost(const std::string& aWorker, double aCost)
+{
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "=%.3f", aCost);
+  return aWorker + text.data();
+}
+
+} // namespace
+
+CurrentPlacement::CurrentPlacement(PlacementKnowledge& aKnowledge,
+                                   std::uint64_t aSeed)
+  : knowledge(aKnowledge)
+  , random(aSeed)
+{
+}
+
+std::vector<std::size_t>
+CurrentPlacement::Order(const CellView& aCell, std::span<const TaskView> aQueue)
+{
+  return PlacementOrder(aCell.now, aQueue, this->knowledge);
+}
+
+bool
+CurrentPlacement::BlockedByRules(PlacementRound& aRound,
+                                 const Limits& aLimits,
+                                 const TaskView& aTask,
+                                 PlacementDecision& aDecision) const
+{
+  aDecision.reason = aLimits.capacity.WhyNowhere(aTask);
+  if (!aDecision.reason.empty()) {
+    aDecision.outcome = PlacementOutcome::Unplaceable;
+    aDecision.block = PlacementBlock::FitsNowhere;
+    return true;
+  }
+  const std::string exceeded = aLimits.quota.Exceeded(aTask);
+  if (!exceeded.empty()) {
+    aDecision.block = PlacementBlock::Quota;
+    aDecision.reason = "quota of team " + aTask.team + " exceeded: " + exceeded;
+    return true;
+  }
+  const Quarantine& quarantine = this->knowledge.quarantine;
+  if (quarantine.IsSuspectedJob(aTask.job) && aRound.SuspectRuns(aTask.job)) {
+    aDecision.block = PlacementBlock::Avoided;
+    aDecision.reason =
+      "suspected job runs one task at a time: " + quarantine.Explain(aTask.job);
+    return true;
+  }
+  return false;
+}
+
+bool
+CurrentPlacement::Admissible(PlacementRound& aRound,
+                             const TaskView& aTask,
+                             PlacementDecision& aDecision)
+{
+  std::erase_if(this->feasible, [&](std::size_t aWorker) {
+    const WorkerView& view = *aRound.Workers()[aWorker].view;
+    const bool tried = view.quarantine == QuarantineState::Probation;
+    const bool mayTry = aTask.evictable && !aTask.urgent &&
+                        !aTask.latencyCritical && view.tasks.empty();
+    return tried && !mayTry;
+  });
+  if (this->feasible.empty()) {
+    aDecision.block = PlacementBlock::Avoided;
+    aDecision.reason = "only workers on probation have room";
+    return false;
+  }
+  std::erase_if(this->feasible, [&](std::size_t aWorker) {
+    return !this->reservations.Allows(aRound, aWorker, aTask);
+  });
+  if (this->feasible.empty()) {
+    aDecision.block = PlacementBlock::Reserved;
+    aDecision.reason = "room is kept for a larger task that waits longer";
+    return false;
+  }
+  return true;
+}
+
+std::vector<CurrentPlacement::Candidate>
+CurrentPlacement::Score(PlacementRound& aRound,
+                        const TaskView& aTask,
+                        const TaskLoad& aLoad)
+{
+  if (this->feasible.size() > kMaxScored) {
+    for (std::size_t i = 0; i < kMaxScored; ++i) {
+      const std::size_t other =
+        i + this->random() % (this->feasible.size() - i);
+      std::swap(this->feasible[i], this->feasible[other]);
+    }
+    this->feasible.resize(kMaxScored);
+  }
+  std::vector<Candidate> candidates;
+  candidates.reserve(this->feasible.size());
+  for (const std::size_t worker : this->feasible) {
+    candidates.push_back(
+      { worker, PlacementCost(aRound, worker, aTask, aLoad) });
+  }
+  const std::size_t best = std::min(candidates.size(), kAlternatives + 1);
+  std::ranges::partial_sort(candidates,
+                            candidates.begin() +
+                              static_cast<std::ptrdiff_t>(best),
+                            {},
+                            &Candidate::cost);
+  return candidates;
+}
+
+std::size_t
+CurrentPlacement::Explore(PlacementRound& aRound,
+                          const TaskView& aTask,
+                          const std::vector<Candidate>& aCandidates)
+{
+  const bool safeTask = aTask.evictable && !aTask.urgent &&
+                        !aTask.latencyCritical && !aTask.longRunning;
+  if (!safeTask || aCandidates.size() < 2 ||
+      this->random() % kExploreOneIn != 0) {
+    return 0;
+  }
+  const Candidate& other = aCandidates[1];
+  const bool safeWorker = !aRound.Workers()[other.worker].hasLatencyCritical;
+  const bool close = other.cost <= aCandidates[0].cost + kExploreMargin;
+  return safeWorker && close ? 1 : 0;
+}
+
+PlacementDecision
+CurrentPlacement::Decide(PlacementRound& aRound,
+                         Limits& aLimits,
+                         const TaskView& aTask)
+{
+  PlacementDecision decision;
+  decision.task = aTask.task;
+  if (this->BlockedByRules(aRound, aLimits, aTask, decision)) {
+    return decision;
+  }
+  const bool known =
+    std::ranges::any_of(aLimits.noRoom, [&](const Resources& aSize) {
+      return Within(aSize, aTask.resources);
+    });
+  this->feasible.clear();
+  if (!known) {
+    aRound.Free().Collect(aTask.resources, this->feasible);
+  }
+  if (this->feasible.empty()) {
+    if (!known) {
+      aLimits.noRoom.push_back(aTask.resources);
+    }
+    decision.block = PlacementBlock::NoRoom;
+    decision.reason = "no worker has room";
+    return decision;
+  }
+  if (!this->Admissible(aRound, aTask, decision)) {
+    return decision;
+  }
+  const TaskLoad load = aRound.LoadOf(aTask);
+  const std::vector<Candidate> candidates = this->Score(aRound, aTask, load);
+  const std::size_t chosen = this->Explore(aRound, aTask, candidates);
+  const Candidate& best = candidates[chosen];
+  decision.outcome = PlacementOutcome::Placed;
+  decision.worker = aRound.Workers()[best.worker].view->name;
+  decision.reason = std::string(chosen == 0 ? "lowest cost" : "exploration") +
+                    FormatCost("", best.cost) + " of " +
+                    std::to_string(candidates.size());
+  for (std::size_t i = 0; i < candidates.size() && i <= kAlternatives; ++i) {
+    if (i == chosen) {
+      continue;
+    }
+    decision.alternatives += decision.alternatives.empty() ? "" : " ";
+    decision.alternatives += FormatCost(
+      aRound.Workers()[candidates[i].worker].view->name, candidates[i].cost);
+  }
+  aRound.Place(best.worker, aTask, load);
+  aLimits.quota.Add(aTask);
+  this->reservations.Placed(aRound, best.worker, aTask);
+  return decision;
+}
+
+bool
+CurrentPlacement::MayReserve(const PlacementRound& aRound,
+                             const Limits& aLimits,
+                             const TaskView& aTask) const
+{
+  const Resources& largest = aLimits.capacity.Largest();
+  const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
+                      : 0.0;
+  };
+  const double needed =
+    std::max({ share(aTask.resources.cpuMillis, largest.cpuMillis),
+               share(aTask.resources.memoryMb, largest.memoryMb),
+               share(aTask.resources.accelerators, largest.accelerators) });
+  return needed >= kLargeShare &&
+         aRound.Cell().now - aTask.queuedSince >= kReserveAfter;
+}
+
+PlacementDecision
+CurrentPlacement::Choose(const CellView& aCell, const TaskView& aTask)
+{
+  PlacementRound round(aCell, this->knowledge);
+  Limits limits{ CapacityCheck(aCell.workers), QuotaCount(aCell.teams), {} };
+  Reservations kept = std::exchange(this->reservations, Reservations());
+  this->reservations.Begin(round, {});
+  PlacementDecision decision = this->Decide(round, limits, aTask);
+  this->reservations = std::move(kept);
+  return decision;
+}
+
+std::vector<PlacementDecision>
+CurrentPlacement::PlanRound(const CellView& aCell,
+                            std::span<const TaskView> aQueue,
+                            std::size_t aMaxPlacements)
+{
+  std::vector<PlacementDecision> decisions;
+  if (aQueue.empty()) {
+    return decisions;
+  }
+  PlacementRound round(aCell, this->knowledge);
+  Limits limits{ CapacityCheck(aCell.workers), QuotaCount(aCell.teams), {} };
+  this->reservations.Begin(round, aQueue);
+  std::size_t placed = 0;
+  for (const std::size_t index : this->Order(aCell, aQueue)) {
+    if (placed >= aMaxPlacements) {
+      break;
+    }
+    const TaskView& task = aQueue[index];
+    decisions.push_back(this->Decide(round, limits, task));
+    const PlacementDecision& decision = decisions.back();
+    if (decision.outcome == PlacementOutcome::Placed) {
+      ++placed;
+      continue;
+    }
+    const bool waitsForRoom = decision.block == PlacementBlock::NoRoom ||
+                              decision.block == PlacementBlock::Reserved;
+    if (waitsForRoom && this->MayReserve(round, limits, task)) {
+      this->reservations.Reserve(round, task);
+    }
+  }
+  return decisions;
+}
+
+} // namespace sequoiakeel
--- a/src/Interference.h
+++ b/src/Interference.h
@@ -14,8 +14,8 @@
 /** A neighbour at the time of a measurement. */
 struct NeighbourLoad
 {
-  std::string_view kind;
-  /** Processors that it used or is expected to use, in cores. */
+  std::uint32_t kind = 0;
+  /** Processors that it used, in cores. */
   double cores = 0;
 };
 
@@ -28,21 +28,26 @@
 class Interference
 {
 public:
-  /** Interns a kind; the id is valid for the life of the object. */
+  /** Interns a kind. Ids count up from 0 and are valid for the life of the
+   * object. Kinds beyond the limit share the last id. */
   std::uint32_t IdOf(std::string_view aKind);
 
+  /** Number of ids given out. */
+  std::size_t Kinds() const { return this->ids.size(); }
+
   /** Takes in one late measurement: the slowdown (0: undisturbed, 0.5: takes
-   * 1.5 times as long) of a victim beside its neighbours. */
+   * 1.5 times as long) of a victim beside its neighbours. The victim itself is
+   * not among them. */
   void Learn(TimePoint aNow,
-             std::string_view aVictim,
+             std::uint32_t aVictim,
              std::span<const NeighbourLoad> aNeighbours,
              double aSlowdown);
 
-  /** Expected slowdown of the victim by one core of the neighbour's load;
-   * between the prior and the learnt value by the weight of the evidence. */
+  /** Expected slowdown of the victim by one core of the neighbour's load: the
+   * learnt value, shrunk to the prior where the evidence is thin. */
   double PerCore(TimePoint aNow,
                  std::uint32_t aVictim,
-                 std::uint32_t aNeighbour);
+                 std::uint32_t aNeighbour) const;
 
   /** Weight of the evidence on a pair, after decay. */
   double Evidence(TimePoint aNow,
@@ -50,20 +55,31 @@
                   std::uint32_t aNeighbour) const;
 
 private:
-  struct Cell
+  struct Pair
   {
     double estimate = 0;
     double weight = 0;
     TimePoint updated;
   };
 
-  std::uint64_t Key(std::uint32_t aVictim, std::uint32_t aNeighbour) const;
-  void Decay(TimePoint aNow, Cell& aCell) const;
+  struct StringHash
+  {
+    using is_transparent = void; // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view aText) const
+    {
+      return std::hash<std::string_view>{}(aText);
+    }
+  };
+
+  Pair& PairOf(TimePoint aNow, std::uint32_t aVictim, std::uint32_t aNeighbour);
+  double Prior() const;
 
-  std::unordered_map<std::string, std::uint32_t> ids;
-  std::unordered_map<std::uint64_t, Cell> cells;
-  /** Mean slowdown per core over all pairs, the prior of a new pair. */
-  Cell overall;
+  std::unordered_map<std::string, std::uint32_t, StringHash, std::equal_to<>>
+    ids;
+  std::unordered_map<std::uint64_t, Pair> pairs;
+  /** Mean slowdown per core of load over all measurements. */
+  double overallPerCore = 0;
+  double overallWeight = 0;
 };
 
 } // namespace sequoiakeel
--- /dev/null
+++ b/src/PlacementOrder.cpp
@@ -0,0 +1,97 @@
+#include "PlacementOrder.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Priorities within one step are ordered by deadline. */
+constexpr std::int64_t kPriorityStep = 10;
+/** Waiting time that raises the priority by one step. */
+constexpr Duration kAgingStep = std::chrono::minutes(15);
+constexpr std::int64_t kMaxAgingSteps = 3;
+/** Time in which a task without a deadline is meant to start. */
+constexpr Duration kStartWithin = std::chrono::minutes(15);
+/** Allowance for slowdown by neighbours. */
+constexpr double kSlowdownAllowance = 1.2;
+
+struct Rank
+{
+  int band = 0;
+  std::int64_t priority = 0;
+  bool hopeless = false;
+  TimePoint latestStart;
+  TimePoint queuedSince;
+  std::size_t index = 0;
+
+  auto Key() const
+  {
+    return std::tuple(this->band,
+                      -this->priority,
+                      this->hopeless,
+                      this->latestStart,
+                      this->queuedSince,
+                      this->index);
+  }
+};
+
+int
+BandOf(const TaskView& aTask)
+{
+  if (aTask.urgent) {
+    return 0;
+  }
+  return aTask.latencyCritical ? 1 : 2;
+}
+
+Rank
+RankOf(TimePoint aNow,
+       const TaskView& aTask,
+       const PlacementKnowledge& aKnowledge)
+{
+  Rank rank;
+  rank.band = BandOf(aTask);
+  const Duration waited = std::max(aNow - aTask.queuedSince, Duration::zero());
+  rank.priority = aTask.priority / kPriorityStep +
+                  std::min<std::int64_t>(kMaxAgingSteps, waited / kAgingStep);
+  rank.queuedSince = aTask.queuedSince;
+  rank.latestStart = aTask.queuedSince + kStartWithin;
+  if (aTask.deadline && !aTask.longRunning) {
+    const Duration whole =
+      aKnowledge.sizes.ExpectedRunTime(aTask.kind, aTask.runTime);
+    const double left = static_cast<double>(std::max<std::int64_t>(
+                          0, 1000 - aTask.checkpointPermille)) /
+                        1000;
+    const auto remaining = std::chrono::duration_cast<Duration>(whole * left);
+    rank.hopeless = aNow + remaining > *aTask.deadline;
+    rank.latestStart = *aTask.deadline - std::chrono::duration_cast<Duration>(
+                                           remaining * kSlowdownAllowance);
+  }
+  return rank;
+}
+
+} // namespace
+
+std::vector<std::size_t>
+PlacementOrder(TimePoint aNow,
+               std::span<const TaskView> aQueue,
+               const PlacementKnowledge& aKnowledge)
+{
+  std::vector<Rank> ranks;
+  ranks.reserve(aQueue.size());
+  for (std::size_t i = 0; i < aQueue.size(); ++i) {
+    ranks.push_back(RankOf(aNow, aQueue[i], aKnowledge));
+    ranks.back().index = i;
+  }
+  std::ranges::sort(ranks, {}, &Rank::Key);
+  std::vector<std::size_t> order;
+  order.reserve(ranks.size());
+  for (const Rank& rank : ranks) {
+    order.push_back(rank.index);
+  }
+  return order;
+}
+
+} // namespace sequoiakeel
--- a/src/PlacementViews.h
+++ b/src/PlacementViews.h
@@ -117,7 +117,7 @@
 {
   TimePoint now;
   std::span<const WorkerView> workers;
-  /** Teams that are not listed have no quota. */
+  /** A team that is not listed is not limited. */
   std::span<const TeamView> teams;
 };
 
--- /dev/null
+++ b/src/Quarantine.cpp
@@ -0,0 +1,284 @@
+#include "Quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Evidence that puts a worker into quarantine. */
+constexpr int kThreshold = 3;
+/** The same if other workers of its rack fail as well. */
+constexpr int kThresholdInFailingRack = 2;
+/** Failing workers that make a failing rack. */
+constexpr std::size_t kFailingRackWorkers = 2;
+/** Failures that one job proven on other workers may count for. */
+constexpr int kMaxPerProvenJob = 3;
+/** Workers of a job's success elsewhere that prove the job. */
+constexpr std::size_t kProvenOn = 2;
+/** Sound workers that a job has to fail on to be suspected. */
+constexpr std::size_t kJobFailsOn = 3;
+/** Workers that a job has to kill to be suspected. */
+constexpr std::size_t kJobKills = 2;
+/** Successful tasks that end probation. */
+constexpr int kProbationSuccesses = 2;
+/** Failures older than this don't count any more. */
+constexpr Duration kEvidenceAge = std::chrono::minutes(30);
+/** First quarantine; doubled each time up to the longest. */
+constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
+constexpr Duration kLongestQuarantine = std::chrono::hours(1);
+/** Losses within this time may have one cause. */
+constexpr Duration kLossWindow = std::chrono::seconds(30);
+/** Losses in one rack that are taken for the loss of the rack. */
+constexpr std::size_t kRackLoss = 3;
+/** Share of the fleet that may be in quarantine: one in five. */
+constexpr std::size_t kFleetPerQuarantined = 5;
+/** Memory limit. */
+constexpr std::size_t kMaxJobs = 20000;
+
+} // namespace
+
+Quarantine::Job&
+Quarantine::JobOf(TimePoint aNow, const std::string& aJob)
+{
+  if (this->jobs.size() >= kMaxJobs && !this->jobs.contains(aJob)) {
+    std::erase_if(this->jobs, [&](const auto& aEntry) {
+      return aNow - aEntry.second.updated > kEvidenceAge;
+    });
+  }
+  Job& job = this->jobs[aJob];
+  job.updated = aNow;
+  return job;
+}
+
+void
+Quarantine::Report(TimePoint aNow,
+                   const std::string& aWorker,
+                   const std::string& aRack,
+                   const std::string& aJob,
+                   bool aFailed)
+{
+  this->CountLosses(aNow);
+  Worker& worker = this->workers[aWorker];
+  worker.rack = aRack;
+  Job& job = this->JobOf(aNow, aJob);
+  if (!aFailed) {
+    job.succeededOn.insert(aWorker);
+    job.failedOn.erase(aWorker);
+    this->Succeeded(worker);
+    return;
+  }
+  // A worker without any success proves nothing against the job.
+  if (worker.hasSucceeded && worker.state == QuarantineState::Healthy) {
+    job.failedOn.insert(aWorker);
+  }
+  this->Failed(aNow, worker, aJob);
+}
+
+void
+Quarantine::Succeeded(Worker& aWorker)
+{
+  aWorker.hasSucceeded = true;
+  aWorker.failures.clear();
+  if (aWorker.state != QuarantineState::Probation) {
+    return;
+  }
+  ++aWorker.probationSuccesses;
+  if (aWorker.probationSuccesses < kProbationSuccesses) {
+    return;
+  }
+  aWorker.state = QuarantineState::Healthy;
+  aWorker.timesQuarantined = 0;
+}
+
+void
+Quarantine::Failed(TimePoint aNow, Worker& aWorker, const std::string& aJob)
+{
+  if (aNow - aWorker.lastFailure > kEvidenceAge) {
+    aWorker.failures.clear();
+  }
+  aWorker.lastFailure = aNow;
+  ++aWorker.failures[aJob];
+  if (aWorker.state == QuarantineState::Quarantined) {
+    return;
+  }
+  const int evidence = this->Evidence(aNow, aWorker);
+  const bool failedProbation =
+    aWorker.state == QuarantineState::Probation && evidence > 0;
+  if (failedProbation || evidence >= this->Threshold(aNow, aWorker)) {
+    this->Enter(aNow, aWorker);
+  }
+}
+
+void
+Quarantine::Enter(TimePoint aNow, Worker& aWorker)
+{
+  const std::size_t allowed =
+    std::max<std::size_t>(1, this->fleetSize / kFleetPerQuarantined);
+  if (this->QuarantinedWorkers() >= allowed) {
+    return;
+  }
+  Duration length = kFirstQuarantine;
+  for (int i = 0; i < aWorker.timesQuarantined && length < kLongestQuarantine;
+       ++i) {
+    length *= 2;
+  }
+  ++aWorker.timesQuarantined;
+  aWorker.state = QuarantineState::Quarantined;
+  aWorker.until = aNow + std::min(length, kLongestQuarantine);
+  aWorker.probationSuccesses = 0;
+}
+
+int
+Quarantine::Evidence(TimePoint aNow, const Worker& aWorker) const
+{
+  if (aNow - aWorker.lastFailure > kEvidenceAge) {
+    return 0;
+  }
+  int evidence = 0;
+  for (const auto& [name, count] : aWorker.failures) {
+    if (this->IsSuspectedJob(name)) {
+      continue;
+    }
+    const auto job = this->jobs.find(name);
+    const bool proven =
+      job != this->jobs.end() && job->second.succeededOn.size() >= kProvenOn;
+    evidence += proven ? std::min(count, kMaxPerProvenJob) : 1;
+  }
+  return evidence;
+}
+
+int
+Quarantine::Threshold(TimePoint aNow, const Worker& aWorker) const
+{
+  std::size_t failing = 0;
+  for (const auto& [name, other] : this->workers) {
+    if (&other == &aWorker || other.rack != aWorker.rack) {
+      continue;
+    }
+    if (other.state != QuarantineState::Healthy ||
+        this->Evidence(aNow, other) >= kThresholdInFailingRack) {
+      ++failing;
+    }
+  }
+  return failing >= kFailingRackWorkers ? kThresholdInFailingRack : kThreshold;
+}
+
+std::size_t
+Quarantine::QuarantinedWorkers() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->workers, [](const auto& aEntry) {
+      return aEntry.second.state == QuarantineState::Quarantined;
+    }));
+}
+
+void
+Quarantine::WorkerLost(TimePoint aNow,
+                       const std::string& aWorker,
+                       const std::string& aRack,
+                       const std::set<std::string>& aJobs)
+{
+  this->CountLosses(aNow);
+  this->losses.push_back({ aNow, aWorker, aRack, aJobs });
+}
+
+bool
+Quarantine::IsCommonLoss(const Loss& aLoss) const
+{
+  std::size_t near = 0;
+  std::size_t inRack = 0;
+  for (const Loss& other : this->losses) {
+    const Duration apart =
+      other.at > aLoss.at ? other.at - aLoss.at : aLoss.at - other.at;
+    if (apart > kLossWindow) {
+      continue;
+    }
+    ++near;
+    inRack += other.rack == aLoss.rack ? 1 : 0;
+  }
+  return inRack >= kRackLoss || near * 2 > this->fleetSize;
+}
+
+void
+Quarantine::CountLosses(TimePoint aNow)
+{
+  // A loss counts against jobs once it is known which others came with it, and
+  // stays as long as it may explain a later one.
+  while (!this->losses.empty() &&
+         aNow - this->losses.front().at > 2 * kLossWindow) {
+    this->losses.pop_front();
+  }
+  for (Loss& loss : this->losses) {
+    if (loss.jobs.empty() || aNow - loss.at <= kLossWindow) {
+      continue;
+    }
+    const std::set<std::string> ran = std::exchange(loss.jobs, {});
+    if (this->IsCommonLoss(loss)) {
+      continue;
+    }
+    for (const std::string& job : ran) {
+      this->JobOf(aNow, job).killed.insert(loss.worker);
+    }
+  }
+}
+
+QuarantineState
+Quarantine::StateOf(TimePoint aNow, const std::string& aWorker)
+{
+  this->CountLosses(aNow);
+  const auto found = this->workers.find(aWorker);
+  if (found == this->workers.end()) {
+    return QuarantineState::Healthy;
+  }
+  Worker& worker = found->second;
+  if (worker.state == QuarantineState::Quarantined && aNow >= worker.until) {
+    worker.state = QuarantineState::Probation;
+    worker.failures.clear();
+  }
+  return worker.state;
+}
+
+double
+Quarantine::Suspicion(TimePoint aNow, const std::string& aWorker) const
+{
+  const auto found = this->workers.find(aWorker);
+  if (found == this->workers.end() || found->second.failures.empty()) {
+    return 0;
+  }
+  const Worker& worker = found->second;
+  return std::min(1.0,
+                  static_cast<double>(this->Evidence(aNow, worker)) /
+                    this->Threshold(aNow, worker));
+}
+
+bool
+Quarantine::IsSuspectedJob(const std::string& aJob) const
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end()) {
+    return false;
+  }
+  const Job& job = found->second;
+  const bool fails = job.failedOn.size() >= kJobFailsOn &&
+                     job.failedOn.size() > job.succeededOn.size();
+  const bool kills = job.killed.size() >= kJobKills &&
+                     job.killed.size() > job.succeededOn.size();
+  return fails || kills;
+}
+
+std::string
+Quarantine::Explain(const std::string& aJob) const
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end()) {
+    return {};
+  }
+  const Job& job = found->second;
+  return "failed on " + std::to_string(job.failedOn.size()) + ", killed " +
+         std::to_string(job.killed.size()) + ", succeeded on " +
+         std::to_string(job.succeededOn.size()) + " workers";
+}
+
+} // namespace sequoiakeel
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -4,6 +4,7 @@
 #include "PlacementViews.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -30,43 +31,66 @@
   /** Takes in the loss of a worker while aJobs ran there. */
   void WorkerLost(TimePoint aNow,
                   const std::string& aWorker,
+                  const std::string& aRack,
                   const std::set<std::string>& aJobs);
 
   /** State of a worker now; moves an expired quarantine to probation. */
   QuarantineState StateOf(TimePoint aNow, const std::string& aWorker);
 
+  /** Evidence against a worker, from 0 to 1; 1 leads to quarantine. */
+  double Suspicion(TimePoint aNow, const std::string& aWorker) const;
+
   /** Whether the job is suspected of failing on, or killing, its workers. */
   bool IsSuspectedJob(const std::string& aJob) const;
 
-  /** Sets the number of workers in the cell, for the limit. */
+  /** Names the evidence against a job; empty without any. */
+  std::string Explain(const std::string& aJob) const;
+
+  /** Sets the number of workers in the cell, for the limits. */
   void SetFleetSize(std::size_t aWorkers) { this->fleetSize = aWorkers; }
 
 private:
   struct Worker
   {
     std::string rack;
-    /** Jobs that failed here since the last success, each counted once. */
-    std::set<std::string> failedJobs;
+    /** Failures since the last success by job. */
+    std::map<std::string, int> failures;
     int probationSuccesses = 0;
     int timesQuarantined = 0;
     QuarantineState state = QuarantineState::Healthy;
     TimePoint until;
     TimePoint lastFailure;
+    bool hasSucceeded = false;
   };
   struct Job
   {
     std::set<std::string> failedOn;
     std::set<std::string> succeededOn;
     std::set<std::string> killed;
+    TimePoint updated;
+  };
+  struct Loss
+  {
+    TimePoint at;
+    std::string worker;
+    std::string rack;
+    std::set<std::string> jobs;
   };
 
-  std::size_t FailingInRack(TimePoint aNow, const std::string& aRack) const;
-  std::size_t Quarantined() const;
-  std::size_t CountingFailures(const Worker& aWorker) const;
-  void Reconsider(TimePoint aNow, Worker& aWorker);
+  Job& JobOf(TimePoint aNow, const std::string& aJob);
+  void Succeeded(Worker& aWorker);
+  void Failed(TimePoint aNow, Worker& aWorker, const std::string& aJob);
+  void Enter(TimePoint aNow, Worker& aWorker);
+  int Evidence(TimePoint aNow, const Worker& aWorker) const;
+  int Threshold(TimePoint aNow, const Worker& aWorker) const;
+  std::size_t QuarantinedWorkers() const;
+  bool IsCommonLoss(const Loss& aLoss) const;
+  void CountLosses(TimePoint aNow);
 
   std::map<std::string, Worker> workers;
   std::map<std::string, Job> jobs;
+  /** Losses too recent to tell whether a rack or the zone was lost. */
+  std::deque<Loss> losses;
   std::size_t fleetSize = 0;
 };
 
--- a/src/SizeEstimator.h
+++ b/src/SizeEstimator.h
@@ -20,25 +20,35 @@
                   const Resources& aDeclared,
                   const Resources& aUsage);
 
-  /** Takes in the run time of a finished attempt. */
+  /** Takes in the full run time of a finished task whose progress was not
+   * interrupted. */
   void LearnRunTime(std::string_view aKind, Duration aRanFor);
 
   /** Expected usage of a task; the declared sizes if nothing is known. */
   Resources Expected(std::string_view aKind, const Resources& aDeclared) const;
 
-  /** Expected run time; aDeclared if nothing is known. */
+  /** Expected run time of a whole task; aDeclared if nothing is known, zero if
+   * neither is. */
   Duration ExpectedRunTime(std::string_view aKind, Duration aDeclared) const;
 
 private:
+  /** Running mean and mean deviation. */
+  struct Mean
+  {
+    double value = 0;
+    double deviation = 0;
+    double weight = 0;
+
+    void Add(double aSample);
+  };
   struct Entry
   {
-    double cpuRatio = 1;
-    double memoryRatio = 1;
-    double usageWeight = 0;
-    double runSeconds = 0;
-    double runWeight = 0;
+    Mean cpuRatio;
+    Mean memoryRatio;
+    Mean runSeconds;
   };
 
+  Entry* EntryOf(std::string_view aKind);
   const Entry* Find(std::string_view aKind) const;
 
   std::unordered_map<std::string, Entry> entries;
