--- a/src/ConfigurationAgent.h
+++ b/src/ConfigurationAgent.h
@@ -1,16 +1,18 @@
 #pragma once
 
 #include "ConfigurationKeeper.h"
+#include "ConfigurationStartup.h"
+#include "ConfigurationWriter.h"
 #include "Findings.h"
 #include "MembershipView.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,38 +20,14 @@
 
 namespace sequoiakeel {
 
-class KeyValueStore;
-class PeerRpc;
-
-/** What became of a change of the configuration. */
-enum class ApplyOutcome : std::uint8_t
-{
-  /** In force; the generation is the new one. */
-  Applied,
-  /** Another change was first. */
-  Conflict,
-  /** The document has faults. */
-  Invalid,
-  /** The store refused it or was not reached; it is not in force and will not
-   * be. */
-  NotApplied,
-  /** It may or may not take effect. */
-  Unknown,
-};
-
-/** Answer to ConfigurationAgent::Apply. */
-struct ApplyResult
+/** Time limits of ConfigurationAgent. */
+struct ConfigurationTimes
 {
-  ApplyOutcome outcome = ApplyOutcome::NotApplied;
-  /** The new generation, or the winner's. */
-  std::uint64_t generation = 0;
-  /** Author of the change that was first. */
-  std::string winner;
-  /** JSON Pointers of the fields in which the winner's document differs. */
-  std::vector<std::string> differences;
-  Findings findings;
-  /** Why, for NotApplied and Unknown. */
-  std::string reason;
+  /** How long Load waits for the store and the peers. */
+  std::chrono::milliseconds startupWindow{ 2000 };
+  std::chrono::milliseconds pollInterval{ 1000 };
+  /** Pause before the second attempt of a write; doubles with each. */
+  std::chrono::milliseconds retryDelay{ 50 };
 };
 
 /** Keeps the configuration of one process current (section 6 of the design
@@ -63,11 +41,7 @@
    * block. */
   using OnActive = std::function<void(std::uint64_t aGeneration,
                                       const std::string& aDocument)>;
-  /** Asks a peer; none if it did not respond in time. */
-  using Fetch =
-    std::function<boost::asio::awaitable<std::optional<ConfigurationReply>>(
-      MemberRow aPeer,
-      FetchConfiguration aRequest)>;
+  using Fetch = FetchFromPeer;
 
   /** The references must outlive the agent. */
   ConfigurationAgent(boost::asio::any_io_executor aExecutor,
@@ -75,12 +49,14 @@
                      MembershipView& aMembership,
                      Fetch aFetch,
                      Validate aValidate,
-                     OnActive aOnActive);
+                     OnActive aOnActive,
+                     ConfigurationTimes aTimes = {});
   ~ConfigurationAgent();
 
   /** Takes the highest generation among the store and all peers that respond
-   * within 2 s. Returns false if none responded; the caller tries again and
-   * is not ready until then. */
+   * within the startup window. Returns false if neither the store nor a peer
+   * with a configuration responded; the caller tries again and is not ready
+   * until then. */
   boost::asio::awaitable<bool> Load();
 
   /** Polls the store once a second while this process is one of the two
@@ -90,16 +66,17 @@
   /** Ends Run. */
   void Stop();
 
-  /** One poll: reads the store if this process is one of the two pollers.
-   * Returns whether it did. */
+  /** One poll: reads the store if this process is one of the two pollers, and
+   * fetches from a peer if the membership shows a higher generation. Returns
+   * whether it read the store. */
   boost::asio::awaitable<bool> Poll();
 
-  /** Fetches from a peer that announced a higher generation; false if that
-   * did not lead to its generation. To be called from the gossip callback
-   * through Announced. */
+  /** Fetches from a peer that announced a higher generation; returns whether
+   * that led to a higher generation. */
   boost::asio::awaitable<bool> FetchFrom(MemberRow aPeer);
 
-  /** Starts FetchFrom in the background unless a fetch runs. */
+  /** Starts FetchFrom in the background; while a fetch runs, the last peer
+   * announced is fetched from next. Made for GossipService::OnGeneration. */
   void Announced(const MemberRow& aPeer);
 
   /** Validates aDocument and writes it as generation aBase + 1. Generation,
--- a/src/ConfigurationKeeper.h
+++ b/src/ConfigurationKeeper.h
@@ -18,8 +18,10 @@
 struct ConfigurationChange
 {
   std::uint64_t generation = 0;
+  std::string writeId;
   std::string author;
-  /** JSON Pointers of the fields that changed. */
+  /** JSON Pointers of the fields that changed; "" for the first document that
+   * this process had. */
   std::vector<std::string> changed;
 };
 
--- a/src/KeyValueStore.h
+++ b/src/KeyValueStore.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sequoiakeel {
@@ -76,6 +77,14 @@
   /** Reads one key; the reply has no value if it is absent. */
   virtual boost::asio::awaitable<StoreReadReply> Get(std::string aKey) = 0;
 
+  /** Reads one key's version; the value may be left empty. A store that can
+   * leave the value out overrides this, so that frequent polls of a large value
+   * cost little. */
+  virtual boost::asio::awaitable<StoreReadReply> GetVersion(std::string aKey)
+  {
+    return this->Get(std::move(aKey));
+  }
+
   /** Reads all keys that start with aPrefix. */
   virtual boost::asio::awaitable<StoreReadReply> Range(std::string aPrefix) = 0;
 
