--- a/src/RetryBudget.cpp
+++ b/src/RetryBudget.cpp
@@ -11,8 +11,32 @@
 /** Doublings after which the backoff is at its longest in any case. */
 constexpr std::uint32_t kMaxDoublings = 20;
 
+/** Multiple of the usual latency that a second attempt needs. */
+constexpr double kSecondAttempt = 2;
+
+Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return std::chrono::duration_cast<Duration>(aDuration * aFactor);
+}
+
 } // namespace
 
+std::optional<Duration>
+AttemptTimeout(const RetryOptions& aOptions,
+               Duration aTypical,
+               Duration aRemaining)
+{
+  if (aTypical <= Duration(0)) {
+    return std::nullopt;
+  }
+  const Duration patience = Scale(aTypical, aOptions.patience);
+  if (patience + Scale(aTypical, kSecondAttempt) > aRemaining) {
+    return std::nullopt;
+  }
+  return patience;
+}
+
 RetryBudget::RetryBudget(const RetryOptions& aOptions)
   : options(aOptions)
   , hundredths(aOptions.percent > 0 ? aOptions.burst * kOneRetry : 0)
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -4,6 +4,7 @@
 #include "Random.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace sequoiakeel {
 
@@ -16,8 +17,20 @@
   std::uint32_t burst = 20;
   Duration firstBackoff = std::chrono::milliseconds(2);
   Duration maxBackoff = std::chrono::milliseconds(200);
+  /** Attempts of one request, with the first. */
+  std::uint32_t attempts = 3;
+  /** Multiple of the usual latency after which an attempt is given up. */
+  double patience = 6;
 };
 
+/** Returns the time after which an attempt is given up in favour of another
+ * server: empty if too little time would remain for that one. aTypical is the
+ * usual latency, zero if unknown. Thread safe. */
+std::optional<Duration>
+AttemptTimeout(const RetryOptions& aOptions,
+               Duration aTypical,
+               Duration aRemaining);
+
 /** Token bucket that limits retries to a share of the requests. Not thread
  * safe: the caller shards it. */
 class RetryBudget
--- a/src/ServerTable.cpp
+++ b/src/ServerTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Error.h"
 
+#include <utility>
+
 namespace sequoiakeel {
 
 namespace {
@@ -12,9 +14,15 @@
 } // namespace
 
 ServerTable::ServerTable(const ServerTableOptions& aOptions)
+  : ServerTable(aOptions, MakeRoutingPolicy(aOptions.policy, aOptions.routing))
+{
+}
+
+ServerTable::ServerTable(const ServerTableOptions& aOptions,
+                         std::unique_ptr<RoutingPolicy> aPolicy)
   : options(aOptions)
   , adaptive(aOptions.policy != "naive")
-  , policy(MakeRoutingPolicy(aOptions.policy, aOptions.routing))
+  , policy(std::move(aPolicy))
   , health(aOptions.health)
 {
 }
--- a/src/ServerTable.h
+++ b/src/ServerTable.h
@@ -40,6 +40,10 @@
 public:
   explicit ServerTable(const ServerTableOptions& aOptions);
 
+  /** Uses aPolicy in place of the one that the options name. */
+  ServerTable(const ServerTableOptions& aOptions,
+              std::unique_ptr<RoutingPolicy> aPolicy);
+
   /** Adds a server and returns its id; returns the known id if there is one of
    * that name. */
   ServerId Add(const std::string& aName, const std::string& aZone);
