Check the configuration across its fields

Cause: entries must never be handed a document that they can't follow. Schema faults and faults across fields are reported together with pointer and line.

--- /dev/null
+++ b/test/unit/ConfigurationChecks.cpp
@@ -0,0 +1,54 @@
+#include "ConfigurationCheck.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+
+namespace {
+
+bool
+Names(const Findings& aFindings, std::string_view aPlace)
+{
+  return std::any_of(aFindings.All().begin(),
+                     aFindings.All().end(),
+                     [&](const Finding& aFinding) {
+                       return aFinding.place == aPlace && aFinding.line > 0;
+                     });
+}
+
+} // namespace
+
+// Guards against a check that accepts a document which no entry could follow,
+// or that stops at the first fault.
+TEST_CASE("faults of the schema and faults across fields are reported together")
+{
+  const Findings findings = CheckConfiguration(R"({
+    "cells": [{ "name": "a", "zone": "z" }, { "name": "a", "zone": "z", "racks": ["r"] }],
+    "services": [{ "name": "quote", "deadline_ms": 3, "slots_per_worker": 80, "hosts": ["h1"] }],
+    "task_classes": [{ "name": "batch" }],
+    "teams": [{ "name": "planning" }, { "name": "planning" }],
+    "leaving_hosts": ["h1"],
+    "limits": { "connections_per_worker": 65, "entries_max": 64, "retry_percent": 200 }
+  })");
+  CHECK(Names(findings, "/cells/1/name"));
+  CHECK(Names(findings, "/cells/1/racks"));
+  CHECK(Names(findings, "/services/0/deadline_ms"));
+  CHECK(Names(findings, "/services/0/slots_per_worker"));
+  CHECK(Names(findings, "/services/0/hosts"));
+  CHECK(Names(findings, "/teams/1/name"));
+  CHECK(Names(findings, "/limits/connections_per_worker"));
+  CHECK(Names(findings, "/limits/retry_percent"));
+}
+
+// Guards against a check that refuses a correct document.
+TEST_CASE("a correct document has no finding")
+{
+  const Findings findings = CheckConfiguration(R"({
+    "cells": [{ "name": "a", "zone": "z", "racks": ["r1"] }, { "name": "b", "zone": "z", "racks": ["r2"] }],
+    "services": [{ "name": "quote", "deadline_ms": 2000 }],
+    "task_classes": [{ "name": "batch" }],
+    "teams": [{ "name": "planning", "quota": { "cpu_millis": 1000 } }]
+  })");
+  CHECK(findings.Format("document") == "");
+}
