Add the cell's state machine

Entries are applied to a working state when they are proposed and to a second state when they are durable; effects on the outside wait for the second. A start whose answer was lost is settled by letting its worker lease expire while the other tasks move to a new lease.

--- a/src/CasWrite.cpp
+++ b/src/CasWrite.cpp
@@ -40,7 +40,7 @@
 CasWrite::Start(Outbox& aOutbox,
                 std::string aKey,
                 std::string aValue,
-                std::int64_t aExpectedVersion,
+                std::uint64_t aExpectedVersion,
                 bool aLeased)
 {
   InternalAssert(!this->Busy(), "a write is in progress");
@@ -83,33 +83,33 @@
 }
 
 bool
-CasWrite::OnResult(Outbox& aOutbox, const StoreResult& aResult, TimePoint aNow)
+CasWrite::OnResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow)
 {
   if (!this->Busy() || aResult.id != this->pendingId) {
     return false;
   }
   this->pendingId = 0;
   if (this->state == State::ReadingBack) {
-    if (aResult.status == StoreStatus::Ok) {
+    if (aResult.result == StoreResult::Ok) {
       this->Resolve(aOutbox, aResult);
     } else {
       this->Wait(aNow, true);
     }
     return true;
   }
-  switch (aResult.status) {
-    case StoreStatus::Ok:
+  switch (aResult.result) {
+    case StoreResult::Ok:
       this->state = State::Applied;
       this->version = aResult.version;
       break;
-    case StoreStatus::Conflict:
+    case StoreResult::Conflict:
       // An earlier send of the same bytes may be what it conflicts with.
       this->ReadBack(aOutbox);
       break;
-    case StoreStatus::Unknown:
+    case StoreResult::Unknown:
       this->Wait(aNow, true);
       break;
-    case StoreStatus::Unavailable:
+    case StoreResult::Unavailable:
       this->Wait(aNow, false);
       break;
   }
@@ -117,10 +117,10 @@
 }
 
 void
-CasWrite::Resolve(Outbox& aOutbox, const StoreResult& aResult)
+CasWrite::Resolve(Outbox& aOutbox, const StoreReply& aResult)
 {
-  const StoreRow found =
-    aResult.rows.empty() ? StoreRow{} : aResult.rows.front();
+  const StoreValue found =
+    aResult.rows.empty() ? StoreValue{} : aResult.rows.front();
   if (found.version != 0 && found.value == this->command.value) {
     this->state = State::Applied;
     this->version = found.version;
--- a/src/CasWrite.h
+++ b/src/CasWrite.h
@@ -30,11 +30,11 @@
   void Start(Outbox& aOutbox,
              std::string aKey,
              std::string aValue,
-             std::int64_t aExpectedVersion,
+             std::uint64_t aExpectedVersion,
              bool aLeased = false);
 
   /** Takes a result; returns whether it belonged to this write. */
-  bool OnResult(Outbox& aOutbox, const StoreResult& aResult, TimePoint aNow);
+  bool OnResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow);
 
   /** Sends again when the back-off is over. */
   void Tick(Outbox& aOutbox, TimePoint aNow);
@@ -46,22 +46,22 @@
   bool Busy() const;
   const std::string& Key() const { return this->command.key; }
   /** Version written; valid in state Applied. */
-  std::int64_t Version() const { return this->version; }
+  std::uint64_t Version() const { return this->version; }
   /** What the key holds instead; valid in state Superseded. Version 0: the key
    * is absent. */
-  const StoreRow& Other() const { return this->other; }
+  const StoreValue& Other() const { return this->other; }
 
 private:
   void Send(Outbox& aOutbox);
   void ReadBack(Outbox& aOutbox);
-  void Resolve(Outbox& aOutbox, const StoreResult& aResult);
+  void Resolve(Outbox& aOutbox, const StoreReply& aResult);
   void Wait(TimePoint aNow, bool aReadFirst);
 
   State state = State::Idle;
   StoreCommand command;
   std::uint64_t pendingId = 0;
-  std::int64_t version = 0;
-  StoreRow other;
+  std::uint64_t version = 0;
+  StoreValue other;
   TimePoint retryAt;
   bool readFirst = false;
   Duration backoff{};
--- a/src/CellCommands.h
+++ b/src/CellCommands.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Clock.h"
+#include "KeyValueStore.h"
+#include "WorkerAgent.h"
 #include "generated/Messages.h"
-#include "generated/Resources.h"
+#include "generated/Platform.h"
 
 #include <cstdint>
 #include <string>
@@ -28,41 +30,21 @@
   std::string key;
   std::string value;
   /** Version that a Put or Delete expects; 0: the key is absent. */
-  std::int64_t expectedVersion = 0;
+  std::uint64_t expectedVersion = 0;
   /** Attach the key to the planner's store lease. */
   bool leased = false;
 };
 
-/** How a store call ended. */
-enum class StoreStatus : std::uint8_t
-{
-  Ok,
-  /** The comparison failed: another version was there. */
-  Conflict,
-  /** It may or may not have taken effect, now or later. */
-  Unknown,
-  /** It has not taken effect and will not. */
-  Unavailable,
-};
-
-/** A key with its value and version. */
-struct StoreRow
-{
-  std::string key;
-  std::string value;
-  std::int64_t version = 0;
-};
-
-/** Result of one store command. The driver gives exactly one for each command;
- * a command that times out gets Unknown. */
-struct StoreResult
+/** Reply to one store command. The driver gives exactly one for each command; a
+ * command that times out gets Unknown. */
+struct StoreReply
 {
   std::uint64_t id = 0;
-  StoreStatus status = StoreStatus::Ok;
+  StoreResult result = StoreResult::Ok;
   /** Version after a Put. */
-  std::int64_t version = 0;
-  /** Rows of a Get (at most one) or Range. */
-  std::vector<StoreRow> rows;
+  std::uint64_t version = 0;
+  /** Values of a Get (at most one) or Range. */
+  std::vector<StoreValue> rows;
 };
 
 /** What a worker command does. */
@@ -85,81 +67,29 @@
   std::uint64_t id = 0;
   WorkerVerb verb = WorkerVerb::Status;
   std::string worker;
+  /** Of the worker's agent. */
+  Endpoint endpoint;
   std::string lease;
   std::string taskId;
-  std::uint32_t attempt = 0;
-  Resources resources;
-  std::string kind;
-  std::int64_t runTimeMs = 0;
-  std::string checkpoint;
-  std::string payload;
+  /** Of a start; names task and lease itself. */
+  StartTask start;
   std::uint32_t permille = 0;
   /** The driver compares this with its clock right before it sends; later than
    * this it sends nothing and answers NotSent. */
   TimePoint notAfter = TimePoint::max();
 };
 
-/** How a worker call ended. */
-enum class WorkerCode : std::uint8_t
-{
-  Ok,
-  /** 404 */
-  NotFound,
-  /** 409 */
-  Conflict,
-  /** 412 */
-  LeaseExpired,
-  /** 503 or another explicit refusal */
-  Refused,
-  /** It may or may not have taken effect, now or later. */
-  Unknown,
-  /** Nothing was sent. */
-  NotSent,
-};
-
-/** State of a task at its worker. */
-enum class ReportedState : std::uint8_t
-{
-  Running,
-  Finished,
-  Failed,
-  Stopped,
-};
-
-/** A task in a worker's status. */
-struct ReportedTask
-{
-  std::string taskId;
-  std::uint32_t attempt = 0;
-  std::string lease;
-  ReportedState state = ReportedState::Running;
-  std::uint32_t progressPermille = 0;
-  std::string checkpoint;
-  Resources usage;
-  std::uint32_t slowdownPermille = 0;
-};
-
-/** A worker's status. */
-struct WorkerReport
-{
-  std::string incarnation;
-  Resources capacity;
-  bool leaving = false;
-  std::vector<std::string> leases;
-  std::vector<ReportedTask> tasks;
-};
-
-/** Result of one worker command; the driver gives exactly one for each. */
-struct WorkerResult
+/** Reply to one worker command; the driver gives exactly one for each. */
+struct WorkerReply
 {
   std::uint64_t id = 0;
-  WorkerCode code = WorkerCode::Ok;
+  AgentResult result = AgentResult::Ok;
   /** Of a status query. */
-  WorkerReport report;
+  WorkerStatus status;
   /** Of a checkpoint. */
   std::string checkpoint;
   /** Of a stop. */
-  ReportedState state = ReportedState::Stopped;
+  WorkerTaskState state = WorkerTaskState::Stopped;
 };
 
 /** Answer to a caller's SubmitJob or CancelJob, by the token it came with. */
--- a/src/CellLog.cpp
+++ b/src/CellLog.cpp
@@ -18,8 +18,7 @@
 SizeOf(const LogEntry& aEntry)
 {
   std::size_t result = kEntryBytes + aEntry.job.size() + aEntry.worker.size() +
-                       aEntry.rack.size() + aEntry.incarnation.size() +
-                       aEntry.text.size();
+                       aEntry.rack.size() + aEntry.text.size();
   for (const JobSpec& spec : aEntry.spec) {
     result += spec.payload.size() + spec.team.size() + spec.taskClass.size() +
               spec.kind.size();
@@ -84,7 +83,7 @@
 
 bool
 CellLog::OnReadResult(Outbox& aOutbox,
-                      const StoreResult& aResult,
+                      const StoreReply& aResult,
                       TimePoint aNow)
 {
   const bool reading =
@@ -92,7 +91,7 @@
   if (!reading || aResult.id != this->readId) {
     return false;
   }
-  if (aResult.status != StoreStatus::Ok) {
+  if (aResult.result != StoreResult::Ok) {
     this->RetryRead(aNow);
     return true;
   }
@@ -110,13 +109,13 @@
 }
 
 bool
-CellLog::AcceptRing(const std::vector<StoreRow>& aRows)
+CellLog::AcceptRing(const std::vector<StoreValue>& aRows)
 {
   RecoveredLog result;
   result.snapshot = ReadSnapshot(this->cell, this->snapshotRows);
   std::map<std::uint64_t, LogRecord> later;
   this->slotVersions.fill(0);
-  for (const StoreRow& row : aRows) {
+  for (const StoreValue& row : aRows) {
     auto record = DecodeBinary<LogRecord>(row.value);
     InternalAssert(LogKey(this->cell, record.sequence) == row.key,
                    "a log record is in the wrong slot");
@@ -226,7 +225,7 @@
 }
 
 bool
-CellLog::OnResult(Outbox& aOutbox, const StoreResult& aResult, TimePoint aNow)
+CellLog::OnResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow)
 {
   if (this->OnReadResult(aOutbox, aResult, aNow)) {
     return true;
--- a/src/CellLog.h
+++ b/src/CellLog.h
@@ -56,7 +56,7 @@
   void Tick(Outbox& aOutbox, TimePoint aNow);
 
   /** Takes a result; returns whether it belonged to the log. */
-  bool OnResult(Outbox& aOutbox, const StoreResult& aResult, TimePoint aNow);
+  bool OnResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow);
 
   /** Returns the records known to have taken effect since the last call. */
   std::vector<LogRecord> TakeCommitted();
@@ -90,10 +90,8 @@
 
   void ReadNext(Outbox& aOutbox, ReadStep aStep);
   void RetryRead(TimePoint aNow);
-  bool OnReadResult(Outbox& aOutbox,
-                    const StoreResult& aResult,
-                    TimePoint aNow);
-  bool AcceptRing(const std::vector<StoreRow>& aRows);
+  bool OnReadResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow);
+  bool AcceptRing(const std::vector<StoreValue>& aRows);
   void OnAppendResolved();
   bool SlotIsFree() const;
   void Flush(Outbox& aOutbox, TimePoint aNow);
@@ -106,10 +104,10 @@
   ReadStep step = ReadStep::None;
   std::uint64_t readId = 0;
   TimePoint readAgainAt;
-  std::vector<StoreRow> snapshotRows;
+  std::vector<StoreValue> snapshotRows;
   std::optional<RecoveredLog> recovered;
 
-  std::array<std::int64_t, kLogSlots> slotVersions{};
+  std::array<std::uint64_t, kLogSlots> slotVersions{};
   std::uint64_t lastSequence = 0;
   std::uint64_t epoch = 0;
   std::string owner;
--- /dev/null
+++ b/src/CellMachine.h
@@ -0,0 +1,357 @@
+#pragma once
+
+#include "CellLog.h"
+#include "CellPolicies.h"
+#include "CellState.h"
+#include "RenewalGate.h"
+#include "generated/Configuration.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** What a cell's machine is made for. */
+struct CellOptions
+{
+  std::string cell;
+  std::string planner;
+  /** Unique over all processes and their restarts. */
+  std::string writer;
+  /** Peer endpoint, published in the owner record. */
+  Endpoint peer;
+  Duration groupWindow = std::chrono::milliseconds(250);
+};
+
+/** The part of the configuration that a cell uses. */
+struct CellRules
+{
+  std::map<std::string, TaskClass> classes;
+  /** Each team's hard share in this cell; a team with an empty amount has no
+   * limit. */
+  std::map<std::string, Resources> shares;
+  bool trustWorkerLeases = true;
+  std::uint32_t plannersExpected = 1;
+  std::int64_t evictionsPerMinute = 6;
+};
+
+/** Limits of a cell's queues. */
+struct CellLimits
+{
+  std::uint64_t openJobs = 20'000;
+  std::uint64_t knownJobs = 100'000;
+  std::uint64_t queuedTasks = 200'000;
+  std::uint64_t payloadBytes = 16'000'000;
+  std::size_t uncommittedEntries = 5'000;
+};
+
+/** Where a planner stands with a cell. */
+enum class CellPhase : std::uint8_t
+{
+  /** Not the owner. */
+  Idle,
+  /** Holds the owner key and reads the log. */
+  Reading,
+  /** Appends OwnerChanged. */
+  Announcing,
+  Active,
+  /** Hands the cell over. */
+  Draining,
+  /** Deletes the owner key. */
+  Releasing,
+  /** Has handed the cell over. */
+  Released,
+};
+
+/** Text of a phase. Thread safe. */
+std::string_view
+ToString(CellPhase aPhase);
+
+/**
+ * One planner's side of one cell: ownership, log, jobs, tasks and workers, as a
+ * deterministic function of the events given to it. Commands leave through the
+ * outbox; each command must be answered exactly once, in any order. Not thread
+ * safe.
+ */
+class CellMachine
+{
+public:
+  CellMachine(CellOptions aOptions, CellPolicies& aPolicies);
+  CellMachine(const CellMachine&) = delete;
+  CellMachine& operator=(const CellMachine&) = delete;
+
+  /** Does what is due. Call at least every 100 ms. */
+  void Tick(TimePoint aNow);
+
+  /** Whether this planner should own the cell; an owner keeps it anyway. */
+  void SetCandidate(bool aCandidate) { this->candidate = aCandidate; }
+
+  /** Sets the planner's store lease, and until when it counts as held by the
+   * process's own clock. 0: none. */
+  void OnStoreLease(std::uint64_t aLease, TimePoint aValidUntil);
+
+  /** Takes a planner's report on the store, including the process's own. */
+  void OnStoreReport(const std::string& aPlanner,
+                     bool aReachable,
+                     TimePoint aReceived);
+
+  /** Sets the cell's hosts as the host list and other sources have them. */
+  void SetFleet(const std::vector<HostRecord>& aHosts, TimePoint aNow);
+
+  void SetRules(CellRules aRules);
+  void SetLimits(const CellLimits& aLimits) { this->limits = aLimits; }
+
+  void OnStoreReply(const StoreReply& aReply, TimePoint aNow);
+  void OnWorkerReply(const WorkerReply& aReply, TimePoint aNow);
+
+  /** Accepts a job; answered by a ClientReply with aToken. */
+  void Submit(std::uint64_t aToken, const SubmitJob& aJob, TimePoint aNow);
+
+  /** Cancels a job; answered by a ClientReply with aToken. */
+  void Cancel(std::uint64_t aToken, const CancelJob& aJob, TimePoint aNow);
+
+  /** State of a job as far as it is durable. */
+  JobStatus Query(const std::string& aJob) const;
+
+  /** Records that a job that has not started goes to another cell. Returns
+   * whether that was possible. */
+  bool Move(const std::string& aJob, const std::string& aCell, TimePoint aNow);
+
+  /** Begins to evict a running task. Returns whether that was possible. */
+  bool Evict(const TaskRef& aTask, const std::string& aReason, TimePoint aNow);
+
+  /** Hands the cell over: ends in phase Released. */
+  void Drain();
+
+  CellStatus Status() const;
+
+  /** Views for policies and operators, as of aNow. */
+  std::vector<WorkerView> WorkerViews(TimePoint aNow);
+  std::vector<TaskView> QueueViews(TimePoint aNow) const;
+
+  CellPhase Phase() const { return this->phase; }
+  bool OwnsWithValidLease(TimePoint aNow) const;
+  /** State including entries that are not yet durable. */
+  const CellState& Working() const { return this->working; }
+  /** State as the log has it. */
+  const CellState& Committed() const { return this->committed; }
+  const CellLog& Log() const { return this->log; }
+  std::uint64_t StaleReplies() const { return this->staleReplies; }
+
+  /** Commands issued; the driver takes them out. */
+  Outbox outbox;
+
+private:
+  /** What the owner knows of a worker besides the log. */
+  struct WorkerLink
+  {
+    Endpoint endpoint;
+    std::string zone;
+    std::string rack;
+    bool listed = false;
+    bool leaving = false;
+    TimePoint lastListed;
+    CasWrite claim;
+    TimePoint claimAgainAt;
+    /** The key workers/<worker> names this cell. */
+    bool claimed = false;
+    std::uint64_t statusSent = 0;
+    bool statusPending = false;
+    TimePoint nextStatus;
+    std::optional<TimePoint> lastReply;
+    std::uint32_t grant = 0;
+    bool grantPending = false;
+    bool granted = false;
+    bool renewPending = false;
+    TimePoint lastRenewal;
+    /** Reports up to this number may list tasks released since. */
+    std::uint64_t releaseFloor = 0;
+    WorkerStatus report;
+  };
+
+  /** What the owner knows of one attempt besides the log. */
+  struct TaskRuntime
+  {
+    std::uint32_t attempt = 0;
+    /** The intent is durable and nothing was sent yet. */
+    bool startDue = false;
+    bool startInFlight = false;
+    /** Reports up to this number say nothing of the attempt's absence. */
+    std::uint64_t floor = 0;
+    bool actionInFlight = false;
+    bool mayStop = false;
+    int checkpointTries = 0;
+    TimePoint nextAction;
+    TimePoint since;
+    std::uint32_t throttlePermille = 1000;
+    std::optional<TimePoint> lastCheckpoint;
+    std::uint32_t checkpointPermille = 0;
+  };
+
+  using Effect = std::function<void(TimePoint)>;
+  using WorkerHandler = std::function<void(const WorkerReply&, TimePoint)>;
+  using StoreHandler = std::function<void(const StoreReply&, TimePoint)>;
+
+  // Ownership and log: CellMachine.cpp
+  void TickOwnership(TimePoint aNow);
+  void OnOwnerWrite(TimePoint aNow);
+  void OnRecovered(const RecoveredLog& aLog, TimePoint aNow);
+  void BecomeActive(TimePoint aNow);
+  void StepDown(const char* aReason);
+  void OnCommitted(TimePoint aNow);
+  void MaybeSnapshot();
+  void TickDraining();
+  void ReleaseOwnership();
+  void Propose(LogEntry aEntry, Effect aEffect = nullptr);
+  void SendStore(StoreCommand aCommand, StoreHandler aHandler);
+  void SendWorker(WorkerCommand aCommand, WorkerHandler aHandler);
+  bool Serving() const;
+
+  // Jobs and placement: CellMachineJobs.cpp
+  void Answer(std::uint64_t aToken,
+              SubmitOutcome aOutcome,
+              std::string aReason);
+  std::string RefusalOf(const SubmitJob& aJob, TimePoint aNow) const;
+  void AnswerWhenDurable(std::uint64_t aToken);
+  void CancelTasks(const std::string& aJob);
+  void Place(TimePoint aNow);
+  void ApplyPlacement(const PlacementDecision& aDecision, TimePoint aNow);
+  bool WithinShare(const JobSpec& aSpec) const;
+  void Relieve(TimePoint aNow);
+  void ApplyRelief(const ReliefDecision& aDecision, TimePoint aNow);
+  TaskView ViewOf(const Job& aJob,
+                  std::uint32_t aTask,
+                  const TaskRow* aRow,
+                  TimePoint aNow) const;
+  RunningTaskView RunningViewOf(const TaskRef& aTask);
+  WorkerView ViewOf(const std::string& aWorker, TimePoint aNow);
+  std::vector<TeamView> TeamViews() const;
+
+  // Tasks: CellMachineTasks.cpp
+  TaskRuntime& RuntimeOf(const TaskRef& aTask, std::uint32_t aAttempt);
+  const TaskRow* ActiveRow(const TaskRef& aTask, std::uint32_t aAttempt) const;
+  void Dispatch(const TaskRef& aTask, std::uint32_t aAttempt, TimePoint aNow);
+  void OnStartReply(const TaskRef& aTask,
+                    std::uint32_t aAttempt,
+                    const WorkerReply& aReply,
+                    TimePoint aNow);
+  void EndTask(const TaskRef& aTask,
+               LogEntryKind aKind,
+               const std::string& aReason,
+               TimePoint aNow);
+  void ReleaseUnfinished(const TaskRef& aTask,
+                         const std::string& aReason,
+                         TimePoint aNow);
+  void EndByState(const TaskRef& aTask, WorkerTaskState aState, TimePoint aNow);
+  void TickTasks(TimePoint aNow);
+  void Act(const TaskRef& aTask, const TaskRow& aRow, TimePoint aNow);
+  void SendCheckpoint(const TaskRef& aTask,
+                      const TaskRow& aRow,
+                      TimePoint aNow);
+  void OnCheckpointReply(const TaskRef& aTask,
+                         std::uint32_t aAttempt,
+                         const WorkerReply& aReply,
+                         TimePoint aNow);
+  void SendStop(const TaskRef& aTask, const TaskRow& aRow, TimePoint aNow);
+  void OnStopReply(const TaskRef& aTask,
+                   std::uint32_t aAttempt,
+                   const WorkerReply& aReply,
+                   TimePoint aNow);
+  void SendAcknowledge(const std::string& aWorker, const std::string& aTaskId);
+
+  // Workers: CellMachineWorkers.cpp
+  void TickWorkers(TimePoint aNow);
+  void TickClaim(const std::string& aName, WorkerLink& aLink, TimePoint aNow);
+  void SendStatus(const std::string& aName, WorkerLink& aLink, TimePoint aNow);
+  void OnStatus(const std::string& aName,
+                std::uint64_t aNumber,
+                const WorkerReply& aReply,
+                TimePoint aNow);
+  bool UpdateWorker(const std::string& aName,
+                    WorkerLink& aLink,
+                    const WorkerStatus& aStatus,
+                    TimePoint aNow);
+  void ReconcileTask(const TaskRef& aTask,
+                     WorkerLink& aLink,
+                     std::uint64_t aNumber,
+                     TimePoint aNow);
+  void ReconcileListed(const TaskRef& aTask,
+                       const WorkerTask& aListed,
+                       std::uint64_t aNumber,
+                       TimePoint aNow);
+  void ReconcileUnlisted(const TaskRef& aTask,
+                         const TaskRow& aRow,
+                         const WorkerLink& aLink,
+                         std::uint64_t aNumber,
+                         TimePoint aNow);
+  void ClearOrphans(const std::string& aName,
+                    const WorkerLink& aLink,
+                    std::uint64_t aNumber);
+  bool IsOver(const TaskRef& aTask, std::uint64_t aAttempt) const;
+  void MaintainLease(const std::string& aName,
+                     WorkerLink& aLink,
+                     TimePoint aNow);
+  void SendGrant(const std::string& aName, WorkerLink& aLink, TimePoint aNow);
+  void SendRenewal(const std::string& aName, WorkerLink& aLink, TimePoint aNow);
+  void MoveTasks(const std::string& aName, WorkerLink& aLink, TimePoint aNow);
+  void LoseSilentWorker(const std::string& aName,
+                        WorkerLink& aLink,
+                        TimePoint aNow);
+  void RemoveWorker(const std::string& aName, TimePoint aNow);
+  void TickKeyReleases(TimePoint aNow);
+  void ReleaseWorkerKey(const std::string& aName);
+  void EvictOverflow(const std::string& aName, TimePoint aNow);
+  std::string LeaseOf(const WorkerLink& aLink) const;
+  bool IsResponsive(const WorkerLink& aLink, TimePoint aNow) const;
+  WorkerCommand CommandTo(WorkerVerb aVerb, const std::string& aWorker) const;
+
+  CellOptions options;
+  CellPolicies& policies;
+  CellRules rules;
+  CellLimits limits;
+
+  CellPhase phase = CellPhase::Idle;
+  bool candidate = false;
+  bool drainWanted = false;
+  std::uint64_t storeLease = 0;
+  TimePoint leaseValidUntil;
+  CasWrite ownerWrite;
+  bool ownerHeld = false;
+  std::uint64_t ownerVersion = 0;
+  std::uint64_t claims = 0;
+  TimePoint claimAgainAt;
+
+  CellLog log;
+  CellState working;
+  CellState committed;
+  std::uint64_t proposed = 0;
+  std::uint64_t durable = 0;
+  std::deque<std::pair<std::uint64_t, Effect>> effects;
+  std::map<std::uint64_t, WorkerHandler> workerHandlers;
+  std::map<std::uint64_t, StoreHandler> storeHandlers;
+  std::set<std::uint64_t> waitingTokens;
+  std::uint64_t staleReplies = 0;
+
+  RenewalGate gate{ 1 };
+  std::map<std::string, HostRecord> fleet;
+  bool fleetKnown = false;
+  std::map<std::string, WorkerLink> links;
+  /** Worker keys to be released, with the time of the next try. */
+  std::map<std::string, TimePoint> keyReleases;
+  std::map<TaskRef, TaskRuntime> runtimes;
+  /** Tasks to be stopped or evicted. */
+  std::set<TaskRef> attention;
+  std::set<TaskRef> startsDue;
+  /** Jobs that fit nowhere, with the reason. */
+  std::map<std::string, std::string> unplaceable;
+  std::map<std::string, TimePoint> queuedSince;
+  TimePoint nextPlacement;
+  TimePoint nextRelief;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/CellMachineTasks.cpp
@@ -0,0 +1,386 @@
+#include "CellMachine.h"
+
+#include "Log.h"
+
+namespace sequoiakeel {
+
+namespace {
+
+constexpr std::chrono::seconds kActionRetry{ 2 };
+/** After this many failed tries a task is evicted without a new checkpoint. */
+constexpr int kMaxCheckpointTries = 3;
+
+bool
+IsConfirmed(TaskPhase aPhase)
+{
+  return aPhase == TaskPhase::Running || aPhase == TaskPhase::Evicting;
+}
+
+} // namespace
+
+CellMachine::TaskRuntime&
+CellMachine::RuntimeOf(const TaskRef& aTask, std::uint32_t aAttempt)
+{
+  TaskRuntime& runtime = this->runtimes[aTask];
+  if (runtime.attempt != aAttempt) {
+    runtime = TaskRuntime{};
+    runtime.attempt = aAttempt;
+  }
+  return runtime;
+}
+
+const TaskRow*
+CellMachine::ActiveRow(const TaskRef& aTask, std::uint32_t aAttempt) const
+{
+  const TaskRow* row = this->working.FindTask(aTask);
+  if (row == nullptr || row->attempt != aAttempt ||
+      row->phase == TaskPhase::Queued) {
+    return nullptr;
+  }
+  return row;
+}
+
+void
+CellMachine::Dispatch(const TaskRef& aTask,
+                      std::uint32_t aAttempt,
+                      TimePoint aNow)
+{
+  const TaskRow* row = this->ActiveRow(aTask, aAttempt);
+  TaskRuntime& runtime = this->RuntimeOf(aTask, aAttempt);
+  if (row == nullptr || row->phase != TaskPhase::Starting ||
+      !runtime.startDue) {
+    this->startsDue.erase(aTask);
+    return;
+  }
+  const Job& job = *this->working.FindJob(aTask.job);
+  if (job.row.cancelled) {
+    this->ReleaseUnfinished(aTask, "cancelled-before-start", aNow);
+    return;
+  }
+  if (!this->OwnsWithValidLease(aNow)) {
+    this->startsDue.insert(aTask);
+    return;
+  }
+  this->startsDue.erase(aTask);
+  runtime.startDue = false;
+  runtime.startInFlight = true;
+  runtime.since = aNow;
+  runtime.floor = this->links[row->worker].statusSent;
+  const JobSpec& spec = job.row.spec;
+  WorkerCommand command = this->CommandTo(WorkerVerb::Start, row->worker);
+  command.notAfter = this->leaseValidUntil;
+  command.taskId = TaskId(aTask);
+  command.start.taskId = command.taskId;
+  command.start.attempt = aAttempt;
+  command.start.lease =
+    WorkerLeaseName(this->options.cell, row->epoch, row->grant);
+  command.start.resources = spec.resources;
+  command.start.kind = spec.kind.empty() ? spec.taskClass : spec.kind;
+  command.start.runTimeMs = spec.runTimeMs;
+  command.start.checkpoint = row->checkpoint;
+  command.start.payload = spec.payload;
+  this->SendWorker(
+    std::move(command),
+    [this, aTask, aAttempt](const WorkerReply& aReply, TimePoint aThen) {
+      this->OnStartReply(aTask, aAttempt, aReply, aThen);
+    });
+}
+
+void
+CellMachine::OnStartReply(const TaskRef& aTask,
+                          std::uint32_t aAttempt,
+                          const WorkerReply& aReply,
+                          TimePoint aNow)
+{
+  const TaskRow* row = this->ActiveRow(aTask, aAttempt);
+  if (row == nullptr) {
+    return;
+  }
+  TaskRuntime& runtime = this->RuntimeOf(aTask, aAttempt);
+  runtime.startInFlight = false;
+  if (row->phase != TaskPhase::Starting) {
+    return;
+  }
+  WorkerLink& link = this->links[row->worker];
+  switch (aReply.result) {
+    case AgentResult::Ok: {
+      runtime.floor = link.statusSent;
+      LogEntry entry;
+      entry.kind = LogEntryKind::TaskRunning;
+      entry.job = aTask.job;
+      entry.task = aTask.task;
+      entry.attempt = aAttempt;
+      this->Propose(std::move(entry));
+      return;
+    }
+    case AgentResult::NotSent:
+    case AgentResult::Refused:
+      // The start was sent at most once, so it can't take effect any more.
+      this->ReleaseUnfinished(aTask, "start-refused", aNow);
+      return;
+    case AgentResult::NotFound:
+    case AgentResult::Exists:
+    case AgentResult::Unknown:
+      // The start may still take effect under its lease. The lease is no longer
+      // renewed; the next status that lists neither the lease nor the task
+      // settles it.
+      Event("start_unresolved", LogLevel::Warning)
+        .Add("task", TaskId(aTask))
+        .Add("worker", row->worker);
+      if (link.grant == row->grant && row->epoch == this->working.Epoch()) {
+        link.granted = false;
+      }
+      return;
+  }
+}
+
+void
+CellMachine::EndTask(const TaskRef& aTask,
+                     LogEntryKind aKind,
+                     const std::string& aReason,
+                     TimePoint aNow)
+{
+  const TaskRow row = *this->working.FindTask(aTask);
+  const Job& job = *this->working.FindJob(aTask.job);
+  WorkerLink& link = this->links[row.worker];
+  link.releaseFloor = link.statusSent;
+  const bool ended =
+    aKind == LogEntryKind::TaskFinished || aKind == LogEntryKind::TaskFailed;
+  if (ended) {
+    TaskEnd end;
+    end.job = aTask.job;
+    end.kind =
+      job.row.spec.kind.empty() ? job.row.spec.taskClass : job.row.spec.kind;
+    end.worker = row.worker;
+    end.rack = link.rack;
+    end.failed = aKind == LogEntryKind::TaskFailed;
+    end.ranFor = aNow - this->RuntimeOf(aTask, row.attempt).since;
+    this->policies.TaskEnded(aNow, end);
+  }
+  Event("task_released")
+    .Add("task", TaskId(aTask))
+    .Add("attempt", row.attempt)
+    .Add("worker", row.worker)
+    .Add("kind", ToString(aKind))
+    .Add("reason", aReason);
+  this->runtimes.erase(aTask);
+  this->startsDue.erase(aTask);
+  this->attention.erase(aTask);
+  LogEntry entry;
+  entry.kind = aKind;
+  entry.job = aTask.job;
+  entry.task = aTask.task;
+  entry.attempt = row.attempt;
+  entry.text = aReason;
+  Effect effect;
+  if (ended) {
+    // Not before the end is durable: the report is the only other trace of it.
+    effect = [this, worker = row.worker, id = TaskId(aTask)](TimePoint) {
+      this->SendAcknowledge(worker, id);
+    };
+  }
+  this->Propose(std::move(entry), std::move(effect));
+  const Job* after = this->working.FindJob(aTask.job);
+  if (after == nullptr || after->row.ended) {
+    this->queuedSince.erase(aTask.job);
+  }
+}
+
+void
+CellMachine::ReleaseUnfinished(const TaskRef& aTask,
+                               const std::string& aReason,
+                               TimePoint aNow)
+{
+  const TaskRow& row = *this->working.FindTask(aTask);
+  const bool evicting = row.phase == TaskPhase::Evicting;
+  this->EndTask(aTask,
+                evicting ? LogEntryKind::TaskEvicted
+                         : LogEntryKind::TaskRequeued,
+                aReason,
+                aNow);
+}
+
+void
+CellMachine::EndByState(const TaskRef& aTask,
+                        WorkerTaskState aState,
+                        TimePoint aNow)
+{
+  switch (aState) {
+    case WorkerTaskState::Running:
+      return;
+    case WorkerTaskState::Finished:
+      this->EndTask(aTask, LogEntryKind::TaskFinished, "finished", aNow);
+      return;
+    case WorkerTaskState::Failed:
+      this->EndTask(aTask, LogEntryKind::TaskFailed, "failed", aNow);
+      return;
+    case WorkerTaskState::Stopped:
+      this->ReleaseUnfinished(aTask, "stopped", aNow);
+      return;
+  }
+}
+
+bool
+CellMachine::Evict(const TaskRef& aTask,
+                   const std::string& aReason,
+                   TimePoint aNow)
+{
+  const TaskRow* row = this->working.FindTask(aTask);
+  if (!this->OwnsWithValidLease(aNow) || row == nullptr ||
+      row->phase != TaskPhase::Running) {
+    return false;
+  }
+  LogEntry entry;
+  entry.kind = LogEntryKind::EvictionBegun;
+  entry.job = aTask.job;
+  entry.task = aTask.task;
+  entry.attempt = row->attempt;
+  entry.text = aReason;
+  this->Propose(std::move(entry),
+                [this, aTask](TimePoint) { this->attention.insert(aTask); });
+  return true;
+}
+
+void
+CellMachine::TickTasks(TimePoint aNow)
+{
+  for (const TaskRef& task : std::set<TaskRef>(this->startsDue)) {
+    const TaskRow* row = this->working.FindTask(task);
+    if (row == nullptr) {
+      this->startsDue.erase(task);
+      continue;
+    }
+    this->Dispatch(task, row->attempt, aNow);
+  }
+  if (!this->OwnsWithValidLease(aNow)) {
+    return;
+  }
+  for (const TaskRef& task : std::set<TaskRef>(this->attention)) {
+    const TaskRow* row = this->working.FindTask(task);
+    if (row == nullptr || row->phase == TaskPhase::Queued) {
+      this->attention.erase(task);
+      continue;
+    }
+    this->Act(task, *row, aNow);
+  }
+}
+
+void
+CellMachine::Act(const TaskRef& aTask, const TaskRow& aRow, TimePoint aNow)
+{
+  const TaskRuntime& runtime = this->RuntimeOf(aTask, aRow.attempt);
+  // A start in flight is settled first: a stop could overtake it.
+  if (!IsConfirmed(aRow.phase) || runtime.actionInFlight ||
+      aNow < runtime.nextAction) {
+    return;
+  }
+  const bool cancelled = this->working.FindJob(aTask.job)->row.cancelled;
+  if (cancelled || runtime.mayStop) {
+    this->SendStop(aTask, aRow, aNow);
+    return;
+  }
+  if (aRow.phase == TaskPhase::Evicting) {
+    this->SendCheckpoint(aTask, aRow, aNow);
+  }
+}
+
+void
+CellMachine::SendCheckpoint(const TaskRef& aTask,
+                            const TaskRow& aRow,
+                            TimePoint aNow)
+{
+  TaskRuntime& runtime = this->RuntimeOf(aTask, aRow.attempt);
+  runtime.actionInFlight = true;
+  runtime.nextAction = aNow + kActionRetry;
+  WorkerCommand command = this->CommandTo(WorkerVerb::Checkpoint, aRow.worker);
+  command.taskId = TaskId(aTask);
+  const std::uint32_t attempt = aRow.attempt;
+  this->SendWorker(
+    std::move(command),
+    [this, aTask, attempt](const WorkerReply& aReply, TimePoint aThen) {
+      this->OnCheckpointReply(aTask, attempt, aReply, aThen);
+    });
+}
+
+void
+CellMachine::OnCheckpointReply(const TaskRef& aTask,
+                               std::uint32_t aAttempt,
+                               const WorkerReply& aReply,
+                               TimePoint aNow)
+{
+  const TaskRow* row = this->ActiveRow(aTask, aAttempt);
+  if (row == nullptr) {
+    return;
+  }
+  TaskRuntime& runtime = this->RuntimeOf(aTask, aAttempt);
+  runtime.actionInFlight = false;
+  if (aReply.result != AgentResult::Ok || aReply.checkpoint.empty()) {
+    ++runtime.checkpointTries;
+    runtime.mayStop = row->phase == TaskPhase::Evicting &&
+                      runtime.checkpointTries >= kMaxCheckpointTries;
+    return;
+  }
+  runtime.lastCheckpoint = aNow;
+  LogEntry entry;
+  entry.kind = LogEntryKind::TaskCheckpointed;
+  entry.job = aTask.job;
+  entry.task = aTask.task;
+  entry.attempt = aAttempt;
+  entry.text = aReply.checkpoint;
+  // The task is stopped only once its checkpoint is durable.
+  this->Propose(std::move(entry), [this, aTask, aAttempt](TimePoint aThen) {
+    const TaskRow* row = this->ActiveRow(aTask, aAttempt);
+    if (row != nullptr && row->phase == TaskPhase::Evicting) {
+      TaskRuntime& runtime = this->RuntimeOf(aTask, aAttempt);
+      runtime.mayStop = true;
+      runtime.nextAction = aThen;
+    }
+  });
+}
+
+void
+CellMachine::SendStop(const TaskRef& aTask, const TaskRow& aRow, TimePoint aNow)
+{
+  TaskRuntime& runtime = this->RuntimeOf(aTask, aRow.attempt);
+  runtime.actionInFlight = true;
+  runtime.nextAction = aNow + kActionRetry;
+  WorkerCommand command = this->CommandTo(WorkerVerb::Stop, aRow.worker);
+  command.taskId = TaskId(aTask);
+  const std::uint32_t attempt = aRow.attempt;
+  this->SendWorker(
+    std::move(command),
+    [this, aTask, attempt](const WorkerReply& aReply, TimePoint aThen) {
+      this->OnStopReply(aTask, attempt, aReply, aThen);
+    });
+}
+
+void
+CellMachine::OnStopReply(const TaskRef& aTask,
+                         std::uint32_t aAttempt,
+                         const WorkerReply& aReply,
+                         TimePoint aNow)
+{
+  if (this->ActiveRow(aTask, aAttempt) == nullptr) {
+    return;
+  }
+  this->RuntimeOf(aTask, aAttempt).actionInFlight = false;
+  if (aReply.result == AgentResult::Ok) {
+    this->EndByState(aTask, aReply.state, aNow);
+    return;
+  }
+  if (aReply.result == AgentResult::NotFound) {
+    // It was confirmed as running and the worker does not know it any more.
+    this->ReleaseUnfinished(aTask, "stop-not-found", aNow);
+  }
+}
+
+void
+CellMachine::SendAcknowledge(const std::string& aWorker,
+                             const std::string& aTaskId)
+{
+  WorkerCommand command = this->CommandTo(WorkerVerb::Acknowledge, aWorker);
+  command.taskId = aTaskId;
+  this->SendWorker(std::move(command), [](const WorkerReply&, TimePoint) {});
+}
+
+} // namespace sequoiakeel
--- a/src/CellSnapshotWriter.cpp
+++ b/src/CellSnapshotWriter.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 CellSnapshot
-ReadSnapshot(const std::string& aCell, std::span<const StoreRow> aRows)
+ReadSnapshot(const std::string& aCell, std::span<const StoreValue> aRows)
 {
-  std::map<std::string_view, const StoreRow*> byKey;
-  for (const StoreRow& row : aRows) {
+  std::map<std::string_view, const StoreValue*> byKey;
+  for (const StoreValue& row : aRows) {
     byKey[row.key] = &row;
   }
   const std::string headKey = SnapshotKey(aCell);
@@ -55,7 +55,7 @@
 }
 
 void
-CellSnapshotWriter::Restart(std::span<const StoreRow> aRows,
+CellSnapshotWriter::Restart(std::span<const StoreValue> aRows,
                             std::uint64_t aSequence)
 {
   this->write.Reset();
@@ -64,7 +64,7 @@
   this->covered = aSequence;
   this->versions.clear();
   this->obsoleteParts.clear();
-  for (const StoreRow& row : aRows) {
+  for (const StoreValue& row : aRows) {
     this->versions[row.key] = row.version;
     if (row.key != SnapshotKey(this->cell)) {
       this->obsoleteParts.push_back(row.key);
@@ -127,7 +127,7 @@
 
 bool
 CellSnapshotWriter::OnResult(Outbox& aOutbox,
-                             const StoreResult& aResult,
+                             const StoreReply& aResult,
                              TimePoint aNow)
 {
   if (!this->write.OnResult(aOutbox, aResult, aNow)) {
@@ -173,7 +173,7 @@
 void
 CellSnapshotWriter::OnSuperseded(Outbox& aOutbox)
 {
-  const StoreRow& other = this->write.Other();
+  const StoreValue& other = this->write.Other();
   const bool isHead = other.key == SnapshotKey(this->cell);
   if (!isHead || other.version == 0) {
     this->busy = false;
--- a/src/CellSnapshotWriter.h
+++ b/src/CellSnapshotWriter.h
@@ -17,7 +17,7 @@
  * snapshot if there is none. Throws UserError if the rows do not form a whole
  * snapshot. Thread safe. */
 CellSnapshot
-ReadSnapshot(const std::string& aCell, std::span<const StoreRow> aRows);
+ReadSnapshot(const std::string& aCell, std::span<const StoreValue> aRows);
 
 /**
  * Writes snapshots of one cell. A snapshot over kMaxStoredBytes goes into parts
@@ -30,13 +30,13 @@
   CellSnapshotWriter(std::string aCell, std::string aWriter);
 
   /** Takes over the rows that a recovery has read. Ends a write in progress. */
-  void Restart(std::span<const StoreRow> aRows, std::uint64_t aSequence);
+  void Restart(std::span<const StoreValue> aRows, std::uint64_t aSequence);
 
   /** Starts to write. No write may be in progress. */
   void Start(Outbox& aOutbox, const CellSnapshot& aSnapshot);
 
   /** Takes a result; returns whether it belonged to this writer. */
-  bool OnResult(Outbox& aOutbox, const StoreResult& aResult, TimePoint aNow);
+  bool OnResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow);
 
   /** Retries what is due. */
   void Tick(Outbox& aOutbox, TimePoint aNow);
@@ -57,7 +57,7 @@
   std::string cell;
   std::string writer;
   CasWrite write;
-  std::map<std::string, std::int64_t> versions;
+  std::map<std::string, std::uint64_t> versions;
   std::vector<std::string> obsoleteParts;
   SnapshotHead head;
   std::string body;
--- a/src/CellState.cpp
+++ b/src/CellState.cpp
@@ -82,6 +82,7 @@
     }
     this->queuedTasks += job.QueuedTasks();
     this->openJobs += row.ended ? 0 : 1;
+    this->payloadBytes += row.spec.payload.size();
     if (row.ended) {
       this->ended.emplace(row.endedAtMs, row.job);
     }
@@ -316,6 +317,7 @@
   aJob.row.endedAtMs = this->timeMs;
   this->ended.emplace(aJob.row.endedAtMs, aJob.row.job);
   // The payload may be large and is not needed any more.
+  this->payloadBytes -= aJob.row.spec.payload.size();
   aJob.row.spec.payload.clear();
   --this->openJobs;
 }
@@ -333,9 +335,12 @@
 {
   InternalAssert(aEntry.capacity.size() == 1, "a worker has no capacity");
   WorkerRow& row = this->workers[aEntry.worker];
-  row = WorkerRow{
-    aEntry.worker, aEntry.rack, aEntry.incarnation, aEntry.capacity.front()
-  };
+  row.worker = aEntry.worker;
+  row.rack = aEntry.rack;
+  row.address = aEntry.address;
+  row.port = aEntry.port;
+  row.incarnation = aEntry.incarnation;
+  row.capacity = aEntry.capacity.front();
   this->ledger.SetCapacity(aEntry.worker, row.capacity);
 }
 
@@ -368,6 +373,7 @@
   const bool inserted = this->jobs.emplace(aEntry.job, job).second;
   InternalAssert(inserted, "a job is accepted twice");
   this->queuedTasks += static_cast<std::uint64_t>(job.row.spec.taskCount);
+  this->payloadBytes += job.row.spec.payload.size();
   ++this->openJobs;
 }
 
--- a/src/CellState.h
+++ b/src/CellState.h
@@ -98,6 +98,9 @@
   std::uint64_t OpenJobs() const { return this->openJobs; }
   std::uint64_t QueuedTasks() const { return this->queuedTasks; }
 
+  /** Payloads of the open jobs. */
+  std::uint64_t PayloadBytes() const { return this->payloadBytes; }
+
   /** Resources that a team's started tasks hold in this cell. */
   Resources HeldBy(const std::string& aTeam) const;
 
@@ -145,6 +148,7 @@
   std::uint64_t nextOrder = 0;
   std::uint64_t openJobs = 0;
   std::uint64_t queuedTasks = 0;
+  std::uint64_t payloadBytes = 0;
 };
 
 } // namespace sequoiakeel
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -30,14 +30,18 @@
                     aLeft.accelerators - aRight.accelerators };
 }
 
+namespace {
+
 Resources
-Larger(const Resources& aLeft, const Resources& aRight)
+Raised(const Resources& aLeft, const Resources& aRight)
 {
   return Resources{ std::max(aLeft.cpuMillis, aRight.cpuMillis),
                     std::max(aLeft.memoryMb, aRight.memoryMb),
                     std::max(aLeft.accelerators, aRight.accelerators) };
 }
 
+} // namespace
+
 const Ledger::Account*
 Ledger::Find(const std::string& aWorker) const
 {
@@ -103,7 +107,7 @@
   if (task == account.tasks.end()) {
     return;
   }
-  const Resources raised = Larger(task->second, aUsage);
+  const Resources raised = Raised(task->second, aUsage);
   account.committed = Plus(account.committed, Minus(raised, task->second));
   task->second = raised;
 }
--- a/src/Ledger.h
+++ b/src/Ledger.h
@@ -20,10 +20,6 @@
 Resources
 Minus(const Resources& aLeft, const Resources& aRight);
 
-/** The larger amount per dimension. Thread safe. */
-Resources
-Larger(const Resources& aLeft, const Resources& aRight);
-
 /**
  * Resources committed on each worker. A commitment counts the larger of the
  * declared size and the largest usage observed for the same attempt. Not thread
