--- a/src/CellCommands.h
+++ b/src/CellCommands.h
@@ -6,6 +6,7 @@
 #include "generated/Messages.h"
 #include "generated/Platform.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -92,6 +93,20 @@
   WorkerTaskState state = WorkerTaskState::Stopped;
 };
 
+/** Finds an attempt of a task in a worker's status; null if it is not listed.
+ * Thread safe. */
+inline const WorkerTask*
+FindListed(const WorkerStatus& aStatus,
+           const std::string& aTaskId,
+           std::uint64_t aAttempt)
+{
+  const auto found =
+    std::ranges::find_if(aStatus.tasks, [&](const WorkerTask& aTask) {
+      return aTask.taskId == aTaskId && aTask.attempt == aAttempt;
+    });
+  return found == aStatus.tasks.end() ? nullptr : &*found;
+}
+
 /** Answer to a caller's SubmitJob or CancelJob, by the token it came with. */
 struct ClientReply
 {
--- a/src/CellMachineTasks.cpp
+++ b/src/CellMachineTasks.cpp
@@ -75,7 +75,7 @@
   command.start.lease =
     WorkerLeaseName(this->options.cell, row->epoch, row->grant);
   command.start.resources = spec.resources;
-  command.start.kind = spec.kind.empty() ? spec.taskClass : spec.kind;
+  command.start.kind = KindOf(spec);
   command.start.runTimeMs = spec.runTimeMs;
   command.start.checkpoint = row->checkpoint;
   command.start.payload = spec.payload;
@@ -149,8 +149,7 @@
   if (ended) {
     TaskEnd end;
     end.job = aTask.job;
-    end.kind =
-      job.row.spec.kind.empty() ? job.row.spec.taskClass : job.row.spec.kind;
+    end.kind = KindOf(job.row.spec);
     end.worker = row.worker;
     end.rack = link.rack;
     end.failed = aKind == LogEntryKind::TaskFailed;
--- a/src/CellMachineWorkers.cpp
+++ b/src/CellMachineWorkers.cpp
@@ -13,8 +13,6 @@
 /** A worker that has not answered for this long gets no new task and is
  * silent. */
 constexpr std::chrono::seconds kSilentAfter{ 10 };
-constexpr std::chrono::seconds kClaimRetry{ 10 };
-constexpr std::chrono::seconds kReleaseRetry{ 1 };
 /** A worker is removed once the host list has not named it for this long. */
 constexpr std::chrono::seconds kRemoveAfterUnlisted{ 60 };
 
@@ -26,18 +24,6 @@
   });
 }
 
-const WorkerTask*
-FindListed(const WorkerStatus& aStatus,
-           const std::string& aTaskId,
-           std::uint64_t aAttempt)
-{
-  const auto found =
-    std::ranges::find_if(aStatus.tasks, [&](const WorkerTask& aTask) {
-      return aTask.taskId == aTaskId && aTask.attempt == aAttempt;
-    });
-  return found == aStatus.tasks.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 WorkerCommand
@@ -53,13 +39,6 @@
   return command;
 }
 
-std::string
-CellMachine::LeaseOf(const WorkerLink& aLink) const
-{
-  return WorkerLeaseName(
-    this->options.cell, this->working.Epoch(), aLink.grant);
-}
-
 bool
 CellMachine::IsResponsive(const WorkerLink& aLink, TimePoint aNow) const
 {
@@ -117,37 +96,6 @@
   }
 }
 
-void
-CellMachine::TickClaim(const std::string& aName,
-                       WorkerLink& aLink,
-                       TimePoint aNow)
-{
-  if (!this->fleet.contains(aName) && !aLink.claim.Busy()) {
-    this->links.erase(aName);
-    return;
-  }
-  aLink.claim.Tick(this->outbox, aNow);
-  switch (aLink.claim.Current()) {
-    case CasWrite::State::Applied:
-      aLink.claimed = true;
-      return;
-    case CasWrite::State::Superseded:
-      Event("worker_in_other_cell", LogLevel::Warning)
-        .Add("worker", aName)
-        .Add("cell", aLink.claim.Other().value);
-      aLink.claim.Reset();
-      aLink.claimAgainAt = aNow + kClaimRetry;
-      return;
-    default:
-      break;
-  }
-  const bool releasing = this->keyReleases.contains(aName);
-  if (!aLink.claim.Busy() && aNow >= aLink.claimAgainAt && !releasing) {
-    aLink.claim.Start(
-      this->outbox, WorkerKey(aName), this->options.cell, kAbsentVersion);
-  }
-}
-
 void
 CellMachine::SendStatus(const std::string& aName,
                         WorkerLink& aLink,
@@ -355,184 +303,6 @@
   }
 }
 
-void
-CellMachine::MaintainLease(const std::string& aName,
-                           WorkerLink& aLink,
-                           TimePoint aNow)
-{
-  if (!this->gate.MayRenew(aNow, this->OwnsWithValidLease(aNow), true)) {
-    return;
-  }
-  if (!aLink.granted) {
-    this->SendGrant(aName, aLink, aNow);
-    return;
-  }
-  this->SendRenewal(aName, aLink, aNow);
-  this->MoveTasks(aName, aLink, aNow);
-}
-
-void
-CellMachine::SendGrant(const std::string& aName,
-                       WorkerLink& aLink,
-                       TimePoint aNow)
-{
-  if (aLink.grantPending) {
-    return;
-  }
-  aLink.grantPending = true;
-  aLink.lastRenewal = aNow;
-  const std::uint32_t grant = ++aLink.grant;
-  WorkerCommand command = this->CommandTo(WorkerVerb::GrantLease, aName);
-  command.lease = this->LeaseOf(aLink);
-  this->SendWorker(
-    std::move(command),
-    [this, aName, grant](const WorkerReply& aReply, TimePoint aThen) {
-      const auto link = this->links.find(aName);
-      if (link == this->links.end()) {
-        return;
-      }
-      link->second.grantPending = false;
-      link->second.granted =
-        aReply.result == AgentResult::Ok && link->second.grant == grant;
-      if (link->second.granted) {
-        this->MoveTasks(aName, link->second, aThen);
-      }
-    });
-}
-
-void
-CellMachine::SendRenewal(const std::string& aName,
-                         WorkerLink& aLink,
-                         TimePoint aNow)
-{
-  if (aLink.renewPending) {
-    return;
-  }
-  aLink.renewPending = true;
-  aLink.lastRenewal = aNow;
-  const std::uint32_t grant = aLink.grant;
-  WorkerCommand command = this->CommandTo(WorkerVerb::RenewLease, aName);
-  command.lease = this->LeaseOf(aLink);
-  this->SendWorker(std::move(command),
-                   [this, aName, grant](const WorkerReply& aReply, TimePoint) {
-                     const auto link = this->links.find(aName);
-                     if (link == this->links.end()) {
-                       return;
-                     }
-                     link->second.renewPending = false;
-                     if (aReply.result == AgentResult::NotFound &&
-                         link->second.grant == grant) {
-                       link->second.granted = false;
-                     }
-                   });
-}
-
-void
-CellMachine::MoveTasks(const std::string& aName,
-                       WorkerLink& aLink,
-                       TimePoint aNow)
-{
-  const std::string lease = this->LeaseOf(aLink);
-  for (const TaskRef& task : this->working.TasksOn(aName)) {
-    const TaskRow& row = *this->working.FindTask(task);
-    const WorkerTask* listed =
-      FindListed(aLink.report, TaskId(task), row.attempt);
-    if (listed == nullptr || listed->lease == lease ||
-        listed->state != WorkerTaskState::Running) {
-      continue;
-    }
-    aLink.lastRenewal = aNow;
-    WorkerCommand command = this->CommandTo(WorkerVerb::MoveLease, aName);
-    command.taskId = TaskId(task);
-    command.lease = lease;
-    this->SendWorker(std::move(command), [](const WorkerReply&, TimePoint) {});
-  }
-}
-
-void
-CellMachine::LoseSilentWorker(const std::string& aName,
-                              WorkerLink& aLink,
-                              TimePoint aNow)
-{
-  if (this->IsResponsive(aLink, aNow) || this->working.TasksOn(aName).empty() ||
-      !this->gate.SurelyExpired(aNow, aLink.lastRenewal)) {
-    return;
-  }
-  Event("worker_lost", LogLevel::Warning)
-    .Add("cell", this->options.cell)
-    .Add("worker", aName)
-    .Add("reason", "silent");
-  this->policies.WorkerLost(aNow, this->ViewOf(aName, aNow));
-  for (const TaskRef& task : std::set<TaskRef>(this->working.TasksOn(aName))) {
-    const bool starting =
-      this->working.FindTask(task)->phase == TaskPhase::Starting;
-    if (starting && !this->rules.trustWorkerLeases) {
-      continue;
-    }
-    this->ReleaseUnfinished(task, "worker-silent", aNow);
-  }
-  aLink.granted = false;
-}
-
-void
-CellMachine::RemoveWorker(const std::string& aName, TimePoint aNow)
-{
-  if (!this->working.TasksOn(aName).empty() ||
-      !this->OwnsWithValidLease(aNow)) {
-    return;
-  }
-  if (this->working.Workers().contains(aName)) {
-    Event("worker_removed")
-      .Add("cell", this->options.cell)
-      .Add("worker", aName);
-    LogEntry entry;
-    entry.kind = LogEntryKind::WorkerRemoved;
-    entry.worker = aName;
-    this->keyReleases.insert(aName);
-    this->Propose(std::move(entry),
-                  [this, aName](TimePoint) { this->ReleaseWorkerKey(aName); });
-  }
-  this->links.erase(aName);
-}
-
-void
-CellMachine::TickKeyReleases(TimePoint aNow)
-{
-  for (auto& [name, nextTry] : this->keyReleases) {
-    if (aNow < nextTry) {
-      continue;
-    }
-    nextTry = aNow + kReleaseRetry;
-    this->ReleaseWorkerKey(name);
-  }
-}
-
-void
-CellMachine::ReleaseWorkerKey(const std::string& aName)
-{
-  StoreCommand get;
-  get.verb = StoreVerb::Get;
-  get.key = WorkerKey(aName);
-  this->SendStore(
-    std::move(get), [this, aName](const StoreReply& aReply, TimePoint) {
-      if (aReply.result != StoreResult::Ok) {
-        return;
-      }
-      const bool mine =
-        !aReply.rows.empty() && aReply.rows.front().value == this->options.cell;
-      if (!mine) {
-        this->keyReleases.erase(aName);
-        return;
-      }
-      StoreCommand remove;
-      remove.verb = StoreVerb::Delete;
-      remove.key = WorkerKey(aName);
-      remove.expectedVersion = aReply.rows.front().version;
-      // The next read tells whether the key is gone.
-      this->SendStore(std::move(remove), [](const StoreReply&, TimePoint) {});
-    });
-}
-
 void
 CellMachine::EvictOverflow(const std::string& aName, TimePoint aNow)
 {
--- a/src/CellState.cpp
+++ b/src/CellState.cpp
@@ -3,7 +3,6 @@
 #include "Error.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace sequoiakeel {
 
@@ -23,30 +22,6 @@
 
 } // namespace
 
-std::string
-TaskId(const TaskRef& aTask)
-{
-  return aTask.job + "." + std::to_string(aTask.task);
-}
-
-std::optional<TaskRef>
-ParseTaskId(std::string_view aText)
-{
-  const std::size_t dot = aText.rfind('.');
-  if (dot == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const std::string_view digits = aText.substr(dot + 1);
-  TaskRef result;
-  const auto [end, error] =
-    std::from_chars(digits.data(), digits.data() + digits.size(), result.task);
-  if (error != std::errc() || end != digits.data() + digits.size()) {
-    return std::nullopt;
-  }
-  result.job = std::string(aText.substr(0, dot));
-  return result;
-}
-
 std::uint32_t
 Job::QueuedTasks() const
 {
--- a/src/CellState.h
+++ b/src/CellState.h
@@ -1,35 +1,17 @@
 #pragma once
 
 #include "Ledger.h"
+#include "TaskRef.h"
 #include "generated/Cell.h"
 
 #include <chrono>
-#include <compare>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace sequoiakeel {
 
-/** Names one task of one job. */
-struct TaskRef
-{
-  std::string job;
-  std::uint32_t task = 0;
-
-  auto operator<=>(const TaskRef&) const = default;
-};
-
-/** The task id that workers see: the job id, a dot and the index. */
-std::string
-TaskId(const TaskRef& aTask);
-
-/** Reads a task id; empty if it has another form. */
-std::optional<TaskRef>
-ParseTaskId(std::string_view aText);
-
 /** A job with the tasks that have been started at least once and not ended. */
 struct Job
 {
--- a/test/path/Standins.cpp
+++ b/test/path/Standins.cpp
@@ -5,7 +5,8 @@
 
 using namespace sequoiakeel;
 
-// Guards against stand-ins that do not answer their own interface, which would make every other path test meaningless.
+// Guards against stand-ins that do not answer their own interface, which would
+// make every other path test meaningless.
 TEST_CASE("the stand-ins answer and end on SIGTERM")
 {
   Deployment deployment;
@@ -15,7 +16,10 @@
   CHECK(status.status == 200);
   CHECK(status.body.find("\"worker-1\"") != std::string::npos);
   const HttpResponse refused =
-    deployment.Call("worker-1", "POST", "/v1/tasks", R"({"task_id":"t","lease":"no-such-lease"})");
+    deployment.Call("worker-1",
+                    "POST",
+                    "/v1/tasks",
+                    R"({"task_id":"t","lease":"no-such-lease"})");
   CHECK(refused.status == 412);
   deployment.Process("worker-1").Signal(SIGTERM);
   CHECK(deployment.Process("worker-1").Wait() == 0);
