--- /dev/null
+++ b/src/CellMachineWorkers.cpp
@@ -0,0 +1,329 @@
+#include "CellMachine.h"
+
+#include "CellKeys.h"
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+constexpr std::chrono::seconds kStatusInterval{ 3 };
+/** A worker that has not answered for this long gets no new task and is
+ * silent. */
+constexpr std::chrono::seconds kSilentAfter{ 10 };
+/** A worker is removed once the host list has not named it for this long. */
+constexpr std::chrono::seconds kRemoveAfterUnlisted{ 60 };
+
+bool
+Lists(const WorkerStatus& aStatus, const std::string& aLease)
+{
+  return std::ranges::any_of(aStatus.leases, [&](const WorkerLease& aEntry) {
+    return aEntry.id == aLease;
+  });
+}
+
+} // namespace
+
+WorkerCommand
+CellMachine::CommandTo(WorkerVerb aVerb, const std::string& aWorker) const
+{
+  WorkerCommand command;
+  command.verb = aVerb;
+  command.worker = aWorker;
+  const auto link = this->links.find(aWorker);
+  if (link != this->links.end()) {
+    command.endpoint = link->second.endpoint;
+  }
+  return command;
+}
+
+bool
+CellMachine::IsResponsive(const WorkerLink& aLink, TimePoint aNow) const
+{
+  return aLink.lastReply && aNow - *aLink.lastReply < kSilentAfter;
+}
+
+void
+CellMachine::SetFleet(const std::vector<HostRecord>& aHosts,
+                      [[maybe_unused]] TimePoint aNow)
+{
+  std::map<std::string, HostRecord> hosts;
+  for (const HostRecord& host : aHosts) {
+    hosts[host.host] = host;
+  }
+  if (!this->fleetKnown || hosts != this->fleet) {
+    this->unplaceable.clear();
+  }
+  this->fleet = std::move(hosts);
+  this->fleetKnown = true;
+}
+
+void
+CellMachine::TickWorkers(TimePoint aNow)
+{
+  for (const auto& [name, host] : this->fleet) {
+    WorkerLink& link = this->links[name];
+    link.endpoint.address = host.address;
+    link.endpoint.port = host.agentPort;
+    link.zone = host.zone;
+    link.rack = host.rack;
+    link.lastListed = aNow;
+    if (host.state == HostState::Leaving) {
+      link.leaving = true;
+    }
+  }
+  this->TickKeyReleases(aNow);
+  std::vector<std::string> names;
+  for (const auto& [name, link] : this->links) {
+    names.push_back(name);
+  }
+  for (const std::string& name : names) {
+    WorkerLink& link = this->links[name];
+    if (!link.claimed) {
+      this->TickClaim(name, link, aNow);
+      continue;
+    }
+    if (!link.statusPending && aNow >= link.nextStatus) {
+      this->SendStatus(name, link, aNow);
+    }
+    this->LoseSilentWorker(name, link, aNow);
+    if (this->fleetKnown && !this->fleet.contains(name) &&
+        aNow - link.lastListed >= kRemoveAfterUnlisted) {
+      this->RemoveWorker(name, aNow);
+    }
+  }
+}
+
+void
+CellMachine::SendStatus(const std::string& aName,
+                        WorkerLink& aLink,
+                        TimePoint aNow)
+{
+  aLink.statusPending = true;
+  aLink.nextStatus = aNow + kStatusInterval;
+  const std::uint64_t number = ++aLink.statusSent;
+  this->SendWorker(
+    this->CommandTo(WorkerVerb::Status, aName),
+    [this, aName, number](const WorkerReply& aReply, TimePoint aThen) {
+      this->OnStatus(aName, number, aReply, aThen);
+    });
+}
+
+void
+CellMachine::OnStatus(const std::string& aName,
+                      std::uint64_t aNumber,
+                      const WorkerReply& aReply,
+                      TimePoint aNow)
+{
+  const auto found = this->links.find(aName);
+  if (found == this->links.end() || found->second.statusSent != aNumber) {
+    return;
+  }
+  WorkerLink& link = found->second;
+  link.statusPending = false;
+  if (aReply.result != AgentResult::Ok) {
+    return;
+  }
+  link.lastReply = aNow;
+  link.report = aReply.status;
+  const auto host = this->fleet.find(aName);
+  link.leaving =
+    aReply.status.leaving ||
+    (host != this->fleet.end() && host->second.state == HostState::Leaving);
+  if (!this->UpdateWorker(aName, link, aReply.status, aNow)) {
+    return;
+  }
+  for (const TaskRef& task : std::set<TaskRef>(this->working.TasksOn(aName))) {
+    this->ReconcileTask(task, link, aNumber, aNow);
+  }
+  this->ClearOrphans(aName, link, aNumber);
+  this->EvictOverflow(aName, aNow);
+  this->MaintainLease(aName, link, aNow);
+  this->policies.ObserveWorker(aNow, this->ViewOf(aName, aNow));
+}
+
+bool
+CellMachine::UpdateWorker(const std::string& aName,
+                          WorkerLink& aLink,
+                          const WorkerStatus& aStatus,
+                          TimePoint aNow)
+{
+  const auto known = this->working.Workers().find(aName);
+  const bool isNew = known == this->working.Workers().end();
+  if (isNew && !this->OwnsWithValidLease(aNow)) {
+    return false;
+  }
+  const bool replaced =
+    !isNew && known->second.incarnation != aStatus.incarnation;
+  const bool changed = isNew || replaced ||
+                       known->second.capacity != aStatus.capacity ||
+                       known->second.address != aLink.endpoint.address ||
+                       known->second.port != aLink.endpoint.port;
+  if (!changed) {
+    return true;
+  }
+  if (replaced) {
+    this->policies.WorkerLost(aNow, this->ViewOf(aName, aNow));
+    for (const TaskRef& task : this->working.TasksOn(aName)) {
+      this->runtimes.erase(task);
+      this->startsDue.erase(task);
+      this->attention.erase(task);
+    }
+    aLink.granted = false;
+    aLink.releaseFloor = aLink.statusSent;
+  }
+  Event(isNew ? "worker_added" : "worker_changed")
+    .Add("cell", this->options.cell)
+    .Add("worker", aName)
+    .Add("replaced", replaced)
+    .Add("cpu_millis", aStatus.capacity.cpuMillis)
+    .Add("memory_mb", aStatus.capacity.memoryMb);
+  LogEntry entry;
+  entry.kind =
+    replaced ? LogEntryKind::WorkerReplaced : LogEntryKind::WorkerAdded;
+  entry.worker = aName;
+  entry.rack = aLink.rack;
+  entry.address = aLink.endpoint.address;
+  entry.port = aLink.endpoint.port;
+  entry.incarnation = aStatus.incarnation;
+  entry.capacity.push_back(aStatus.capacity);
+  this->Propose(std::move(entry));
+  this->unplaceable.clear();
+  return true;
+}
+
+void
+CellMachine::ReconcileTask(const TaskRef& aTask,
+                           WorkerLink& aLink,
+                           std::uint64_t aNumber,
+                           TimePoint aNow)
+{
+  const TaskRow& row = *this->working.FindTask(aTask);
+  const WorkerTask* listed =
+    FindListed(aLink.report, TaskId(aTask), row.attempt);
+  if (listed != nullptr) {
+    this->ReconcileListed(aTask, *listed, aNumber, aNow);
+    return;
+  }
+  this->ReconcileUnlisted(aTask, row, aLink, aNumber, aNow);
+}
+
+void
+CellMachine::ReconcileListed(const TaskRef& aTask,
+                             const WorkerTask& aListed,
+                             std::uint64_t aNumber,
+                             TimePoint aNow)
+{
+  const TaskRow& row = *this->working.FindTask(aTask);
+  if (aListed.state != WorkerTaskState::Running) {
+    this->EndByState(aTask, aListed.state, aNow);
+    return;
+  }
+  TaskRuntime& runtime = this->RuntimeOf(aTask, row.attempt);
+  runtime.floor = std::max(runtime.floor, aNumber);
+  // The usage is of the attempt that holds the commitment.
+  this->working.Observe(aTask, aListed.usage);
+  if (row.phase != TaskPhase::Starting) {
+    return;
+  }
+  runtime.startDue = false;
+  LogEntry entry;
+  entry.kind = LogEntryKind::TaskRunning;
+  entry.job = aTask.job;
+  entry.task = aTask.task;
+  entry.attempt = row.attempt;
+  this->Propose(std::move(entry));
+}
+
+void
+CellMachine::ReconcileUnlisted(const TaskRef& aTask,
+                               const TaskRow& aRow,
+                               const WorkerLink& aLink,
+                               std::uint64_t aNumber,
+                               TimePoint aNow)
+{
+  const TaskRuntime& runtime = this->RuntimeOf(aTask, aRow.attempt);
+  if (aNumber <= runtime.floor || runtime.startDue || runtime.startInFlight) {
+    return;
+  }
+  if (aRow.phase != TaskPhase::Starting) {
+    this->ReleaseUnfinished(aTask, "not-listed", aNow);
+    return;
+  }
+  const std::string lease =
+    WorkerLeaseName(this->options.cell, aRow.epoch, aRow.grant);
+  if (!this->rules.trustWorkerLeases || Lists(aLink.report, lease)) {
+    return;
+  }
+  this->ReleaseUnfinished(aTask, "start-lease-expired", aNow);
+}
+
+bool
+CellMachine::IsOver(const TaskRef& aTask, std::uint64_t aAttempt) const
+{
+  const Job* job = this->committed.FindJob(aTask.job);
+  if (job == nullptr) {
+    return false;
+  }
+  const TaskRow* row = this->committed.FindTask(aTask);
+  if (row == nullptr) {
+    return aTask.task < job->row.nextTask;
+  }
+  return row->attempt > aAttempt ||
+         (row->attempt == aAttempt && row->phase == TaskPhase::Queued);
+}
+
+void
+CellMachine::ClearOrphans(const std::string& aName,
+                          const WorkerLink& aLink,
+                          std::uint64_t aNumber)
+{
+  if (!this->ownerHeld || aNumber <= aLink.releaseFloor) {
+    return;
+  }
+  for (const WorkerTask& task : aLink.report.tasks) {
+    const std::optional<TaskRef> ref = ParseTaskId(task.taskId);
+    // Only what the log says is over: a newer owner may have started the rest.
+    if (!ref || !this->IsOver(*ref, task.attempt)) {
+      continue;
+    }
+    if (task.state != WorkerTaskState::Running) {
+      this->SendAcknowledge(aName, task.taskId);
+      continue;
+    }
+    Event("orphan_stopped", LogLevel::Warning)
+      .Add("task", task.taskId)
+      .Add("attempt", task.attempt)
+      .Add("worker", aName);
+    WorkerCommand command = this->CommandTo(WorkerVerb::Stop, aName);
+    command.taskId = task.taskId;
+    this->SendWorker(std::move(command), [](const WorkerReply&, TimePoint) {});
+  }
+}
+
+void
+CellMachine::EvictOverflow(const std::string& aName, TimePoint aNow)
+{
+  const Resources capacity = this->working.Workers().at(aName).capacity;
+  const std::set<TaskRef> tasks = this->working.TasksOn(aName);
+  Resources staying;
+  for (const TaskRef& task : tasks) {
+    const bool leaves =
+      this->working.FindTask(task)->phase == TaskPhase::Evicting;
+    const Resources size = this->working.FindJob(task.job)->row.spec.resources;
+    staying = leaves ? staying : Plus(staying, size);
+  }
+  for (const TaskRef& task : tasks) {
+    if (Fits(staying, capacity)) {
+      return;
+    }
+    if (this->Evict(task, "capacity-reduced", aNow)) {
+      staying =
+        Minus(staying, this->working.FindJob(task.job)->row.spec.resources);
+    }
+  }
+}
+
+} // namespace sequoiakeel
--- a/src/CellState.cpp
+++ b/src/CellState.cpp
@@ -3,7 +3,6 @@
 #include "Error.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace sequoiakeel {
 
@@ -23,30 +22,6 @@
 
 } // namespace
 
-std::string
-TaskId(const TaskRef& aTask)
-{
-  return aTask.job + "." + std::to_string(aTask.task);
-}
-
-std::optional<TaskRef>
-ParseTaskId(std::string_view aText)
-{
-  const std::size_t dot = aText.rfind('.');
-  if (dot == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const std::string_view digits = aText.substr(dot + 1);
-  TaskRef result;
-  const auto [end, error] =
-    std::from_chars(digits.data(), digits.data() + digits.size(), result.task);
-  if (error != std::errc() || end != digits.data() + digits.size()) {
-    return std::nullopt;
-  }
-  result.job = std::string(aText.substr(0, dot));
-  return result;
-}
-
 std::uint32_t
 Job::QueuedTasks() const
 {
@@ -82,6 +57,7 @@
     }
     this->queuedTasks += job.QueuedTasks();
     this->openJobs += row.ended ? 0 : 1;
+    this->payloadBytes += row.spec.payload.size();
     if (row.ended) {
       this->ended.emplace(row.endedAtMs, row.job);
     }
@@ -316,6 +292,7 @@
   aJob.row.endedAtMs = this->timeMs;
   this->ended.emplace(aJob.row.endedAtMs, aJob.row.job);
   // The payload may be large and is not needed any more.
+  this->payloadBytes -= aJob.row.spec.payload.size();
   aJob.row.spec.payload.clear();
   --this->openJobs;
 }
@@ -333,9 +310,12 @@
 {
   InternalAssert(aEntry.capacity.size() == 1, "a worker has no capacity");
   WorkerRow& row = this->workers[aEntry.worker];
-  row = WorkerRow{
-    aEntry.worker, aEntry.rack, aEntry.incarnation, aEntry.capacity.front()
-  };
+  row.worker = aEntry.worker;
+  row.rack = aEntry.rack;
+  row.address = aEntry.address;
+  row.port = aEntry.port;
+  row.incarnation = aEntry.incarnation;
+  row.capacity = aEntry.capacity.front();
   this->ledger.SetCapacity(aEntry.worker, row.capacity);
 }
 
@@ -368,6 +348,7 @@
   const bool inserted = this->jobs.emplace(aEntry.job, job).second;
   InternalAssert(inserted, "a job is accepted twice");
   this->queuedTasks += static_cast<std::uint64_t>(job.row.spec.taskCount);
+  this->payloadBytes += job.row.spec.payload.size();
   ++this->openJobs;
 }
 
--- a/src/CellState.h
+++ b/src/CellState.h
@@ -1,35 +1,17 @@
 #pragma once
 
 #include "Ledger.h"
+#include "TaskRef.h"
 #include "generated/Cell.h"
 
 #include <chrono>
-#include <compare>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace sequoiakeel {
 
-/** Names one task of one job. */
-struct TaskRef
-{
-  std::string job;
-  std::uint32_t task = 0;
-
-  auto operator<=>(const TaskRef&) const = default;
-};
-
-/** The task id that workers see: the job id, a dot and the index. */
-std::string
-TaskId(const TaskRef& aTask);
-
-/** Reads a task id; empty if it has another form. */
-std::optional<TaskRef>
-ParseTaskId(std::string_view aText);
-
 /** A job with the tasks that have been started at least once and not ended. */
 struct Job
 {
@@ -98,6 +80,9 @@
   std::uint64_t OpenJobs() const { return this->openJobs; }
   std::uint64_t QueuedTasks() const { return this->queuedTasks; }
 
+  /** Payloads of the open jobs. */
+  std::uint64_t PayloadBytes() const { return this->payloadBytes; }
+
   /** Resources that a team's started tasks hold in this cell. */
   Resources HeldBy(const std::string& aTeam) const;
 
@@ -145,6 +130,7 @@
   std::uint64_t nextOrder = 0;
   std::uint64_t openJobs = 0;
   std::uint64_t queuedTasks = 0;
+  std::uint64_t payloadBytes = 0;
 };
 
 } // namespace sequoiakeel
