--- a/src/EtcdStore.cpp
+++ b/src/EtcdStore.cpp
@@ -120,6 +120,13 @@
   return this->Read(body.dump());
 }
 
+asio::awaitable<StoreReadReply>
+EtcdStore::GetVersion(std::string aKey)
+{
+  const json body{ { "key", Base64Encode(aKey) }, { "keys_only", true } };
+  return this->Read(body.dump());
+}
+
 asio::awaitable<StoreReadReply>
 EtcdStore::Range(std::string aPrefix)
 {
--- a/src/EtcdStore.h
+++ b/src/EtcdStore.h
@@ -20,6 +20,7 @@
             Duration aTimeout = std::chrono::milliseconds(1500));
 
   boost::asio::awaitable<StoreReadReply> Get(std::string aKey) override;
+  boost::asio::awaitable<StoreReadReply> GetVersion(std::string aKey) override;
   boost::asio::awaitable<StoreReadReply> Range(std::string aPrefix) override;
   boost::asio::awaitable<StoreWriteReply> CompareAndSwap(
     std::string aKey,
--- /dev/null
+++ b/test/support/GossipNetwork.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "Gossip.h"
+#include "support/ManualClock.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** What a GossipNetwork consists of. */
+struct NetworkPlan
+{
+  std::size_t members = 9;
+  std::uint64_t seed = 1;
+  int lossPercent = 0;
+  GossipOptions options;
+  std::size_t zones = 3;
+};
+
+/** Members on an in-memory network with losses, driven by a manual clock. Not
+ * thread safe. */
+class GossipNetwork
+{
+public:
+  /** Called when a member hears of a higher generation. */
+  using OnGeneration =
+    std::function<void(std::size_t aMember, const MemberRow& aAnnouncer)>;
+
+  explicit GossipNetwork(NetworkPlan aPlan)
+    : plan(aPlan)
+    , random(aPlan.seed)
+  {
+    for (std::size_t index = 0; index < aPlan.members; ++index) {
+      this->nodes.push_back(std::make_unique<Node>());
+      this->Restart(index);
+      std::uniform_int_distribution<int> phase(0, 999);
+      this->nodes[index]->nextRound += std::chrono::milliseconds(phase(random));
+    }
+  }
+
+  /** Starts a member afresh, as a new incarnation. */
+  void Restart(std::size_t aIndex)
+  {
+    Node& node = *this->nodes[aIndex];
+    node.gossip = std::make_unique<Gossip>(this->RowOf(aIndex),
+                                           this->Seeds(),
+                                           this->clock,
+                                           this->plan.seed * 1000 + aIndex,
+                                           this->plan.options);
+    node.nextRound = this->clock.Now();
+    node.paused = false;
+    node.stopped = false;
+    node.waiting.clear();
+  }
+
+  /** A stopped member loses its datagrams; a paused one finds them later. */
+  void Stop(std::size_t aIndex) { this->nodes[aIndex]->stopped = true; }
+  void Pause(std::size_t aIndex) { this->nodes[aIndex]->paused = true; }
+  void Resume(std::size_t aIndex)
+  {
+    Node& node = *this->nodes[aIndex];
+    node.paused = false;
+    for (const Flight& flight : std::exchange(node.waiting, {})) {
+      this->Deliver(flight);
+    }
+  }
+
+  /** Datagrams for which this is true are lost. */
+  std::function<bool(std::size_t aFrom, std::size_t aTo)> blocked;
+  OnGeneration onGeneration;
+
+  /** Advances the clock in steps of 10 ms. */
+  void Run(Duration aTime)
+  {
+    const TimePoint end = this->clock.Now() + aTime;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(kStep);
+      this->DeliverDue();
+      this->RunRounds();
+    }
+  }
+
+  /** Runs until aDone or aLimit has passed; returns the time taken. */
+  Duration RunUntil(const std::function<bool()>& aDone, Duration aLimit)
+  {
+    const TimePoint start = this->clock.Now();
+    while (!aDone() && this->clock.Now() - start < aLimit) {
+      this->Run(kStep);
+    }
+    return this->clock.Now() - start;
+  }
+
+  /** Puts datagrams of a member on the network. */
+  void Send(std::size_t aFrom, const std::vector<OutgoingDatagram>& aOut)
+  {
+    for (const OutgoingDatagram& datagram : aOut) {
+      const std::size_t to = datagram.target.port - kFirstPort;
+      std::uniform_int_distribution<int> percent(0, 99);
+      if (percent(this->random) < this->plan.lossPercent ||
+          (this->blocked && this->blocked(aFrom, to))) {
+        continue;
+      }
+      this->flights.push_back(
+        Flight{ this->clock.Now() + kLatency, aFrom, to, datagram.bytes });
+    }
+  }
+
+  Gossip& At(std::size_t aIndex) { return *this->nodes[aIndex]->gossip; }
+  bool IsUp(std::size_t aIndex) const
+  {
+    return !this->nodes[aIndex]->stopped && !this->nodes[aIndex]->paused;
+  }
+  std::size_t Count() const { return this->nodes.size(); }
+  std::size_t IndexOf(const MemberRow& aRow) const
+  {
+    return aRow.port - kFirstPort;
+  }
+
+  ManualClock clock;
+
+private:
+  static constexpr std::chrono::milliseconds kStep{ 10 };
+  static constexpr std::chrono::milliseconds kLatency{ 3 };
+  static constexpr std::uint32_t kFirstPort = 20000;
+
+  struct Flight
+  {
+    TimePoint due;
+    std::size_t from;
+    std::size_t to;
+    std::string bytes;
+  };
+  struct Node
+  {
+    std::unique_ptr<Gossip> gossip;
+    TimePoint nextRound;
+    bool paused = false;
+    bool stopped = false;
+    std::vector<Flight> waiting;
+  };
+
+  MemberRow RowOf(std::size_t aIndex)
+  {
+    MemberRow row;
+    const bool planner = aIndex % 2 == 1;
+    row.name = (planner ? "planner-" : "entry-") + std::to_string(aIndex);
+    row.zone = "zone-" + std::to_string(aIndex % this->plan.zones);
+    row.region = "default";
+    row.address = "127.0.0.1";
+    row.port = kFirstPort + static_cast<std::uint32_t>(aIndex);
+    row.role = planner ? MemberRole::Planner : MemberRole::Entry;
+    row.incarnation = ++this->incarnations;
+    return row;
+  }
+
+  std::vector<GossipEndpoint> Seeds() const
+  {
+    return { { "127.0.0.1", kFirstPort }, { "127.0.0.1", kFirstPort + 1 } };
+  }
+
+  void DeliverDue()
+  {
+    std::vector<Flight> due;
+    while (!this->flights.empty() &&
+           this->flights.front().due <= this->clock.Now()) {
+      due.push_back(std::move(this->flights.front()));
+      this->flights.pop_front();
+    }
+    for (const Flight& flight : due) {
+      this->Deliver(flight);
+    }
+  }
+
+  void Deliver(const Flight& aFlight)
+  {
+    if (aFlight.to >= this->nodes.size() || this->nodes[aFlight.to]->stopped) {
+      return;
+    }
+    Node& node = *this->nodes[aFlight.to];
+    if (node.paused) {
+      node.waiting.push_back(aFlight);
+      return;
+    }
+    const GossipEndpoint source{
+      "127.0.0.1", kFirstPort + static_cast<std::uint32_t>(aFlight.from)
+    };
+    this->Send(aFlight.to, node.gossip->Receive(aFlight.bytes, source));
+    const std::optional<MemberRow> news = node.gossip->TakeNewGeneration();
+    if (news && this->onGeneration) {
+      this->onGeneration(aFlight.to, *news);
+    }
+  }
+
+  void RunRounds()
+  {
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+      Node& node = *this->nodes[index];
+      if (!this->IsUp(index) || this->clock.Now() < node.nextRound) {
+        continue;
+      }
+      node.nextRound = this->clock.Now() + kGossipInterval;
+      this->Send(index, node.gossip->Round());
+    }
+  }
+
+  NetworkPlan plan;
+  std::mt19937_64 random;
+  std::uint64_t incarnations = 1000;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::deque<Flight> flights;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/test/unit/Membership.cpp
@@ -0,0 +1,250 @@
+#include "Membership.h"
+
+#include "Gossip.h"
+#include "support/ManualClock.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+
+MemberRow
+Row(const std::string& aName, std::uint64_t aHeartbeat = 10)
+{
+  MemberRow row;
+  row.name = aName;
+  row.zone = "a";
+  row.region = "default";
+  row.address = "127.0.0.1";
+  row.port = 7000;
+  row.role = MemberRole::Planner;
+  row.incarnation = 100;
+  row.heartbeat = aHeartbeat;
+  return row;
+}
+
+GossipDatagram
+From(const MemberRow& aRow)
+{
+  GossipDatagram datagram;
+  datagram.sender = aRow.name;
+  datagram.rows.push_back(aRow);
+  return datagram;
+}
+
+std::uint64_t
+HeartbeatOf(const Membership& aTable, const std::string& aName)
+{
+  const std::optional<Member> member = aTable.Find(aName);
+  return member ? member->row.heartbeat : 0;
+}
+
+} // namespace
+
+// Guards against a late datagram that takes a member back to an older state.
+TEST_CASE("only a higher incarnation or heartbeat replaces a row")
+{
+  ManualClock clock;
+  Membership table(Row("own"), clock);
+  MemberRow row = Row("peer", 10);
+  table.Merge(From(row));
+  row.heartbeat = 9;
+  row.leaving = true;
+  table.Merge(From(row));
+  CHECK(HeartbeatOf(table, "peer") == 10);
+  CHECK_FALSE(table.Find("peer")->row.leaving);
+  row.incarnation = 101;
+  row.heartbeat = 1;
+  table.Merge(From(row));
+  CHECK(table.Find("peer")->row.leaving);
+  row.incarnation = 100;
+  row.heartbeat = 5000;
+  table.Merge(From(row));
+  CHECK(HeartbeatOf(table, "peer") == 1);
+}
+
+// Guards against a process that accepts another one's claims about itself.
+TEST_CASE("the own row is not taken over from peers")
+{
+  ManualClock clock;
+  Membership table(Row("own"), clock);
+  MemberRow forged = Row("own", 9999);
+  forged.leaving = true;
+  GossipDatagram datagram = From(Row("peer"));
+  datagram.rows.push_back(forged);
+  table.Merge(datagram);
+  CHECK_FALSE(table.Own().leaving);
+}
+
+// Guards against a dead member that stays, or comes back by an old row that
+// still circulates.
+TEST_CASE("a silent member is suspect, then removed, and stays removed")
+{
+  ManualClock clock;
+  std::mt19937_64 random(kSeed);
+  Membership table(Row("own"), clock);
+  table.Merge(From(Row("peer", 50)));
+  clock.Advance(5s - 1ms);
+  CHECK_FALSE(table.Find("peer")->suspect);
+  clock.Advance(1ms);
+  CHECK(table.Find("peer")->suspect);
+  CHECK(table.Compose({}, random).rows.size() == 1);
+  CHECK(table.Compose({}, random).beats.empty());
+  clock.Advance(10s - 1ms);
+  CHECK(table.Tick().empty());
+  clock.Advance(1ms);
+  CHECK(table.Tick() == std::vector<std::string>{ "peer" });
+  table.Merge(From(Row("peer", 50)));
+  CHECK_FALSE(table.Find("peer").has_value());
+  table.Merge(From(Row("peer", 51)));
+  CHECK(table.Find("peer").has_value());
+}
+
+// Guards against heartbeats that do not keep a member alive, and against a
+// report about the store that arrives only with the row.
+TEST_CASE("a beat renews a known member and an unknown one is asked for")
+{
+  ManualClock clock;
+  std::mt19937_64 random(kSeed);
+  Membership sender(Row("sender"), clock);
+  Membership table(Row("own"), clock);
+  for (int index = 0; index < 40; ++index) {
+    const MemberRow row = Row("peer-" + std::to_string(index));
+    sender.Merge(From(row));
+    if (index < 39) {
+      table.Merge(From(row));
+    }
+  }
+  clock.Advance(4s);
+  for (int index = 0; index < 40; ++index) {
+    MemberRow row = Row("peer-" + std::to_string(index), 50);
+    row.storeReachable = false;
+    sender.Merge(From(row));
+  }
+  std::vector<std::uint32_t> unknown;
+  for (int round = 0; round < 6; ++round) {
+    const MergeResult merged = table.Merge(sender.Compose({}, random));
+    unknown.insert(unknown.end(), merged.unknown.begin(), merged.unknown.end());
+  }
+  clock.Advance(2s);
+  for (int index = 0; index < 39; ++index) {
+    const auto member = table.Find("peer-" + std::to_string(index));
+    REQUIRE(member.has_value());
+    CHECK_FALSE(member->suspect);
+    CHECK_FALSE(member->row.storeReachable);
+  }
+  const std::uint32_t missing = MemberHash("peer-39", 100);
+  CHECK((table.Find("peer-39").has_value() ||
+         std::ranges::find(unknown, missing) != unknown.end()));
+}
+
+// Guards against datagrams over the bound, and against news that waits behind
+// old rows.
+TEST_CASE("a datagram keeps its bound and carries the newest changes")
+{
+  ManualClock clock;
+  std::mt19937_64 random(kSeed);
+  MemberRow own = Row(std::string(60, 'o'));
+  own.zone = std::string(60, 'z');
+  own.region = std::string(60, 'r');
+  Membership table(own, clock);
+  for (int index = 0; index < 200; ++index) {
+    table.Merge(From(Row("member-" + std::to_string(index), 10)));
+  }
+  clock.Advance(4s);
+  MemberRow changed = Row("member-77", 60);
+  changed.configurationGeneration = 5;
+  table.Merge(From(changed));
+  for (int round = 0; round < 100; ++round) {
+    const GossipDatagram datagram = table.Compose({}, random);
+    CHECK(EncodeDatagram(datagram).size() <= kMaxDatagramBytes);
+    REQUIRE(datagram.rows.size() >= 2);
+    CHECK(datagram.rows[0].name == own.name);
+    CHECK(datagram.rows[1].name == "member-77");
+  }
+}
+
+// Guards against a majority made of reports that were written long ago but
+// delivered just now, as after a pause of this process.
+TEST_CASE("only fresh reports of planners count about the store")
+{
+  ManualClock clock;
+  MemberRow own = Row("own");
+  own.role = MemberRole::Entry;
+  Membership table(own, clock);
+  const auto report = [&](int aIndex, std::uint64_t aHeartbeat) {
+    MemberRow row = Row("planner-" + std::to_string(aIndex), aHeartbeat);
+    row.storeReachable = false;
+    table.Merge(From(row));
+  };
+  for (int tenth = 0; tenth <= 60; tenth += 10) {
+    for (int index = 0; index < 3; ++index) {
+      report(index, 100 + tenth);
+    }
+    clock.Advance(1s);
+  }
+  CHECK(table.CountStoreReports(5).majorityUnreachable);
+  CHECK_FALSE(table.CountStoreReports(6).majorityUnreachable);
+  clock.Advance(2s);
+  CHECK(table.CountStoreReports(5).majorityUnreachable);
+  clock.Advance(1s);
+  CHECK(table.CountStoreReports(5).unreachable == 0);
+  // Written 1 s after the last report, so now 2 s old.
+  report(0, 180);
+  // Written 5 s before now.
+  report(1, 161);
+  report(2, 161);
+  CHECK(table.CountStoreReports(5).unreachable == 1);
+}
+
+// Guards against ranks that move for keys that a leaving member did not have,
+// and against one member that wins most keys.
+TEST_CASE("rendezvous ranks change only where a member is gone")
+{
+  std::vector<std::string> names;
+  for (int index = 0; index < 9; ++index) {
+    names.push_back("planner-" + std::to_string(index));
+  }
+  std::map<std::string, int> wins;
+  for (int key = 0; key < 900; ++key) {
+    const std::string text = "cell-" + std::to_string(key);
+    std::vector<std::string> ranked = RankByRendezvous(text, names);
+    ++wins[ranked.front()];
+    std::erase(ranked, "planner-4");
+    std::vector<std::string> fewer = names;
+    std::erase(fewer, "planner-4");
+    CHECK(RankByRendezvous(text, fewer) == ranked);
+  }
+  for (const auto& [name, count] : wins) {
+    CHECK(count > 60);
+    CHECK(count < 150);
+  }
+}
+
+// Guards against datagrams to members that cannot pass them on.
+TEST_CASE("peers are chosen among live members")
+{
+  ManualClock clock;
+  std::mt19937_64 random(kSeed);
+  Membership table(Row("own"), clock);
+  table.Merge(From(Row("silent")));
+  clock.Advance(6s);
+  MemberRow leaving = Row("leaving");
+  leaving.leaving = true;
+  table.Merge(From(leaving));
+  for (int index = 0; index < 4; ++index) {
+    table.Merge(From(Row("live-" + std::to_string(index))));
+  }
+  for (int draw = 0; draw < 100; ++draw) {
+    const std::vector<MemberRow> peers = table.PickPeers(2, random);
+    REQUIRE(peers.size() == 2);
+    CHECK(peers[0].name != peers[1].name);
+    CHECK(peers[0].name.starts_with("live-"));
+    CHECK(peers[1].name.starts_with("live-"));
+  }
+}
