Count store reports in the membership only

The renewal gate took single reports and counted majorities itself, as the membership does. It now takes the membership's verdict, which also accounts for the age of rows, and trusts it for one second.

--- a/src/CellMachine.cpp
+++ b/src/CellMachine.cpp
@@ -35,17 +35,16 @@
 void
 CellMachine::SetRules(CellRules aRules)
 {
-  this->gate.SetPlannersExpected(aRules.plannersExpected);
   this->rules = std::move(aRules);
   this->unplaceable.clear();
 }
 
 void
-CellMachine::OnStoreReport(const std::string& aPlanner,
-                           bool aReachable,
-                           TimePoint aReceived)
+CellMachine::OnStoreReports(TimePoint aNow,
+                            bool aMajorityReachable,
+                            bool aMajorityUnreachable)
 {
-  this->gate.OnReport(aPlanner, aReachable, aReceived);
+  this->gate.OnStoreReports(aNow, aMajorityReachable, aMajorityUnreachable);
 }
 
 void
--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -32,11 +32,10 @@
 struct CellRules
 {
   std::map<std::string, TaskClass> classes;
-  /** Each team's hard share in this cell; a team with an empty amount has no
-   * limit. */
+  std::set<std::string> teams;
+  /** Hard shares in this cell of the teams that have a quota. */
   std::map<std::string, Resources> shares;
   bool trustWorkerLeases = true;
-  std::uint32_t plannersExpected = 1;
   std::int64_t evictionsPerMinute = 6;
 };
 
@@ -95,10 +94,11 @@
    * process's own clock. 0: none. */
   void OnStoreLease(std::uint64_t aLease, TimePoint aValidUntil);
 
-  /** Takes a planner's report on the store, including the process's own. */
-  void OnStoreReport(const std::string& aPlanner,
-                     bool aReachable,
-                     TimePoint aReceived);
+  /** Takes what fresh reports of the planners say about the store. Call right
+   * before each Tick. */
+  void OnStoreReports(TimePoint aNow,
+                      bool aMajorityReachable,
+                      bool aMajorityUnreachable);
 
   /** Sets the cell's hosts as the host list and other sources have them. */
   void SetFleet(const std::vector<HostRecord>& aHosts, TimePoint aNow);
@@ -337,7 +337,7 @@
   std::set<std::uint64_t> waitingTokens;
   std::uint64_t staleReplies = 0;
 
-  RenewalGate gate{ 1 };
+  RenewalGate gate;
   std::map<std::string, HostRecord> fleet;
   bool fleetKnown = false;
   std::map<std::string, WorkerLink> links;
--- a/src/CellMachineJobs.cpp
+++ b/src/CellMachineJobs.cpp
@@ -77,7 +77,7 @@
       !this->rules.classes.contains(spec.taskClass)) {
     return "unknown-task-class";
   }
-  if (!this->rules.shares.empty() && !this->rules.shares.contains(spec.team)) {
+  if (!this->rules.teams.empty() && !this->rules.teams.contains(spec.team)) {
     return "unknown-team";
   }
   if (this->phase != CellPhase::Active || this->drainWanted) {
@@ -217,7 +217,7 @@
 CellMachine::WithinShare(const JobSpec& aSpec) const
 {
   const auto found = this->rules.shares.find(aSpec.team);
-  if (found == this->rules.shares.end() || found->second == Resources{}) {
+  if (found == this->rules.shares.end()) {
     return true;
   }
   const Resources held = this->working.HeldBy(aSpec.team);
--- a/src/RenewalGate.cpp
+++ b/src/RenewalGate.cpp
@@ -4,59 +4,20 @@
 
 namespace sequoiakeel {
 
-RenewalGate::RenewalGate(std::uint32_t aPlannersExpected)
-  : plannersExpected(aPlannersExpected)
-{
-}
-
-void
-RenewalGate::SetPlannersExpected(std::uint32_t aPlannersExpected)
-{
-  if (this->plannersExpected != aPlannersExpected) {
-    // What counted as a majority so far need not be one.
-    this->heldSince.reset();
-  }
-  this->plannersExpected = aPlannersExpected;
-}
-
 void
-RenewalGate::OnReport(const std::string& aPlanner,
-                      bool aStoreReachable,
-                      TimePoint aReceived)
-{
-  this->reports[aPlanner] = Report{ aStoreReachable, aReceived };
-  std::erase_if(this->reports, [aReceived](const auto& aEntry) {
-    return aReceived - aEntry.second.received > 10 * kReportFreshness;
-  });
-}
-
-std::uint32_t
-RenewalGate::CountReports(TimePoint aNow, bool aReachable) const
-{
-  return static_cast<std::uint32_t>(
-    std::ranges::count_if(this->reports, [&](const auto& aEntry) {
-      const Report& report = aEntry.second;
-      return report.reachable == aReachable &&
-             aNow - report.received <= kReportFreshness;
-    }));
-}
-
-bool
-RenewalGate::IsMajority(std::uint32_t aCount) const
-{
-  return aCount * 2 > this->plannersExpected;
-}
-
-bool
-RenewalGate::MajorityReachable(TimePoint aNow) const
+RenewalGate::OnStoreReports(TimePoint aNow,
+                            bool aMajorityReachable,
+                            bool aMajorityUnreachable)
 {
-  return this->IsMajority(this->CountReports(aNow, true));
+  this->reported = aNow;
+  this->majorityReachable = aMajorityReachable;
+  this->majorityUnreachable = aMajorityUnreachable;
 }
 
 bool
-RenewalGate::MajorityUnreachable(TimePoint aNow) const
+RenewalGate::IsFresh(TimePoint aNow) const
 {
-  return this->IsMajority(this->CountReports(aNow, false));
+  return this->reported && aNow - *this->reported <= kVerdictLifetime;
 }
 
 bool
@@ -67,15 +28,17 @@
   if (aOwnsWithValidLease) {
     return true;
   }
-  return aLastOwnerOrCaretaker && this->MajorityUnreachable(aNow);
+  return aLastOwnerOrCaretaker && this->IsFresh(aNow) &&
+         this->majorityUnreachable;
 }
 
 void
 RenewalGate::Observe(TimePoint aNow, bool aOwnsWithValidLease)
 {
-  const bool continuous = aNow - this->lastObserved <= kReportFreshness;
+  const bool continuous = aNow - this->lastObserved <= kLongestObservationGap;
   this->lastObserved = aNow;
-  if (!aOwnsWithValidLease || !this->MajorityReachable(aNow)) {
+  if (!aOwnsWithValidLease || !this->IsFresh(aNow) ||
+      !this->majorityReachable) {
     this->heldSince.reset();
     return;
   }
--- a/src/RenewalGate.h
+++ b/src/RenewalGate.h
@@ -2,9 +2,7 @@
 
 #include "Clock.h"
 
-#include <map>
 #include <optional>
-#include <string>
 
 namespace sequoiakeel {
 
@@ -14,8 +12,12 @@
 /** Added wherever leases of two clocks are compared. */
 constexpr std::chrono::seconds kLeaseMargin{ 2 };
 
-/** A report by a planner counts for this long. */
-constexpr std::chrono::seconds kReportFreshness{ 3 };
+/** What the planners' reports said counts for this long. */
+constexpr std::chrono::seconds kVerdictLifetime{ 1 };
+
+/** A longer gap between two observations breaks their continuity: the process
+ * may have been paused. */
+constexpr std::chrono::seconds kLongestObservationGap{ 2 };
 
 /**
  * Rules for who may renew worker leases, and from when the tasks of a silent
@@ -25,22 +27,12 @@
 class RenewalGate
 {
 public:
-  /** aPlannersExpected is the configured number of planners. */
-  explicit RenewalGate(std::uint32_t aPlannersExpected);
-
-  void SetPlannersExpected(std::uint32_t aPlannersExpected);
-
-  /** Takes a planner's report on the store, including the process's own. A
-   * report without news must not be given again. */
-  void OnReport(const std::string& aPlanner,
-                bool aStoreReachable,
-                TimePoint aReceived);
-
-  /** Whether fresh reports of a majority say that the store is reachable. */
-  bool MajorityReachable(TimePoint aNow) const;
-
-  /** Whether fresh reports of a majority say that it is unreachable. */
-  bool MajorityUnreachable(TimePoint aNow) const;
+  /** Takes what fresh reports of the planners say: whether a majority reports
+   * the store reachable, and whether a majority reports it unreachable. Counts
+   * for kVerdictLifetime. */
+  void OnStoreReports(TimePoint aNow,
+                      bool aMajorityReachable,
+                      bool aMajorityUnreachable);
 
   /** Whether a planner may renew: with a valid store lease as the cell's owner,
    * or without one while a majority reports the store unreachable, as the last
@@ -59,17 +51,11 @@
   bool SurelyExpired(TimePoint aNow, TimePoint aLastRenewal) const;
 
 private:
-  struct Report
-  {
-    bool reachable = false;
-    TimePoint received;
-  };
-
-  std::uint32_t CountReports(TimePoint aNow, bool aReachable) const;
-  bool IsMajority(std::uint32_t aCount) const;
+  bool IsFresh(TimePoint aNow) const;
 
-  std::uint32_t plannersExpected;
-  std::map<std::string, Report> reports;
+  bool majorityReachable = false;
+  bool majorityUnreachable = false;
+  std::optional<TimePoint> reported;
   std::optional<TimePoint> heldSince;
   TimePoint lastObserved;
 };
