Add the planner program with its driver

Runs the cells' machines over the store, the workers' agents and the host list, each on its own strand, and serves SubmitJob, CancelJob, QueryJob and PlannerStatus to peers.

--- a/src/CasWrite.cpp
+++ b/src/CasWrite.cpp
@@ -41,7 +41,7 @@
                 std::string aKey,
                 std::string aValue,
                 std::uint64_t aExpectedVersion,
-                bool aLeased)
+                std::uint64_t aLease)
 {
   InternalAssert(!this->Busy(), "a write is in progress");
   this->command = StoreCommand{};
@@ -49,7 +49,7 @@
   this->command.key = std::move(aKey);
   this->command.value = std::move(aValue);
   this->command.expectedVersion = aExpectedVersion;
-  this->command.leased = aLeased;
+  this->command.lease = aLease;
   this->backoff = kFirstBackoff;
   this->readFirst = false;
   this->Send(aOutbox);
--- a/src/CasWrite.h
+++ b/src/CasWrite.h
@@ -31,7 +31,7 @@
              std::string aKey,
              std::string aValue,
              std::uint64_t aExpectedVersion,
-             bool aLeased = false);
+             std::uint64_t aLease = kNoLease);
 
   /** Takes a result; returns whether it belonged to this write. */
   bool OnResult(Outbox& aOutbox, const StoreReply& aResult, TimePoint aNow);
--- a/src/CellCommands.h
+++ b/src/CellCommands.h
@@ -32,8 +32,8 @@
   std::string value;
   /** Version that a Put or Delete expects; 0: the key is absent. */
   std::uint64_t expectedVersion = 0;
-  /** Attach the key to the planner's store lease. */
-  bool leased = false;
+  /** Store lease that a Put attaches the key to. */
+  std::uint64_t lease = kNoLease;
 };
 
 /** Reply to one store command. The driver gives exactly one for each command; a
--- a/src/CellMachine.cpp
+++ b/src/CellMachine.cpp
@@ -122,7 +122,7 @@
                            OwnerKey(this->options.cell),
                            EncodeBinary(record),
                            kAbsentVersion,
-                           true);
+                           this->storeLease);
   }
   if (this->phase == CellPhase::Idle && this->ownerHeld) {
     this->phase = CellPhase::Reading;
--- a/src/CellMachineJobs.cpp
+++ b/src/CellMachineJobs.cpp
@@ -193,6 +193,7 @@
   JobStatus result;
   const Job* job = this->committed.FindJob(aJob);
   if (job == nullptr) {
+    result.reason = this->Serving() ? "unknown-job" : "not-owner";
     return result;
   }
   result.found = true;
--- /dev/null
+++ b/src/CellRunner.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "CellMachine.h"
+#include "ConfiguredPolicies.h"
+#include "HostList.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace sequoiakeel {
+
+/** What a runner asks the planner before each tick. */
+struct CellSurroundings
+{
+  std::uint64_t storeLease = 0;
+  TimePoint leaseValidUntil;
+  bool majorityReachable = false;
+  bool majorityUnreachable = false;
+  bool candidate = false;
+};
+
+/**
+ * Runs one cell's machine: carries out its commands over the interfaces and
+ * gives it the time. Everything of a cell runs on its strand, so the machine
+ * needs no lock and nothing is held while a call is in progress. Thread safe.
+ */
+class CellRunner : public std::enable_shared_from_this<CellRunner>
+{
+public:
+  using Surroundings = std::function<CellSurroundings()>;
+
+  /** The references must outlive the runner. */
+  CellRunner(boost::asio::io_context& aContext,
+             CellOptions aOptions,
+             KeyValueStore& aStore,
+             WorkerAgent& aAgent,
+             const Clock& aClock,
+             Surroundings aSurroundings);
+
+  /** Begins to tick. Call once. */
+  void Start();
+
+  /** Gives the machine new rules and the names of its policies. */
+  void Configure(CellRules aRules, Policies aPolicies);
+
+  /** Gives the machine the cell's hosts. */
+  void SetFleet(std::vector<HostRecord> aHosts);
+
+  /** Accepts or cancels a job; responds once the outcome is known. */
+  boost::asio::awaitable<SubmitReply> Submit(SubmitJob aRequest);
+  boost::asio::awaitable<SubmitReply> Cancel(CancelJob aRequest);
+
+  boost::asio::awaitable<JobStatus> Query(std::string aJob);
+
+  /** Status if this planner owns the cell. */
+  boost::asio::awaitable<std::optional<CellStatus>> Status();
+
+  /** Hands the cell over and returns when that is done. */
+  boost::asio::awaitable<void> Drain();
+
+private:
+  struct Waiting
+  {
+    explicit Waiting(boost::asio::any_io_executor aExecutor)
+      : timer(std::move(aExecutor))
+    {
+    }
+    boost::asio::steady_timer timer;
+    std::optional<SubmitReply> reply;
+  };
+
+  boost::asio::awaitable<void> TickLoop();
+  boost::asio::awaitable<SubmitReply> AwaitReply(std::uint64_t aToken);
+  boost::asio::awaitable<SubmitReply> SubmitOnStrand(SubmitJob aRequest);
+  boost::asio::awaitable<SubmitReply> CancelOnStrand(CancelJob aRequest);
+  boost::asio::awaitable<JobStatus> QueryOnStrand(std::string aJob);
+  boost::asio::awaitable<std::optional<CellStatus>> StatusOnStrand();
+  boost::asio::awaitable<void> DrainOnStrand();
+  void Guarded(const std::function<void()>& aStep);
+  void CarryOut();
+  boost::asio::awaitable<void> Execute(StoreCommand aCommand);
+  boost::asio::awaitable<void> Execute(WorkerCommand aCommand);
+  boost::asio::awaitable<WorkerReply> Call(const WorkerCommand& aCommand);
+
+  boost::asio::strand<boost::asio::io_context::executor_type> strand;
+  CellOptions options;
+  KeyValueStore& store;
+  WorkerAgent& agent;
+  const Clock& clock;
+  Surroundings surroundings;
+  ConfiguredPolicies policies;
+  CellMachine machine;
+  std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
+  std::uint64_t nextToken = 1;
+  bool broken = false;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/PlannerDriver.cpp
@@ -0,0 +1,334 @@
+#include "PlannerDriver.h"
+
+#include "Log.h"
+#include "PeerCodec.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::seconds kHostPollInterval{ 2 };
+
+/** Time for the gossip to show the other planners before cells are claimed, so
+ * that a planner that starts does not claim what others rank higher for. */
+constexpr std::chrono::seconds kClaimDelay{ 2 };
+
+bool
+BelongsTo(const HostRecord& aHost, const Cell& aCell)
+{
+  const bool rackFits =
+    aCell.racks.empty() ||
+    std::ranges::find(aCell.racks, aHost.rack) != aCell.racks.end();
+  return aHost.zone == aCell.zone && rackFits;
+}
+
+std::int64_t
+Share(std::int64_t aAmount, std::size_t aPart, std::size_t aWhole)
+{
+  return aAmount * static_cast<std::int64_t>(aPart) /
+         static_cast<std::int64_t>(aWhole);
+}
+
+} // namespace
+
+PlannerDriver::PlannerDriver(PlannerParts aParts,
+                             std::string aName,
+                             Endpoint aPeer)
+  : parts(aParts)
+  , name(std::move(aName))
+  , peer(std::move(aPeer))
+  , writer(this->name + "/" +
+           std::to_string(aParts.gossip.OwnRow().incarnation))
+  , lease(aParts.store, aParts.clock)
+  , claimsFrom(aParts.clock.Now() + kClaimDelay)
+{
+}
+
+void
+PlannerDriver::Start()
+{
+  asio::co_spawn(
+    this->parts.context,
+    [this]() { return this->lease.Run(); },
+    asio::detached);
+  asio::co_spawn(
+    this->parts.context,
+    [this]() { return this->PollHosts(); },
+    asio::detached);
+}
+
+bool
+PlannerDriver::IsFirstPlanner(const std::string& aCell) const
+{
+  const std::vector<Member> members = this->parts.gossip.Members();
+  const std::vector<std::string> ranked =
+    RankMembers(aCell, members, [](const MemberRow& aRow) {
+      return aRow.role == MemberRole::Planner && aRow.storeReachable;
+    });
+  return !ranked.empty() && ranked.front() == this->name;
+}
+
+CellSurroundings
+PlannerDriver::Surroundings(const std::string& aCell) const
+{
+  std::size_t planners = 1;
+  bool mayClaim = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    planners =
+      static_cast<std::size_t>(this->configuration.limits.plannersExpected);
+    mayClaim = !this->draining && this->parts.clock.Now() >= this->claimsFrom;
+  }
+  this->parts.gossip.SetStoreReachable(this->lease.StoreReachable());
+  const HeldLease held = this->lease.Current();
+  const StoreReports reports = this->parts.gossip.CountStoreReports(planners);
+  CellSurroundings result;
+  result.storeLease = held.lease;
+  result.leaseValidUntil = held.validUntil;
+  result.majorityReachable = reports.majorityReachable;
+  result.majorityUnreachable = reports.majorityUnreachable;
+  result.candidate = mayClaim && this->IsFirstPlanner(aCell);
+  return result;
+}
+
+std::vector<HostRecord>
+PlannerDriver::HostsOf(const Cell& aCell) const
+{
+  std::vector<HostRecord> result;
+  for (const HostRecord& host : this->listing.hosts) {
+    if (!BelongsTo(host, aCell)) {
+      continue;
+    }
+    result.push_back(host);
+    const bool inDocument =
+      std::ranges::find(this->configuration.leavingHosts, host.host) !=
+      this->configuration.leavingHosts.end();
+    if (inDocument || this->parts.gossip.IsLeaving(host.host)) {
+      result.back().state = HostState::Leaving;
+    }
+  }
+  return result;
+}
+
+CellRules
+PlannerDriver::RulesFor(const Cell& aCell) const
+{
+  CellRules rules;
+  rules.trustWorkerLeases = this->configuration.limits.trustWorkerLeases;
+  rules.evictionsPerMinute = this->configuration.limits.evictionsPerMinute;
+  for (const TaskClass& taskClass : this->configuration.taskClasses) {
+    rules.classes[taskClass.name] = taskClass;
+  }
+  // A cell's hard share of a quota is the quota times the cell's share of the
+  // listed hosts, rounded down, so the shares never add up to more than the
+  // quota. A share that another cell leaves idle can't be used.
+  const std::size_t own = this->HostsOf(aCell).size();
+  const std::size_t all = this->listing.hosts.size();
+  for (const Team& team : this->configuration.teams) {
+    rules.teams.insert(team.name);
+    if (team.quota == Resources{}) {
+      continue;
+    }
+    Resources& share = rules.shares[team.name];
+    if (all > 0) {
+      share.cpuMillis = Share(team.quota.cpuMillis, own, all);
+      share.memoryMb = Share(team.quota.memoryMb, own, all);
+      share.accelerators = Share(team.quota.accelerators, own, all);
+    }
+  }
+  return rules;
+}
+
+void
+PlannerDriver::Configure(const Configuration& aConfiguration)
+{
+  std::vector<std::shared_ptr<CellRunner>> created;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->configuration = aConfiguration;
+    for (const Cell& cell : aConfiguration.cells) {
+      if (this->runners.contains(cell.name)) {
+        continue;
+      }
+      CellOptions options;
+      options.cell = cell.name;
+      options.planner = this->name;
+      options.writer = this->writer;
+      options.peer = this->peer;
+      auto runner = std::make_shared<CellRunner>(
+        this->parts.context,
+        options,
+        this->parts.store,
+        this->parts.agent,
+        this->parts.clock,
+        [this, id = cell.name]() { return this->Surroundings(id); });
+      this->runners[cell.name] = runner;
+      created.push_back(std::move(runner));
+    }
+  }
+  this->Distribute();
+  for (const auto& runner : created) {
+    runner->Start();
+  }
+}
+
+void
+PlannerDriver::Distribute()
+{
+  const std::lock_guard lock(this->mutex);
+  for (const Cell& cell : this->configuration.cells) {
+    const auto& runner = this->runners.at(cell.name);
+    runner->Configure(this->RulesFor(cell), this->configuration.policies);
+    if (this->listingKnown) {
+      runner->SetFleet(this->HostsOf(cell));
+    }
+  }
+}
+
+asio::awaitable<void>
+PlannerDriver::PollHosts()
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    const std::optional<HostListing> read = co_await this->parts.hosts.Read();
+    if (read) {
+      const std::lock_guard lock(this->mutex);
+      // The list's revision never goes down; a lower one is stale.
+      if (!this->listingKnown || read->revision >= this->listing.revision) {
+        this->listing = *read;
+        this->listingKnown = true;
+      }
+    }
+    this->Distribute();
+    timer.expires_after(kHostPollInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+std::shared_ptr<CellRunner>
+PlannerDriver::RunnerOf(const std::string& aCell) const
+{
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->runners.find(aCell);
+  return found == this->runners.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<CellRunner>>
+PlannerDriver::Runners() const
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<std::shared_ptr<CellRunner>> result;
+  for (const auto& [cell, runner] : this->runners) {
+    result.push_back(runner);
+  }
+  return result;
+}
+
+void
+PlannerDriver::Serve(PeerServer& aServer)
+{
+  aServer.Handle(PeerMessage::SubmitJob, [this](std::string aBody) {
+    return this->HandleSubmit(std::move(aBody));
+  });
+  aServer.Handle(PeerMessage::CancelJob, [this](std::string aBody) {
+    return this->HandleCancel(std::move(aBody));
+  });
+  aServer.Handle(PeerMessage::QueryJob, [this](std::string aBody) {
+    return this->HandleQuery(std::move(aBody));
+  });
+  aServer.Handle(PeerMessage::PlannerStatus, [this](std::string aBody) {
+    return this->HandleStatus(std::move(aBody));
+  });
+}
+
+asio::awaitable<std::string>
+PlannerDriver::HandleSubmit(std::string aBody)
+{
+  const std::optional<SubmitJob> request = DecodeMessage<SubmitJob>(aBody);
+  SubmitReply reply;
+  reply.outcome = SubmitOutcome::Refused;
+  reply.reason = "malformed";
+  if (request) {
+    const auto runner = this->RunnerOf(request->cell);
+    reply.outcome = SubmitOutcome::NotOwner;
+    reply.reason = "unknown-cell";
+    if (runner) {
+      reply = co_await runner->Submit(*request);
+    }
+  }
+  co_return EncodeMessage(reply);
+}
+
+asio::awaitable<std::string>
+PlannerDriver::HandleCancel(std::string aBody)
+{
+  const std::optional<CancelJob> request = DecodeMessage<CancelJob>(aBody);
+  SubmitReply reply;
+  reply.outcome = SubmitOutcome::Refused;
+  reply.reason = "malformed";
+  if (request) {
+    const auto runner = this->RunnerOf(request->cell);
+    reply.outcome = SubmitOutcome::NotOwner;
+    reply.reason = "unknown-cell";
+    if (runner) {
+      reply = co_await runner->Cancel(*request);
+    }
+  }
+  co_return EncodeMessage(reply);
+}
+
+asio::awaitable<std::string>
+PlannerDriver::HandleQuery(std::string aBody)
+{
+  const std::optional<QueryJob> request = DecodeMessage<QueryJob>(aBody);
+  JobStatus status;
+  status.reason = "not-owner";
+  if (request) {
+    const auto runner = this->RunnerOf(request->cell);
+    if (runner) {
+      status = co_await runner->Query(request->jobId);
+    }
+  }
+  co_return EncodeMessage(status);
+}
+
+asio::awaitable<std::string>
+PlannerDriver::HandleStatus([[maybe_unused]] std::string aBody)
+{
+  PlannerStatusReply reply;
+  reply.planner = this->name;
+  const auto all = this->Runners();
+  for (const auto& runner : all) {
+    std::optional<CellStatus> status = co_await runner->Status();
+    if (status) {
+      reply.cells.push_back(std::move(*status));
+    }
+  }
+  co_return EncodeMessage(reply);
+}
+
+asio::awaitable<void>
+PlannerDriver::Drain()
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    this->draining = true;
+  }
+  const auto all = this->Runners();
+  for (const auto& runner : all) {
+    co_await runner->Drain();
+  }
+  co_await this->lease.Stop();
+  Event("planner_drained").Add("planner", this->name);
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/PlannerDriver.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "CellRunner.h"
+#include "GossipService.h"
+#include "HostList.h"
+#include "PeerRpc.h"
+#include "StoreLeaseKeeper.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace sequoiakeel {
+
+/** What a planner is made of; everything must outlive the driver. */
+struct PlannerParts
+{
+  boost::asio::io_context& context;
+  KeyValueStore& store;
+  WorkerAgent& agent;
+  HostList& hosts;
+  GossipService& gossip;
+  const Clock& clock;
+};
+
+/**
+ * Runs the cells of the configuration on one planner: holds the store lease,
+ * reads the host list, decides by rendezvous rank which cells to claim, and
+ * serves peers. Thread safe.
+ */
+class PlannerDriver
+{
+public:
+  /** aName and aPeer go into the owner records. */
+  PlannerDriver(PlannerParts aParts, std::string aName, Endpoint aPeer);
+  PlannerDriver(const PlannerDriver&) = delete;
+  PlannerDriver& operator=(const PlannerDriver&) = delete;
+
+  /** Takes a new configuration: starts runners for new cells. */
+  void Configure(const Configuration& aConfiguration);
+
+  /** Begins to work. Call once. */
+  void Start();
+
+  /** Sets the handlers of peers' requests. Precondition: aServer was not
+   * started. */
+  void Serve(PeerServer& aServer);
+
+  /** Hands all cells over and ends the store lease. */
+  boost::asio::awaitable<void> Drain();
+
+private:
+  CellSurroundings Surroundings(const std::string& aCell) const;
+  bool IsFirstPlanner(const std::string& aCell) const;
+  std::shared_ptr<CellRunner> RunnerOf(const std::string& aCell) const;
+  std::vector<std::shared_ptr<CellRunner>> Runners() const;
+  CellRules RulesFor(const Cell& aCell) const;
+  std::vector<HostRecord> HostsOf(const Cell& aCell) const;
+  void Distribute();
+  boost::asio::awaitable<void> PollHosts();
+  boost::asio::awaitable<std::string> HandleSubmit(std::string aBody);
+  boost::asio::awaitable<std::string> HandleCancel(std::string aBody);
+  boost::asio::awaitable<std::string> HandleQuery(std::string aBody);
+  boost::asio::awaitable<std::string> HandleStatus(std::string aBody);
+
+  PlannerParts parts;
+  std::string name;
+  Endpoint peer;
+  std::string writer;
+  StoreLeaseKeeper lease;
+  TimePoint claimsFrom;
+  mutable std::mutex mutex;
+  Configuration configuration;
+  HostListing listing;
+  bool listingKnown = false;
+  bool draining = false;
+  std::map<std::string, std::shared_ptr<CellRunner>> runners;
+};
+
+} // namespace sequoiakeel
