--- /dev/null
+++ b/test/path/PlannerRunsJobs.cpp
@@ -0,0 +1,111 @@
+#include "support/Deployment.h"
+#include "support/PlannerClient.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace sequoiakeel;
+
+namespace {
+
+constexpr const char* kCell = "cell-zone-1";
+constexpr const char* kJob = "cell-zone-1.00000000000000a1";
+
+SubmitReply
+SubmitOrder(const Endpoint& aPlanner,
+            const std::string& aJob,
+            std::int64_t aTasks,
+            std::int64_t aRunTimeMs)
+{
+  SubmitJob request;
+  request.jobId = aJob;
+  request.cell = kCell;
+  request.spec.team = "planning";
+  request.spec.taskClass = "batch-order";
+  request.spec.resources = Resources{ 1000, 1000, 0 };
+  request.spec.taskCount = aTasks;
+  request.spec.runTimeMs = aRunTimeMs;
+  return AskPlanner<SubmitReply>(aPlanner, PeerMessage::SubmitJob, request);
+}
+
+JobStatus
+Query(const Endpoint& aPlanner, const std::string& aJob)
+{
+  QueryJob request;
+  request.jobId = aJob;
+  request.cell = kCell;
+  return AskPlanner<JobStatus>(aPlanner, PeerMessage::QueryJob, request);
+}
+
+bool
+Owns(const Endpoint& aPlanner)
+{
+  const auto reply = AskPlanner<PlannerStatusReply>(
+    aPlanner, PeerMessage::PlannerStatus, PlannerStatusRequest{});
+  return !reply.cells.empty();
+}
+
+/** Number of starts that a worker has seen, by task id. */
+std::map<std::string, int>
+StartsAt(Deployment& aDeployment, const std::string& aWorker)
+{
+  const HttpResponse response =
+    aDeployment.Call(aWorker, "GET", "/standin/starts");
+  return nlohmann::json::parse(response.body).get<std::map<std::string, int>>();
+}
+
+} // namespace
+
+// Guards against a planner whose parts work alone but not together: submission,
+// log, placement, start, completion and hand-over as separate processes.
+TEST_CASE("a job runs once and is known to the next planner")
+{
+  Deployment deployment;
+  deployment.StartWorker("worker-1", "zone-1");
+  deployment.PutConfiguration(SmallConfiguration({ "zone-1" }));
+  deployment.StartPlanner("planner-1", "zone-1");
+  const Endpoint first = deployment.PeerEndpointOf("planner-1");
+  REQUIRE(WaitUntil([&] { return Owns(first); }));
+  CHECK(SubmitOrder(first, kJob, 3, 200).outcome == SubmitOutcome::Accepted);
+  REQUIRE(WaitUntil([&] { return Query(first, kJob).state == "finished"; }));
+  // A retry of the submission names the same job.
+  CHECK(SubmitOrder(first, kJob, 3, 200).outcome == SubmitOutcome::Accepted);
+
+  deployment.StartPlanner("planner-2", "zone-1");
+  const Endpoint second = deployment.PeerEndpointOf("planner-2");
+  deployment.Process("planner-1").Signal(SIGTERM);
+  CHECK(deployment.Process("planner-1").Wait() == 0);
+  REQUIRE(WaitUntil([&] { return Owns(second); }));
+  CHECK(Query(second, kJob).state == "finished");
+  CHECK(Query(second, kJob).tasksFinished == 3);
+  const auto starts = StartsAt(deployment, "worker-1");
+  CHECK(starts.size() == 3);
+  for (const auto& [task, count] : starts) {
+    CHECK(count == 1);
+  }
+}
+
+// Guards against tasks that are lost or started again when their owner is
+// killed while they run.
+TEST_CASE("tasks keep running over the death of their planner")
+{
+  Deployment deployment;
+  deployment.StartWorker("worker-1", "zone-1");
+  deployment.PutConfiguration(SmallConfiguration({ "zone-1" }));
+  deployment.StartPlanner("planner-1", "zone-1");
+  const Endpoint first = deployment.PeerEndpointOf("planner-1");
+  REQUIRE(WaitUntil([&] { return Owns(first); }));
+  CHECK(SubmitOrder(first, kJob, 2, 15000).outcome == SubmitOutcome::Accepted);
+  REQUIRE(
+    WaitUntil([&] { return StartsAt(deployment, "worker-1").size() == 2; }));
+  deployment.StartPlanner("planner-2", "zone-1");
+  const Endpoint second = deployment.PeerEndpointOf("planner-2");
+  deployment.Process("planner-1").Signal(SIGKILL);
+  deployment.Process("planner-1").Wait();
+  REQUIRE(WaitUntil([&] { return Owns(second); }));
+  REQUIRE(WaitUntil([&] { return Query(second, kJob).state == "finished"; }));
+  for (const auto& [task, count] : StartsAt(deployment, "worker-1")) {
+    CHECK(count == 1);
+  }
+}
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -192,8 +192,9 @@
   const json ready = json::parse(this->AwaitReadyFile(aName));
   this->endpoints[aName] =
     Endpoint{ "127.0.0.1", ready.value("http_port", 0u) };
-  this->seeds.push_back(
-    Endpoint{ "127.0.0.1", ready.at("peer_port").get<std::uint32_t>() });
+  this->peers[aName] =
+    Endpoint{ "127.0.0.1", ready.at("peer_port").get<std::uint32_t>() };
+  this->seeds.push_back(this->peers[aName]);
 }
 
 void
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -63,6 +63,12 @@
     return this->endpoints.at(aName);
   }
 
+  /** Returns the endpoint of an entry or planner towards peers. */
+  Endpoint PeerEndpointOf(const std::string& aName) const
+  {
+    return this->peers.at(aName);
+  }
+
   /** Returns the content of a process's log. */
   std::string LogOf(const std::string& aName) const;
 
@@ -86,6 +92,7 @@
   std::string folder;
   std::map<std::string, std::unique_ptr<ChildProcess>> processes;
   std::map<std::string, Endpoint> endpoints;
+  std::map<std::string, Endpoint> peers;
   std::vector<Endpoint> seeds;
 };
 
