--- /dev/null
+++ b/test/support/CellWorld.cpp
@@ -0,0 +1,512 @@
+#include "support/CellWorld.h"
+
+#include "Log.h"
+#include "StoreLeaseKeeper.h"
+
+namespace sequoiakeel {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds kStep{ 50 };
+/** A caller gives up after this time. */
+constexpr milliseconds kCallLimit{ 2000 };
+
+} // namespace
+
+std::vector<PlacementDecision>
+FirstFitPolicies::Place(const CellView& aCell,
+                        std::span<const TaskView> aQueue,
+                        std::size_t aMaxPlacements)
+{
+  std::vector<PlacementDecision> result;
+  std::map<std::string, Resources> taken;
+  for (const TaskView& task : aQueue) {
+    bool fitsSomewhere = false;
+    for (const WorkerView& worker : aCell.workers) {
+      fitsSomewhere = fitsSomewhere || Fits(task.resources, worker.capacity);
+      const Resources used = Plus(worker.committed, taken[worker.name]);
+      const bool fits = Fits(Plus(used, task.resources), worker.capacity);
+      if (worker.unreachable || worker.leaving ||
+          (!fits && !this->ignoreRoom)) {
+        continue;
+      }
+      taken[worker.name] = Plus(taken[worker.name], task.resources);
+      PlacementDecision decision;
+      decision.task = task.task;
+      decision.worker = worker.name;
+      decision.outcome = PlacementOutcome::Placed;
+      result.push_back(decision);
+      break;
+    }
+    if (!fitsSomewhere && !aCell.workers.empty() && !this->ignoreRoom) {
+      PlacementDecision decision;
+      decision.task = task.task;
+      decision.outcome = PlacementOutcome::Unplaceable;
+      decision.reason = "larger than every worker";
+      result.push_back(decision);
+    }
+    if (result.size() >= aMaxPlacements) {
+      break;
+    }
+  }
+  return result;
+}
+
+void
+FakeStore::Expire()
+{
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->leases,
+                [now](const auto& aLease) { return aLease.second <= now; });
+  std::erase_if(this->leaseOf, [this](const auto& aEntry) {
+    const bool gone = !this->leases.contains(aEntry.second);
+    if (gone) {
+      this->values.erase(aEntry.first);
+    }
+    return gone;
+  });
+}
+
+std::uint64_t
+FakeStore::RenewLease(std::uint64_t aLease)
+{
+  this->Expire();
+  ++this->writes;
+  const std::uint64_t lease =
+    this->leases.contains(aLease) ? aLease : ++this->nextLease;
+  this->leases[lease] = this->clock.Now() + kStoreLeaseTtl;
+  return lease;
+}
+
+StoreReply
+FakeStore::Apply(const StoreCommand& aCommand)
+{
+  StoreReply reply;
+  if (this->down) {
+    reply.result = StoreResult::Unavailable;
+    return reply;
+  }
+  this->Expire();
+  if (aCommand.verb == StoreVerb::Get || aCommand.verb == StoreVerb::Range) {
+    ++this->reads;
+    const bool range = aCommand.verb == StoreVerb::Range;
+    for (const auto& [key, value] : this->values) {
+      if (range ? key.starts_with(aCommand.key) : key == aCommand.key) {
+        reply.rows.push_back(value);
+      }
+    }
+    return reply;
+  }
+  ++this->writes;
+  const auto found = this->values.find(aCommand.key);
+  const std::uint64_t version =
+    found == this->values.end() ? kAbsentVersion : found->second.version;
+  const bool leaseGone =
+    aCommand.lease != kNoLease && !this->leases.contains(aCommand.lease);
+  if (version != aCommand.expectedVersion || leaseGone) {
+    reply.result = StoreResult::Conflict;
+    return reply;
+  }
+  reply.version = ++this->revision;
+  if (aCommand.verb == StoreVerb::Delete) {
+    this->values.erase(aCommand.key);
+    return reply;
+  }
+  this->largestValue = std::max(this->largestValue, aCommand.value.size());
+  this->values[aCommand.key] =
+    StoreValue{ aCommand.key, aCommand.value, reply.version };
+  if (aCommand.lease != kNoLease) {
+    this->leaseOf[aCommand.key] = aCommand.lease;
+  }
+  return reply;
+}
+
+CellWorld::CellWorld(std::uint64_t aSeed, std::uint32_t aPlannersExpected)
+  : random(aSeed)
+  , store(this->clock)
+  , plannersExpected(aPlannersExpected)
+{
+  static const bool kQuiet = (StartLogging("test", LogLevel::Error), true);
+  static_cast<void>(kQuiet);
+}
+
+FakePlanner&
+CellWorld::AddPlanner(const std::string& aName)
+{
+  auto planner = std::make_unique<FakePlanner>();
+  planner->name = aName;
+  CellOptions options;
+  options.cell = "cell-1";
+  options.planner = aName;
+  options.writer = aName + "/" + std::to_string(++this->processes);
+  planner->machine = std::make_unique<CellMachine>(options, planner->policies);
+  this->planners[aName] = std::move(planner);
+  return *this->planners[aName];
+}
+
+FakeWorker&
+CellWorld::AddWorker(const std::string& aName, Resources aCapacity)
+{
+  this->workers[aName] = std::make_unique<FakeWorker>(*this, aName, aCapacity);
+  return *this->workers[aName];
+}
+
+void
+CellWorld::Kill(const std::string& aPlanner)
+{
+  this->planners.erase(aPlanner);
+}
+
+void
+CellWorld::Pause(const std::string& aPlanner)
+{
+  this->planners.at(aPlanner)->paused = true;
+}
+
+void
+CellWorld::Resume(const std::string& aPlanner)
+{
+  FakePlanner& planner = *this->planners.at(aPlanner);
+  planner.paused = false;
+  for (const auto& step : std::exchange(planner.backlog, {})) {
+    step();
+  }
+  // Commands decided before the pause leave now.
+  this->TakeCommands(planner);
+}
+
+void
+CellWorld::At(Duration aDelay, std::function<void()> aStep)
+{
+  this->agenda.emplace(this->clock.Now() + aDelay, std::move(aStep));
+}
+
+Duration
+CellWorld::Delay(std::int64_t aMinMs, std::int64_t aMaxMs)
+{
+  std::uniform_int_distribution<std::int64_t> choice(aMinMs, aMaxMs);
+  return milliseconds(choice(this->random));
+}
+
+Fate
+CellWorld::Chance()
+{
+  std::uniform_int_distribution<int> percent(0, 99);
+  if (percent(this->random) >= this->faultPercent) {
+    return Fate::Deliver;
+  }
+  std::uniform_int_distribution<int> choice(1, 4);
+  return static_cast<Fate>(choice(this->random));
+}
+
+void
+CellWorld::DeliverTo(const std::string& aPlanner,
+                     const CellMachine* aMachine,
+                     std::function<void(CellMachine&)> aStep)
+{
+  const auto found = this->planners.find(aPlanner);
+  if (found == this->planners.end() ||
+      found->second->machine.get() != aMachine) {
+    return;
+  }
+  FakePlanner& planner = *found->second;
+  if (planner.paused) {
+    planner.backlog.push_back([this, aPlanner, aMachine, aStep] {
+      this->DeliverTo(aPlanner, aMachine, aStep);
+    });
+    return;
+  }
+  aStep(*planner.machine);
+  this->TakeCommands(planner);
+}
+
+template<class Command, class Reply>
+void
+CellWorld::Transmit(FakePlanner& aPlanner,
+                    const Command& aCommand,
+                    Fate aFate,
+                    std::function<Reply()> aEffect,
+                    Reply aUnknown)
+{
+  ++this->messages;
+  const std::string name = aPlanner.name;
+  const CellMachine* machine = aPlanner.machine.get();
+  const auto deliver = [this, name, machine, id = aCommand.id](Reply aReply) {
+    aReply.id = id;
+    this->DeliverTo(name, machine, [this, aReply](CellMachine& aTarget) {
+      if constexpr (std::is_same_v<Reply, StoreReply>) {
+        aTarget.OnStoreReply(aReply, this->clock.Now());
+      } else {
+        aTarget.OnWorkerReply(aReply, this->clock.Now());
+      }
+    });
+  };
+  const bool givesUp = aFate == Fate::LoseRequest || aFate == Fate::LoseReply ||
+                       aFate == Fate::DelayRequest;
+  if (givesUp) {
+    this->At(kCallLimit, [deliver, aUnknown] { deliver(aUnknown); });
+  }
+  if (aFate == Fate::LoseRequest) {
+    return;
+  }
+  const Duration there = aFate == Fate::DelayRequest ? this->Delay(2000, 45000)
+                                                     : this->Delay(1, 300);
+  this->At(there, [this, aEffect, deliver, aFate, givesUp] {
+    const Reply reply = aEffect();
+    if (givesUp) {
+      return;
+    }
+    this->At(this->Delay(1, 300), [deliver, reply] { deliver(reply); });
+    if (aFate == Fate::DuplicateReply) {
+      this->At(this->Delay(300, 3000), [deliver, reply] { deliver(reply); });
+    }
+  });
+}
+
+void
+CellWorld::Send(FakePlanner& aPlanner, const StoreCommand& aCommand)
+{
+  Fate fate = this->storeFate ? this->storeFate(aCommand) : Fate::Deliver;
+  fate = fate == Fate::Deliver ? this->Chance() : fate;
+  if (!aPlanner.reachesStore) {
+    fate = Fate::LoseRequest;
+  }
+  StoreReply unknown;
+  unknown.result = StoreResult::Unknown;
+  this->Transmit<StoreCommand, StoreReply>(
+    aPlanner,
+    aCommand,
+    fate,
+    [this, aCommand] { return this->store.Apply(aCommand); },
+    unknown);
+}
+
+void
+CellWorld::Send(FakePlanner& aPlanner, const WorkerCommand& aCommand)
+{
+  Fate fate = this->workerFate ? this->workerFate(aCommand) : Fate::Deliver;
+  fate = fate == Fate::Deliver ? this->Chance() : fate;
+  if (this->unreachable.contains(aCommand.worker) ||
+      !this->workers.contains(aCommand.worker)) {
+    fate = Fate::LoseRequest;
+  } else if (this->repliesLost.contains(aCommand.worker)) {
+    fate = Fate::LoseReply;
+  }
+  WorkerReply unknown;
+  unknown.result = AgentResult::Unknown;
+  if (this->clock.Now() >= aCommand.notAfter) {
+    fate = Fate::Deliver;
+  }
+  const bool late = this->clock.Now() >= aCommand.notAfter;
+  this->Transmit<WorkerCommand, WorkerReply>(
+    aPlanner,
+    aCommand,
+    fate,
+    [this, aCommand, late] {
+      WorkerReply reply;
+      reply.result = AgentResult::NotSent;
+      const auto worker = this->workers.find(aCommand.worker);
+      if (late || worker == this->workers.end()) {
+        return reply;
+      }
+      return worker->second->Handle(aCommand);
+    },
+    unknown);
+}
+
+void
+CellWorld::TakeCommands(FakePlanner& aPlanner)
+{
+  if (aPlanner.paused) {
+    return;
+  }
+  Outbox& outbox = aPlanner.machine->outbox;
+  for (const StoreCommand& command : std::exchange(outbox.store, {})) {
+    this->Send(aPlanner, command);
+  }
+  for (const WorkerCommand& command : std::exchange(outbox.workers, {})) {
+    this->Send(aPlanner, command);
+  }
+  for (const ClientReply& reply : std::exchange(outbox.replies, {})) {
+    aPlanner.replies[reply.token] = reply.reply;
+  }
+}
+
+void
+CellWorld::TickPlanner(FakePlanner& aPlanner)
+{
+  if (aPlanner.paused) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  const bool reaches = aPlanner.reachesStore && !this->store.down;
+  if (reaches && now >= aPlanner.nextRenewal) {
+    aPlanner.nextRenewal = now + kStoreLeaseRenewal;
+    aPlanner.storeLease = this->store.RenewLease(aPlanner.storeLease);
+    aPlanner.machine->OnStoreLease(aPlanner.storeLease,
+                                   now + kStoreLeaseTtl - kStoreLeaseMargin);
+  }
+  std::uint32_t reachable = 0;
+  std::uint32_t unreachableCount = 0;
+  for (const auto& [name, planner] : this->planners) {
+    const bool sees = planner->reachesStore && !this->store.down;
+    reachable += !planner->paused && sees ? 1 : 0;
+    unreachableCount += !planner->paused && !sees ? 1 : 0;
+  }
+  aPlanner.machine->OnStoreReports(now,
+                                   reachable * 2 > this->plannersExpected,
+                                   unreachableCount * 2 >
+                                     this->plannersExpected);
+  aPlanner.machine->SetCandidate(aPlanner.candidate);
+  std::vector<HostRecord> hosts;
+  for (const auto& [name, worker] : this->workers) {
+    HostRecord host;
+    host.host = name;
+    host.zone = "zone-1";
+    host.rack = "rack-1";
+    hosts.push_back(host);
+  }
+  aPlanner.machine->SetFleet(hosts, now);
+  aPlanner.machine->Tick(now);
+  this->TakeCommands(aPlanner);
+}
+
+void
+CellWorld::Step()
+{
+  this->clock.Advance(kStep);
+  for (const auto& [name, worker] : this->workers) {
+    worker->Progress();
+  }
+  while (!this->agenda.empty() &&
+         this->agenda.begin()->first <= this->clock.Now()) {
+    const auto step = std::move(this->agenda.begin()->second);
+    this->agenda.erase(this->agenda.begin());
+    step();
+  }
+  for (const auto& [name, planner] : this->planners) {
+    this->TickPlanner(*planner);
+  }
+  this->CheckLedgers();
+}
+
+void
+CellWorld::Run(Duration aTime)
+{
+  const TimePoint end = this->clock.Now() + aTime;
+  while (this->clock.Now() < end) {
+    this->Step();
+  }
+}
+
+bool
+CellWorld::RunUntil(const std::function<bool()>& aCondition, Duration aLimit)
+{
+  const TimePoint end = this->clock.Now() + aLimit;
+  while (!aCondition()) {
+    if (this->clock.Now() >= end) {
+      return false;
+    }
+    this->Step();
+  }
+  return true;
+}
+
+std::uint64_t
+CellWorld::Submit(FakePlanner& aPlanner,
+                  const std::string& aJob,
+                  std::int64_t aTasks,
+                  Resources aSize,
+                  std::int64_t aRunTimeMs)
+{
+  const std::uint64_t token = this->nextToken++;
+  SubmitJob request;
+  request.jobId = aJob;
+  request.cell = "cell-1";
+  request.spec.team = "planning";
+  request.spec.taskClass = "batch-order";
+  request.spec.resources = aSize;
+  request.spec.taskCount = aTasks;
+  request.spec.runTimeMs = aRunTimeMs;
+  aPlanner.machine->Submit(token, request, this->clock.Now());
+  this->TakeCommands(aPlanner);
+  return token;
+}
+
+std::uint64_t
+CellWorld::Cancel(FakePlanner& aPlanner, const std::string& aJob)
+{
+  const std::uint64_t token = this->nextToken++;
+  CancelJob request;
+  request.jobId = aJob;
+  request.cell = "cell-1";
+  aPlanner.machine->Cancel(token, request, this->clock.Now());
+  this->TakeCommands(aPlanner);
+  return token;
+}
+
+FakePlanner*
+CellWorld::Owner()
+{
+  for (const auto& [name, planner] : this->planners) {
+    if (!planner->paused &&
+        planner->machine->OwnsWithValidLease(this->clock.Now())) {
+      return planner.get();
+    }
+  }
+  return nullptr;
+}
+
+std::string
+CellWorld::StateOf(const std::string& aJob)
+{
+  FakePlanner* owner = this->Owner();
+  return owner == nullptr ? "" : owner->machine->Query(aJob).state;
+}
+
+std::size_t
+CellWorld::RunningOn(const std::string& aWorker) const
+{
+  const FakeWorker& worker = *this->workers.at(aWorker);
+  return static_cast<std::size_t>(
+    std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto& aRun) {
+      return aRun.second.state == WorkerTaskState::Running;
+    }));
+}
+
+std::size_t
+CellWorld::Running() const
+{
+  std::size_t result = 0;
+  for (const auto& [name, worker] : this->workers) {
+    result += this->RunningOn(name);
+  }
+  return result;
+}
+
+void
+CellWorld::CheckLedgers()
+{
+  for (const auto& [name, planner] : this->planners) {
+    const CellState& state = planner->machine->Working();
+    std::map<std::string, Resources> sums;
+    for (const auto& [id, job] : state.Jobs()) {
+      for (const auto& [index, task] : job.tasks) {
+        if (task.phase != TaskPhase::Queued) {
+          sums[task.worker] = Plus(sums[task.worker], job.row.spec.resources);
+        }
+      }
+    }
+    for (const auto& [worker, row] : state.Workers()) {
+      const Resources counted = state.Commitments().Committed(worker);
+      if (!Fits(sums[worker], counted)) {
+        this->breaches.push_back("the ledger counts too little on " + worker);
+      }
+    }
+  }
+}
+
+} // namespace sequoiakeel
