--- /dev/null
+++ b/src/ConnectionPool.cpp
@@ -0,0 +1,350 @@
+#include "ConnectionPool.h"
+
+#include "Log.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr std::size_t kShards = 16;
+
+using WorkerKey = std::pair<std::string, std::uint32_t>;
+
+WorkerKey
+KeyOf(const Endpoint& aWorker)
+{
+  return { aWorker.address, aWorker.port };
+}
+
+} // namespace
+
+struct ConnectionPool::Worker
+{
+  /** Connections that exist, with those in use and being probed. */
+  std::uint32_t open = 0;
+  /** Connections that are being probed. */
+  std::uint32_t probing = 0;
+  /** Most recently used last. */
+  std::vector<std::unique_ptr<Slot>> idle;
+};
+
+struct ConnectionPool::Shard
+{
+  mutable std::mutex mutex;
+  std::map<WorkerKey, Worker> workers;
+};
+
+/** One of a worker's connections; frees its place when it is destroyed. */
+class ConnectionPool::Slot
+{
+public:
+  Slot(std::shared_ptr<std::vector<Shard>> aShards,
+       Shard& aShard,
+       Endpoint aWorker,
+       asio::any_io_executor aStrand)
+    : shards(std::move(aShards))
+    , shard(&aShard)
+    , worker(std::move(aWorker))
+    , strand(std::move(aStrand))
+  {
+  }
+  Slot(const Slot&) = delete;
+  Slot& operator=(const Slot&) = delete;
+  ~Slot()
+  {
+    this->connection.reset();
+    const std::lock_guard lock(this->shard->mutex);
+    Worker& state = this->shard->workers[KeyOf(this->worker)];
+    this->EndProbe(state);
+    --state.open;
+  }
+
+  /** Precondition: the shard's lock is held. */
+  void EndProbe(Worker& aState)
+  {
+    if (std::exchange(this->probing, false)) {
+      --aState.probing;
+    }
+  }
+
+  /** Keeps the shard alive. */
+  std::shared_ptr<std::vector<Shard>> shards;
+  Shard* shard;
+  Endpoint worker;
+  asio::any_io_executor strand;
+  std::unique_ptr<HttpConnection> connection;
+  /** Last whole response. */
+  TimePoint alive;
+  /** Last request of a caller. */
+  TimePoint used;
+  bool probing = false;
+};
+
+ConnectionPool::ConnectionPool(asio::any_io_executor aExecutor,
+                               const Clock& aClock,
+                               PoolOptions aOptions)
+  : executor(std::move(aExecutor))
+  , clock(&aClock)
+  , options(aOptions)
+  , shards(std::make_shared<std::vector<Shard>>(kShards))
+{
+}
+
+ConnectionPool::Shard&
+ConnectionPool::ShardOf(const Endpoint& aWorker) const
+{
+  const std::size_t hash =
+    std::hash<std::string>()(aWorker.address) * 31 + aWorker.port;
+  return (*this->shards)[hash % kShards];
+}
+
+bool
+ConnectionPool::Usable(const Worker& aWorker, Slot& aSlot, bool aProven) const
+{
+  if (aWorker.open > this->limit) {
+    return false;
+  }
+  const Duration quiet = this->clock->Now() - aSlot.alive;
+  const bool old = aProven && quiet > this->options.proven;
+  return !old && aSlot.connection->Reusable();
+}
+
+std::unique_ptr<ConnectionPool::Slot>
+ConnectionPool::Take(const Endpoint& aWorker, bool aProven)
+{
+  // Destroyed after the lock is released: a slot's destructor takes the lock.
+  std::vector<std::unique_ptr<Slot>> dropped;
+  Shard& shard = this->ShardOf(aWorker);
+  const std::lock_guard lock(shard.mutex);
+  Worker& worker = shard.workers[KeyOf(aWorker)];
+  while (!worker.idle.empty()) {
+    std::unique_ptr<Slot> slot = std::move(worker.idle.back());
+    worker.idle.pop_back();
+    if (this->Usable(worker, *slot, aProven)) {
+      return slot;
+    }
+    if (!aProven || worker.open > this->limit) {
+      dropped.push_back(std::move(slot));
+      continue;
+    }
+    // A request that is sent once gets a new connection in this one's place.
+    slot->connection.reset();
+    return slot;
+  }
+  const auto places = static_cast<std::uint32_t>(dropped.size());
+  if (worker.open - places >= this->limit) {
+    return nullptr;
+  }
+  for (const std::unique_ptr<Slot>& slot : dropped) {
+    slot->connection.reset();
+  }
+  if (!dropped.empty()) {
+    std::unique_ptr<Slot> slot = std::move(dropped.back());
+    dropped.pop_back();
+    return slot;
+  }
+  ++worker.open;
+  return std::make_unique<Slot>(
+    this->shards, shard, aWorker, asio::make_strand(this->executor));
+}
+
+void
+ConnectionPool::Put(std::unique_ptr<Slot> aSlot)
+{
+  std::unique_ptr<Slot> dropped;
+  Shard& shard = *aSlot->shard;
+  const std::lock_guard lock(shard.mutex);
+  Worker& worker = shard.workers[KeyOf(aSlot->worker)];
+  aSlot->EndProbe(worker);
+  if (this->closed || worker.open > this->limit) {
+    dropped = std::move(aSlot);
+    return;
+  }
+  worker.idle.push_back(std::move(aSlot));
+}
+
+void
+ConnectionPool::DropIdle(const Endpoint& aWorker)
+{
+  std::vector<std::unique_ptr<Slot>> dropped;
+  Shard& shard = this->ShardOf(aWorker);
+  const std::lock_guard lock(shard.mutex);
+  dropped.swap(shard.workers[KeyOf(aWorker)].idle);
+}
+
+asio::awaitable<ExchangeResult>
+ConnectionPool::Exchange(Endpoint aWorker,
+                         HttpRequest aRequest,
+                         ExchangeNeeds aNeeds)
+{
+  std::unique_ptr<Slot> slot = this->Take(aWorker, aNeeds.proven);
+  if (!slot) {
+    ExchangeResult refused;
+    refused.error = kLimitError;
+    co_return refused;
+  }
+  const asio::any_io_executor strand = slot->strand;
+  asio::awaitable<ExchangeResult> run =
+    this->Run(std::move(slot), std::move(aRequest), aNeeds);
+  ExchangeResult result =
+    co_await asio::co_spawn(strand, std::move(run), use_awaitable);
+  co_return result;
+}
+
+asio::awaitable<ExchangeResult>
+ConnectionPool::Run(std::unique_ptr<Slot> aSlot,
+                    HttpRequest aRequest,
+                    ExchangeNeeds aNeeds)
+{
+  const std::shared_ptr<ConnectionPool> self = this->shared_from_this();
+  const TimePoint start = this->clock->Now();
+  if (!aSlot->connection) {
+    ++this->opened;
+    aSlot->connection = std::make_unique<HttpConnection>(aSlot->strand);
+    const Duration timeout =
+      std::min(this->options.connectTimeout, aNeeds.timeout);
+    const std::string error =
+      co_await aSlot->connection->Connect(aSlot->worker, timeout);
+    if (!error.empty()) {
+      ExchangeResult failed;
+      failed.error = error;
+      co_return failed;
+    }
+  }
+  const Duration left = aNeeds.timeout - (this->clock->Now() - start);
+  if (left <= Duration::zero()) {
+    ExchangeResult late;
+    late.error = "deadline passed while connecting";
+    co_return late;
+  }
+  aRequest.headers.Set("Host", aSlot->worker.address);
+  const std::string requestId(aRequest.headers.Get("Sequoiakeel-Request-Id"));
+  ExchangeResult result =
+    co_await aSlot->connection->Exchange(std::move(aRequest), left);
+  if (result.timedOut) {
+    ++this->silent;
+    // The worker's other connections may have lost their state on the path
+    // together with this one.
+    this->DropIdle(aSlot->worker);
+  }
+  const bool matched =
+    result.Complete() &&
+    result.response.headers.Get("Sequoiakeel-Request-Id") == requestId;
+  if (matched && aSlot->connection->Reusable()) {
+    aSlot->alive = this->clock->Now();
+    aSlot->used = aSlot->alive;
+    this->Put(std::move(aSlot));
+  }
+  co_return result;
+}
+
+asio::awaitable<void>
+ConnectionPool::Probe(std::unique_ptr<Slot> aSlot)
+{
+  const std::shared_ptr<ConnectionPool> self = this->shared_from_this();
+  ++this->probes;
+  HttpRequest probe;
+  probe.target = "/probe";
+  probe.headers.Set("Host", aSlot->worker.address);
+  ExchangeResult result = co_await aSlot->connection->Exchange(
+    std::move(probe), this->options.probeTimeout);
+  if (result.Complete() && result.response.status == 204 &&
+      aSlot->connection->Reusable()) {
+    aSlot->alive = this->clock->Now();
+    this->Put(std::move(aSlot));
+    co_return;
+  }
+  ++this->silent;
+  Event("connection_retired", LogLevel::Warning)
+    .Add("worker", aSlot->worker.address)
+    .Add("port", aSlot->worker.port)
+    .Add("reason", "probe-failed")
+    .Add("error", result.error);
+}
+
+void
+ConnectionPool::CollectDue(Worker& aWorker,
+                           std::vector<std::unique_ptr<Slot>>& aProbe,
+                           std::vector<std::unique_ptr<Slot>>& aClose)
+{
+  const TimePoint now = this->clock->Now();
+  // Half of the places stay free for requests while silent connections wait for
+  // their probes to time out.
+  const std::uint32_t maxProbing = std::max(this->limit / 2, 1U);
+  std::vector<std::unique_ptr<Slot>> kept;
+  for (std::unique_ptr<Slot>& slot : aWorker.idle) {
+    if (this->closed || now - slot->used > this->options.closeAfter ||
+        aWorker.open > this->limit || !slot->connection->Reusable()) {
+      aClose.push_back(std::move(slot));
+      continue;
+    }
+    if (now - slot->alive >= this->options.probeAfter &&
+        aWorker.probing < maxProbing) {
+      slot->probing = true;
+      ++aWorker.probing;
+      aProbe.push_back(std::move(slot));
+      continue;
+    }
+    kept.push_back(std::move(slot));
+  }
+  aWorker.idle.swap(kept);
+}
+
+void
+ConnectionPool::Maintain()
+{
+  std::vector<std::unique_ptr<Slot>> probe;
+  std::vector<std::unique_ptr<Slot>> close;
+  for (Shard& shard : *this->shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (auto& [key, worker] : shard.workers) {
+      this->CollectDue(worker, probe, close);
+    }
+    std::erase_if(shard.workers,
+                  [](const auto& aItem) { return aItem.second.open == 0; });
+  }
+  for (std::unique_ptr<Slot>& slot : probe) {
+    const asio::any_io_executor strand = slot->strand;
+    asio::co_spawn(strand, this->Probe(std::move(slot)), asio::detached);
+  }
+}
+
+void
+ConnectionPool::Close()
+{
+  this->closed = true;
+  this->Maintain();
+}
+
+std::uint32_t
+ConnectionPool::OpenTo(const Endpoint& aWorker) const
+{
+  Shard& shard = this->ShardOf(aWorker);
+  const std::lock_guard lock(shard.mutex);
+  const auto found = shard.workers.find(KeyOf(aWorker));
+  return found == shard.workers.end() ? 0 : found->second.open;
+}
+
+PoolCounters
+ConnectionPool::Counters() const
+{
+  PoolCounters counters;
+  counters.opened = this->opened;
+  counters.silent = this->silent;
+  counters.probes = this->probes;
+  return counters;
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/RequestPath.cpp
@@ -0,0 +1,416 @@
+#include "RequestPath.h"
+
+#include "Log.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+using asio::use_awaitable;
+
+namespace {
+
+/** Attempts at servers that surely did not run the request and that take
+ * nothing from the retry budget. */
+constexpr std::uint32_t kFreeAttempts = 3;
+constexpr std::uint32_t kMaxAttempts = 16;
+/** An answer that takes this many times the usual latency is given up. */
+constexpr int kProgressFactor = 10;
+
+OutcomeReason
+ReasonOfClaim(ClaimState aState)
+{
+  switch (aState) {
+    case ClaimState::InProgress:
+      return OutcomeReason::InProgress;
+    case ClaimState::Unknown:
+      return OutcomeReason::EarlierAttemptUnresolved;
+    case ClaimState::NotKept:
+      return OutcomeReason::ResponseNotKept;
+    case ClaimState::Reused:
+      return OutcomeReason::IdempotencyKeyReused;
+    case ClaimState::StoreUnavailable:
+      return OutcomeReason::StoreUnavailable;
+    case ClaimState::Claimed:
+    case ClaimState::Replay:
+      break;
+  }
+  return OutcomeReason::InternalError;
+}
+
+std::int64_t
+Microseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aDuration)
+    .count();
+}
+
+/** A chosen server; tells the router if the attempt ends without a result. */
+class OpenTicket
+{
+public:
+  OpenTicket(std::shared_ptr<ServiceRouter> aRouter, RouteTicket aTicket)
+    : router(std::move(aRouter))
+    , ticket(std::move(aTicket))
+  {
+  }
+  OpenTicket(const OpenTicket&) = delete;
+  OpenTicket& operator=(const OpenTicket&) = delete;
+  ~OpenTicket()
+  {
+    if (!this->ended) {
+      this->router->Abandon(this->ticket);
+    }
+  }
+
+  const RouteTicket& Ticket() const { return this->ticket; }
+
+  void End(AttemptEnd aEnd, bool aServerError)
+  {
+    this->ended = true;
+    this->router->Finish(this->ticket, aEnd, aServerError);
+  }
+
+private:
+  std::shared_ptr<ServiceRouter> router;
+  RouteTicket ticket;
+  bool ended = false;
+};
+
+} // namespace
+
+/** A request on its way. */
+struct RequestPath::Work
+{
+  CallerRequest request;
+  HttpRequest message;
+  std::shared_ptr<ServiceRouter> router;
+  std::vector<ServerId> tried;
+  RouteTicket ticket;
+  std::uint32_t attempts = 0;
+  /** An attempt may have run although no answer came. */
+  bool unresolved = false;
+  AttemptEnd lastEnd = AttemptEnd::NotSent;
+  /** Why the last attempt sent nothing. */
+  OutcomeReason notSent = OutcomeReason::ConnectFailed;
+  Duration pause{ 0 };
+  HttpResponse answer;
+};
+
+/** Counts a request and its body while it is in progress. */
+class RequestPath::Load
+{
+public:
+  Load(RequestPath& aPath, std::size_t aBytes)
+    : path(aPath)
+    , bytes(aBytes)
+  {
+    const std::size_t count = ++this->path.requests;
+    const std::size_t held = this->path.bodyBytes += this->bytes;
+    this->withinBounds = count <= this->path.options.maxRequests &&
+                         held <= this->path.options.maxBodyBytes;
+  }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+  ~Load()
+  {
+    this->path.bodyBytes -= this->bytes;
+    --this->path.requests;
+  }
+
+  bool WithinBounds() const { return this->withinBounds; }
+
+private:
+  RequestPath& path;
+  std::size_t bytes;
+  bool withinBounds = false;
+};
+
+RequestPath::RequestPath(ServiceCatalog& aCatalog,
+                         std::shared_ptr<ConnectionPool> aPool,
+                         std::shared_ptr<IdempotencyRecords> aRecords,
+                         Metrics& aMetrics,
+                         const Clock& aClock,
+                         OnLeaving aOnLeaving,
+                         RequestPathOptions aOptions)
+  : catalog(&aCatalog)
+  , pool(std::move(aPool))
+  , records(std::move(aRecords))
+  , metrics(&aMetrics)
+  , clock(&aClock)
+  , onLeaving(std::move(aOnLeaving))
+  , options(aOptions)
+{
+}
+
+asio::awaitable<HttpResponse>
+RequestPath::Handle(std::string aService, HttpRequest aMessage)
+{
+  const Load load(*this, aMessage.body.size());
+  std::string id = NewRequestId();
+  const std::shared_ptr<const CatalogService> service =
+    this->catalog->Find(aService);
+  auto admitted = this->Admit(aMessage, service.get(), id, load);
+  if (const auto* refusal = std::get_if<OutcomeReason>(&admitted)) {
+    CallerRequest refused;
+    refused.id = std::move(id);
+    refused.service = service ? aService : "unknown";
+    refused.arrived = this->clock->Now();
+    co_return this->Respond(refused, *refusal);
+  }
+  Work work;
+  work.request = std::get<CallerRequest>(std::move(admitted));
+  work.message = std::move(aMessage);
+  work.router = service->router;
+  work.router->CountRequest();
+  Answer answer = OutcomeReason::InternalError;
+  try {
+    answer = co_await this->Run(work);
+  } catch (const std::exception& error) {
+    Event("request_failed", LogLevel::Error)
+      .Add("request_id", work.request.id)
+      .Add("error", error.what());
+  }
+  co_return this->Respond(work.request, std::move(answer));
+}
+
+std::variant<CallerRequest, OutcomeReason>
+RequestPath::Admit(const HttpRequest& aMessage,
+                   const CatalogService* aService,
+                   const std::string& aId,
+                   const Load& aLoad) const
+{
+  if (this->stopping) {
+    return OutcomeReason::Stopping;
+  }
+  if (aMessage.method != "POST") {
+    return OutcomeReason::BadRequest;
+  }
+  if (aService == nullptr) {
+    return OutcomeReason::UnknownService;
+  }
+  auto request =
+    ReadCallerRequest(aMessage, aService->settings, aId, this->clock->Now());
+  if (std::holds_alternative<OutcomeReason>(request)) {
+    return request;
+  }
+  const std::string& team = std::get<CallerRequest>(request).team;
+  if (!team.empty() && !this->catalog->KnowsTeam(team)) {
+    return OutcomeReason::UnknownTeam;
+  }
+  if (!aLoad.WithinBounds()) {
+    return OutcomeReason::EntryOverloaded;
+  }
+  return request;
+}
+
+asio::awaitable<RequestPath::Answer>
+RequestPath::Run(Work& aWork)
+{
+  const CallerRequest& request = aWork.request;
+  if (!request.idempotent && !request.idempotencyKey.empty()) {
+    Answer answer = co_await this->RunClaimed(aWork);
+    co_return answer;
+  }
+  Answer answer = co_await this->SendUntilAnswered(aWork);
+  co_return answer;
+}
+
+asio::awaitable<RequestPath::Answer>
+RequestPath::RunClaimed(Work& aWork)
+{
+  const CallerRequest& request = aWork.request;
+  ClaimRequest claiming;
+  claiming.key = { request.team, request.service, request.idempotencyKey };
+  claiming.requestId = request.id;
+  claiming.fingerprint = FingerprintOf(aWork.message.body);
+  claiming.deadline = request.deadline;
+  Claim claim = co_await this->records->Acquire(std::move(claiming));
+  Event("claim")
+    .Add("request_id", request.id)
+    .Add("record", claim.recordKey)
+    .Add("state", static_cast<int>(claim.state));
+  if (claim.state == ClaimState::Replay) {
+    co_return std::move(claim.response);
+  }
+  if (claim.state != ClaimState::Claimed) {
+    co_return ReasonOfClaim(claim.state);
+  }
+  Answer answer = OutcomeReason::InternalError;
+  try {
+    answer = co_await this->SendUntilAnswered(aWork);
+  } catch (const std::exception& error) {
+    Event("request_failed", LogLevel::Error)
+      .Add("request_id", request.id)
+      .Add("error", error.what());
+  }
+  this->Settle(claim, answer);
+  co_return answer;
+}
+
+void
+RequestPath::Settle(const Claim& aClaim, const Answer& aAnswer) const
+{
+  if (const auto* response = std::get_if<HttpResponse>(&aAnswer)) {
+    this->records->Complete(aClaim, *response);
+    return;
+  }
+  const OutcomeReason reason = std::get<OutcomeReason>(aAnswer);
+  if (RuleOf(reason).outcome == Outcome::NotRun) {
+    this->records->Withdraw(aClaim);
+    return;
+  }
+  this->records->CompleteUnknown(aClaim);
+}
+
+asio::awaitable<RequestPath::Answer>
+RequestPath::SendUntilAnswered(Work& aWork)
+{
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor);
+  while (true) {
+    RouteRequest route;
+    route.requestId = aWork.request.id;
+    route.team = aWork.request.team;
+    route.deadline = aWork.request.deadline;
+    route.urgent = aWork.request.urgent;
+    route.tried = aWork.tried;
+    RouteResult result = co_await aWork.router->Acquire(std::move(route));
+    if (const auto* refusal = std::get_if<OutcomeReason>(&result)) {
+      co_return WithUnresolved(*refusal, aWork.unresolved);
+    }
+    aWork.ticket = std::get<RouteTicket>(std::move(result));
+    const AttemptEnd end = co_await this->SendOnce(aWork);
+    if (end == AttemptEnd::Answered) {
+      co_return ReturnedResponse(std::move(aWork.answer), aWork.request.id);
+    }
+    const bool earlier = aWork.unresolved;
+    this->NoteEnd(aWork, end);
+    if (!MaySendAgain(end, aWork.request.idempotent) ||
+        !this->PreparePause(aWork)) {
+      co_return end == AttemptEnd::NotSent
+        ? WithUnresolved(aWork.notSent, earlier)
+        : FinalReason(end, earlier);
+    }
+    timer.expires_after(aWork.pause);
+    co_await timer.async_wait(use_awaitable);
+  }
+}
+
+asio::awaitable<AttemptEnd>
+RequestPath::SendOnce(Work& aWork)
+{
+  OpenTicket open(aWork.router, aWork.ticket);
+  ++aWork.attempts;
+  const TimePoint now = this->clock->Now();
+  const Duration left = aWork.request.deadline - now;
+  if (left <= Duration::zero()) {
+    aWork.notSent = OutcomeReason::DeadlinePassed;
+    co_return AttemptEnd::NotSent;
+  }
+  // Each attempt has its own id, so that an answer to an earlier attempt is
+  // never taken for one to this attempt.
+  const std::string attemptId =
+    aWork.request.id + "." + std::to_string(aWork.attempts);
+  HttpRequest forwarded =
+    ForwardedRequest(aWork.message, aWork.request.service, attemptId, left);
+  ExchangeNeeds needs;
+  needs.timeout = this->AttemptTimeout(aWork, now);
+  needs.proven = !aWork.request.idempotent;
+  Endpoint endpoint = aWork.ticket.endpoint;
+  ExchangeResult exchange = co_await this->pool->Exchange(
+    std::move(endpoint), std::move(forwarded), needs);
+  const AttemptEnd end = ClassifyAttempt(exchange, attemptId);
+  Event("attempt")
+    .Add("request_id", attemptId)
+    .Add("worker", aWork.ticket.worker)
+    .Add("end", ToText(end))
+    .Add("error", exchange.error)
+    .Add("elapsed_us", Microseconds(this->clock->Now() - now));
+  if (end == AttemptEnd::NotSent &&
+      exchange.error == ConnectionPool::kLimitError) {
+    aWork.notSent = OutcomeReason::AllAtLimit;
+    co_return end;
+  }
+  aWork.notSent = OutcomeReason::ConnectFailed;
+  open.End(end, exchange.response.status >= 500);
+  aWork.answer = std::move(exchange.response);
+  co_return end;
+}
+
+Duration
+RequestPath::AttemptTimeout(const Work& aWork, TimePoint aNow) const
+{
+  const Duration left = aWork.request.deadline - aNow;
+  if (!aWork.request.idempotent) {
+    return left;
+  }
+  const Duration typical = aWork.router->TypicalLatency();
+  const Duration progress =
+    typical == Duration::zero()
+      ? this->options.unknownProgress
+      : std::max(this->options.minProgress, typical * kProgressFactor);
+  return std::min(left, progress);
+}
+
+void
+RequestPath::NoteEnd(Work& aWork, AttemptEnd aEnd) const
+{
+  aWork.lastEnd = aEnd;
+  aWork.unresolved = aWork.unresolved || MayHaveRun(aEnd);
+  aWork.tried.push_back(aWork.ticket.server);
+  if (aEnd == AttemptEnd::RefusedLeaving) {
+    this->catalog->MarkLeaving(aWork.ticket.worker);
+    this->onLeaving(aWork.ticket.worker);
+  }
+}
+
+bool
+RequestPath::PreparePause(Work& aWork) const
+{
+  if (aWork.attempts >= kMaxAttempts) {
+    return false;
+  }
+  const bool surelyNotRun = !MayHaveRun(aWork.lastEnd);
+  if (surelyNotRun && aWork.attempts <= kFreeAttempts) {
+    aWork.pause = aWork.router->Backoff(aWork.attempts);
+  } else {
+    const std::optional<Duration> pause =
+      aWork.router->TakeRetry(aWork.attempts);
+    if (!pause) {
+      return false;
+    }
+    aWork.pause = *pause;
+  }
+  return this->clock->Now() + aWork.pause < aWork.request.deadline;
+}
+
+HttpResponse
+RequestPath::Respond(const CallerRequest& aRequest, Answer aAnswer) const
+{
+  const Duration elapsed = this->clock->Now() - aRequest.arrived;
+  Event event("request");
+  event.Add("request_id", aRequest.id).Add("service", aRequest.service);
+  event.Add("elapsed_us", Microseconds(elapsed));
+  if (const auto* reason = std::get_if<OutcomeReason>(&aAnswer)) {
+    const ReasonRule& rule = RuleOf(*reason);
+    event.Add("outcome", ToText(rule.outcome)).Add("reason", rule.text);
+    this->metrics->CountReason(*reason);
+    this->metrics->CountRequest(aRequest.service, rule.outcome, elapsed);
+    return ReasonResponse(*reason, aRequest.id);
+  }
+  auto& response = std::get<HttpResponse>(aAnswer);
+  event.Add("outcome", ToText(Outcome::Done));
+  event.Add("status", response.status);
+  this->metrics->CountRequest(aRequest.service, Outcome::Done, elapsed);
+  return std::move(response);
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/ServiceCatalog.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "ServiceRouter.h"
+#include "generated/Configuration.h"
+#include "generated/Platform.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** A configured service with its router. */
+struct CatalogService
+{
+  Service settings;
+  std::shared_ptr<ServiceRouter> router;
+};
+
+/** Load of one service. */
+struct ServiceLoad
+{
+  std::string service;
+  std::size_t queued = 0;
+  std::size_t atServers = 0;
+};
+
+/** The services of the active configuration and the workers that serve them.
+ * Thread safe. */
+class ServiceCatalog
+{
+public:
+  /** aEntry and aZone name this entry. aClock must outlive the catalog. */
+  ServiceCatalog(std::string aEntry,
+                 std::string aZone,
+                 const Clock& aClock,
+                 std::uint64_t aSeed);
+
+  /** Takes over a configuration. A service whose parameters changed gets a new
+   * router; requests in progress end at the old one. */
+  void Activate(const Configuration& aConfiguration);
+
+  /** Takes over the host list. */
+  void SetHosts(const HostListing& aHosts);
+
+  /** Takes over the names of the live entries, with this one. */
+  void SetEntries(std::vector<std::string> aEntries);
+
+  /** Returns a service; null if it is not configured. */
+  std::shared_ptr<const CatalogService> Find(std::string_view aService) const;
+
+  /** Tells whether a team is configured. */
+  bool KnowsTeam(std::string_view aTeam) const;
+
+  /** Returns the connections that this entry may open to a worker. */
+  std::uint32_t ConnectionLimit() const;
+
+  /** Calls ServiceRouter::Tick on each router. */
+  void Tick(const ServiceRouter::IsLeaving& aIsLeaving);
+
+  /** Marks a worker as leaving in all services at once. */
+  void MarkLeaving(std::string_view aWorker);
+
+  /** Returns the load of each service. */
+  std::vector<ServiceLoad> Loads() const;
+
+private:
+  using Services =
+    std::map<std::string, std::shared_ptr<const CatalogService>, std::less<>>;
+
+  ServiceRouterOptions OptionsOf(const Service& aService) const;
+  void UpdateServers();
+  std::vector<HostRecord> HostsOf(const Service& aService) const;
+  std::vector<std::shared_ptr<ServiceRouter>> Routers() const;
+
+  std::string entry;
+  std::string zone;
+  const Clock* clock;
+  std::uint64_t seed;
+  mutable std::mutex mutex;
+  Configuration configuration;
+  HostListing hosts;
+  std::vector<std::string> entries;
+  Services services;
+  /** Routers that were replaced and still have requests. */
+  std::vector<std::shared_ptr<ServiceRouter>> replaced;
+};
+
+} // namespace sequoiakeel
