Add the job gateway and the choice of a cell

Callers submit jobs at any entry, but only the planner that owns a cell may accept one. The gateway draws a cell by free capacity from the planners' reports, binds an idempotency key to one job id in the store and forwards with the same id until the owner answers. A planner accepts an id once, so a repeated submission makes no second job. A key stays bound to its job id even after a refusal: two entries with the same key would otherwise submit two jobs.

--- /dev/null
+++ b/src/JobGateway.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "HttpMessage.h"
+#include "IdempotencyRecords.h"
+#include "Metrics.h"
+#include "PlannerDirectory.h"
+#include "Random.h"
+#include "ServiceCatalog.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/**
+ * Jobs as callers see them: chooses a cell, claims the idempotency key and
+ * forwards to the planner that owns the cell. Thread safe.
+ *
+ * A submission is repeated only with the same job id, which a planner accepts
+ * once, so a repeated one never makes a second job.
+ */
+class JobGateway
+{
+public:
+  /** The references must outlive the gateway. */
+  JobGateway(boost::asio::any_io_executor aExecutor,
+             PlannerDirectory& aDirectory,
+             PeerClient& aClient,
+             std::shared_ptr<IdempotencyRecords> aRecords,
+             const ServiceCatalog& aCatalog,
+             Metrics& aMetrics,
+             const Clock& aClock);
+
+  /** Serves POST /v1/jobs. */
+  boost::asio::awaitable<HttpResponse> Submit(HttpRequest aMessage);
+
+  /** Serves GET /v1/jobs/{aJobId}. */
+  boost::asio::awaitable<HttpResponse> Query(std::string aJobId);
+
+  /** Serves DELETE /v1/jobs/{aJobId}. */
+  boost::asio::awaitable<HttpResponse> Cancel(std::string aJobId);
+
+private:
+  struct Submission;
+
+  std::optional<HttpResponse> Read(const HttpRequest& aMessage,
+                                   Submission& aSubmission) const;
+  boost::asio::awaitable<bool> ChooseTarget(Submission& aSubmission);
+  boost::asio::awaitable<std::optional<HttpResponse>> Bind(
+    Submission& aSubmission);
+  boost::asio::awaitable<SubmitReply> Forward(const Submission& aSubmission);
+  template<class Message, class Reply>
+  boost::asio::awaitable<std::optional<Reply>> AskOwner(std::string aCell,
+                                                        PeerMessage aKind,
+                                                        Message aMessage,
+                                                        TimePoint aDeadline);
+  boost::asio::awaitable<std::optional<JobStatus>> Locate(std::string aJobId,
+                                                          std::string& aCell,
+                                                          TimePoint aDeadline);
+  HttpResponse Respond(const Submission& aSubmission,
+                       const SubmitReply& aReply) const;
+
+  boost::asio::any_io_executor executor;
+  PlannerDirectory* directory;
+  PeerClient* client;
+  std::shared_ptr<IdempotencyRecords> records;
+  const ServiceCatalog* catalog;
+  Metrics* metrics;
+  const Clock* clock;
+  std::mutex mutex;
+  Random random;
+};
+
+} // namespace sequoiakeel
--- a/src/ServiceCatalog.cpp
+++ b/src/ServiceCatalog.cpp
@@ -152,6 +152,27 @@
   });
 }
 
+bool
+ServiceCatalog::KnowsTaskClass(std::string_view aClass) const
+{
+  const std::lock_guard lock(this->mutex);
+  const std::vector<TaskClass>& classes = this->configuration.taskClasses;
+  return std::any_of(classes.begin(), classes.end(), [&](const auto& aItem) {
+    return aItem.name == aClass;
+  });
+}
+
+std::vector<CellStatus>
+ServiceCatalog::ConfiguredCells() const
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<CellStatus> cells;
+  for (const Cell& cell : this->configuration.cells) {
+    cells.emplace_back().cell = cell.name;
+  }
+  return cells;
+}
+
 std::uint32_t
 ServiceCatalog::ConnectionLimit() const
 {
--- a/src/ServiceCatalog.h
+++ b/src/ServiceCatalog.h
@@ -2,6 +2,7 @@
 
 #include "ServiceRouter.h"
 #include "generated/Configuration.h"
+#include "generated/Messages.h"
 #include "generated/Platform.h"
 
 #include <functional>
@@ -56,6 +57,12 @@
   /** Tells whether a team is configured. */
   bool KnowsTeam(std::string_view aTeam) const;
 
+  /** Tells whether a task class is configured. */
+  bool KnowsTaskClass(std::string_view aClass) const;
+
+  /** Returns the names of the configured cells, with empty reports. */
+  std::vector<CellStatus> ConfiguredCells() const;
+
   /** Returns the connections that this entry may open to a worker. */
   std::uint32_t ConnectionLimit() const;
 
