--- /dev/null
+++ b/src/EntryService.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "generated/Settings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+
+namespace sequoiakeel {
+
+/** An entry: the HTTP side towards callers and operators with everything that
+ * it needs. Not thread safe but for what the parts do themselves. */
+class EntryService
+{
+public:
+  /** Binds the sockets. Throws UserError if one can't be bound. aContext must
+   * outlive the service and end before it. */
+  EntryService(boost::asio::io_context& aContext, Settings aSettings);
+  EntryService(const EntryService&) = delete;
+  EntryService& operator=(const EntryService&) = delete;
+  ~EntryService();
+
+  /** Starts to listen and returns once a configuration is active and the host
+   * list was read; before that requests are refused. */
+  boost::asio::awaitable<void> Start();
+
+  /** Closes the listener, announces that this entry is leaving and waits for
+   * the requests in progress and the records of their outcomes. Returns false
+   * if the deadline of the settings passed first. */
+  boost::asio::awaitable<bool> Stop();
+
+  /** Returns the bound ports. */
+  std::uint16_t HttpPort() const;
+  std::uint16_t PeerPort() const;
+
+  /** The parts and their loops. */
+  struct Parts;
+
+private:
+  std::shared_ptr<Parts> parts;
+};
+
+} // namespace sequoiakeel
--- a/src/RequestOutcome.cpp
+++ b/src/RequestOutcome.cpp
@@ -14,6 +14,7 @@
 /** In the order of OutcomeReason. */
 constexpr std::array kRules{
   ReasonRule{ Reason::BadRequest, "bad-request", Outcome::NotRun, 400 },
+  ReasonRule{ Reason::UnknownPath, "unknown-path", Outcome::NotRun, 404 },
   ReasonRule{ Reason::UnknownService, "unknown-service", Outcome::NotRun, 404 },
   ReasonRule{ Reason::UnknownTeam, "unknown-team", Outcome::NotRun, 400 },
   ReasonRule{ Reason::BadDeadline, "bad-deadline", Outcome::NotRun, 400 },
@@ -26,6 +27,7 @@
               "idempotency-key-reused",
               Outcome::NotRun,
               422 },
+  ReasonRule{ Reason::Starting, "starting", Outcome::NotRun, 503 },
   ReasonRule{ Reason::Stopping, "stopping", Outcome::NotRun, 503 },
   ReasonRule{ Reason::EntryOverloaded,
               "entry-overloaded",
--- a/src/RequestOutcome.h
+++ b/src/RequestOutcome.h
@@ -26,12 +26,14 @@
 enum class OutcomeReason : std::uint8_t
 {
   BadRequest,
+  UnknownPath,
   UnknownService,
   UnknownTeam,
   BadDeadline,
   BadFlag,
   BadIdempotencyKey,
   IdempotencyKeyReused,
+  Starting,
   Stopping,
   EntryOverloaded,
   StoreUnavailable,
