--- a/bench/AssociationEntry.cpp
+++ b/bench/AssociationEntry.cpp
@@ -46,6 +46,7 @@
   , queue(MakeRequestQueue(aOptions.naive ? "naive" : "current", kQueueLimit))
   , budget(aOptions.retry)
   , reports(kEntries)
+  , inProgress(kWorkers)
 {
   for (std::uint32_t worker = 0; worker < kWorkers; ++worker) {
     // Ids are given from 0, so they are the workers' indices.
@@ -64,7 +65,7 @@
       return;
     }
     if (aQuote->open) {
-      aQuote->open = false;
+      this->Close(aQuote);
       this->table.OnTimeout(aQuote->server,
                             this->loop.Now() - aQuote->attemptSent,
                             this->loop.Now());
@@ -83,7 +84,7 @@
   }
   aQuote->cancelled = true;
   if (aQuote->open) {
-    aQuote->open = false;
+    this->Close(aQuote);
     this->table.OnAbandoned(aQuote->server, this->loop.Now());
   }
   this->End(aQuote, "cancelled");
@@ -130,11 +131,52 @@
 Entry::Tick()
 {
   this->table.Tick(this->loop.Now(), this->random);
+  for (const HealthChange& change : this->table.TakeHealthChanges()) {
+    if (change.state == HealthState::Ejected &&
+        change.reason == EjectionReason::BlackHole) {
+      this->Rescue(change.server);
+    }
+  }
   this->queue->Expire(this->loop.Now());
   this->EndDropped();
   this->Drain();
 }
 
+void
+Entry::Rescue(ServerId aServer)
+{
+  const std::vector<std::shared_ptr<Quote>> lost(
+    this->inProgress[aServer].begin(), this->inProgress[aServer].end());
+  for (const std::shared_ptr<Quote>& quote : lost) {
+    if (quote->open && quote->server == aServer && !this->GiveUp(quote)) {
+      return;
+    }
+  }
+}
+
+bool
+Entry::GiveUp(const std::shared_ptr<Quote>& aQuote)
+{
+  if (aQuote->attempts >= this->options.retry.attempts ||
+      !this->budget.TryTake()) {
+    return false;
+  }
+  this->Close(aQuote);
+  this->table.OnTimeout(
+    aQuote->server, this->loop.Now() - aQuote->attemptSent, this->loop.Now());
+  aQuote->tried.push_back(aQuote->server);
+  this->sink.retry();
+  this->Queue(aQuote);
+  return true;
+}
+
+void
+Entry::Close(const std::shared_ptr<Quote>& aQuote)
+{
+  aQuote->open = false;
+  this->inProgress[aQuote->server].erase(aQuote);
+}
+
 void
 Entry::Queue(const std::shared_ptr<Quote>& aQuote)
 {
@@ -194,6 +236,7 @@
   const std::uint32_t attempt = ++aQuote->current;
   aQuote->open = true;
   aQuote->server = aServer;
+  this->inProgress[aServer].insert(aQuote);
   aQuote->attemptSent = this->loop.Now();
   Worker& worker = *this->workers[aServer];
   const Duration delay = this->DelayTo(worker);
@@ -221,23 +264,16 @@
   const std::optional<Duration> patience =
     AttemptTimeout(this->options.retry,
                    this->table.TypicalLatency(),
+                   this->table.LongLatency(),
                    aQuote->deadline - this->loop.Now());
   if (!patience) {
     return;
   }
-  this->loop.After(
-    *patience, [this, aQuote, attempt = aQuote->current, waited = *patience]() {
-      const bool waiting = aQuote->open && aQuote->current == attempt;
-      if (!waiting || !this->budget.TryTake()) {
-        return;
-      }
-      aQuote->open = false;
-      this->table.OnTimeout(aQuote->server, waited, this->loop.Now());
-      aQuote->tried.push_back(aQuote->server);
-      this->sink.retry();
-      this->Queue(aQuote);
-      this->Drain();
-    });
+  this->loop.After(*patience, [this, aQuote, attempt = aQuote->current]() {
+    if (aQuote->open && aQuote->current == attempt) {
+      this->GiveUp(aQuote);
+    }
+  });
 }
 
 void
@@ -248,7 +284,7 @@
   if (!aQuote->open || aQuote->current != aAttempt) {
     return;
   }
-  aQuote->open = false;
+  this->Close(aQuote);
   const TimePoint now = this->loop.Now();
   switch (aReply) {
     case Reply::Done:
@@ -257,7 +293,7 @@
       break;
     case Reply::Busy:
       this->table.OnRefusal(aQuote->server, now);
-      this->Retry(aQuote, "busy");
+      this->GoElsewhere(aQuote);
       break;
     case Reply::Failed:
       this->table.OnFailure(aQuote->server, now);
@@ -293,6 +329,29 @@
                    });
 }
 
+void
+Entry::GoElsewhere(const std::shared_ptr<Quote>& aQuote)
+{
+  if (this->options.naive) {
+    this->Retry(aQuote, "busy");
+    return;
+  }
+  // The request did not run, so that it may wait for as long as its caller
+  // does; without budget it waits before the next try.
+  this->sink.retry();
+  aQuote->tried.push_back(aQuote->server);
+  if (this->budget.TryTake()) {
+    this->Queue(aQuote);
+    return;
+  }
+  this->loop.After(this->budget.Backoff(aQuote->attempts + 1, this->random),
+                   [this, aQuote]() {
+                     if (!aQuote->ended) {
+                       this->Queue(aQuote);
+                     }
+                   });
+}
+
 void
 Entry::End(const std::shared_ptr<Quote>& aQuote,
            std::optional<std::string> aRefusal)
--- a/bench/AssociationEntry.h
+++ b/bench/AssociationEntry.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,14 @@
   void Tick();
 
 private:
+  struct ById
+  {
+    bool operator()(const std::shared_ptr<Quote>& aLeft,
+                    const std::shared_ptr<Quote>& aRight) const
+    {
+      return aLeft->id < aRight->id;
+    }
+  };
   struct PeerReport
   {
     TimePoint time;
@@ -83,6 +92,13 @@
                std::uint32_t aAttempt,
                Reply aReply);
   void Retry(const std::shared_ptr<Quote>& aQuote, const char* aReason);
+  /** Sends a refused request elsewhere. */
+  void GoElsewhere(const std::shared_ptr<Quote>& aQuote);
+  /** Retries what a black hole has not answered. */
+  void Rescue(ServerId aServer);
+  /** Retries a request that is in progress, if the budget allows. */
+  bool GiveUp(const std::shared_ptr<Quote>& aQuote);
+  void Close(const std::shared_ptr<Quote>& aQuote);
   void End(const std::shared_ptr<Quote>& aQuote,
            std::optional<std::string> aRefusal);
   void Probe();
@@ -99,6 +115,8 @@
   RetryBudget budget;
   std::map<std::uint64_t, std::shared_ptr<Quote>> queued;
   std::vector<PeerReport> reports;
+  /** By server, in the order of arrival. */
+  std::vector<std::set<std::shared_ptr<Quote>, ById>> inProgress;
 };
 
 } // namespace sequoiakeel::bench
--- /dev/null
+++ b/bench/AssociationScenario.cpp
@@ -0,0 +1,89 @@
+#include "Association.h"
+#include "RoutingAlternatives.h"
+#include "Scenario.h"
+
+#include <algorithm>
+#include <string>
+
+namespace sequoiakeel::bench {
+
+namespace {
+
+std::string
+UnitOf(const std::string& aMeasure)
+{
+  if (aMeasure.starts_with("p")) {
+    return "ms";
+  }
+  return aMeasure == "in-time" ? "%" : "per-1000";
+}
+
+/** Sets the policy of a run by name. */
+AssociationOptions
+OptionsFor(const std::string& aPolicy, const std::string& aProbes)
+{
+  AssociationOptions options;
+  options.naive = aPolicy == "naive";
+  const bool weighed = std::ranges::find(RoutingAlternatives(), aPolicy) !=
+                       RoutingAlternatives().end();
+  if (weighed || aPolicy == "random") {
+    // The alternatives keep the current queue, health checks and limits.
+    const std::string name = aPolicy == "random" ? "naive" : aPolicy;
+    options.makePolicy = [name]() { return MakeRoutingAlternative(name); };
+  }
+  options.probesPerRequest = static_cast<std::uint32_t>(std::stoul(aProbes));
+  return options;
+}
+
+void
+RunShape(const std::string& aShape,
+         const std::string& aPolicy,
+         const ScenarioOptions& aOptions,
+         const Report& aReport)
+{
+  const std::string probes =
+    aOptions.Get("probes", aPolicy == "probe-pool" ? "3" : "0");
+  AssociationOptions options = OptionsFor(aPolicy, probes);
+  options.shape = aShape;
+  options.seed = aOptions.seed;
+  options.rate = std::stod(aOptions.Get("rate", "5500"));
+  for (const auto& [measure, value] : RunAssociation(options)) {
+    aReport({ "association",
+              aPolicy,
+              measure,
+              value,
+              UnitOf(measure),
+              aOptions.seed,
+              { { "shape", aShape } } });
+  }
+}
+
+/** Keys: shape, policy (naive, current, random or one of the alternatives),
+ * rate (quotes a second), probes (for each request). Without them: all shapes,
+ * naive and current. */
+void
+Run(const ScenarioOptions& aOptions, const Report& aReport)
+{
+  const std::string wanted = aOptions.Get("shape", "");
+  const std::string policy = aOptions.Get("policy", "");
+  for (const std::string_view shape : AssociationShapes()) {
+    if (!wanted.empty() && shape != wanted) {
+      continue;
+    }
+    if (!policy.empty()) {
+      RunShape(std::string(shape), policy, aOptions, aReport);
+      continue;
+    }
+    RunShape(std::string(shape), "naive", aOptions, aReport);
+    RunShape(std::string(shape), "current", aOptions, aReport);
+  }
+}
+
+const RegisterScenario kAssociation(
+  "association",
+  "Quotes of the association: 50 workers, 9 entries, 8 shapes of load",
+  Run);
+
+} // namespace
+
+} // namespace sequoiakeel::bench
--- a/src/RetryBudget.cpp
+++ b/src/RetryBudget.cpp
@@ -25,12 +25,13 @@
 std::optional<Duration>
 AttemptTimeout(const RetryOptions& aOptions,
                Duration aTypical,
+               Duration aLong,
                Duration aRemaining)
 {
-  if (aTypical <= Duration(0)) {
+  if (aLong <= Duration(0)) {
     return std::nullopt;
   }
-  const Duration patience = Scale(aTypical, aOptions.patience);
+  const Duration patience = Scale(aLong, aOptions.patience);
   if (patience + Scale(aTypical, kSecondAttempt) > aRemaining) {
     return std::nullopt;
   }
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -19,16 +19,18 @@
   Duration maxBackoff = std::chrono::milliseconds(200);
   /** Attempts of one request, with the first. */
   std::uint32_t attempts = 3;
-  /** Multiple of the usual latency after which an attempt is given up. */
-  double patience = 6;
+  /** Multiple of a long latency (the 99th percentile) after which an attempt is
+   * given up. */
+  double patience = 3;
 };
 
 /** Returns the time after which an attempt is given up in favour of another
  * server: empty if too little time would remain for that one. aTypical is the
- * usual latency, zero if unknown. Thread safe. */
+ * usual latency and aLong a long one, zero if unknown. Thread safe. */
 std::optional<Duration>
 AttemptTimeout(const RetryOptions& aOptions,
                Duration aTypical,
+               Duration aLong,
                Duration aRemaining);
 
 /** Token bucket that limits retries to a share of the requests. Not thread
--- a/src/RoutingPolicy.cpp
+++ b/src/RoutingPolicy.cpp
@@ -16,7 +16,7 @@
 /** Draws for each wanted candidate before all servers are looked at. */
 constexpr std::size_t kDrawsPerCandidate = 2;
 /** Largest number of candidates that are compared. */
-constexpr std::size_t kMaxChoices = 16;
+constexpr std::size_t kMaxChoices = 64;
 /** Latency in milliseconds that is assumed before the first response. */
 constexpr double kUnknownLatency = 1;
 
--- a/src/RoutingPolicy.h
+++ b/src/RoutingPolicy.h
@@ -164,8 +164,9 @@
 {
   /** One-way latency between two availability zones. */
   Duration zoneDelay = std::chrono::microseconds(500);
-  /** Servers drawn for each choice, at most 16. */
-  std::size_t choices = 4;
+  /** Servers drawn for each choice, at most 64. Two leave one in ten requests
+   * on slow servers when a third of them is slow. */
+  std::size_t choices = 16;
   /** Growth of the expected time for each own request in progress there. */
   double loadWeight = 0.5;
   /** Growth of the expected time for each request that peers reported. */
--- a/src/ServerHealth.cpp
+++ b/src/ServerHealth.cpp
@@ -18,9 +18,14 @@
 constexpr std::size_t kMinimumForMedian = 4;
 /** Trial requests at a time. */
 constexpr std::uint32_t kTrialsAtATime = 1;
-/** Silence over the usual latency from which a server counts as a black hole.
- */
-constexpr double kSilenceRatio = 8;
+/** Silence over the long latency from which a server counts as a black hole. */
+constexpr double kSilenceRatio = 1.5;
+/** Share of responses that are faster than the long latency. */
+constexpr double kLongShare = 0.99;
+/** Step of the estimate of the long latency, as a share of it. */
+constexpr double kLongStep = 0.02;
+/** Responses before the long latency is known. */
+constexpr std::uint64_t kLongSamples = 100;
 /** Unanswered requests that a healthy server needs for that: one long request
  * alone proves nothing. */
 constexpr std::uint32_t kSilentRequests = 2;
@@ -121,6 +126,7 @@
   const auto sample = static_cast<double>(aLatency.count());
   server->latency +=
     server->latency == 0 ? sample : kLatencyWeight * (sample - server->latency);
+  this->AddToLongLatency(sample);
   server->answered = server->answered * kDecay + 1;
   server->failed *= kDecay;
   server->failuresInRow = 0;
@@ -177,7 +183,7 @@
       continue;
     }
     this->jitter = DrawUnit(aRandom);
-    this->CheckSilence(id, median, aNow);
+    this->CheckSilence(id, aNow);
     this->CheckSlow(id, median, aNow);
   }
 }
@@ -285,13 +291,13 @@
 }
 
 void
-ServerHealth::CheckSilence(ServerId aServer, double aMedian, TimePoint aNow)
+ServerHealth::CheckSilence(ServerId aServer, TimePoint aNow)
 {
   const Server& server = this->servers[aServer];
   if (server.inFlight == 0) {
     return;
   }
-  const double usual = std::max(server.latency, aMedian);
+  const double usual = static_cast<double>(this->LongLatency().count());
   const auto ticks = static_cast<Duration::rep>(usual * kSilenceRatio);
   const Duration limit =
     std::max(this->options.minimumSilence, Duration(ticks));
@@ -372,6 +378,28 @@
   this->changes.push_back({ aServer, server.state, server.reason });
 }
 
+Duration
+ServerHealth::LongLatency() const
+{
+  if (this->responses < kLongSamples) {
+    return Duration(0);
+  }
+  return Duration(static_cast<Duration::rep>(this->longLatency));
+}
+
+void
+ServerHealth::AddToLongLatency(double aSample)
+{
+  if (this->responses++ == 0) {
+    this->longLatency = aSample;
+  }
+  // Stochastic approximation: the steps up and down balance when the wanted
+  // share of the samples is below the estimate.
+  const double step = kLongStep * this->longLatency;
+  this->longLatency +=
+    aSample > this->longLatency ? step * kLongShare : step * (kLongShare - 1);
+}
+
 double
 ServerHealth::MedianLatency()
 {
--- a/src/ServerHealth.h
+++ b/src/ServerHealth.h
@@ -111,6 +111,10 @@
   /** Returns the smoothed latency; zero if unknown. */
   Duration Latency(ServerId aServer) const;
 
+  /** Returns the 99th percentile of the latency over all servers, estimated;
+   * zero if unknown. */
+  Duration LongLatency() const;
+
   /** Returns the number of ejected servers. */
   std::size_t EjectedCount() const { return this->ejected; }
 
@@ -143,12 +147,13 @@
   Server* OnEnd(ServerId aServer, TimePoint aNow);
   void OnBad(ServerId aServer, bool aTimedOut, TimePoint aNow);
   void OnGoodTrial(ServerId aServer, TimePoint aNow);
-  void CheckSilence(ServerId aServer, double aMedian, TimePoint aNow);
+  void CheckSilence(ServerId aServer, TimePoint aNow);
   void CheckSlow(ServerId aServer, double aMedian, TimePoint aNow);
   bool MakeRoom(EjectionReason aReason);
   void Eject(ServerId aServer, EjectionReason aReason, TimePoint aNow);
   void ToProbation(ServerId aServer);
   double MedianLatency();
+  void AddToLongLatency(double aSample);
 
   HealthOptions options;
   std::vector<Server> servers;
@@ -158,6 +163,9 @@
   std::size_t ejected = 0;
   /** Drawn at the last tick, from [0, 1). */
   double jitter = 0;
+  /** Estimate of the 99th percentile, in ticks. */
+  double longLatency = 0;
+  std::uint64_t responses = 0;
 };
 
 } // namespace sequoiakeel
--- a/src/ServerTable.h
+++ b/src/ServerTable.h
@@ -88,6 +88,10 @@
    * the expected time of a queued request. */
   Duration TypicalLatency() const;
 
+  /** Returns the 99th percentile of the latency over all servers, estimated;
+   * zero if unknown. Serves for AttemptTimeout. */
+  Duration LongLatency() const { return this->health.LongLatency(); }
+
   /** Updates health states; call about every 100 ms. */
   void Tick(TimePoint aNow, Random& aRandom);
 
