--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -155,7 +155,7 @@
       this->membership.Compose(evidence, this->random), EndpointOf(peer), out);
   }
   if (const std::optional<GossipEndpoint> target = this->PickRejoinTarget()) {
-    this->Send(this->membership.Compose({}, this->random), *target, out);
+    this->Send(this->Compose({}), *target, out);
   }
   ++this->rounds;
   return out;
@@ -208,14 +208,22 @@
   if (merged.newGeneration) {
     this->newGeneration = merged.newGeneration;
   }
+  // News goes first, so that an answer to one peer does not take its place.
+  out = this->Flush();
   if (this->options.pull) {
     this->Answer(*datagram, merged, out);
   }
-  std::vector<OutgoingDatagram> news = this->Flush();
-  std::ranges::move(news, std::back_inserter(out));
   return out;
 }
 
+GossipDatagram
+Gossip::Compose(std::span<const LeavingEvidence> aLeaving)
+{
+  GossipDatagram datagram = this->membership.Compose(aLeaving, this->random);
+  datagram.leavingDigest = this->leavingHosts.Digest();
+  return datagram;
+}
+
 void
 Gossip::Answer(const GossipDatagram& aDatagram,
                const MergeResult& aMerged,
@@ -223,20 +231,26 @@
 {
   const bool lags = aDatagram.rows.front().configurationGeneration <
                     this->membership.Own().configurationGeneration;
+  const bool differs = aDatagram.leavingDigest != this->leavingHosts.Digest();
   GossipDatagram answer = this->membership.ComposeRows(aDatagram.wanted);
   const bool helps = answer.rows.size() > 1;
-  if ((!lags && !helps && aMerged.unknown.empty()) || this->answersLeft == 0) {
+  if ((!lags && !helps && !differs && aMerged.unknown.empty()) ||
+      this->answersLeft == 0) {
     return;
   }
   --this->answersLeft;
+  answer.leavingDigest = this->leavingHosts.Digest();
   std::size_t used = EncodeDatagram(answer).size();
   for (const std::uint32_t hash : aMerged.unknown) {
-    used += sizeof(hash);
-    if (used > kMaxDatagramBytes) {
+    if (used + sizeof(hash) > kMaxDatagramBytes) {
       break;
     }
+    used += sizeof(hash);
     answer.wanted.push_back(hash);
   }
+  if (differs) {
+    answer.leaving = this->leavingHosts.NextRecent(kMaxDatagramBytes - used);
+  }
   this->Send(answer, EndpointOf(aDatagram.rows.front()), aOut);
 }
 
@@ -271,8 +285,7 @@
     if (evidence.empty() && (aEvidenceOnly || sent > 0)) {
       break;
     }
-    const GossipDatagram datagram =
-      this->membership.Compose(evidence, this->random);
+    const GossipDatagram datagram = this->Compose(evidence);
     for (const MemberRow& peer : aPeers) {
       this->Send(datagram, EndpointOf(peer), aOut);
     }
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -118,6 +118,7 @@
   void SendNews(std::span<const MemberRow> aPeers,
                 bool aEvidenceOnly,
                 std::vector<OutgoingDatagram>& aOut);
+  GossipDatagram Compose(std::span<const LeavingEvidence> aLeaving);
   void Answer(const GossipDatagram& aDatagram,
               const MergeResult& aMerged,
               std::vector<OutgoingDatagram>& aOut);
--- a/src/LeavingHosts.cpp
+++ b/src/LeavingHosts.cpp
@@ -1,6 +1,7 @@
 #include "LeavingHosts.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace sequoiakeel {
 
@@ -17,6 +18,9 @@
  * renewal; a third of the lifetime leaves room for two lost attempts. */
 constexpr Duration kRenewalStep = kReportLifetime / 3;
 
+/** Evidence learned this recently is what a peer most likely lacks. */
+constexpr std::chrono::seconds kRecently{ 10 };
+
 /** Bounds the memory that forged evidence can take; a fleet has 5,600 workers.
  */
 constexpr std::size_t kMaxHosts = 8192;
@@ -109,7 +113,8 @@
     return false;
   }
   entry.leaving = aLeaving;
-  entry.since = this->clock->Now() - aAge;
+  entry.learned = this->clock->Now();
+  entry.since = entry.learned - aAge;
   this->PutFirst(kListKey + aHost);
   return true;
 }
@@ -120,19 +125,22 @@
   if (aAge >= kReportLifetime) {
     return false;
   }
-  const TimePoint made = this->clock->Now() - aAge;
+  const TimePoint now = this->clock->Now();
+  const TimePoint made = now - aAge;
   const auto found = this->reported.find(aHost);
   if (found == this->reported.end()) {
     if (this->reported.size() >= kMaxHosts) {
       return false;
     }
-    this->reported.emplace(aHost, made);
+    this->reported.emplace(aHost, Reported{ made, now });
     this->PutFirst(kReportKey + aHost);
     return true;
   }
-  const bool news = made - found->second >= kRenewalStep;
-  found->second = std::max(found->second, made);
+  Reported& report = found->second;
+  const bool news = made - report.made >= kRenewalStep;
+  report.made = std::max(report.made, made);
   if (news) {
+    report.learned = now;
     this->PutFirst(kReportKey + aHost);
   }
   return news;
@@ -162,8 +170,49 @@
     return true;
   }
   const auto report = this->reported.find(aHost);
-  return report != this->reported.end() &&
-         this->clock->Now() - report->second < kReportLifetime;
+  return report != this->reported.end() && this->IsValid(report->second);
+}
+
+bool
+LeavingHosts::IsValid(const Reported& aReported) const
+{
+  return this->clock->Now() - aReported.made < kReportLifetime;
+}
+
+bool
+LeavingHosts::IsRecent(std::string_view aKey) const
+{
+  const std::string_view host = aKey.substr(1);
+  TimePoint learned;
+  if (aKey.front() == kReportKey) {
+    const auto report = this->reported.find(host);
+    learned =
+      report == this->reported.end() ? TimePoint() : report->second.learned;
+  } else {
+    const auto entry = this->listed.find(host);
+    learned = entry == this->listed.end() ? TimePoint() : entry->second.learned;
+  }
+  return this->clock->Now() - learned <= kRecently;
+}
+
+std::uint32_t
+LeavingHosts::Digest() const
+{
+  std::uint64_t digest = 0;
+  const auto add = [&digest](char aKind, std::string_view aHost) {
+    digest ^= XXH64(aHost.data(), aHost.size(), aKind);
+  };
+  for (const auto& [host, entry] : this->listed) {
+    if (entry.leaving) {
+      add(kListKey, host);
+    }
+  }
+  for (const auto& [host, report] : this->reported) {
+    if (this->IsValid(report)) {
+      add(kReportKey, host);
+    }
+  }
+  return static_cast<std::uint32_t>(digest);
 }
 
 std::vector<std::string>
@@ -173,7 +222,7 @@
   for (const auto& [host, entry] : this->listed) {
     candidates.insert(host);
   }
-  for (const auto& [host, made] : this->reported) {
+  for (const auto& [host, report] : this->reported) {
     candidates.insert(host);
   }
   std::vector<std::string> leaving;
@@ -193,14 +242,10 @@
   evidence.host = host;
   if (aKey.front() == kReportKey) {
     const auto report = this->reported.find(host);
-    if (report == this->reported.end()) {
-      return std::nullopt;
-    }
-    const Duration age = this->clock->Now() - report->second;
-    if (age >= kReportLifetime) {
+    if (report == this->reported.end() || !this->IsValid(report->second)) {
       return std::nullopt;
     }
-    evidence.ageMs = ToMilliseconds(age);
+    evidence.ageMs = ToMilliseconds(this->clock->Now() - report->second.made);
     return evidence;
   }
   const auto entry = this->listed.find(host);
@@ -246,12 +291,27 @@
   return this->Next(this->unsent, aBytes);
 }
 
+std::vector<LeavingEvidence>
+LeavingHosts::NextRecent(std::size_t aBytes)
+{
+  // Recent evidence moves to the front of what was sent before; Next then
+  // takes it and moves it to the end.
+  const auto sent =
+    this->turn.begin() + static_cast<std::ptrdiff_t>(this->unsent);
+  const auto older =
+    std::stable_partition(sent, this->turn.end(), [this](const auto& aKey) {
+      return this->IsRecent(aKey);
+    });
+  const auto recent = static_cast<std::size_t>(older - this->turn.begin());
+  return this->Next(recent > 0 ? recent : this->turn.size(), aBytes);
+}
+
 void
 LeavingHosts::Tick()
 {
   const TimePoint now = this->clock->Now();
-  std::erase_if(this->reported, [now](const auto& aReport) {
-    return now - aReport.second >= kReportLifetime;
+  std::erase_if(this->reported, [this](const auto& aReport) {
+    return !this->IsValid(aReport.second);
   });
   std::erase_if(this->listed, [now](const auto& aListed) {
     const Listed& entry = aListed.second;
--- a/src/LeavingHosts.h
+++ b/src/LeavingHosts.h
@@ -58,6 +58,15 @@
    * aBytes. */
   std::vector<LeavingEvidence> NextNews(std::size_t aBytes);
 
+  /** Returns evidence that this process learned a short time ago, in turn,
+   * that encodes to at most aBytes; other evidence if there is none. Meant for
+   * a peer whose digest differs. */
+  std::vector<LeavingEvidence> NextRecent(std::size_t aBytes);
+
+  /** Returns a hash over what peers can tell each other: the hosts that the
+   * list or a report names. */
+  std::uint32_t Digest() const;
+
   /** Tells whether there is evidence that was never returned. */
   bool HasNews() const { return this->unsent > 0; }
 
@@ -70,6 +79,12 @@
     std::uint64_t revision = 0;
     bool leaving = false;
     TimePoint since;
+    TimePoint learned;
+  };
+  struct Reported
+  {
+    TimePoint made;
+    TimePoint learned;
   };
 
   bool SetListed(const std::string& aHost,
@@ -78,14 +93,16 @@
                  Duration aAge);
   bool SetReported(const std::string& aHost, Duration aAge);
   std::optional<LeavingEvidence> Describe(std::string_view aKey) const;
+  bool IsRecent(std::string_view aKey) const;
+  bool IsValid(const Reported& aReported) const;
   void PutFirst(std::string aKey);
 
   const Clock* clock;
   std::uint64_t listRevision = 0;
   /** By host: what the list said last, from a poll or through peers. */
   std::map<std::string, Listed, std::less<>> listed;
-  /** By host: when a refusal or a peer's report was made. */
-  std::map<std::string, TimePoint, std::less<>> reported;
+  /** By host: refusals and peers' reports. */
+  std::map<std::string, Reported, std::less<>> reported;
   std::set<std::string, std::less<>> document;
   /** Keys of the evidence in the order in which it is sent: the host with a
    * leading 'l' (list) or 'r' (report). */
--- a/src/MembershipDatagram.cpp
+++ b/src/MembershipDatagram.cpp
@@ -9,7 +9,7 @@
 
 /** Encoded sizes: strings and sequences carry a length of 8 bytes. */
 constexpr std::size_t kRowBytes = 67;
-constexpr std::size_t kHeadBytes = 41;
+constexpr std::size_t kHeadBytes = 45;
 constexpr std::size_t kEvidenceBytes = 21;
 constexpr std::size_t kBeatBytes = 8;
 
