--- a/src/ConfigurationAgent.cpp
+++ b/src/ConfigurationAgent.cpp
@@ -81,7 +81,6 @@
 
 private:
   asio::awaitable<void> ReadStore();
-  asio::awaitable<void> RepairFromPeers();
   asio::awaitable<void> FetchAnnounced();
   bool Activate(std::string_view aDocument, std::string_view aSource);
   bool IsPoller() const;
@@ -246,23 +245,6 @@
   }
 }
 
-asio::awaitable<void>
-ConfigurationAgent::Impl::RepairFromPeers()
-{
-  std::vector<Member> members = this->membership.Members();
-  std::ranges::sort(members, [](const Member& aOne, const Member& aTwo) {
-    return aOne.row.configurationGeneration > aTwo.row.configurationGeneration;
-  });
-  for (const Member& member : members) {
-    if (member.row.configurationGeneration <= this->Generation()) {
-      co_return;
-    }
-    if (!member.suspect && co_await this->FetchFrom(member.row)) {
-      co_return;
-    }
-  }
-}
-
 asio::awaitable<bool>
 ConfigurationAgent::Impl::Poll()
 {
@@ -271,7 +253,6 @@
   if (poller) {
     co_await this->ReadStore();
   }
-  co_await this->RepairFromPeers();
   co_return poller;
 }
 
--- a/src/ConfigurationAgent.h
+++ b/src/ConfigurationAgent.h
@@ -66,9 +66,8 @@
   /** Ends Run. */
   void Stop();
 
-  /** One poll: reads the store if this process is one of the two pollers, and
-   * fetches from a peer if the membership shows a higher generation. Returns
-   * whether it read the store. */
+  /** One poll: reads the store if this process is one of the two pollers.
+   * Returns whether it did. */
   boost::asio::awaitable<bool> Poll();
 
   /** Fetches from a peer that announced a higher generation; returns whether
--- /dev/null
+++ b/test/unit/ConfigurationKeeper.cpp
@@ -0,0 +1,104 @@
+#include "ConfigurationKeeper.h"
+
+#include "Error.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+
+namespace {
+
+std::string
+Document(std::uint64_t aGeneration, const std::string& aTeam)
+{
+  const std::string filler(2000, 'f');
+  return WithDocumentHead(R"({"teams": [{"name": ")" + aTeam +
+                            R"("}], "filler": ")" + filler + R"("})",
+                          { aGeneration, "w", "ann" });
+}
+
+FetchConfiguration
+Have(std::uint64_t aGeneration)
+{
+  FetchConfiguration request;
+  request.haveGeneration = aGeneration;
+  return request;
+}
+
+} // namespace
+
+// Guards against a late or repeated document that rolls the active one back.
+TEST_CASE("only a higher generation is activated")
+{
+  ConfigurationKeeper keeper;
+  CHECK(keeper.Activate(Document(5, "five")));
+  CHECK_FALSE(keeper.Activate(Document(4, "four")));
+  CHECK_FALSE(keeper.Activate(Document(5, "other")));
+  CHECK(keeper.Document() == Document(5, "five"));
+  CHECK(keeper.Activate(Document(9, "nine")));
+  CHECK(keeper.Generation() == 9);
+}
+
+// Guards against patches that lead to another document than the sender's.
+TEST_CASE("a patch brings a lagging process to the same document")
+{
+  ConfigurationKeeper ahead;
+  ConfigurationKeeper behind;
+  for (std::uint64_t generation = 1; generation <= 80; ++generation) {
+    ahead.Activate(Document(generation, "t" + std::to_string(generation)));
+    if (generation == 70) {
+      behind.Activate(ahead.Document());
+    }
+  }
+  ConfigurationReply reply = ahead.ReplyTo(Have(70));
+  CHECK(reply.isPatch);
+  CHECK(reply.body.size() < ahead.Document().size());
+  CHECK(behind.Resolve(reply) == ahead.Document());
+  CHECK_FALSE(ahead.ReplyTo(Have(15)).isPatch);
+  CHECK_FALSE(ahead.ReplyTo(Have(0)).isPatch);
+  CHECK(behind.Resolve(ahead.ReplyTo(Have(0))) == ahead.Document());
+  CHECK(ahead.ReplyTo(Have(80)).body.empty());
+  CHECK(ahead.History().size() == kKeptChanges);
+  CHECK(ahead.History().back().changed ==
+        std::vector<std::string>{ "/teams/0/name" });
+}
+
+// Guards against a reply that is damaged, is for another base or names another
+// generation than its document.
+TEST_CASE("a reply that fails its checks is not used")
+{
+  ConfigurationKeeper ahead;
+  ConfigurationKeeper behind;
+  behind.Activate(Document(1, "different"));
+  ahead.Activate(Document(1, "one"));
+  ahead.Activate(Document(2, "two"));
+  ConfigurationReply patch = ahead.ReplyTo(Have(1));
+  REQUIRE(patch.isPatch);
+  CHECK(behind.Resolve(patch) == ahead.Document());
+  ++patch.documentHash;
+  CHECK_FALSE(behind.Resolve(patch).has_value());
+  ConfigurationReply whole = ahead.ReplyTo(Have(0));
+  whole.generation = 3;
+  CHECK_FALSE(behind.Resolve(whole).has_value());
+  whole = ahead.ReplyTo(Have(0));
+  whole.body.resize(whole.body.size() / 2);
+  CHECK_FALSE(behind.Resolve(whole).has_value());
+  ConfigurationKeeper other;
+  other.Activate(R"({"generation": 1, "teams": []})");
+  CHECK_FALSE(other.Resolve(ahead.ReplyTo(Have(1))).has_value());
+  whole = ahead.ReplyTo(Have(0));
+  behind.Activate(Document(7, "seven"));
+  CHECK_FALSE(behind.Resolve(whole).has_value());
+}
+
+// Guards against a crash by recursion on text of a peer or an operator.
+TEST_CASE("text that is no document is refused")
+{
+  CHECK_THROWS_AS(CanonicalDocument(std::string(100000, '[')), UserError);
+  CHECK_THROWS_AS(
+    CanonicalDocument(std::string(100, '[') + std::string(100, ']')),
+    UserError);
+  CHECK_THROWS_AS(CanonicalDocument("[]"), UserError);
+  CHECK_THROWS_AS(ReadDocumentHead(R"({"generation": "x"})"), UserError);
+  CHECK_THROWS_AS(CanonicalDocument("{\"a\": \"\xff\"}"), UserError);
+}
