Test that no host is overcommitted and evicted work resumes once

The random sequences found two faults, fixed here. An intent that became durable after its attempt was given up reset what was known of the next attempt, which then was never sent; and a late claim of the owner key under the current lease counted as another holder's, so nobody served the cell. Claims under one lease are now alike, and a start that cannot be settled under a live lease ends the renewal of that lease.

--- a/src/CellMachine.cpp
+++ b/src/CellMachine.cpp
@@ -114,8 +114,9 @@
       aNow >= this->claimAgainAt) {
     OwnerRecord record;
     record.owner = this->options.planner;
+    // Claims under one lease are alike, so that a late one counts as held.
     record.writeId =
-      this->options.writer + "/claim/" + std::to_string(++this->claims);
+      this->options.writer + "/claim/" + std::to_string(this->storeLease);
     record.address = this->options.peer.address;
     record.port = this->options.peer.port;
     this->ownerWrite.Start(this->outbox,
--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -286,7 +286,7 @@
                        TimePoint aNow);
   void ReconcileUnlisted(const TaskRef& aTask,
                          const TaskRow& aRow,
-                         const WorkerLink& aLink,
+                         WorkerLink& aLink,
                          std::uint64_t aNumber,
                          TimePoint aNow);
   void ClearOrphans(const std::string& aName,
@@ -323,7 +323,6 @@
   CasWrite ownerWrite;
   bool ownerHeld = false;
   std::uint64_t ownerVersion = 0;
-  std::uint64_t claims = 0;
   TimePoint claimAgainAt;
 
   CellLog log;
--- a/src/CellMachineTasks.cpp
+++ b/src/CellMachineTasks.cpp
@@ -46,9 +46,12 @@
                       TimePoint aNow)
 {
   const TaskRow* row = this->ActiveRow(aTask, aAttempt);
+  if (row == nullptr) {
+    // The attempt was given up before its intent was durable.
+    return;
+  }
   TaskRuntime& runtime = this->RuntimeOf(aTask, aAttempt);
-  if (row == nullptr || row->phase != TaskPhase::Starting ||
-      !runtime.startDue) {
+  if (row->phase != TaskPhase::Starting || !runtime.startDue) {
     this->startsDue.erase(aTask);
     return;
   }
@@ -245,7 +248,7 @@
 {
   for (const TaskRef& task : std::set<TaskRef>(this->startsDue)) {
     const TaskRow* row = this->working.FindTask(task);
-    if (row == nullptr) {
+    if (row == nullptr || row->phase != TaskPhase::Starting) {
       this->startsDue.erase(task);
       continue;
     }
--- a/src/CellMachineWorkers.cpp
+++ b/src/CellMachineWorkers.cpp
@@ -240,7 +240,7 @@
 void
 CellMachine::ReconcileUnlisted(const TaskRef& aTask,
                                const TaskRow& aRow,
-                               const WorkerLink& aLink,
+                               WorkerLink& aLink,
                                std::uint64_t aNumber,
                                TimePoint aNow)
 {
@@ -254,6 +254,10 @@
   }
   const std::string lease =
     WorkerLeaseName(this->options.cell, aRow.epoch, aRow.grant);
+  if (aLink.granted && lease == this->LeaseOf(aLink)) {
+    // It can be settled only once its lease is no longer renewed.
+    aLink.granted = false;
+  }
   if (!this->rules.trustWorkerLeases || Lists(aLink.report, lease)) {
     return;
   }
--- /dev/null
+++ b/test/guarantee/EvictedWorkResumesOnce.cpp
@@ -0,0 +1,248 @@
+#include "support/ReadyCell.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string kJob = "cell-1.1";
+const std::string kTask = "cell-1.1.0";
+
+/** A cell with one task that has run for a while. */
+class EvictionCell : public ReadyCell
+{
+public:
+  explicit EvictionCell(std::uint64_t aSeed, std::int64_t aRunTimeMs = 200000)
+    : ReadyCell(aSeed)
+  {
+    this->SubmitOne(kJob, aRunTimeMs);
+    if (!this->Starts(kTask)) {
+      throw std::runtime_error("the task does not start");
+    }
+    this->Run(seconds(20));
+  }
+
+  bool Evict()
+  {
+    return this->Owner()->machine->Evict(
+      { kJob, 0 }, "test", this->clock.Now());
+  }
+
+  /** Work that the last start resumed from, in milliseconds. */
+  std::int64_t Resumed()
+  {
+    const std::string& checkpoint = this->resumedFrom[kTask].back();
+    return checkpoint.empty() ? 0 : std::stoll(checkpoint);
+  }
+};
+
+} // namespace
+
+// Guards against eviction that loses the checkpoint or starts the task again
+// before it was stopped.
+TEST_CASE("an evicted task resumes from its checkpoint")
+{
+  EvictionCell world(1);
+  CHECK(world.Evict());
+  CHECK(world.Finishes(kJob));
+  CHECK(world.starts[kTask] == 2);
+  CHECK(world.Resumed() >= 20000);
+  CHECK(world.Owner()->machine->Query(kJob).evictions == 1);
+  CHECK(world.breaches.empty());
+}
+
+// Guards against an owner's death at any point of an eviction: before, during
+// and after the checkpoint, and before and after the records.
+TEST_CASE("an owner that dies at any point of an eviction loses nothing")
+{
+  int resumedLater = 0;
+  for (std::uint64_t seed = 100; seed < 160; ++seed) {
+    EvictionCell world(seed);
+    world.AddPlanner("p2");
+    CHECK(world.Evict());
+    world.Run(milliseconds(50 * (seed - 100)));
+    world.Kill("p1");
+    CHECK(world.Finishes(kJob));
+    CHECK(world.finished[kTask] == 1);
+    CHECK(world.starts[kTask] <= 2);
+    resumedLater += world.starts[kTask] == 2 && world.Resumed() >= 20000;
+    CHECK(world.breaches.empty());
+  }
+  // The loop is meant to reach the points after the checkpoint as well.
+  CHECK(resumedLater > 10);
+}
+
+// Guards against checkpoints and stops that are answered twice, late or never.
+TEST_CASE("lost, late and repeated answers do not disturb an eviction")
+{
+  for (const WorkerVerb verb : { WorkerVerb::Checkpoint, WorkerVerb::Stop }) {
+    for (const Fate fate : { Fate::LoseRequest,
+                             Fate::LoseReply,
+                             Fate::DelayRequest,
+                             Fate::DuplicateReply }) {
+      for (std::uint64_t seed = 200; seed < 210; ++seed) {
+        EvictionCell world(seed);
+        int left = 2;
+        world.workerFate = [&](const WorkerCommand& aCommand) {
+          return aCommand.verb == verb && left-- > 0 ? fate : Fate::Deliver;
+        };
+        CHECK(world.Evict());
+        CHECK(world.Finishes(kJob));
+        CHECK(world.finished[kTask] == 1);
+        CHECK(world.breaches.empty());
+      }
+    }
+  }
+}
+
+// Guards against a task that finished before its stop and is run again.
+TEST_CASE("a task that finishes during its eviction has finished")
+{
+  for (std::uint64_t seed = 300; seed < 330; ++seed) {
+    EvictionCell world(seed, 20500 + 50 * static_cast<int>(seed % 30));
+    world.faultPercent = 20;
+    world.Evict();
+    CHECK(world.Finishes(kJob));
+    CHECK(world.finished[kTask] == 1);
+    CHECK(world.breaches.empty());
+  }
+}
+
+// Guards against a task that hangs because its checkpoint is gone with the
+// host, or can't be taken.
+TEST_CASE("without a new checkpoint a task resumes from the last recorded one")
+{
+  EvictionCell lost(2);
+  CHECK(lost.Evict());
+  REQUIRE(lost.RunUntil([&] { return lost.starts[kTask] == 2; }));
+  lost.Run(seconds(20));
+  const std::int64_t recorded = lost.Resumed();
+  lost.workers[lost.RunsOn(kTask)]->failCheckpoints = true;
+  CHECK(lost.Evict());
+  REQUIRE(lost.RunUntil([&] { return lost.starts[kTask] == 3; }));
+  CHECK(lost.Resumed() == recorded);
+  lost.workers[lost.RunsOn(kTask)]->Restart(kWorkerSize);
+  CHECK(lost.Finishes(kJob));
+  CHECK(lost.Resumed() == recorded);
+  CHECK(lost.breaches.empty());
+}
+
+// Guards against a stop while the store is down: the record of it could not be
+// written, and if the owner dies as well the work would hang.
+TEST_CASE("a store outage with a killed owner loses no evicted task")
+{
+  for (std::uint64_t seed = 400; seed < 420; ++seed) {
+    EvictionCell world(seed);
+    world.AddPlanner("p2");
+    CHECK(world.Evict());
+    world.Run(milliseconds(100 * (seed % 20)));
+    world.store.down = true;
+    world.Run(seconds(5));
+    world.Kill("p1");
+    world.Run(minutes(2));
+    world.store.down = false;
+    CHECK(world.Finishes(kJob));
+    CHECK(world.finished[kTask] == 1);
+    CHECK(world.breaches.empty());
+  }
+}
+
+// Guards against cancellations in a wave that leave tasks running or hold
+// resources.
+TEST_CASE("a wave of cancellations during evictions frees everything")
+{
+  ReadyCell world(3);
+  world.faultPercent = 10;
+  for (int job = 0; job < 40; ++job) {
+    world.SubmitOne("cell-1.w" + std::to_string(job), 0, 4);
+  }
+  REQUIRE(world.RunUntil([&] { return world.Running() == 16; }));
+  CellMachine& machine = world.Machine("p1");
+  for (const TaskRef& task :
+       std::set<TaskRef>(machine.Working().TasksOn("w1"))) {
+    machine.Evict(task, "test", world.clock.Now());
+  }
+  for (int job = 0; job < 40; ++job) {
+    world.Cancel(*world.planners["p1"], "cell-1.w" + std::to_string(job));
+  }
+  CHECK(world.RunUntil([&] { return machine.Committed().OpenJobs() == 0; }));
+  CHECK(world.RunUntil([&] { return world.Running() == 0; }));
+  CHECK(machine.Working().Commitments().Committed("w1") == Resources{});
+  CHECK(machine.Working().Commitments().Committed("w2") == Resources{});
+  CHECK(world.breaches.empty());
+}
+
+// Guards against a job that is retried for ever on workers that fail
+// everything, and against one that is given up after a single worker's failure.
+TEST_CASE("a failed task runs again, up to a limit")
+{
+  ReadyCell world(4);
+  world.workers["w1"]->failTasks = true;
+  world.SubmitOne(kJob, 5000);
+  world.Run(seconds(12));
+  world.workers["w1"]->failTasks = false;
+  CHECK(world.Finishes(kJob));
+  world.workers["w1"]->failTasks = true;
+  world.workers["w2"]->failTasks = true;
+  world.SubmitOne("cell-1.2", 5000);
+  CHECK(world.RunUntil([&] { return world.StateOf("cell-1.2") == "failed"; }));
+  CHECK(world.starts["cell-1.2.0"] == static_cast<int>(kMaxTaskFailures));
+  CHECK(world.breaches.empty());
+}
+
+// Guards against a job that fits nowhere and blocks others, or is never looked
+// at again when the fleet changes.
+TEST_CASE("a job that fits nowhere waits with its reason for a larger worker")
+{
+  ReadyCell world(5);
+  world.SubmitOne("cell-1.big", 5000, 1, Resources{ 64000, 1000, 0 });
+  world.SubmitOne(kJob, 5000);
+  CHECK(world.Finishes(kJob));
+  const JobStatus status = world.Owner()->machine->Query("cell-1.big");
+  CHECK(status.state == "unplaceable");
+  CHECK(status.reason == "larger than every worker");
+  world.AddWorker("w3", Resources{ 64000, 125000, 0 });
+  CHECK(world.Finishes("cell-1.big"));
+}
+
+// Guards against queues that grow without bound.
+TEST_CASE("a full queue refuses with its reason")
+{
+  ReadyCell world(6);
+  CellLimits limits;
+  limits.queuedTasks = 10;
+  world.Machine("p1").SetLimits(limits);
+  world.SubmitOne(kJob, 0, 10, kWorkerSize);
+  const auto token = world.SubmitOne("cell-1.2", 0, 10, kWorkerSize);
+  CHECK(world.planners["p1"]->replies[token].outcome == SubmitOutcome::Refused);
+  CHECK(world.planners["p1"]->replies[token].reason == "queue-full");
+}
+
+// Guards against a hand-over that loses an append, interrupts a task or waits
+// for the owner key to expire.
+TEST_CASE("a graceful hand-over interrupts nothing")
+{
+  for (std::uint64_t seed = 500; seed < 520; ++seed) {
+    ReadyCell world(seed);
+    world.AddPlanner("p2");
+    world.SubmitOne(kJob, 60000, 10);
+    world.Run(milliseconds(100 * (seed % 20)));
+    world.Machine("p1").Drain();
+    const TimePoint begun = world.clock.Now();
+    CHECK(world.RunUntil(
+      [&] { return world.Machine("p1").Phase() == CellPhase::Released; }));
+    world.Kill("p1");
+    REQUIRE(world.RunUntil([&] { return world.Owner() != nullptr; }));
+    CHECK(world.clock.Now() - begun < seconds(6));
+    CHECK(world.Finishes(kJob));
+    CHECK(world.starts.size() == 10);
+    for (const auto& [task, count] : world.starts) {
+      CHECK(count == 1);
+    }
+    CHECK(world.breaches.empty());
+  }
+}
