Limit only jobs that kill workers; let memory grow in the benchmark

Fake tasks now take their memory over their first minute, so that reports show it before the worker is out of it.

--- a/bench/FakeWorkers.cpp
+++ b/bench/FakeWorkers.cpp
@@ -15,6 +15,18 @@
 /** Slowdown by pairs at an idle worker against a fully loaded one. */
 constexpr double kIdleFactor = 0.4;
 
+/** Share of its memory that a task takes at its start, and the time in which
+ * it takes the rest. */
+constexpr double kFirstMemory = 0.3;
+constexpr double kMemoryRampSeconds = 60;
+
+double
+MemoryNow(const TaskTruth& aTruth)
+{
+  const double ramp = std::min(1.0, aTruth.ranSeconds / kMemoryRampSeconds);
+  return aTruth.memoryMb * (kFirstMemory + (1 - kFirstMemory) * ramp);
+}
+
 std::int64_t
 Rounded(double aValue)
 {
@@ -141,7 +153,7 @@
     state.cores[i] = state.truths[i].cores * load *
                      static_cast<double>(task.throttlePermille) / 1000;
     wanted += state.cores[i];
-    memory += state.truths[i].memoryMb;
+    memory += MemoryNow(state.truths[i]);
   }
   const double share = wanted > capacity ? capacity / wanted : 1;
   for (std::size_t i = 0; i < view.tasks.size(); ++i) {
@@ -178,6 +190,7 @@
     truth.doneSeconds +=
       task.longRunning ? aSeconds : aSeconds * throttle / (1 + truth.slowdown);
     truth.sinceCheckpoint += aSeconds;
+    truth.ranSeconds += aSeconds;
     if (truth.checkpointSeconds > 0 &&
         truth.sinceCheckpoint >= truth.checkpointSeconds) {
       truth.savedSeconds = truth.doneSeconds;
@@ -207,9 +220,9 @@
   std::size_t largest = view.tasks.size();
   double most = 0;
   for (std::size_t i = 0; i < view.tasks.size(); ++i) {
-    memory += state.truths[i].memoryMb;
+    memory += MemoryNow(state.truths[i]);
     // The platform ends the task that exceeds its declared size the most.
-    const double beyond = state.truths[i].memoryMb -
+    const double beyond = MemoryNow(state.truths[i]) -
                           static_cast<double>(view.tasks[i].committed.memoryMb);
     if (largest == view.tasks.size() || beyond > most) {
       largest = i;
@@ -237,11 +250,17 @@
   view.observed = state.capturedUsage;
   state.publishedFrom = state.capturedAt;
   view.observedAge = aNow - state.publishedFrom;
+  // Tasks keep their order, so one pass finds those that are still there.
+  std::size_t index = 0;
   for (const Sample& sample : state.captured) {
-    const std::size_t index = this->Find(aWorker, sample.task);
-    if (index == view.tasks.size()) {
+    std::size_t next = index;
+    while (next < view.tasks.size() && view.tasks[next].task != sample.task) {
+      ++next;
+    }
+    if (next == view.tasks.size()) {
       continue;
     }
+    index = next;
     view.tasks[index].usage = sample.usage;
     view.tasks[index].slowdownPermille = sample.slowdownPermille;
     view.tasks[index].progressPermille = sample.progressPermille;
@@ -256,7 +275,7 @@
       truth.workSeconds > 0 ? truth.doneSeconds / truth.workSeconds : 0;
     state.captured.push_back({ view.tasks[i].task,
                                { Rounded(state.cores[i] * kMillisPerCore),
-                                 Rounded(truth.memoryMb),
+                                 Rounded(MemoryNow(truth)),
                                  0 },
                                Rounded(1000 * (1 + truth.slowdown)),
                                Rounded(1000 * progress) });
--- a/bench/FakeWorkers.h
+++ b/bench/FakeWorkers.h
@@ -25,6 +25,8 @@
   /** Progress in the last checkpoint. */
   double savedSeconds = 0;
   double sinceCheckpoint = 0;
+  /** Time since the start of the attempt. */
+  double ranSeconds = 0;
   /** A failing worker ends the task after this time; below 0: never. */
   double failsAfter = -1;
   /** Slowdown now; 0: undisturbed. */
--- a/bench/Lakeshore.cpp
+++ b/bench/Lakeshore.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace sequoiakeel {
 
@@ -110,6 +112,10 @@
       this->Relieve();
     }
     this->CountOpenDeadlines();
+    for (std::size_t i = 0; i < this->waited.size(); ++i) {
+      const auto block = static_cast<PlacementBlock>(i);
+      this->figures.refused[std::string(ToString(block))] += this->waited[i];
+    }
     return std::move(this->figures);
   }
 
@@ -156,21 +162,23 @@
   {
     const std::vector<PlacementDecision> decisions = this->placement->PlanRound(
       this->Cell(), this->views, kPlacementsPerRound);
-    std::map<std::string, bool> gone;
+    std::unordered_set<std::string> gone;
     for (const PlacementDecision& decision : decisions) {
       if (decision.outcome == PlacementOutcome::Placed) {
-        gone[decision.task] = true;
+        gone.insert(decision.task);
         this->Start(decision);
         continue;
       }
       if (decision.outcome == PlacementOutcome::Unplaceable) {
-        gone[decision.task] = true;
+        gone.insert(decision.task);
         this->tasks.erase(decision.task);
         this->figures.refused["fits-nowhere"] += 1;
         continue;
       }
-      this->figures.refused[std::string(ToString(decision.block))] +=
-        Seconds(kTick);
+      this->waited[static_cast<std::size_t>(decision.block)] += Seconds(kTick);
+    }
+    if (gone.empty()) {
+      return;
     }
     std::erase_if(this->views, [&](const TaskView& aView) {
       return gone.contains(aView.task);
@@ -202,6 +210,7 @@
     running.evictions = view.evictions;
     TaskTruth truth = task.truth;
     truth.sinceCheckpoint = 0;
+    truth.ranSeconds = 0;
     if (std::ranges::find(this->load.Failing(), worker) !=
         this->load.Failing().end()) {
       truth.failsAfter =
@@ -484,11 +493,12 @@
   PlacementKnowledge knowledge;
   std::unique_ptr<PlacementPolicy> placement;
   std::unique_ptr<EvictionPolicy> eviction;
-  std::map<std::string, LoadTask> tasks;
+  std::unordered_map<std::string, LoadTask> tasks;
   std::vector<TaskView> views;
   std::vector<Stop> stops;
   double nextCancellation = 30;
   TimePoint lostAt;
+  std::array<double, 6> waited{};
   Figures figures;
 };
 
--- a/src/CurrentEvictionThrottle.cpp
+++ b/src/CurrentEvictionThrottle.cpp
@@ -15,7 +15,7 @@
 constexpr double kProcessorsCalm = 0.85;
 /** Slowdown of a latency-critical task that calls for relief, and below which
  * throttling is lifted. */
-constexpr std::int64_t kSuffersPermille = 1300;
+constexpr std::int64_t kSuffersPermille = 1600;
 constexpr std::int64_t kCalmPermille = 1150;
 /** Smallest share that a task is throttled to. */
 constexpr std::int64_t kLowestThrottle = 300;
--- a/src/CurrentPlacement.cpp
+++ b/src/CurrentPlacement.cpp
@@ -67,10 +67,11 @@
     return true;
   }
   const Quarantine& quarantine = this->knowledge.quarantine;
-  if (quarantine.IsSuspectedJob(aTask.job) && aRound.SuspectRuns(aTask.job)) {
+  if (quarantine.IsKillerJob(aTask.job) && aRound.SuspectRuns(aTask.job)) {
     aDecision.block = PlacementBlock::Avoided;
     aDecision.reason =
-      "suspected job runs one task at a time: " + quarantine.Explain(aTask.job);
+      "job suspected of killing workers runs one task at a time: " +
+      quarantine.Explain(aTask.job);
     return true;
   }
   return false;
--- a/src/PlacementOrder.cpp
+++ b/src/PlacementOrder.cpp
@@ -20,20 +20,25 @@
 struct Rank
 {
   int band = 0;
+  /** Negative, so that the highest goes first. */
   std::int64_t priority = 0;
   bool hopeless = false;
   TimePoint latestStart;
   TimePoint queuedSince;
   std::size_t index = 0;
 
-  auto Key() const
+  /** Whether this one goes first. */
+  bool operator<(const Rank& aOther) const
   {
-    return std::tuple(this->band,
-                      -this->priority,
-                      this->hopeless,
-                      this->latestStart,
-                      this->queuedSince,
-                      this->index);
+    const auto key = [](const Rank& aRank) {
+      return std::tie(aRank.band,
+                      aRank.priority,
+                      aRank.hopeless,
+                      aRank.latestStart,
+                      aRank.queuedSince,
+                      aRank.index);
+    };
+    return key(*this) < key(aOther);
   }
 };
 
@@ -54,8 +59,9 @@
   Rank rank;
   rank.band = BandOf(aTask);
   const Duration waited = std::max(aNow - aTask.queuedSince, Duration::zero());
-  rank.priority = aTask.priority / kPriorityStep +
-                  std::min<std::int64_t>(kMaxAgingSteps, waited / kAgingStep);
+  rank.priority =
+    -(aTask.priority / kPriorityStep +
+      std::min<std::int64_t>(kMaxAgingSteps, waited / kAgingStep));
   rank.queuedSince = aTask.queuedSince;
   rank.latestStart = aTask.queuedSince + kStartWithin;
   if (aTask.deadline && !aTask.longRunning) {
@@ -85,7 +91,7 @@
     ranks.push_back(RankOf(aNow, aQueue[i], aKnowledge));
     ranks.back().index = i;
   }
-  std::ranges::sort(ranks, {}, &Rank::Key);
+  std::sort(ranks.begin(), ranks.end());
   std::vector<std::size_t> order;
   order.reserve(ranks.size());
   for (const Rank& rank : ranks) {
--- a/src/PlacementRound.cpp
+++ b/src/PlacementRound.cpp
@@ -97,7 +97,7 @@
     if (task.latencyCritical || task.longRunning) {
       this->AddSpread(aView, task.job);
     }
-    if (this->knowledge.quarantine.IsSuspectedJob(task.job)) {
+    if (this->knowledge.quarantine.IsKillerJob(task.job)) {
       ++this->suspects[task.job];
     }
   }
@@ -186,7 +186,7 @@
   if (aTask.latencyCritical || aTask.longRunning) {
     this->AddSpread(*worker.view, aTask.job);
   }
-  if (this->knowledge.quarantine.IsSuspectedJob(aTask.job)) {
+  if (this->knowledge.quarantine.IsKillerJob(aTask.job)) {
     ++this->suspects[aTask.job];
   }
   // A worker on probation takes one task at a time.
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -46,6 +46,11 @@
     std::erase_if(this->jobs, [&](const auto& aEntry) {
       return aNow - aEntry.second.updated > kEvidenceAge;
     });
+    const auto isGone = [&](const std::string& aName) {
+      return !this->jobs.contains(aName);
+    };
+    std::erase_if(this->suspected, isGone);
+    std::erase_if(this->killers, isGone);
   }
   Job& job = this->jobs[aJob];
   job.updated = aNow;
@@ -66,12 +71,14 @@
   if (!aFailed) {
     job.succeededOn.insert(aWorker);
     job.failedOn.erase(aWorker);
+    this->Judge(aJob);
     this->Succeeded(worker);
     return;
   }
   // A worker without any success proves nothing against the job.
   if (worker.hasSucceeded && worker.state == QuarantineState::Healthy) {
     job.failedOn.insert(aWorker);
+    this->Judge(aJob);
   }
   this->Failed(aNow, worker, aJob);
 }
@@ -220,6 +227,7 @@
     }
     for (const std::string& job : ran) {
       this->JobOf(aNow, job).killed.insert(loss.worker);
+      this->Judge(job);
     }
   }
 }
@@ -253,19 +261,23 @@
                     this->Threshold(aNow, worker));
 }
 
-bool
-Quarantine::IsSuspectedJob(const std::string& aJob) const
+void
+Quarantine::Judge(const std::string& aJob)
 {
-  const auto found = this->jobs.find(aJob);
-  if (found == this->jobs.end()) {
-    return false;
-  }
-  const Job& job = found->second;
+  const Job& job = this->jobs.at(aJob);
   const bool fails = job.failedOn.size() >= kJobFailsOn &&
                      job.failedOn.size() > job.succeededOn.size();
   const bool kills = job.killed.size() >= kJobKills &&
                      job.killed.size() > job.succeededOn.size();
-  return fails || kills;
+  const auto mark = [&](std::set<std::string>& aSet, bool aIn) {
+    if (aIn) {
+      aSet.insert(aJob);
+    } else {
+      aSet.erase(aJob);
+    }
+  };
+  mark(this->suspected, fails || kills);
+  mark(this->killers, kills);
 }
 
 std::string
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -41,7 +41,16 @@
   double Suspicion(TimePoint aNow, const std::string& aWorker) const;
 
   /** Whether the job is suspected of failing on, or killing, its workers. */
-  bool IsSuspectedJob(const std::string& aJob) const;
+  bool IsSuspectedJob(const std::string& aJob) const
+  {
+    return !this->suspected.empty() && this->suspected.contains(aJob);
+  }
+
+  /** Whether the job is suspected of killing its workers. */
+  bool IsKillerJob(const std::string& aJob) const
+  {
+    return !this->killers.empty() && this->killers.contains(aJob);
+  }
 
   /** Names the evidence against a job; empty without any. */
   std::string Explain(const std::string& aJob) const;
@@ -86,9 +95,12 @@
   std::size_t QuarantinedWorkers() const;
   bool IsCommonLoss(const Loss& aLoss) const;
   void CountLosses(TimePoint aNow);
+  void Judge(const std::string& aJob);
 
   std::map<std::string, Worker> workers;
   std::map<std::string, Job> jobs;
+  std::set<std::string> suspected;
+  std::set<std::string> killers;
   /** Losses too recent to tell whether a rack or the zone was lost. */
   std::deque<Loss> losses;
   std::size_t fleetSize = 0;
