--- a/bench/Lakeshore.cpp
+++ b/bench/Lakeshore.cpp
@@ -276,6 +276,8 @@
     end.rack = aEnd.rack;
     end.failed = aEnd.failed;
     end.longRunning = aEnd.view.longRunning;
+    end.exceededMemory =
+      aEnd.view.usage.memoryMb > aEnd.view.committed.memoryMb;
     end.ranFor = this->now - aEnd.view.startedAt;
     end.startedFromPermille = task.view.checkpointPermille;
     this->knowledge.TaskEnded(this->now, end);
--- a/src/PlacementKnowledge.cpp
+++ b/src/PlacementKnowledge.cpp
@@ -72,7 +72,10 @@
 void
 PlacementKnowledge::TaskEnded(TimePoint aNow, const TaskEnd& aEnd)
 {
-  this->quarantine.Report(aNow, aEnd.worker, aEnd.rack, aEnd.job, aEnd.failed);
+  if (!aEnd.failed || !aEnd.exceededMemory) {
+    this->quarantine.Report(
+      aNow, aEnd.worker, aEnd.rack, aEnd.job, aEnd.failed);
+  }
   if (aEnd.failed || aEnd.longRunning || aEnd.startedFromPermille >= 1000) {
     return;
   }
--- a/src/PlacementKnowledge.h
+++ b/src/PlacementKnowledge.h
@@ -19,6 +19,9 @@
   std::string rack;
   bool failed = false;
   bool longRunning = false;
+  /** It used more memory than declared; a failure then says nothing of the
+   * worker. */
+  bool exceededMemory = false;
   /** Time from start to end. */
   Duration ranFor{};
   /** Progress that the attempt resumed from. */
