Keep room for the next burst of urgent tasks; hold tasks known to exceed memory

Room for the largest recent burst is now kept free of other tasks. A task whose kind is known to exceed its declared memory waits, for at most ten minutes, while its expected use fits no worker.

--- a/src/CurrentPlacement.cpp
+++ b/src/CurrentPlacement.cpp
@@ -24,6 +24,9 @@
 /** How much more a worker may cost to be tried. */
 constexpr double kExploreMargin = 0.05;
 constexpr std::size_t kAlternatives = 3;
+/** Longest time for which a task waits because its kind is known to exceed its
+ * declared memory: started at once it would be evicted or end others. */
+constexpr Duration kLongestHold = std::chrono::minutes(10);
 
 std::string
 FormatCost(const std::string& aWorker, double aCost)
@@ -80,6 +83,7 @@
 bool
 CurrentPlacement::Admissible(PlacementRound& aRound,
                              const TaskView& aTask,
+                             const TaskLoad& aLoad,
                              PlacementDecision& aDecision)
 {
   std::erase_if(this->feasible, [&](std::size_t aWorker) {
@@ -102,6 +106,31 @@
     aDecision.reason = "room is kept for a larger task that waits longer";
     return false;
   }
+  std::erase_if(this->feasible, [&](std::size_t aWorker) {
+    return !this->headroom.Allows(aRound, aWorker, aTask);
+  });
+  if (this->feasible.empty()) {
+    aDecision.block = PlacementBlock::Reserved;
+    aDecision.reason = "room is kept for urgent tasks";
+    return false;
+  }
+  const bool mayHold = !aTask.urgent && !aTask.latencyCritical &&
+                       aRound.Cell().now - aTask.queuedSince < kLongestHold;
+  if (!mayHold) {
+    return true;
+  }
+  std::erase_if(this->feasible, [&](std::size_t aWorker) {
+    const RoundWorker& worker = aRound.Workers()[aWorker];
+    return worker.memoryMb + aLoad.memoryMb >
+           static_cast<double>(worker.view->capacity.memoryMb);
+  });
+  if (this->feasible.empty()) {
+    aDecision.block = PlacementBlock::Avoided;
+    aDecision.reason = "tasks of kind " + aTask.kind +
+                       " exceed their declared memory; expected use fits no "
+                       "worker now";
+    return false;
+  }
   return true;
 }
 
@@ -176,10 +205,10 @@
     decision.reason = "no worker has room";
     return decision;
   }
-  if (!this->Admissible(aRound, aTask, decision)) {
+  const TaskLoad load = aRound.LoadOf(aTask);
+  if (!this->Admissible(aRound, aTask, load, decision)) {
     return decision;
   }
-  const TaskLoad load = aRound.LoadOf(aTask);
   const std::vector<Candidate> candidates = this->Score(aRound, aTask, load);
   const std::size_t chosen = this->Explore(aRound, aTask, candidates);
   const Candidate& best = candidates[chosen];
@@ -199,6 +228,7 @@
   aRound.Place(best.worker, aTask, load);
   aLimits.quota.Add(aTask);
   this->reservations.Placed(aRound, best.worker, aTask);
+  this->headroom.Placed(aRound, best.worker);
   return decision;
 }
 
@@ -227,8 +257,10 @@
   Limits limits{ CapacityCheck(aCell.workers), QuotaCount(aCell.teams), {} };
   Reservations kept = std::exchange(this->reservations, Reservations());
   this->reservations.Begin(round, {});
+  UrgentHeadroom keptHeadroom = std::exchange(this->headroom, UrgentHeadroom());
   PlacementDecision decision = this->Decide(round, limits, aTask);
   this->reservations = std::move(kept);
+  this->headroom = std::move(keptHeadroom);
   return decision;
 }
 
@@ -244,6 +276,7 @@
   PlacementRound round(aCell, this->knowledge);
   Limits limits{ CapacityCheck(aCell.workers), QuotaCount(aCell.teams), {} };
   this->reservations.Begin(round, aQueue);
+  this->headroom.Begin(round, aQueue);
   std::size_t placed = 0;
   for (const std::size_t index : this->Order(aCell, aQueue)) {
     if (placed >= aMaxPlacements) {
--- a/src/CurrentPlacement.h
+++ b/src/CurrentPlacement.h
@@ -4,6 +4,7 @@
 #include "PlacementRound.h"
 #include "PlacementRules.h"
 #include "Reservations.h"
+#include "UrgentHeadroom.h"
 
 #include <random>
 #include <vector>
@@ -54,6 +55,7 @@
                       PlacementDecision& aDecision) const;
   bool Admissible(PlacementRound& aRound,
                   const TaskView& aTask,
+                  const TaskLoad& aLoad,
                   PlacementDecision& aDecision);
   std::vector<Candidate> Score(PlacementRound& aRound,
                                const TaskView& aTask,
@@ -68,6 +70,7 @@
   PlacementKnowledge& knowledge;
   std::mt19937_64 random;
   Reservations reservations;
+  UrgentHeadroom headroom;
   /** Workers with room for the task at hand; kept to save allocations. */
   std::vector<std::size_t> feasible;
 };
--- /dev/null
+++ b/src/UrgentHeadroom.cpp
@@ -0,0 +1,113 @@
+#include "UrgentHeadroom.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Time for which a burst is remembered. */
+constexpr Duration kRemember = std::chrono::minutes(15);
+/** Urgent tasks that arrive within this time make a burst. */
+constexpr Duration kBurst = std::chrono::seconds(5);
+/** Share of the workers that may be kept free, one in so many. */
+constexpr std::size_t kWorkersPerSlot = 4;
+/** Memory limit. */
+constexpr std::size_t kMaxArrivals = 4096;
+
+} // namespace
+
+void
+UrgentHeadroom::Learn(TimePoint aNow, std::span<const TaskView> aQueue)
+{
+  TimePoint latest = this->newest;
+  for (const TaskView& task : aQueue) {
+    // A task that was evicted is queued again; it is part of no new burst.
+    if (!task.urgent || task.evictions > 0 ||
+        task.queuedSince <= this->newest) {
+      continue;
+    }
+    latest = std::max(latest, task.queuedSince);
+    this->arrivals.push_back({ task.queuedSince, task.resources });
+  }
+  this->newest = latest;
+  while (!this->arrivals.empty() &&
+         (aNow - this->arrivals.front().at > kRemember ||
+          this->arrivals.size() > kMaxArrivals)) {
+    this->arrivals.pop_front();
+  }
+  this->shape = {};
+  this->wanted = 0;
+  std::size_t first = 0;
+  for (std::size_t i = 0; i < this->arrivals.size(); ++i) {
+    this->shape = Larger(this->shape, this->arrivals[i].resources);
+    while (this->arrivals[i].at - this->arrivals[first].at > kBurst) {
+      ++first;
+    }
+    this->wanted =
+      std::max(this->wanted, static_cast<std::int64_t>(i - first + 1));
+  }
+}
+
+std::int64_t
+UrgentHeadroom::SlotsIn(const Resources& aFree) const
+{
+  std::int64_t fit = std::numeric_limits<std::int64_t>::max();
+  const auto limit = [&](std::int64_t aHas, std::int64_t aNeeds) {
+    if (aNeeds > 0) {
+      fit = std::min(fit, std::max<std::int64_t>(0, aHas / aNeeds));
+    }
+  };
+  limit(aFree.cpuMillis, this->shape.cpuMillis);
+  limit(aFree.memoryMb, this->shape.memoryMb);
+  limit(aFree.accelerators, this->shape.accelerators);
+  return fit == std::numeric_limits<std::int64_t>::max() ? 0 : fit;
+}
+
+void
+UrgentHeadroom::Begin(PlacementRound& aRound, std::span<const TaskView> aQueue)
+{
+  this->Learn(aRound.Cell().now, aQueue);
+  const std::size_t workers = aRound.Workers().size();
+  this->wanted = std::min(this->wanted,
+                          static_cast<std::int64_t>(workers / kWorkersPerSlot));
+  this->slots.clear();
+  this->total = 0;
+  if (this->wanted == 0) {
+    return;
+  }
+  for (std::size_t i = 0; i < workers; ++i) {
+    const bool healthy =
+      aRound.Workers()[i].view->quarantine == QuarantineState::Healthy;
+    this->slots.push_back(healthy ? this->SlotsIn(aRound.Free().Free(i)) : 0);
+    this->total += this->slots.back();
+  }
+}
+
+bool
+UrgentHeadroom::Allows(const PlacementRound& aRound,
+                       std::size_t aWorker,
+                       const TaskView& aTask) const
+{
+  if (this->wanted == 0 || aTask.urgent || aTask.latencyCritical) {
+    return true;
+  }
+  const std::int64_t before = this->slots[aWorker];
+  const std::int64_t after =
+    this->SlotsIn(Difference(aRound.Free().Free(aWorker), aTask.resources));
+  return after >= before || this->total - before + after >= this->wanted;
+}
+
+void
+UrgentHeadroom::Placed(const PlacementRound& aRound, std::size_t aWorker)
+{
+  if (this->wanted == 0) {
+    return;
+  }
+  const std::int64_t after = this->SlotsIn(aRound.Free().Free(aWorker));
+  this->total += after - this->slots[aWorker];
+  this->slots[aWorker] = after;
+}
+
+} // namespace sequoiakeel
