--- a/bench/Lakeshore.cpp
+++ b/bench/Lakeshore.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace sequoiakeel {
 
@@ -110,6 +112,10 @@
       this->Relieve();
     }
     this->CountOpenDeadlines();
+    for (std::size_t i = 0; i < this->waited.size(); ++i) {
+      const auto block = static_cast<PlacementBlock>(i);
+      this->figures.refused[std::string(ToString(block))] += this->waited[i];
+    }
     return std::move(this->figures);
   }
 
@@ -156,21 +162,23 @@
   {
     const std::vector<PlacementDecision> decisions = this->placement->PlanRound(
       this->Cell(), this->views, kPlacementsPerRound);
-    std::map<std::string, bool> gone;
+    std::unordered_set<std::string> gone;
     for (const PlacementDecision& decision : decisions) {
       if (decision.outcome == PlacementOutcome::Placed) {
-        gone[decision.task] = true;
+        gone.insert(decision.task);
         this->Start(decision);
         continue;
       }
       if (decision.outcome == PlacementOutcome::Unplaceable) {
-        gone[decision.task] = true;
+        gone.insert(decision.task);
         this->tasks.erase(decision.task);
         this->figures.refused["fits-nowhere"] += 1;
         continue;
       }
-      this->figures.refused[std::string(ToString(decision.block))] +=
-        Seconds(kTick);
+      this->waited[static_cast<std::size_t>(decision.block)] += Seconds(kTick);
+    }
+    if (gone.empty()) {
+      return;
     }
     std::erase_if(this->views, [&](const TaskView& aView) {
       return gone.contains(aView.task);
@@ -202,6 +210,7 @@
     running.evictions = view.evictions;
     TaskTruth truth = task.truth;
     truth.sinceCheckpoint = 0;
+    truth.ranSeconds = 0;
     if (std::ranges::find(this->load.Failing(), worker) !=
         this->load.Failing().end()) {
       truth.failsAfter =
@@ -267,9 +276,21 @@
     end.rack = aEnd.rack;
     end.failed = aEnd.failed;
     end.longRunning = aEnd.view.longRunning;
+    end.exceededMemory =
+      aEnd.view.usage.memoryMb > aEnd.view.committed.memoryMb;
     end.ranFor = this->now - aEnd.view.startedAt;
     end.startedFromPermille = task.view.checkpointPermille;
     this->knowledge.TaskEnded(this->now, end);
+    if (aEnd.failed && getenv("DBG"))
+      fprintf(stderr,
+              "%.1f OOM %s %s %s ran %.0f mb %.0f decl %ld\n",
+              Seconds(this->now - this->start),
+              aEnd.worker.c_str(),
+              aEnd.view.task.c_str(),
+              aEnd.view.kind.c_str(),
+              aEnd.truth.ranSeconds,
+              aEnd.truth.memoryMb,
+              aEnd.view.committed.memoryMb);
     if (aEnd.failed) {
       this->figures.failedAttempts += 1;
       this->figures.outOfMemory += aEnd.outOfMemory ? 1 : 0;
@@ -347,6 +368,14 @@
           break;
         case ReliefAction::Move:
         case ReliefAction::Evict:
+          if (getenv("DBG"))
+            fprintf(stderr,
+                    "%.1f %s %s %s | %s\n",
+                    Seconds(this->now - this->start),
+                    std::string(ToString(decision.action)).c_str(),
+                    decision.worker.c_str(),
+                    decision.task.c_str(),
+                    decision.reason.c_str());
           this->workers.MarkEvicting(worker, decision.task);
           this->stops.push_back(
             { this->now + kStopTime, worker, decision.task });
@@ -484,11 +513,12 @@
   PlacementKnowledge knowledge;
   std::unique_ptr<PlacementPolicy> placement;
   std::unique_ptr<EvictionPolicy> eviction;
-  std::map<std::string, LoadTask> tasks;
+  std::unordered_map<std::string, LoadTask> tasks;
   std::vector<TaskView> views;
   std::vector<Stop> stops;
   double nextCancellation = 30;
   TimePoint lostAt;
+  std::array<double, 6> waited{};
   Figures figures;
 };
 
--- a/src/PlacementKnowledge.cpp
+++ b/src/PlacementKnowledge.cpp
@@ -53,7 +53,10 @@
     if (task.throttlePermille < 1000) {
       continue;
     }
-    this->sizes.LearnUsage(task.kind, task.committed, task.usage);
+    this->sizes.LearnUsage(task.kind,
+                           task.committed,
+                           task.usage,
+                           aNow - aWorker.observedAge - task.startedAt);
     if (saturated) {
       continue;
     }
@@ -72,7 +75,10 @@
 void
 PlacementKnowledge::TaskEnded(TimePoint aNow, const TaskEnd& aEnd)
 {
-  this->quarantine.Report(aNow, aEnd.worker, aEnd.rack, aEnd.job, aEnd.failed);
+  if (!aEnd.failed || !aEnd.exceededMemory) {
+    this->quarantine.Report(
+      aNow, aEnd.worker, aEnd.rack, aEnd.job, aEnd.failed);
+  }
   if (aEnd.failed || aEnd.longRunning || aEnd.startedFromPermille >= 1000) {
     return;
   }
