--- a/src/ServerTable.cpp
+++ b/src/ServerTable.cpp
@@ -210,7 +210,9 @@
 void
 ServerTable::Tick(TimePoint aNow, Random& aRandom)
 {
-  this->health.Tick(aNow, aRandom);
+  if (this->adaptive) {
+    this->health.Tick(aNow, aRandom);
+  }
   for (ServerView& view : this->views) {
     const Server& server = this->servers[view.id];
     if (view.peersAge >= Duration(0)) {
@@ -223,7 +225,12 @@
 std::vector<HealthChange>
 ServerTable::TakeHealthChanges()
 {
-  return this->health.TakeChanges();
+  std::vector<HealthChange> changes = this->health.TakeChanges();
+  if (!this->adaptive) {
+    // The naive table ejects nothing.
+    changes.clear();
+  }
+  return changes;
 }
 
 std::string_view
