--- a/src/RoutingPolicy.cpp
+++ b/src/RoutingPolicy.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kDrawsPerCandidate = 2;
 /** Largest number of candidates that are compared. */
 constexpr std::size_t kMaxChoices = 64;
+/** Least latency in milliseconds that is told apart. */
+constexpr double kLeastLatency = 0.001;
 /** Latency in milliseconds that is assumed before the first response. */
 constexpr double kUnknownLatency = 1;
 
@@ -207,6 +209,7 @@
 
   void AddSample(ServerId aServer, double aMilliseconds, TimePoint aNow)
   {
+    aMilliseconds = std::max(aMilliseconds, kLeastLatency);
     State& state = this->Get(aServer);
     if (state.latency == 0) {
       state.latency = aMilliseconds;
@@ -216,12 +219,14 @@
     const double decayed =
       1 - std::exp(-pause / ToMilliseconds(this->options.memory));
     const double weight = std::max(this->options.sampleWeight, decayed);
-    state.latency += weight * (aMilliseconds - state.latency);
+    // The mean of the logarithms: one large request among small ones says
+    // little about the server.
+    state.latency *= std::pow(aMilliseconds / state.latency, weight);
     state.lastSample = aNow;
     if (this->typical == 0) {
       this->typical = aMilliseconds;
     }
-    this->typical += kTypicalWeight * (aMilliseconds - this->typical);
+    this->typical *= std::pow(aMilliseconds / this->typical, kTypicalWeight);
   }
 
   /** Draws distinct eligible servers that were not tried. */
