--- a/src/RoutingPolicy.cpp
+++ b/src/RoutingPolicy.cpp
@@ -303,13 +303,22 @@
   {
     std::array<RoutingCandidate, kMaxChoices> candidates;
     std::size_t count = 0;
+    RoutingCandidate trial;
     for (const std::size_t index : this->drawn) {
       const ServerView& server = aServers[index];
       candidates[count] = { index, this->Score(aRequest, server, aNow) };
-      if (server.health == HealthState::Probation && !aRequest.urgent) {
+      if (server.health != HealthState::Probation) {
+        ++count;
+        continue;
+      }
+      if (this->MayTry(aRequest, aNow)) {
         return { index, RoutingReason::Trial, candidates[count].score, {}, 0 };
       }
-      ++count;
+      trial = candidates[count];
+    }
+    if (count == 0) {
+      // Only servers on probation are left.
+      return { trial.index, RoutingReason::Trial, trial.score, {}, 0 };
     }
     const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(candidates.begin(),
@@ -331,6 +340,14 @@
     return decision;
   }
 
+  /** Tells whether a request has enough time left to be sent elsewhere when a
+   * server on probation does not answer it. */
+  bool MayTry(const RequestView& aRequest, TimePoint aNow) const
+  {
+    const double left = ToMilliseconds(aRequest.deadline - aNow);
+    return !aRequest.urgent && left > kTrialTime * this->typical;
+  }
+
   /** Returns the expected milliseconds until the response. */
   double Score(const RequestView& aRequest,
                const ServerView& aServer,
@@ -369,6 +386,8 @@
     return usual + trust * (aState.latency - usual);
   }
 
+  /** Multiple of the usual latency that a trial request needs. */
+  static constexpr double kTrialTime = 12;
   /** Weight of one sample in the usual latency. */
   static constexpr double kTypicalWeight = 0.01;
 
