Recognise a silent availability zone, and single silent requests

Cause: a server that owed a single response was not ejected, so each entry lost a request at a time there until the deadline.

--- a/bench/Association.cpp
+++ b/bench/Association.cpp
@@ -96,7 +96,7 @@
 
   void ScheduleTick(std::uint32_t aEntry)
   {
-    this->loop.After(milliseconds(100), [this, aEntry]() {
+    this->loop.After(milliseconds(50), [this, aEntry]() {
       this->entries[aEntry]->Tick();
       this->ScheduleTick(aEntry);
     });
--- a/bench/AssociationEntry.cpp
+++ b/bench/AssociationEntry.cpp
@@ -132,8 +132,7 @@
 {
   this->table.Tick(this->loop.Now(), this->random);
   for (const HealthChange& change : this->table.TakeHealthChanges()) {
-    if (change.state == HealthState::Ejected &&
-        change.reason == EjectionReason::BlackHole) {
+    if (change.state == HealthState::Ejected && IsSilent(change.reason)) {
       this->Rescue(change.server);
     }
   }
--- a/src/ServerHealth.cpp
+++ b/src/ServerHealth.cpp
@@ -20,14 +20,21 @@
 constexpr std::uint32_t kTrialsAtATime = 1;
 /** Silence over the long latency from which a server counts as a black hole. */
 constexpr double kSilenceRatio = 1.5;
+/** The same for a single unanswered request, which may just be a long one. */
+constexpr double kSingleSilenceRatio = 4;
+/** Silence over the long latency from which a whole zone counts as lost. */
+constexpr double kZoneSilenceRatio = 0.5;
+/** Servers of a zone that must owe responses for that. */
+constexpr std::size_t kSilentInZone = 4;
+/** Least silence of a whole zone that counts. */
+constexpr Duration kMinimumZoneSilence = std::chrono::milliseconds(50);
 /** Share of responses that are faster than the long latency. */
 constexpr double kLongShare = 0.99;
 /** Step of the estimate of the long latency, as a share of it. */
 constexpr double kLongStep = 0.02;
 /** Responses before the long latency is known. */
 constexpr std::uint64_t kLongSamples = 100;
-/** Unanswered requests that a healthy server needs for that: one long request
- * alone proves nothing. */
+/** Unanswered requests that are more than a single long one. */
 constexpr std::uint32_t kSilentRequests = 2;
 /** Doublings after which an ejection is at its longest in any case. */
 constexpr std::uint32_t kMaxDoublings = 10;
@@ -50,6 +57,7 @@
       return 2;
     case EjectionReason::HalfDead:
     case EjectionReason::BlackHole:
+    case EjectionReason::ZoneSilent:
       return 3;
   }
   throw InternalError("unknown ejection reason");
@@ -69,25 +77,38 @@
       return "half-dead";
     case EjectionReason::BlackHole:
       return "black-hole";
+    case EjectionReason::ZoneSilent:
+      return "zone-silent";
     case EjectionReason::Slow:
       return "slow";
   }
   throw InternalError("unknown ejection reason");
 }
 
+bool
+IsSilent(EjectionReason aReason)
+{
+  return aReason == EjectionReason::BlackHole ||
+         aReason == EjectionReason::ZoneSilent;
+}
+
 ServerHealth::ServerHealth(const HealthOptions& aOptions)
   : options(aOptions)
 {
 }
 
 void
-ServerHealth::Add(ServerId aServer)
+ServerHealth::Add(ServerId aServer, std::uint32_t aZone)
 {
   if (aServer >= this->servers.size()) {
     this->servers.resize(aServer + 1);
   }
   InternalAssert(!this->servers[aServer].known, "a server is added twice");
   this->servers[aServer].known = true;
+  this->servers[aServer].zone = aZone;
+  if (aZone >= this->zones.size()) {
+    this->zones.resize(aZone + 1);
+  }
   ++this->count;
 }
 
@@ -171,6 +192,7 @@
 ServerHealth::Tick(TimePoint aNow, Random& aRandom)
 {
   const double median = this->MedianLatency();
+  this->CheckZones(aNow);
   for (ServerId id = 0; id < this->servers.size(); ++id) {
     Server& server = this->servers[id];
     if (!server.known) {
@@ -183,6 +205,11 @@
       continue;
     }
     this->jitter = DrawUnit(aRandom);
+    if (this->zones[server.zone].silent &&
+        server.state == HealthState::Healthy) {
+      this->Eject(id, EjectionReason::ZoneSilent, aNow);
+      continue;
+    }
     this->CheckSilence(id, aNow);
     this->CheckSlow(id, median, aNow);
   }
@@ -239,6 +266,7 @@
   }
   server->inFlight -= server->inFlight > 0 ? 1 : 0;
   server->silentSince = aNow;
+  server->lastSign = aNow;
   return server;
 }
 
@@ -297,17 +325,50 @@
   if (server.inFlight == 0) {
     return;
   }
-  const double usual = static_cast<double>(this->LongLatency().count());
-  const auto ticks = static_cast<Duration::rep>(usual * kSilenceRatio);
-  const Duration limit =
-    std::max(this->options.minimumSilence, Duration(ticks));
   const bool several =
     server.inFlight >= kSilentRequests || server.state != HealthState::Healthy;
-  if (several && aNow - server.silentSince > limit) {
+  const double ratio = several ? kSilenceRatio : kSingleSilenceRatio;
+  const Duration limit =
+    std::max(this->options.minimumSilence, this->LongTimes(ratio));
+  if (aNow - server.silentSince > limit) {
     this->Eject(aServer, EjectionReason::BlackHole, aNow);
   }
 }
 
+void
+ServerHealth::CheckZones(TimePoint aNow)
+{
+  const Duration limit =
+    std::max(kMinimumZoneSilence, this->LongTimes(kZoneSilenceRatio));
+  for (Zone& zone : this->zones) {
+    zone = Zone();
+  }
+  bool alive = false;
+  for (const Server& server : this->servers) {
+    if (!server.known) {
+      continue;
+    }
+    Zone& zone = this->zones[server.zone];
+    const bool answered = aNow - server.lastSign <= limit;
+    const bool owes = server.inFlight > 0 && aNow - server.silentSince > limit;
+    zone.alive = zone.alive || answered;
+    zone.owing += owes && server.state == HealthState::Healthy ? 1 : 0;
+    alive = alive || answered;
+  }
+  for (Zone& zone : this->zones) {
+    // If no zone answers, the fault is rather on this side.
+    zone.silent = alive && !zone.alive && zone.owing >= kSilentInZone &&
+                  this->responses >= kLongSamples;
+  }
+}
+
+Duration
+ServerHealth::LongTimes(double aRatio) const
+{
+  const auto usual = static_cast<double>(this->LongLatency().count());
+  return Duration(static_cast<Duration::rep>(usual * aRatio));
+}
+
 void
 ServerHealth::CheckSlow(ServerId aServer, double aMedian, TimePoint aNow)
 {
--- a/src/ServerHealth.h
+++ b/src/ServerHealth.h
@@ -21,6 +21,8 @@
   HalfDead,
   /** Takes requests and answers none of them. */
   BlackHole,
+  /** No server of its availability zone answers, while others do. */
+  ZoneSilent,
   /** Several times slower than its peers. */
   Slow,
 };
@@ -30,6 +32,11 @@
 std::string_view
 ToText(EjectionReason aReason);
 
+/** Tells whether requests in progress on the server will get no answer, so that
+ * they are better retried at once. Thread safe. */
+bool
+IsSilent(EjectionReason aReason);
+
 /** Parameters of ejection. */
 struct HealthOptions
 {
@@ -74,8 +81,9 @@
 public:
   explicit ServerHealth(const HealthOptions& aOptions = {});
 
-  /** Adds a healthy server. aServer is not known yet. */
-  void Add(ServerId aServer);
+  /** Adds a healthy server. aServer is not known yet. aZone is a small number
+   * for its availability zone. */
+  void Add(ServerId aServer, std::uint32_t aZone);
 
   /** Forgets a server; does nothing if it is unknown. */
   void Remove(ServerId aServer);
@@ -99,7 +107,7 @@
   void OnAbandoned(ServerId aServer);
 
   /** Ends ejections whose time is over and ejects slow servers and black
-   * holes. Call about every 100 ms. */
+   * holes. Call about every 50 ms. */
   void Tick(TimePoint aNow, Random& aRandom);
 
   /** Returns the server's state. */
@@ -136,17 +144,31 @@
     std::uint32_t goodTrials = 0;
     /** Smoothed latency in ticks; zero if unknown. */
     double latency = 0;
+    std::uint32_t zone = 0;
+    /** Last response, refusal or failure. */
+    TimePoint lastSign;
     /** Last sign of life, or the first request after it. */
     TimePoint silentSince;
     TimePoint ejectedUntil;
     TimePoint healthySince;
   };
 
+  /** State of an availability zone at the last tick. */
+  struct Zone
+  {
+    bool alive = false;
+    /** Healthy servers that owe responses for long. */
+    std::size_t owing = 0;
+    bool silent = false;
+  };
+
   bool Known(ServerId aServer) const;
   Server* Find(ServerId aServer);
   Server* OnEnd(ServerId aServer, TimePoint aNow);
   void OnBad(ServerId aServer, bool aTimedOut, TimePoint aNow);
   void OnGoodTrial(ServerId aServer, TimePoint aNow);
+  void CheckZones(TimePoint aNow);
+  Duration LongTimes(double aRatio) const;
   void CheckSilence(ServerId aServer, TimePoint aNow);
   void CheckSlow(ServerId aServer, double aMedian, TimePoint aNow);
   bool MakeRoom(EjectionReason aReason);
@@ -157,6 +179,7 @@
 
   HealthOptions options;
   std::vector<Server> servers;
+  std::vector<Zone> zones;
   std::vector<double> latencies;
   std::vector<HealthChange> changes;
   std::size_t count = 0;
--- a/src/ServerTable.cpp
+++ b/src/ServerTable.cpp
@@ -47,7 +47,8 @@
   server.known = true;
   server.limit = ConcurrencyLimit(limits);
   this->ids.emplace(server.name, id);
-  this->health.Add(id);
+  const auto zone = static_cast<std::uint32_t>(this->zones.size());
+  this->health.Add(id, this->zones.try_emplace(aZone, zone).first->second);
   ServerView& view = this->views.emplace_back();
   view.id = id;
   view.name = server.name;
--- a/src/ServerTable.h
+++ b/src/ServerTable.h
@@ -92,7 +92,7 @@
    * zero if unknown. Serves for AttemptTimeout. */
   Duration LongLatency() const { return this->health.LongLatency(); }
 
-  /** Updates health states; call about every 100 ms. */
+  /** Updates health states; call about every 50 ms. */
   void Tick(TimePoint aNow, Random& aRandom);
 
   /** Returns the views, valid until the next call that changes the table. */
@@ -128,6 +128,7 @@
   /** By id; an id is never given again. Names stay in place. */
   std::deque<Server> servers;
   std::unordered_map<std::string_view, ServerId> ids;
+  std::unordered_map<std::string, std::uint32_t> zones;
   /** Smoothed latency over all servers, in ticks. */
   double typical = 0;
 };
