Count recent refusals against a server in the routing score

Cause: a full server refuses, so it has few own requests in progress and looks idle. The smoothed share of refusals now raises the expected time. Shapes without refusals are not touched.

--- a/src/RoutingPolicy.cpp
+++ b/src/RoutingPolicy.cpp
@@ -147,11 +147,16 @@
   {
     this->OnEnd(aServer, aNow);
     this->AddSample(aServer, ToMilliseconds(aLatency), aNow);
+    State& state = this->Get(aServer);
+    state.refused -= kRefusalWeight * state.refused;
   }
 
   void OnRefusal(ServerId aServer, TimePoint aNow) override
   {
     this->OnEnd(aServer, aNow);
+    State& state = this->Get(aServer);
+    state.refused += kRefusalWeight * (1 - state.refused);
+    state.lastRefusal = aNow;
   }
 
   void OnFailure(ServerId aServer, TimePoint aNow) override
@@ -186,6 +191,9 @@
   {
     /** Smoothed milliseconds until the response; zero if unknown. */
     double latency = 0;
+    /** Smoothed share of requests that were refused. */
+    double refused = 0;
+    TimePoint lastRefusal;
     std::uint32_t inFlight = 0;
     TimePoint lastSample;
     /** Time of the last sign of life, or of the first request after it. */
@@ -369,6 +377,12 @@
         std::exp(-age / ToMilliseconds(this->options.peersMemory));
       load += this->options.peersWeight * trust * aServer.peersInFlight;
     }
+    // A full server has few own requests in progress and would look idle.
+    const double since = ToMilliseconds(aNow - state.lastRefusal);
+    const double refused =
+      state.refused *
+      std::exp(-since / ToMilliseconds(this->options.refusalMemory));
+    load += this->options.refusalWeight * refused;
     return distance + latency * (1 + load);
   }
 
@@ -386,6 +400,8 @@
     return usual + trust * (aState.latency - usual);
   }
 
+  /** Weight of one request in the share of refusals. */
+  static constexpr double kRefusalWeight = 0.2;
   /** Multiple of the usual latency that a trial request needs. */
   static constexpr double kTrialTime = 12;
   /** Weight of one sample in the usual latency. */
--- a/src/RoutingPolicy.h
+++ b/src/RoutingPolicy.h
@@ -173,6 +173,10 @@
   double peersWeight = 0;
   /** Time after which a peers' report counts 1/e. */
   Duration peersMemory = std::chrono::seconds(1);
+  /** Growth of the expected time if all recent requests were refused. */
+  double refusalWeight = 3;
+  /** Time after which a server's share of refusals counts 1/e. */
+  Duration refusalMemory = std::chrono::seconds(1);
   /** Least weight of a new latency in a server's estimate. */
   double sampleWeight = 0.15;
   /** Pause between two samples after which the older counts 1/e. */
