--- a/src/RoutingPolicy.cpp
+++ b/src/RoutingPolicy.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kDrawsPerCandidate = 2;
 /** Largest number of candidates that are compared. */
 constexpr std::size_t kMaxChoices = 64;
+/** Least latency in milliseconds that is told apart. */
+constexpr double kLeastLatency = 0.001;
 /** Latency in milliseconds that is assumed before the first response. */
 constexpr double kUnknownLatency = 1;
 
@@ -145,11 +147,16 @@
   {
     this->OnEnd(aServer, aNow);
     this->AddSample(aServer, ToMilliseconds(aLatency), aNow);
+    State& state = this->Get(aServer);
+    state.refused -= kRefusalWeight * state.refused;
   }
 
   void OnRefusal(ServerId aServer, TimePoint aNow) override
   {
     this->OnEnd(aServer, aNow);
+    State& state = this->Get(aServer);
+    state.refused += kRefusalWeight * (1 - state.refused);
+    state.lastRefusal = aNow;
   }
 
   void OnFailure(ServerId aServer, TimePoint aNow) override
@@ -184,6 +191,9 @@
   {
     /** Smoothed milliseconds until the response; zero if unknown. */
     double latency = 0;
+    /** Smoothed share of requests that were refused. */
+    double refused = 0;
+    TimePoint lastRefusal;
     std::uint32_t inFlight = 0;
     TimePoint lastSample;
     /** Time of the last sign of life, or of the first request after it. */
@@ -207,6 +217,7 @@
 
   void AddSample(ServerId aServer, double aMilliseconds, TimePoint aNow)
   {
+    aMilliseconds = std::max(aMilliseconds, kLeastLatency);
     State& state = this->Get(aServer);
     if (state.latency == 0) {
       state.latency = aMilliseconds;
@@ -216,12 +227,14 @@
     const double decayed =
       1 - std::exp(-pause / ToMilliseconds(this->options.memory));
     const double weight = std::max(this->options.sampleWeight, decayed);
-    state.latency += weight * (aMilliseconds - state.latency);
+    // The mean of the logarithms: one large request among small ones says
+    // little about the server.
+    state.latency *= std::pow(aMilliseconds / state.latency, weight);
     state.lastSample = aNow;
     if (this->typical == 0) {
       this->typical = aMilliseconds;
     }
-    this->typical += kTypicalWeight * (aMilliseconds - this->typical);
+    this->typical *= std::pow(aMilliseconds / this->typical, kTypicalWeight);
   }
 
   /** Draws distinct eligible servers that were not tried. */
@@ -298,13 +311,22 @@
   {
     std::array<RoutingCandidate, kMaxChoices> candidates;
     std::size_t count = 0;
+    RoutingCandidate trial;
     for (const std::size_t index : this->drawn) {
       const ServerView& server = aServers[index];
       candidates[count] = { index, this->Score(aRequest, server, aNow) };
-      if (server.health == HealthState::Probation && !aRequest.urgent) {
+      if (server.health != HealthState::Probation) {
+        ++count;
+        continue;
+      }
+      if (this->MayTry(aRequest, aNow)) {
         return { index, RoutingReason::Trial, candidates[count].score, {}, 0 };
       }
-      ++count;
+      trial = candidates[count];
+    }
+    if (count == 0) {
+      // Only servers on probation are left.
+      return { trial.index, RoutingReason::Trial, trial.score, {}, 0 };
     }
     const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(candidates.begin(),
@@ -326,6 +348,14 @@
     return decision;
   }
 
+  /** Tells whether a request has enough time left to be sent elsewhere when a
+   * server on probation does not answer it. */
+  bool MayTry(const RequestView& aRequest, TimePoint aNow) const
+  {
+    const double left = ToMilliseconds(aRequest.deadline - aNow);
+    return !aRequest.urgent && left > kTrialTime * this->typical;
+  }
+
   /** Returns the expected milliseconds until the response. */
   double Score(const RequestView& aRequest,
                const ServerView& aServer,
@@ -347,6 +377,12 @@
         std::exp(-age / ToMilliseconds(this->options.peersMemory));
       load += this->options.peersWeight * trust * aServer.peersInFlight;
     }
+    // A full server has few own requests in progress and would look idle.
+    const double since = ToMilliseconds(aNow - state.lastRefusal);
+    const double refused =
+      state.refused *
+      std::exp(-since / ToMilliseconds(this->options.refusalMemory));
+    load += this->options.refusalWeight * refused;
     return distance + latency * (1 + load);
   }
 
@@ -364,6 +400,10 @@
     return usual + trust * (aState.latency - usual);
   }
 
+  /** Weight of one request in the share of refusals. */
+  static constexpr double kRefusalWeight = 0.2;
+  /** Multiple of the usual latency that a trial request needs. */
+  static constexpr double kTrialTime = 12;
   /** Weight of one sample in the usual latency. */
   static constexpr double kTypicalWeight = 0.01;
 
--- a/src/ServerTable.cpp
+++ b/src/ServerTable.cpp
@@ -47,7 +47,8 @@
   server.known = true;
   server.limit = ConcurrencyLimit(limits);
   this->ids.emplace(server.name, id);
-  this->health.Add(id);
+  const auto zone = static_cast<std::uint32_t>(this->zones.size());
+  this->health.Add(id, this->zones.try_emplace(aZone, zone).first->second);
   ServerView& view = this->views.emplace_back();
   view.id = id;
   view.name = server.name;
@@ -210,7 +211,9 @@
 void
 ServerTable::Tick(TimePoint aNow, Random& aRandom)
 {
-  this->health.Tick(aNow, aRandom);
+  if (this->adaptive) {
+    this->health.Tick(aNow, aRandom);
+  }
   for (ServerView& view : this->views) {
     const Server& server = this->servers[view.id];
     if (view.peersAge >= Duration(0)) {
@@ -223,7 +226,12 @@
 std::vector<HealthChange>
 ServerTable::TakeHealthChanges()
 {
-  return this->health.TakeChanges();
+  std::vector<HealthChange> changes = this->health.TakeChanges();
+  if (!this->adaptive) {
+    // The naive table ejects nothing.
+    changes.clear();
+  }
+  return changes;
 }
 
 std::string_view
