Accept a completion of the last attempt after its worker was silent

The random sequences showed a task that finished on a cut-off worker, was given up after its leases and then run again although the worker came back before the next attempt was logged.

--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -292,6 +292,8 @@
   void ClearOrphans(const std::string& aName,
                     const WorkerLink& aLink,
                     std::uint64_t aNumber);
+  void AcceptLateCompletions(const WorkerLink& aLink);
+  bool IsReleased(const TaskRef& aTask, std::uint64_t aAttempt) const;
   bool IsOver(const TaskRef& aTask, std::uint64_t aAttempt) const;
   void MaintainLease(const std::string& aName,
                      WorkerLink& aLink,
--- a/src/CellMachineWorkers.cpp
+++ b/src/CellMachineWorkers.cpp
@@ -138,6 +138,7 @@
   for (const TaskRef& task : std::set<TaskRef>(this->working.TasksOn(aName))) {
     this->ReconcileTask(task, link, aNumber, aNow);
   }
+  this->AcceptLateCompletions(link);
   this->ClearOrphans(aName, link, aNumber);
   this->EvictOverflow(aName, aNow);
   this->MaintainLease(aName, link, aNow);
@@ -264,6 +265,37 @@
   this->ReleaseUnfinished(aTask, "start-lease-expired", aNow);
 }
 
+void
+CellMachine::AcceptLateCompletions(const WorkerLink& aLink)
+{
+  for (const WorkerTask& task : aLink.report.tasks) {
+    const std::optional<TaskRef> ref = ParseTaskId(task.taskId);
+    const TaskRow* row = ref ? this->working.FindTask(*ref) : nullptr;
+    if (row == nullptr || row->phase != TaskPhase::Queued ||
+        row->attempt != task.attempt ||
+        task.state != WorkerTaskState::Finished) {
+      continue;
+    }
+    Event("late_completion")
+      .Add("task", task.taskId)
+      .Add("attempt", task.attempt);
+    LogEntry entry;
+    entry.kind = LogEntryKind::TaskFinished;
+    entry.job = ref->job;
+    entry.task = ref->task;
+    entry.attempt = row->attempt;
+    this->Propose(std::move(entry));
+  }
+}
+
+bool
+CellMachine::IsReleased(const TaskRef& aTask, std::uint64_t aAttempt) const
+{
+  const TaskRow* row = this->committed.FindTask(aTask);
+  return row != nullptr && row->attempt == aAttempt &&
+         row->phase == TaskPhase::Queued;
+}
+
 bool
 CellMachine::IsOver(const TaskRef& aTask, std::uint64_t aAttempt) const
 {
@@ -275,8 +307,7 @@
   if (row == nullptr) {
     return aTask.task < job->row.nextTask;
   }
-  return row->attempt > aAttempt ||
-         (row->attempt == aAttempt && row->phase == TaskPhase::Queued);
+  return row->attempt > aAttempt;
 }
 
 void
@@ -290,7 +321,9 @@
   for (const WorkerTask& task : aLink.report.tasks) {
     const std::optional<TaskRef> ref = ParseTaskId(task.taskId);
     // Only what the log says is over: a newer owner may have started the rest.
-    if (!ref || !this->IsOver(*ref, task.attempt)) {
+    const bool released = ref && this->IsReleased(*ref, task.attempt) &&
+                          task.state != WorkerTaskState::Finished;
+    if (!ref || (!released && !this->IsOver(*ref, task.attempt))) {
       continue;
     }
     if (task.state != WorkerTaskState::Running) {
--- a/src/CellState.cpp
+++ b/src/CellState.cpp
@@ -424,9 +424,21 @@
 void
 CellState::ApplyTaskFinished(const LogEntry& aEntry)
 {
-  this->ActiveTask(aEntry);
-  ++this->MutableJob(aEntry.job).row.finished;
-  this->DropTask(RefOf(aEntry));
+  Job& job = this->MutableJob(aEntry.job);
+  const auto found = job.tasks.find(aEntry.task);
+  InternalAssert(found != job.tasks.end() &&
+                   found->second.attempt == aEntry.attempt,
+                 "a completion is not of the last attempt");
+  ++job.row.finished;
+  if (found->second.phase != TaskPhase::Queued) {
+    this->DropTask(RefOf(aEntry));
+    return;
+  }
+  // The attempt was given up and its completion came to light before the next
+  // one was logged.
+  --this->queuedTasks;
+  job.tasks.erase(found);
+  this->EndIfDone(job);
 }
 
 void
--- a/test/guarantee/TaskNeverRunsTwice.cpp
+++ b/test/guarantee/TaskNeverRunsTwice.cpp
@@ -242,3 +242,24 @@
     CHECK(world.breaches.empty());
   }
 }
+
+// Guards against a completion that is thrown away because its attempt had been
+// given up, although no newer attempt was started.
+TEST_CASE("a completion of the last attempt counts after its worker was silent")
+{
+  ReadyCell world(6);
+  world.SubmitOne(kJob, 20000);
+  REQUIRE(world.Starts(kTask));
+  const std::string worker = world.RunsOn(kTask);
+  // No other worker has room for the next attempt.
+  world.workers[worker == "w1" ? "w2" : "w1"]->Restart(Resources{ 1, 1, 0 });
+  world.unreachable.insert(worker);
+  const CellMachine& machine = world.Machine("p1");
+  REQUIRE(world.RunUntil([&] {
+    const TaskRow* row = machine.Committed().FindTask({ kJob, 0 });
+    return row != nullptr && row->phase == TaskPhase::Queued;
+  }));
+  world.unreachable.clear();
+  CHECK(world.Finishes(kJob));
+  CHECK(world.starts[kTask] == 1);
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -374,6 +374,23 @@
   this->TakeCommands(aPlanner);
 }
 
+void
+CellWorld::CountCutOff()
+{
+  for (const auto& [name, worker] : this->workers) {
+    if (!this->unreachable.contains(name) &&
+        !this->repliesLost.contains(name)) {
+      this->cutOffFor[name] = Duration{};
+      continue;
+    }
+    this->cutOffFor[name] += kStep;
+    // From here on its tasks may be started elsewhere.
+    if (this->cutOffFor[name] > 2 * kWorkerLeaseTtl) {
+      worker->ForgetCompletions();
+    }
+  }
+}
+
 void
 CellWorld::Step()
 {
@@ -387,6 +404,7 @@
     this->agenda.erase(this->agenda.begin());
     step();
   }
+  this->CountCutOff();
   for (const auto& [name, planner] : this->planners) {
     this->TickPlanner(*planner);
   }
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -89,6 +89,8 @@
   WorkerReply Handle(const WorkerCommand& aCommand);
   /** Expires leases and ends tasks whose time is over. */
   void Progress();
+  /** Forgets completions that nobody learnt of: the tasks may run again. */
+  void ForgetCompletions();
   /** Starts again with nothing on it. */
   void Restart(Resources aCapacity);
 
@@ -201,11 +203,14 @@
   /** Checkpoints that starts resumed from, by task id. */
   std::map<std::string, std::vector<std::string>> resumedFrom;
   std::uint64_t messages = 0;
+  /** How long a worker has been cut off. */
+  std::map<std::string, Duration> cutOffFor;
 
 private:
   friend class FakeWorker;
 
   void Step();
+  void CountCutOff();
   void TickPlanner(FakePlanner& aPlanner);
   void TakeCommands(FakePlanner& aPlanner);
   void Send(FakePlanner& aPlanner, const StoreCommand& aCommand);
--- a/test/support/FakeWorker.cpp
+++ b/test/support/FakeWorker.cpp
@@ -23,16 +23,21 @@
 }
 
 void
-FakeWorker::Restart(Resources aCapacity)
+FakeWorker::ForgetCompletions()
 {
-  ++this->incarnation;
-  this->capacity = aCapacity;
   for (const auto& [id, run] : this->runs) {
     if (run.state == WorkerTaskState::Finished) {
-      // The only trace of the completion is gone, so the task runs again.
       this->world.finished.erase(id);
     }
   }
+}
+
+void
+FakeWorker::Restart(Resources aCapacity)
+{
+  ++this->incarnation;
+  this->capacity = aCapacity;
+  this->ForgetCompletions();
   this->runs.clear();
   this->leases.clear();
 }
