Expect memory to grow; count evicted memory against old reports

Tasks younger than 90 s are now expected at their learnt memory, memory that evictions have given back is taken off older reports, and tasks known to exceed their memory are held while more than 90% would be used.

--- a/src/CurrentEviction.cpp
+++ b/src/CurrentEviction.cpp
@@ -16,6 +16,8 @@
 /** Waiting time after which an urgent task may displace others: placement has
  * had one try. */
 constexpr Duration kUrgentPatience = std::chrono::milliseconds(250);
+/** Time in which a worker stops a task. */
+constexpr Duration kStopTime = std::chrono::seconds(1);
 constexpr Duration kForgetAfter = std::chrono::minutes(10);
 constexpr std::size_t kNowhere = static_cast<std::size_t>(-1);
 constexpr std::size_t kAlternatives = 3;
@@ -135,11 +137,27 @@
   return victims;
 }
 
+std::int64_t
+CurrentEviction::MemoryOf(const WorkerView& aWorker, TimePoint aNow)
+{
+  const TimePoint reported = aNow - aWorker.observedAge;
+  auto& freed = this->workers[aWorker.name].freed;
+  std::erase_if(freed, [&](const auto& aEntry) {
+    return aEntry.first + kStopTime < reported;
+  });
+  std::int64_t used = aWorker.observed.memoryMb;
+  for (const auto& [at, amount] : freed) {
+    used -= amount;
+  }
+  return used;
+}
+
 bool
 CurrentEviction::RelieveMemory(Pass& aPass, std::size_t aWorker)
 {
   const WorkerView& worker = aPass.cell.workers[aWorker];
-  const double used = Share(worker.observed.memoryMb, worker.capacity.memoryMb);
+  const std::int64_t usedMb = this->MemoryOf(worker, aPass.cell.now);
+  const double used = Share(usedMb, worker.capacity.memoryMb);
   if (used < kMemoryShort || IsEvicting(worker)) {
     return false;
   }
@@ -154,7 +172,7 @@
   }
   // Cheapest for the memory that it gives back, as far as that is needed.
   const double excess =
-    static_cast<double>(worker.observed.memoryMb) -
+    static_cast<double>(usedMb) -
     kMemoryShort * static_cast<double>(worker.capacity.memoryMb);
   for (Victim& victim : victims) {
     const double freed = static_cast<double>(
@@ -276,6 +294,8 @@
       std::move(aReason),
       std::move(aAlternatives) });
   this->history.Add(aPass.cell.now, worker.name, aTask.task);
+  this->workers[worker.name].freed.emplace_back(aPass.cell.now,
+                                                aTask.usage.memoryMb);
   this->knowledge.TaskEvicted(aPass.cell.now, aTask.task, worker.name);
 }
 
--- a/src/CurrentEviction.h
+++ b/src/CurrentEviction.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sequoiakeel {
@@ -40,6 +41,9 @@
     TimePoint suffersSince = TimePoint::max();
     TimePoint calmSince = TimePoint::max();
     TimePoint seen;
+    /** Memory of the tasks that were evicted, which older reports still show.
+     */
+    std::vector<std::pair<TimePoint, std::int64_t>> freed;
   };
   struct Victim
   {
@@ -50,6 +54,8 @@
   void RelieveWorker(Pass& aPass, std::size_t aWorker);
   void Evacuate(Pass& aPass, std::size_t aWorker);
   bool RelieveMemory(Pass& aPass, std::size_t aWorker);
+  /** Memory used, less what evictions after the report have given back. */
+  std::int64_t MemoryOf(const WorkerView& aWorker, TimePoint aNow);
   bool RelieveProcessors(Pass& aPass, const WorkerView& aWorker);
   void ProtectLatency(Pass& aPass, std::size_t aWorker);
   bool ThrottleWorst(Pass& aPass,
--- a/src/CurrentPlacement.cpp
+++ b/src/CurrentPlacement.cpp
@@ -27,6 +27,9 @@
 /** Longest time for which a task waits because its kind is known to exceed its
  * declared memory: started at once it would be evicted or end others. */
 constexpr Duration kLongestHold = std::chrono::minutes(10);
+/** Expected share of a worker's memory up to which it takes such a task; below
+ * the share at which tasks are evicted. */
+constexpr double kExpectedMemory = 0.90;
 
 std::string
 FormatCost(const std::string& aWorker, double aCost)
@@ -121,8 +124,14 @@
   }
   std::erase_if(this->feasible, [&](std::size_t aWorker) {
     const RoundWorker& worker = aRound.Workers()[aWorker];
-    return worker.memoryMb + aLoad.memoryMb >
-           static_cast<double>(worker.view->capacity.memoryMb);
+    const std::int64_t capacity = worker.view->capacity.memoryMb;
+    const double expected = worker.memoryMb + aLoad.memoryMb;
+    // Where no more is expected than counts on the ledger, that has decided.
+    const std::int64_t counted = capacity -
+                                 aRound.Free().Free(aWorker).memoryMb +
+                                 aTask.resources.memoryMb;
+    return expected > static_cast<double>(counted) &&
+           expected > kExpectedMemory * static_cast<double>(capacity);
   });
   if (this->feasible.empty()) {
     aDecision.block = PlacementBlock::Avoided;
--- a/src/PlacementKnowledge.cpp
+++ b/src/PlacementKnowledge.cpp
@@ -53,7 +53,10 @@
     if (task.throttlePermille < 1000) {
       continue;
     }
-    this->sizes.LearnUsage(task.kind, task.committed, task.usage);
+    this->sizes.LearnUsage(task.kind,
+                           task.committed,
+                           task.usage,
+                           aNow - aWorker.observedAge - task.startedAt);
     if (saturated) {
       continue;
     }
--- a/src/PlacementRound.cpp
+++ b/src/PlacementRound.cpp
@@ -73,6 +73,25 @@
   }
 }
 
+Resources
+PlacementRound::ExpectedUse(const RunningTaskView& aTask) const
+{
+  const bool reported = !(aTask.usage == Resources{});
+  const bool grown =
+    this->cell.now - aTask.startedAt >= SizeEstimator::kGrownUp;
+  if (reported && grown) {
+    return aTask.usage;
+  }
+  // Until its memory has grown the learnt size is the best guess.
+  Resources expected =
+    this->knowledge.sizes.Expected(aTask.kind, aTask.committed);
+  if (reported) {
+    expected.cpuMillis = aTask.usage.cpuMillis;
+    expected.memoryMb = std::max(expected.memoryMb, aTask.usage.memoryMb);
+  }
+  return expected;
+}
+
 RoundWorker
 PlacementRound::MakeWorker(const WorkerView& aView)
 {
@@ -82,11 +101,7 @@
   worker.suspicion =
     this->knowledge.quarantine.Suspicion(this->cell.now, aView.name);
   for (const RunningTaskView& task : aView.tasks) {
-    // Until the first report the learnt sizes are the best guess.
-    const bool reported = !(task.usage == Resources{});
-    const Resources expected =
-      reported ? task.usage
-               : this->knowledge.sizes.Expected(task.kind, task.committed);
+    const Resources expected = this->ExpectedUse(task);
     const double cores =
       static_cast<double>(expected.cpuMillis) / kMillisPerCore;
     worker.memoryMb += static_cast<double>(expected.memoryMb);
--- a/src/PlacementRound.h
+++ b/src/PlacementRound.h
@@ -84,6 +84,7 @@
 private:
   void AddLoad(RoundWorker& aWorker, const KindLoad& aLoad);
   void AddSpread(const WorkerView& aWorker, const std::string& aJob);
+  Resources ExpectedUse(const RunningTaskView& aTask) const;
   RoundWorker MakeWorker(const WorkerView& aView);
 
   const CellView& cell;
--- a/src/SizeEstimator.cpp
+++ b/src/SizeEstimator.cpp
@@ -59,7 +59,8 @@
 void
 SizeEstimator::LearnUsage(std::string_view aKind,
                           const Resources& aDeclared,
-                          const Resources& aUsage)
+                          const Resources& aUsage,
+                          Duration aAge)
 {
   Entry* entry = this->EntryOf(aKind);
   if (entry == nullptr) {
@@ -69,7 +70,9 @@
     entry->cpuRatio.Add(static_cast<double>(aUsage.cpuMillis) /
                         static_cast<double>(aDeclared.cpuMillis));
   }
-  if (aDeclared.memoryMb > 0) {
+  // A young task that exceeds its size already tells that much.
+  const bool tells = aAge >= kGrownUp || aUsage.memoryMb > aDeclared.memoryMb;
+  if (aDeclared.memoryMb > 0 && tells) {
     entry->memoryRatio.Add(static_cast<double>(aUsage.memoryMb) /
                            static_cast<double>(aDeclared.memoryMb));
   }
--- a/src/SizeEstimator.h
+++ b/src/SizeEstimator.h
@@ -15,10 +15,15 @@
 class SizeEstimator
 {
 public:
-  /** Takes in one report of a running task's usage. */
+  /** Age from which a task's reported memory tells its size. */
+  static constexpr Duration kGrownUp = std::chrono::seconds(90);
+
+  /** Takes in one report of a running task's usage. aAge is the task's age at
+   * the report: a young task's memory still grows. */
   void LearnUsage(std::string_view aKind,
                   const Resources& aDeclared,
-                  const Resources& aUsage);
+                  const Resources& aUsage,
+                  Duration aAge);
 
   /** Takes in the full run time of a finished task whose progress was not
    * interrupted. */
