--- a/src/CellMachine.cpp
+++ b/src/CellMachine.cpp
@@ -90,8 +90,8 @@
     this->TickTasks(aNow);
     this->Place(aNow);
     this->Relieve(aNow);
-    this->MaybeSnapshot();
   }
+  this->MaybeSnapshot();
   this->log.Tick(this->outbox, aNow);
   this->TickDraining();
 }
@@ -331,11 +331,15 @@
 void
 CellMachine::MaybeSnapshot()
 {
-  if (!this->log.WantsSnapshot()) {
+  if (!this->log.WantsSnapshot() || this->phase == CellPhase::Reading) {
     return;
   }
   const std::uint64_t behind =
     this->committed.Sequence() - this->log.SnapshotCovers();
+  if (this->phase == CellPhase::Announcing && behind < kLogSlots) {
+    // Only a full ring keeps the first record of a new owner out.
+    return;
+  }
   if (!this->keyReleases.empty() && behind < kLatestSnapshot) {
     return;
   }
--- a/test/guarantee/EvictedWorkResumesOnce.cpp
+++ b/test/guarantee/EvictedWorkResumesOnce.cpp
@@ -59,7 +59,7 @@
 // and after the checkpoint, and before and after the records.
 TEST_CASE("an owner that dies at any point of an eviction loses nothing")
 {
-  int resumedLater = 0;
+  int resumed = 0;
   for (std::uint64_t seed = 100; seed < 160; ++seed) {
     EvictionCell world(seed);
     world.AddPlanner("p2");
@@ -69,11 +69,15 @@
     CHECK(world.Finishes(kJob));
     CHECK(world.finished[kTask] == 1);
     CHECK(world.starts[kTask] <= 2);
-    resumedLater += world.starts[kTask] == 2 && world.Resumed() >= 20000;
+    if (world.starts[kTask] == 2) {
+      // A stopped task has a checkpoint that outlives its owner.
+      CHECK(world.Resumed() >= 20000);
+      ++resumed;
+    }
     CHECK(world.breaches.empty());
   }
-  // The loop is meant to reach the points after the checkpoint as well.
-  CHECK(resumedLater > 10);
+  // Some owners die before the eviction is durable, most do not.
+  CHECK(resumed > 30);
 }
 
 // Guards against checkpoints and stops that are answered twice, late or never.
--- a/test/guarantee/HostNeverOvercommitted.cpp
+++ b/test/guarantee/HostNeverOvercommitted.cpp
@@ -249,6 +249,7 @@
 TEST_CASE("tasks leave a worker whose capacity shrinks")
 {
   ReadyCell world(3);
+  world.planners["p1"]->policies.rotate = false;
   world.SubmitOne(kJob, 300000, kFitting);
   REQUIRE(world.RunUntil([&] { return world.RunningOn("w1") == kFitting; }));
   world.workers["w1"]->capacity = Resources{ 13000, 125000, 0 };
--- a/test/guarantee/TaskNeverRunsTwice.cpp
+++ b/test/guarantee/TaskNeverRunsTwice.cpp
@@ -59,9 +59,9 @@
   for (const Fate fate : { Fate::LoseRequest, Fate::DelayRequest }) {
     for (std::uint64_t seed = 10; seed < 40; ++seed) {
       ReadyCell world(seed);
-      // Other tasks on the worker move to the new lease meanwhile.
-      world.SubmitOne("cell-1.2", 120000, 4);
-      REQUIRE(world.RunUntil([&] { return world.Running() == 4; }));
+      // Other tasks on the workers move to the new lease meanwhile.
+      world.SubmitOne("cell-1.2", 120000, 12);
+      REQUIRE(world.RunUntil([&] { return world.Running() == 12; }));
       world.workerFate = FirstStart(fate);
       world.SubmitOne(kJob, 90000);
       CHECK(world.Finishes(kJob));
@@ -124,19 +124,35 @@
   }
 }
 
-// Guards against an owner that dispatches by an expired lease: the machine
-// stops at its clock, and the send is checked again.
+// Guards against an owner that starts tasks by an expired lease, while its
+// appends still succeed because no other owner has written yet.
 TEST_CASE("no start is issued without a valid store lease")
 {
-  ReadyCell world(3);
-  world.SubmitOne(kJob, 90000, 6);
-  world.planners["p1"]->reachesStore = false;
-  world.Run(seconds(7));
-  const auto starts = world.starts;
-  const TimePoint now = world.clock.Now();
-  CHECK_FALSE(world.Machine("p1").OwnsWithValidLease(now));
-  world.Run(seconds(20));
-  CHECK(world.starts == starts);
+  for (std::uint64_t seed = 250; seed < 270; ++seed) {
+    ReadyCell world(seed);
+    const CellMachine& machine = world.Machine("p1");
+    bool startedWithout = false;
+    world.workerFate = [&](const WorkerCommand& aCommand) {
+      startedWithout =
+        startedWithout || (aCommand.verb == WorkerVerb::Start &&
+                           !machine.OwnsWithValidLease(world.clock.Now()));
+      return Fate::Deliver;
+    };
+    world.planners["p1"]->renewsLease = false;
+    int jobs = 0;
+    while (machine.OwnsWithValidLease(world.clock.Now())) {
+      world.SubmitOne("cell-1.a" + std::to_string(jobs++), 1000);
+      world.Run(std::chrono::milliseconds(100));
+    }
+    world.Run(seconds(30));
+    CHECK_FALSE(startedWithout);
+    // Once the lease is back, what was left over starts.
+    world.planners["p1"]->renewsLease = true;
+    CHECK(world.RunUntil([&] {
+      return world.Owner() != nullptr && machine.Committed().OpenJobs() == 0;
+    }));
+    CHECK(world.breaches.empty());
+  }
 }
 
 // Guards against tasks of a silent worker that are started elsewhere while they
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -23,9 +23,12 @@
 {
   std::vector<PlacementDecision> result;
   std::map<std::string, Resources> taken;
+  const std::size_t first = this->rotate ? this->round++ : 0;
   for (const TaskView& task : aQueue) {
     bool fitsSomewhere = false;
-    for (const WorkerView& worker : aCell.workers) {
+    for (std::size_t index = 0; index < aCell.workers.size(); ++index) {
+      const WorkerView& worker =
+        aCell.workers[(first + index) % aCell.workers.size()];
       fitsSomewhere = fitsSomewhere || Fits(task.resources, worker.capacity);
       const Resources used = Plus(worker.committed, taken[worker.name]);
       const bool fits = Fits(Plus(used, task.resources), worker.capacity);
@@ -343,7 +346,7 @@
   }
   const TimePoint now = this->clock.Now();
   const bool reaches = aPlanner.reachesStore && !this->store.down;
-  if (reaches && now >= aPlanner.nextRenewal) {
+  if (reaches && aPlanner.renewsLease && now >= aPlanner.nextRenewal) {
     aPlanner.nextRenewal = now + kStoreLeaseRenewal;
     aPlanner.storeLease = this->store.RenewLease(aPlanner.storeLease);
     aPlanner.machine->OnStoreLease(aPlanner.storeLease,
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -37,6 +37,12 @@
 
   /** Places without regard to room, as a faulty policy would. */
   bool ignoreRoom = false;
+  /** Begins each round with another worker, so that a next attempt rarely goes
+   * where the last one was. */
+  bool rotate = true;
+
+private:
+  std::size_t round = 0;
 };
 
 /** Key-value service in memory with leases on the world's clock. */
@@ -135,6 +141,8 @@
   bool paused = false;
   bool candidate = true;
   bool reachesStore = true;
+  /** Its lease renewals reach the store. */
+  bool renewsLease = true;
   /** Replies that came while it was paused. */
   std::vector<std::function<void()>> backlog;
   std::map<std::uint64_t, SubmitReply> replies;
