Keep tasks alive while the store is down and their owner is gone

The first planner by rank renews each lease of the cell that a worker lists, if fresh rows of a majority of planners report the store unreachable. It cannot know the owner without the store; a living owner renews as well, which does no harm. It starts, stops and evicts nothing.

--- a/src/PlannerDriver.cpp
+++ b/src/PlannerDriver.cpp
@@ -1,5 +1,6 @@
 #include "PlannerDriver.h"
 
+#include "Caretaker.h"
 #include "Log.h"
 #include "PeerCodec.h"
 
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::chrono::seconds kHostPollInterval{ 2 };
+constexpr std::chrono::seconds kCareInterval{ 3 };
 
 /** Time for the gossip to show the other planners before cells are claimed, so
  * that a planner that starts does not claim what others rank higher for. */
@@ -64,15 +66,19 @@
     this->parts.context,
     [this]() { return this->PollHosts(); },
     asio::detached);
+  asio::co_spawn(
+    this->parts.context, [this]() { return this->TakeCare(); }, asio::detached);
 }
 
 bool
-PlannerDriver::IsFirstPlanner(const std::string& aCell) const
+PlannerDriver::IsFirstPlanner(const std::string& aCell,
+                              bool aReachingStore) const
 {
   const std::vector<Member> members = this->parts.gossip.Members();
   const std::vector<std::string> ranked =
-    RankMembers(aCell, members, [](const MemberRow& aRow) {
-      return aRow.role == MemberRole::Planner && aRow.storeReachable;
+    RankMembers(aCell, members, [aReachingStore](const MemberRow& aRow) {
+      return aRow.role == MemberRole::Planner &&
+             (aRow.storeReachable || !aReachingStore);
     });
   return !ranked.empty() && ranked.front() == this->name;
 }
@@ -96,7 +102,7 @@
   result.leaseValidUntil = held.validUntil;
   result.majorityReachable = reports.majorityReachable;
   result.majorityUnreachable = reports.majorityUnreachable;
-  result.candidate = mayClaim && this->IsFirstPlanner(aCell);
+  result.candidate = mayClaim && this->IsFirstPlanner(aCell, true);
   return result;
 }
 
@@ -214,6 +220,45 @@
   }
 }
 
+std::vector<std::pair<std::string, Endpoint>>
+PlannerDriver::WorkersToCareFor() const
+{
+  std::vector<std::pair<std::string, Endpoint>> result;
+  const std::lock_guard lock(this->mutex);
+  const auto planners =
+    static_cast<std::size_t>(this->configuration.limits.plannersExpected);
+  if (!this->parts.gossip.CountStoreReports(planners).majorityUnreachable) {
+    return result;
+  }
+  for (const Cell& cell : this->configuration.cells) {
+    // The owner is not known while the store is down. If it is another planner
+    // and alive, both renew, which does no harm.
+    if (!this->IsFirstPlanner(cell.name, false)) {
+      continue;
+    }
+    for (const HostRecord& host : this->HostsOf(cell)) {
+      result.emplace_back(cell.name, AgentEndpointOf(host));
+    }
+  }
+  return result;
+}
+
+asio::awaitable<void>
+PlannerDriver::TakeCare()
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    timer.expires_after(kCareInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto workers = this->WorkersToCareFor();
+    for (const auto& [cell, endpoint] : workers) {
+      asio::co_spawn(this->parts.context,
+                     RenewListedLeases(this->parts.agent, cell, endpoint),
+                     asio::detached);
+    }
+  }
+}
+
 std::shared_ptr<CellRunner>
 PlannerDriver::RunnerOf(const std::string& aCell) const
 {
--- a/src/PlannerDriver.h
+++ b/src/PlannerDriver.h
@@ -54,13 +54,15 @@
 
 private:
   CellSurroundings Surroundings(const std::string& aCell) const;
-  bool IsFirstPlanner(const std::string& aCell) const;
+  bool IsFirstPlanner(const std::string& aCell, bool aReachingStore) const;
   std::shared_ptr<CellRunner> RunnerOf(const std::string& aCell) const;
   std::vector<std::shared_ptr<CellRunner>> Runners() const;
   CellRules RulesFor(const Cell& aCell) const;
   std::vector<HostRecord> HostsOf(const Cell& aCell) const;
   void Distribute();
   boost::asio::awaitable<void> PollHosts();
+  boost::asio::awaitable<void> TakeCare();
+  std::vector<std::pair<std::string, Endpoint>> WorkersToCareFor() const;
   boost::asio::awaitable<std::string> HandleSubmit(std::string aBody);
   boost::asio::awaitable<std::string> HandleCancel(std::string aBody);
   boost::asio::awaitable<std::string> HandleQuery(std::string aBody);
--- a/test/path/PlannerRunsJobs.cpp
+++ b/test/path/PlannerRunsJobs.cpp
@@ -109,3 +109,44 @@
     CHECK(count == 1);
   }
 }
+
+// Guards against tasks that die with their owner while the store is down, when
+// no other planner can take the cell over.
+TEST_CASE("a caretaker keeps tasks alive while the store is down")
+{
+  Deployment deployment;
+  deployment.StartWorker("worker-1", "zone-1");
+  auto document = nlohmann::json::parse(SmallConfiguration({ "zone-1" }));
+  // The planner that is left is a majority.
+  document["limits"]["planners_expected"] = 1;
+  deployment.PutConfiguration(document.dump());
+  deployment.StartPlanner("planner-1", "zone-1");
+  const Endpoint first = deployment.PeerEndpointOf("planner-1");
+  REQUIRE(WaitUntil([&] { return Owns(first); }));
+  CHECK(SubmitOrder(first, kJob, 2, 60000).outcome == SubmitOutcome::Accepted);
+  REQUIRE(
+    WaitUntil([&] { return StartsAt(deployment, "worker-1").size() == 2; }));
+  deployment.StartPlanner("planner-2", "zone-1");
+  const Endpoint second = deployment.PeerEndpointOf("planner-2");
+  REQUIRE(WaitUntil([&] {
+    return deployment.LogOf("planner-2").find("configuration_active") !=
+           std::string::npos;
+  }));
+  deployment.Call("store", "POST", "/standin/faults", R"({"mode":"down"})");
+  deployment.Process("planner-1").Signal(SIGKILL);
+  deployment.Process("planner-1").Wait();
+  // Longer than a worker lease lasts, by the worker's own clock.
+  const bool finished = WaitUntil(
+    [&] {
+      return deployment.Call("worker-1", "GET", "/v1/status")
+               .body.find("\"finished\"") != std::string::npos;
+    },
+    120);
+  CHECK(finished);
+  deployment.Call("store", "POST", "/standin/faults", R"({"mode":"ok"})");
+  REQUIRE(WaitUntil([&] { return Owns(second); }));
+  REQUIRE(WaitUntil([&] { return Query(second, kJob).state == "finished"; }));
+  for (const auto& [task, count] : StartsAt(deployment, "worker-1")) {
+    CHECK(count == 1);
+  }
+}
