Shrink beats and send them twice as often while they fit

A datagram carried only about 20 beats.

Beats now take 4 bytes (18 bits of hash, 13 of heartbeat, store reachability), and rows go along only while they are news, share a hash, or space is left; missing rows are pulled. Up to half of the beats are planners', since a majority about the store counts only fresh reports. While all beats fit into 300 bytes, rounds come every 500 ms with datagrams of that size, which is the same number of bytes a second.

--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -25,10 +25,10 @@
 constexpr std::size_t kPushBurst = 4;
 
 /** Answers between two rounds, so that a flood of datagrams is not doubled. */
-constexpr std::size_t kAnswersPerRound = 8;
+constexpr std::size_t kAnswersPerRound = 4;
 
 /** Every so many rounds a seed or a dropped member is contacted. */
-constexpr std::uint64_t kRejoinRounds = 10;
+constexpr std::uint64_t kRejoinRounds = 20;
 
 constexpr std::size_t kMaxNameBytes = 60;
 constexpr std::uint64_t kMaxHeartbeat = 0x7fffffff;
@@ -146,19 +146,28 @@
   this->leavingNews |= this->leavingHosts.HasNews();
   std::vector<OutgoingDatagram> out = this->Flush();
   this->answersLeft = kAnswersPerRound;
-  const std::size_t space = this->membership.SpaceBesideOwnRow();
+  if (this->rounds % 2 == 0 ||
+      this->membership.RoundBytes() == kSmallDatagramBytes) {
+    this->SendRound(out);
+  }
+  ++this->rounds;
+  return out;
+}
+
+void
+Gossip::SendRound(std::vector<OutgoingDatagram>& aOut)
+{
+  const std::size_t bytes = this->membership.RoundBytes();
+  const std::size_t space = this->membership.SpaceBesideOwnRow(bytes);
   for (const MemberRow& peer :
        this->membership.PickPeers(kPeersPerRound, this->random)) {
     const std::vector<LeavingEvidence> evidence =
       this->leavingHosts.Next(kEvidencePerRound, space);
-    this->Send(
-      this->membership.Compose(evidence, this->random), EndpointOf(peer), out);
+    this->Send(this->Compose(evidence, bytes), EndpointOf(peer), aOut);
   }
   if (const std::optional<GossipEndpoint> target = this->PickRejoinTarget()) {
-    this->Send(this->Compose({}), *target, out);
+    this->Send(this->Compose({}), *target, aOut);
   }
-  ++this->rounds;
-  return out;
 }
 
 std::optional<GossipEndpoint>
@@ -217,9 +226,11 @@
 }
 
 GossipDatagram
-Gossip::Compose(std::span<const LeavingEvidence> aLeaving)
+Gossip::Compose(std::span<const LeavingEvidence> aLeaving,
+                std::size_t aMaxBytes)
 {
-  GossipDatagram datagram = this->membership.Compose(aLeaving, this->random);
+  GossipDatagram datagram =
+    this->membership.Compose(aLeaving, this->random, aMaxBytes);
   datagram.leavingDigest = this->leavingHosts.Digest();
   return datagram;
 }
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -14,8 +14,10 @@
 
 namespace sequoiakeel {
 
-/** Interval between rounds. */
-inline constexpr std::chrono::seconds kGossipInterval{ 1 };
+/** Interval between rounds. While the table is too large for small datagrams,
+ * every second round sends nothing, so that the bytes a second stay the same.
+ */
+inline constexpr std::chrono::milliseconds kGossipInterval{ 500 };
 
 /** Where datagrams go to and come from. */
 struct GossipEndpoint
@@ -118,7 +120,9 @@
   void SendNews(std::span<const MemberRow> aPeers,
                 bool aEvidenceOnly,
                 std::vector<OutgoingDatagram>& aOut);
-  GossipDatagram Compose(std::span<const LeavingEvidence> aLeaving);
+  GossipDatagram Compose(std::span<const LeavingEvidence> aLeaving,
+                         std::size_t aMaxBytes = kMaxDatagramBytes);
+  void SendRound(std::vector<OutgoingDatagram>& aOut);
   void Answer(const GossipDatagram& aDatagram,
               const MergeResult& aMerged,
               std::vector<OutgoingDatagram>& aOut);
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -11,7 +11,7 @@
 
 using Tenths = std::chrono::duration<std::int64_t, std::deci>;
 
-constexpr std::uint64_t kHeartbeatMask = 0x7fffffff;
+constexpr std::uint32_t kHeartbeatMask = 0x1fff;
 
 /** The estimate of a member's start moves later by at most this part of the
  * time passed; clock rates differ by at most 1% each. */
@@ -32,7 +32,7 @@
 }
 
 bool
-IsNews(const MemberRow& aOld, const MemberRow& aNew)
+Differs(const MemberRow& aOld, const MemberRow& aNew)
 {
   return aOld.incarnation != aNew.incarnation ||
          aOld.configurationGeneration != aNew.configurationGeneration ||
@@ -73,7 +73,7 @@
 MemberHash(std::string_view aName, std::uint64_t aIncarnation)
 {
   return static_cast<std::uint32_t>(
-    XXH64(aName.data(), aName.size(), aIncarnation));
+    XXH64(aName.data(), aName.size(), aIncarnation) >> (64 - kMemberHashBits));
 }
 
 Membership::Membership(MemberRow aOwn,
@@ -151,7 +151,7 @@
       continue;
     }
     names.push_back(entry->first);
-    this->byHash.erase(entry->second.hash);
+    this->RemoveHash(entry->second);
     this->dropped[entry->first] = Dropped{ entry->second.row, now };
     entry = this->entries.erase(entry);
   }
@@ -209,7 +209,7 @@
     return false;
   }
   aResult.newLeaving |= aRow.leaving && !entry.row.leaving;
-  if (IsNews(entry.row, aRow)) {
+  if (Differs(entry.row, aRow)) {
     entry.changed = this->clock->Now();
   }
   this->Renew(entry, aRow.heartbeat);
@@ -235,40 +235,58 @@
   aResult.joined.push_back(aRow.name);
   const auto old = this->entries.find(aRow.name);
   if (old != this->entries.end()) {
-    this->byHash.erase(old->second.hash);
+    this->RemoveHash(old->second);
   }
   this->dropped.erase(aRow.name);
-  this->byHash[entry.hash] = aRow.name;
+  this->AddHash(entry);
   this->entries[aRow.name] = std::move(entry);
 }
 
 void
-Membership::MergeBeat(std::uint64_t aBeat, MergeResult& aResult)
+Membership::AddHash(const Entry& aEntry)
 {
-  const auto hash = static_cast<std::uint32_t>(aBeat >> 32);
-  const std::uint64_t heartbeat = aBeat >> 1 & kHeartbeatMask;
+  this->byHash[aEntry.hash].insert(aEntry.row.name);
+}
+
+void
+Membership::RemoveHash(const Entry& aEntry)
+{
+  const auto found = this->byHash.find(aEntry.hash);
+  if (found == this->byHash.end()) {
+    return;
+  }
+  found->second.erase(aEntry.row.name);
+  if (found->second.empty()) {
+    this->byHash.erase(found);
+  }
+}
+
+void
+Membership::MergeBeat(std::uint32_t aBeat, MergeResult& aResult)
+{
+  const std::uint32_t hash = aBeat >> (32 - kMemberHashBits);
   if (hash == MemberHash(this->own.name, this->own.incarnation)) {
     return;
   }
   const auto found = this->byHash.find(hash);
-  if (found != this->byHash.end()) {
-    Entry& entry = this->entries.at(found->second);
-    if (heartbeat <= entry.row.heartbeat) {
-      return;
+  if (found == this->byHash.end()) {
+    if (aResult.unknown.size() < kMaxUnknown) {
+      aResult.unknown.push_back(hash);
     }
-    this->Renew(entry, heartbeat);
-    entry.row.storeReachable = (aBeat & 1) != 0;
     return;
   }
-  for (const auto& [name, last] : this->dropped) {
-    if (hash == MemberHash(name, last.row.incarnation) &&
-        heartbeat <= last.row.heartbeat) {
-      return;
-    }
+  if (found->second.size() > 1) {
+    return;
   }
-  if (aResult.unknown.size() < kMaxUnknown) {
-    aResult.unknown.push_back(hash);
+  Entry& entry = this->entries.at(*found->second.begin());
+  // Only the lowest bits are sent; the shorter way round tells which is newer.
+  const auto known = static_cast<std::uint32_t>(entry.row.heartbeat);
+  const std::uint32_t ahead = ((aBeat >> 1) - known) & kHeartbeatMask;
+  if (ahead == 0 || ahead > kHeartbeatMask / 2) {
+    return;
   }
+  this->Renew(entry, entry.row.heartbeat + ahead);
+  entry.row.storeReachable = (aBeat & 1) != 0;
 }
 
 void
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,11 +25,16 @@
 inline constexpr std::chrono::seconds kStoreReportMaxAge{ 3 };
 /** Largest gossip datagram in bytes. */
 inline constexpr std::size_t kMaxDatagramBytes = 600;
+/** Largest datagram of a round while all beats fit into it; rounds are then
+ * twice as frequent. */
+inline constexpr std::size_t kSmallDatagramBytes = kMaxDatagramBytes / 2;
 
 /** Order in which rows of other members go into a datagram. */
 enum class RowChoice : std::uint8_t
 {
-  /** Most recent changes first, then the rest in turn. */
+  /** Most recent changes first, then the rest in turn. Up to half of the beats
+   * are those of planners, since a majority of planners counts only while their
+   * reports about the store are fresh. */
   NewestFirst,
   /** A random selection. */
   Random,
@@ -80,6 +86,10 @@
 std::vector<std::string>
 RankByRendezvous(std::string_view aKey, std::vector<std::string> aNames);
 
+/** Bits of a hash that names a member in beats. Two of 200 members share one
+ * with a probability of 8%; such members are sent as rows. */
+inline constexpr unsigned kMemberHashBits = 18;
+
 /** Hash that names a member's incarnation in beats. Thread safe. */
 std::uint32_t
 MemberHash(std::string_view aName, std::uint64_t aIncarnation);
@@ -115,13 +125,20 @@
    * DecodeDatagram. */
   MergeResult Merge(const GossipDatagram& aDatagram);
 
-  /** Chooses rows and beats for one datagram that encodes to at most
-   * kMaxDatagramBytes. aLeaving is taken in order while it fits. */
+  /** Chooses rows and beats for one datagram that encodes to at most aMaxBytes,
+   * which is kMaxDatagramBytes or RoundBytes(). aLeaving is taken in order
+   * while it fits. */
   GossipDatagram Compose(std::span<const LeavingEvidence> aLeaving,
-                         std::mt19937_64& aRandom);
+                         std::mt19937_64& aRandom,
+                         std::size_t aMaxBytes = kMaxDatagramBytes);
+
+  /** Returns the size of a round's datagrams: kSmallDatagramBytes if the own
+   * row and all beats fit into it, else kMaxDatagramBytes. */
+  std::size_t RoundBytes() const;
 
   /** Returns how many bytes of evidence fit beside the own row. */
-  std::size_t SpaceBesideOwnRow() const;
+  std::size_t SpaceBesideOwnRow(
+    std::size_t aMaxBytes = kMaxDatagramBytes) const;
 
   /** A datagram with the own row and the rows named by hash that fit. */
   GossipDatagram ComposeRows(std::span<const std::uint32_t> aHashes) const;
@@ -170,16 +187,18 @@
 
   bool MergeRow(const MemberRow& aRow, MergeResult& aResult);
   void Adopt(const MemberRow& aRow, MergeResult& aResult);
-  void MergeBeat(std::uint64_t aBeat, MergeResult& aResult);
+  void MergeBeat(std::uint32_t aBeat, MergeResult& aResult);
+  void AddHash(const Entry& aEntry);
+  void RemoveHash(const Entry& aEntry);
   void Renew(Entry& aEntry, std::uint64_t aHeartbeat);
   void RaiseHeartbeat();
   Duration AgeOf(const Entry& aEntry) const;
   bool IsSuspect(const Entry& aEntry) const;
   bool IsDropped(const MemberRow& aRow) const;
-  std::vector<Entry*> InOrder(std::uint64_t Entry::*aSent,
-                              TimePoint Entry::*aNews,
-                              std::size_t aNewest,
-                              std::mt19937_64& aRandom);
+  bool IsNews(const Entry& aEntry) const;
+  bool SharesHash(const Entry& aEntry) const;
+  std::vector<Entry*> Live(std::mt19937_64& aRandom);
+  std::vector<Entry*> RowsInOrder(std::mt19937_64& aRandom);
   std::size_t AddRows(std::span<Entry* const> aOrder,
                       std::size_t aMax,
                       GossipDatagram& aDatagram,
@@ -194,7 +213,7 @@
   TimePoint started;
   std::uint64_t sequence = 0;
   std::map<std::string, Entry, std::less<>> entries;
-  std::unordered_map<std::uint32_t, std::string> byHash;
+  std::unordered_map<std::uint32_t, std::set<std::string>> byHash;
   std::map<std::string, Dropped> dropped;
 };
 
--- a/src/MembershipDatagram.cpp
+++ b/src/MembershipDatagram.cpp
@@ -11,13 +11,12 @@
 constexpr std::size_t kRowBytes = 67;
 constexpr std::size_t kHeadBytes = 45;
 constexpr std::size_t kEvidenceBytes = 21;
-constexpr std::size_t kBeatBytes = 8;
+constexpr std::size_t kBeatBytes = sizeof(std::uint32_t);
 
-constexpr std::uint64_t kHeartbeatMask = 0x7fffffff;
+constexpr std::uint32_t kHeartbeatMask = 0x1fff;
 
-/** Rows in a datagram when heartbeats also go without rows. */
+/** Most rows that are news in one datagram; beats need the rest. */
 constexpr std::size_t kNewestRows = 2;
-constexpr std::size_t kRowsInTurn = 1;
 
 /** A change counts as news for this long. */
 constexpr std::chrono::seconds kNewsFor{ 3 };
@@ -29,48 +28,61 @@
          aRow.address.size();
 }
 
-std::uint64_t
+std::uint32_t
 PackBeat(std::uint32_t aHash, const MemberRow& aRow)
 {
-  const std::uint64_t heartbeat = aRow.heartbeat & kHeartbeatMask;
-  return static_cast<std::uint64_t>(aHash) << 32 | heartbeat << 1 |
+  const auto heartbeat =
+    static_cast<std::uint32_t>(aRow.heartbeat) & kHeartbeatMask;
+  return aHash << (32 - kMemberHashBits) | heartbeat << 1 |
          (aRow.storeReachable ? 1U : 0U);
 }
 
 } // namespace
 
+bool
+Membership::IsNews(const Entry& aEntry) const
+{
+  return this->clock->Now() - aEntry.changed <= kNewsFor;
+}
+
+bool
+Membership::SharesHash(const Entry& aEntry) const
+{
+  return this->byHash.at(aEntry.hash).size() > 1;
+}
+
 std::vector<Membership::Entry*>
-Membership::InOrder(std::uint64_t Entry::*aSent,
-                    TimePoint Entry::*aNews,
-                    std::size_t aNewest,
-                    std::mt19937_64& aRandom)
+Membership::Live(std::mt19937_64& aRandom)
 {
-  const TimePoint now = this->clock->Now();
-  std::vector<Entry*> order;
+  std::vector<Entry*> live;
   for (auto& [name, entry] : this->entries) {
     // A suspect's row is not passed on, or it would outlive its removal.
     if (!this->IsSuspect(entry)) {
-      order.push_back(&entry);
+      live.push_back(&entry);
     }
   }
-  std::ranges::shuffle(order, aRandom);
+  std::ranges::shuffle(live, aRandom);
+  return live;
+}
+
+std::vector<Membership::Entry*>
+Membership::RowsInOrder(std::mt19937_64& aRandom)
+{
+  std::vector<Entry*> order = this->Live(aRandom);
   if (this->options.choice == RowChoice::Random) {
     return order;
   }
-  std::ranges::stable_sort(order,
-                           [aNews](const Entry* aOne, const Entry* aTwo) {
-                             return aOne->*aNews > aTwo->*aNews;
-                           });
-  std::size_t newest = 0;
-  while (newest < std::min(aNewest, order.size()) &&
-         now - order[newest]->*aNews <= kNewsFor) {
-    ++newest;
-  }
-  std::stable_sort(order.begin() + static_cast<std::ptrdiff_t>(newest),
-                   order.end(),
-                   [aSent](const Entry* aOne, const Entry* aTwo) {
-                     return aOne->*aSent < aTwo->*aSent;
-                   });
+  const auto rest = std::stable_partition(
+    order.begin(), order.end(), [this](const Entry* aEntry) {
+      return this->IsNews(*aEntry) || this->SharesHash(*aEntry);
+    });
+  std::stable_sort(
+    order.begin(), rest, [](const Entry* aOne, const Entry* aTwo) {
+      return aOne->changed > aTwo->changed;
+    });
+  std::stable_sort(rest, order.end(), [](const Entry* aOne, const Entry* aTwo) {
+    return aOne->rowSent < aTwo->rowSent;
+  });
   return order;
 }
 
@@ -101,8 +113,20 @@
                      std::mt19937_64& aRandom)
 {
   const std::size_t room = aSpace / kBeatBytes;
-  std::vector<Entry*> order =
-    this->InOrder(&Entry::beatSent, &Entry::renewed, room / 2, aRandom);
+  std::vector<Entry*> order = this->Live(aRandom);
+  if (this->options.choice == RowChoice::NewestFirst) {
+    const auto inTurn = [](const Entry* aOne, const Entry* aTwo) {
+      return aOne->beatSent < aTwo->beatSent;
+    };
+    std::ranges::stable_sort(order, inTurn);
+    const auto others = std::stable_partition(
+      order.begin(), order.end(), [](const Entry* aEntry) {
+        return aEntry->row.role == MemberRole::Planner;
+      });
+    const auto planners =
+      std::min<std::ptrdiff_t>(others - order.begin(), room / 2);
+    std::stable_sort(order.begin() + planners, order.end(), inTurn);
+  }
   std::size_t added = 0;
   for (Entry* entry : order) {
     if (added == room) {
@@ -120,21 +144,31 @@
 }
 
 std::size_t
-Membership::SpaceBesideOwnRow() const
+Membership::RoundBytes() const
+{
+  const std::size_t beats = this->entries.size() * kBeatBytes;
+  const bool fits = this->options.beats &&
+                    beats <= this->SpaceBesideOwnRow(kSmallDatagramBytes);
+  return fits ? kSmallDatagramBytes : kMaxDatagramBytes;
+}
+
+std::size_t
+Membership::SpaceBesideOwnRow(std::size_t aMaxBytes) const
 {
   const std::size_t used =
     kHeadBytes + this->own.name.size() + SizeOf(this->own);
-  return used < kMaxDatagramBytes ? kMaxDatagramBytes - used : 0;
+  return used < aMaxBytes ? aMaxBytes - used : 0;
 }
 
 GossipDatagram
 Membership::Compose(std::span<const LeavingEvidence> aLeaving,
-                    std::mt19937_64& aRandom)
+                    std::mt19937_64& aRandom,
+                    std::size_t aMaxBytes)
 {
   GossipDatagram datagram;
   datagram.sender = this->own.name;
   datagram.rows.push_back(this->own);
-  std::size_t space = this->SpaceBesideOwnRow();
+  std::size_t space = this->SpaceBesideOwnRow(aMaxBytes);
   for (const LeavingEvidence& evidence : aLeaving) {
     const std::size_t size = kEvidenceBytes + evidence.host.size();
     if (size > space) {
@@ -143,14 +177,17 @@
     space -= size;
     datagram.leaving.push_back(evidence);
   }
-  const std::vector<Entry*> order =
-    this->InOrder(&Entry::rowSent, &Entry::changed, kNewestRows, aRandom);
+  const std::vector<Entry*> order = this->RowsInOrder(aRandom);
   if (!this->options.beats) {
     this->AddRows(order, order.size(), datagram, space);
     return datagram;
   }
+  const auto news = static_cast<std::size_t>(
+    std::ranges::count_if(order, [this](const Entry* aEntry) {
+      return this->IsNews(*aEntry) || this->SharesHash(*aEntry);
+    }));
   const std::size_t used =
-    this->AddRows(order, kNewestRows + kRowsInTurn, datagram, space);
+    this->AddRows(order, std::min(news, kNewestRows), datagram, space);
   this->AddBeats(datagram, space, aRandom);
   this->AddRows(std::span(order).subspan(used), order.size(), datagram, space);
   return datagram;
@@ -168,13 +205,15 @@
     if (found == this->byHash.end()) {
       continue;
     }
-    const Entry& entry = this->entries.at(found->second);
-    const std::size_t size = SizeOf(entry.row);
-    if (size > space || this->IsSuspect(entry)) {
-      continue;
+    for (const std::string& name : found->second) {
+      const Entry& entry = this->entries.at(name);
+      const std::size_t size = SizeOf(entry.row);
+      if (size > space || this->IsSuspect(entry)) {
+        continue;
+      }
+      space -= size;
+      datagram.rows.push_back(entry.row);
     }
-    space -= size;
-    datagram.rows.push_back(entry.row);
   }
   return datagram;
 }
--- a/test/support/GossipNetwork.h
+++ b/test/support/GossipNetwork.h
@@ -20,6 +20,8 @@
   int lossPercent = 0;
   GossipOptions options;
   std::size_t zones = 3;
+  /** Every second member is a planner until there are this many. */
+  std::size_t plannersMax = 54;
 };
 
 /** Members on an in-memory network with losses, driven by a manual clock. Not
@@ -147,7 +149,7 @@
   MemberRow RowOf(std::size_t aIndex)
   {
     MemberRow row;
-    const bool planner = aIndex % 2 == 1;
+    const bool planner = aIndex % 2 == 1 && aIndex / 2 < this->plan.plannersMax;
     row.name = (planner ? "planner-" : "entry-") + std::to_string(aIndex);
     row.zone = "zone-" + std::to_string(aIndex % this->plan.zones);
     row.region = "default";
