--- a/test/unit/Membership.cpp
+++ b/test/unit/Membership.cpp
@@ -143,6 +143,42 @@
          std::ranges::find(unknown, missing) != unknown.end()));
 }
 
+// Guards against a dead member that the beats of another one keep alive.
+TEST_CASE("members that share a hash are renewed by rows only")
+{
+  ManualClock clock;
+  std::mt19937_64 random(kSeed);
+  std::map<std::uint32_t, std::string> seen;
+  std::string one;
+  std::string two;
+  for (int index = 0; two.empty(); ++index) {
+    const std::string name = "member-" + std::to_string(index);
+    const auto [found, isNew] = seen.emplace(MemberHash(name, 100), name);
+    one = found->second;
+    two = isNew ? "" : name;
+  }
+  Membership table(Row("own"), clock);
+  table.Merge(From(Row(one, 10)));
+  table.Merge(From(Row(two, 10)));
+  for (int index = 0; index < 100; ++index) {
+    table.Merge(From(Row("other-" + std::to_string(index), 10)));
+  }
+  clock.Advance(4s);
+  GossipDatagram datagram = From(Row("peer", 1));
+  datagram.beats = { MemberHash(one, 100) << (32 - kMemberHashBits) | 50 << 1 };
+  table.Merge(datagram);
+  CHECK(HeartbeatOf(table, one) == 10);
+  CHECK(HeartbeatOf(table, two) == 10);
+  for (int round = 0; round < 10; ++round) {
+    const GossipDatagram sent = table.Compose({}, random);
+    const auto holds = [&sent](const std::string& aName) {
+      return std::ranges::find(sent.rows, aName, &MemberRow::name) !=
+             sent.rows.end();
+    };
+    CHECK((holds(one) || holds(two)));
+  }
+}
+
 // Guards against datagrams over the bound, and against news that waits behind
 // old rows.
 TEST_CASE("a datagram keeps its bound and carries the newest changes")
