--- /dev/null
+++ b/test/unit/ServerTable.cpp
@@ -0,0 +1,110 @@
+#include "ServerTable.h"
+
+#include "support/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+RequestView
+MakeRequest(const Clock& aClock)
+{
+  RequestView request;
+  request.deadline = aClock.Now() + seconds(2);
+  return request;
+}
+
+} // namespace
+
+// Guards against views that lose count of the requests in progress.
+TEST_CASE("each event ends one request")
+{
+  ManualClock clock;
+  ServerTable table({});
+  const ServerId id = table.Add("worker-1", "zone-a");
+  CHECK(table.Add("worker-1", "zone-a") == id);
+  for (int request = 0; request < 5; ++request) {
+    table.OnStart(id, clock.Now());
+  }
+  CHECK(table.Views()[0].inFlight == 5);
+  table.OnResponse(id, milliseconds(10), clock.Now());
+  table.OnRefusal(id, clock.Now());
+  table.OnFailure(id, clock.Now());
+  table.OnTimeout(id, milliseconds(10), clock.Now());
+  table.OnAbandoned(id, clock.Now());
+  CHECK(table.Views()[0].inFlight == 0);
+  CHECK(table.TypicalLatency() == milliseconds(10));
+}
+
+// Guards against feedback on a removed server that reaches another one.
+TEST_CASE("late feedback on a removed server is ignored")
+{
+  ManualClock clock;
+  ServerTable table({});
+  const ServerId gone = table.Add("worker-1", "zone-a");
+  const ServerId kept = table.Add("worker-2", "zone-a");
+  table.OnStart(gone, clock.Now());
+  table.OnStart(kept, clock.Now());
+  table.Remove("worker-1");
+  table.Remove("worker-1");
+  const ServerId again = table.Add("worker-1", "zone-a");
+  CHECK(again != gone);
+  table.OnFailure(gone, clock.Now());
+  table.OnResponse(kept, milliseconds(5), clock.Now());
+  CHECK(table.Name(again) == "worker-1");
+  CHECK_FALSE(table.Find("worker-3"));
+  for (const ServerView& view : table.Views()) {
+    CHECK(view.inFlight == 0);
+    CHECK(view.name == table.Name(view.id));
+  }
+}
+
+// Guards against new work for a leaving host, and more connections than the
+// entry's share of 64.
+TEST_CASE("leaving hosts and the connection share hold for both policies")
+{
+  for (const char* policy : { "naive", "current" }) {
+    ManualClock clock;
+    Random random(3);
+    ServerTableOptions options;
+    options.policy = policy;
+    ServerTable table(options);
+    const ServerId leaving = table.Add("worker-1", "zone-a");
+    const ServerId staying = table.Add("worker-2", "zone-b");
+    table.SetLeaving(leaving, true);
+    for (int request = 0; request < 300; ++request) {
+      const RoutingDecision decision =
+        table.Choose(MakeRequest(clock), clock.Now(), random);
+      if (!decision.index) {
+        CHECK(decision.reason == RoutingReason::AllAtLimit);
+        table.OnResponse(staying, milliseconds(10), clock.Now());
+        continue;
+      }
+      CHECK(table.Views()[*decision.index].id == staying);
+      table.OnStart(staying, clock.Now());
+      CHECK(table.Views()[1].inFlight <= 6);
+    }
+  }
+}
+
+// Guards against health checks that change the naive baseline.
+TEST_CASE("the naive table ejects nothing")
+{
+  ManualClock clock;
+  Random random(3);
+  ServerTableOptions options;
+  options.policy = "naive";
+  ServerTable table(options);
+  const ServerId id = table.Add("worker-1", "zone-a");
+  for (int failure = 0; failure < 20; ++failure) {
+    table.OnStart(id, clock.Now());
+    table.OnFailure(id, clock.Now());
+  }
+  table.Tick(clock.Now(), random);
+  CHECK(table.TakeHealthChanges().empty());
+  CHECK(table.Choose(MakeRequest(clock), clock.Now(), random).index);
+}
