--- a/bench/Association.h
+++ b/bench/Association.h
@@ -21,6 +21,9 @@
   std::uint64_t seed = 1;
   /** "naive": naive routing, queue and retries; else the current ones. */
   bool naive = false;
+  /** Part of the current policies that is left out, to see what it is worth:
+   * "queue" (first in, first out instead), "health" (no ejection) or empty. */
+  std::string without;
   RoutingOptions routing;
   RetryOptions retry;
   /** Makes the routing policy; empty: the one of the library. */
--- a/bench/AssociationEntry.cpp
+++ b/bench/AssociationEntry.cpp
@@ -15,9 +15,20 @@
   options.connectionsPerWorker = kConnections;
   options.policy = aOptions.naive ? "naive" : "current";
   options.routing = aOptions.routing;
+  if (aOptions.without == "health") {
+    options.health.maxEjectedShare = 0;
+    options.health.maxSlowShare = 0;
+  }
   return options;
 }
 
+const char*
+QueueName(const AssociationOptions& aOptions)
+{
+  const bool naive = aOptions.naive || aOptions.without == "queue";
+  return naive ? "naive" : "current";
+}
+
 std::unique_ptr<RoutingPolicy>
 MakePolicy(const AssociationOptions& aOptions)
 {
@@ -43,7 +54,7 @@
   , zone(aIndex % kZones)
   , sink(std::move(aSink))
   , table(TableOptions(aOptions, aIndex % kZones), MakePolicy(aOptions))
-  , queue(MakeRequestQueue(aOptions.naive ? "naive" : "current", kQueueLimit))
+  , queue(MakeRequestQueue(QueueName(aOptions), kQueueLimit))
   , budget(aOptions.retry)
   , reports(kEntries)
   , inProgress(kWorkers)
--- a/bench/AssociationScenario.cpp
+++ b/bench/AssociationScenario.cpp
@@ -46,6 +46,7 @@
   AssociationOptions options = OptionsFor(aPolicy, probes);
   options.shape = aShape;
   options.seed = aOptions.seed;
+  options.without = aOptions.Get("without", "");
   options.rate = std::stod(aOptions.Get("rate", "5500"));
   for (const auto& [measure, value] : RunAssociation(options)) {
     aReport({ "association",
@@ -59,8 +60,9 @@
 }
 
 /** Keys: shape, policy (naive, current, random or one of the alternatives),
- * rate (quotes a second), probes (for each request). Without them: all shapes,
- * naive and current. */
+ * rate (quotes a second), probes (for each request), without (queue or
+ * health: a part of the current policies that is left out). Without them: all
+ * shapes, naive and current. */
 void
 Run(const ScenarioOptions& aOptions, const Report& aReport)
 {
