Drop queued requests with less than twice the usual latency left

Cause: earliest deadline first sends each request at the last moment, and one with just the usual latency left is too late as often as not, so that the work is wasted. Requests are now given up, or refused at once, with less than twice the usual latency left.

--- a/bench/AssociationEntry.cpp
+++ b/bench/AssociationEntry.cpp
@@ -195,7 +195,7 @@
   request.team = aQuote->team;
   request.deadline = aQuote->deadline;
   request.urgent = aQuote->urgent;
-  request.expected = this->table.TypicalLatency();
+  request.expected = this->table.ExpectedLatency();
   const std::optional<QueueRefusal> refusal =
     this->queue->Push(std::move(request), this->loop.Now());
   if (refusal) {
--- a/src/ServerTable.h
+++ b/src/ServerTable.h
@@ -84,8 +84,13 @@
    * server. */
   void OnAbandoned(ServerId aServer, TimePoint aNow);
 
-  /** Returns the smoothed latency over all servers; zero if unknown. Serves as
-   * the expected time of a queued request. */
+  /** Returns the time that a queued request is given to be answered once it is
+   * sent, for QueuedRequest::expected: twice the usual latency, since a request
+   * sent with no more than that left is answered too late as often as not.
+   * Zero if unknown. */
+  Duration ExpectedLatency() const { return 2 * this->TypicalLatency(); }
+
+  /** Returns the smoothed latency over all servers; zero if unknown. */
   Duration TypicalLatency() const;
 
   /** Returns the 99th percentile of the latency over all servers, estimated;
