--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -211,12 +211,7 @@
 void
 Quarantine::CountLosses(TimePoint aNow)
 {
-  // A loss counts against jobs once it is known which others came with it, and
-  // stays as long as it may explain a later one.
-  while (!this->losses.empty() &&
-         aNow - this->losses.front().at > 2 * kLossWindow) {
-    this->losses.pop_front();
-  }
+  // A loss counts against jobs once it is known which others came with it.
   for (Loss& loss : this->losses) {
     if (loss.jobs.empty() || aNow - loss.at <= kLossWindow) {
       continue;
@@ -230,6 +225,11 @@
       this->Judge(job);
     }
   }
+  // It stays as long as it may explain a later one.
+  while (!this->losses.empty() &&
+         aNow - this->losses.front().at > 2 * kLossWindow) {
+    this->losses.pop_front();
+  }
 }
 
 QuarantineState
