Reserve room for the memory that a large task is expected to use

The reservation held the declared size, so that a large task known to exceed its memory got the room and was then held back.

--- a/bench/Lakeshore.cpp
+++ b/bench/Lakeshore.cpp
@@ -62,6 +62,9 @@
   std::vector<double> slowdowns = std::vector<double>(kBuckets, 0);
   double slowdownSum = 0;
   double slowdownSeconds = 0;
+  /** The same for the services that run on every worker from the start. */
+  double pinnedSum = 0;
+  double pinnedSeconds = 0;
 };
 
 double
@@ -339,6 +342,10 @@
       const double slowdown = truths[i].slowdown;
       this->figures.slowdownSum += slowdown;
       this->figures.slowdownSeconds += 1;
+      if (task.kind == "quote-price") {
+        this->figures.pinnedSum += slowdown;
+        this->figures.pinnedSeconds += 1;
+      }
       const auto bucket = static_cast<std::size_t>(slowdown / kBucket);
       this->figures.slowdowns[std::min(bucket, kBuckets - 1)] += 1;
     }
@@ -576,6 +583,9 @@
   report("latency-slowdown-mean",
          100 * aFigures.slowdownSum / std::max(1.0, aFigures.slowdownSeconds),
          "%");
+  report("pinned-slowdown-mean",
+         100 * aFigures.pinnedSum / std::max(1.0, aFigures.pinnedSeconds),
+         "%");
   report("latency-slowdown-p99", 100 * SlowdownQuantile(aFigures, 0.99), "%");
   for (const char* reason :
        { "fits-nowhere", "no-room", "quota", "reserved", "avoided" }) {
--- a/src/CurrentPlacement.cpp
+++ b/src/CurrentPlacement.cpp
@@ -39,6 +39,22 @@
   return aWorker + text.data();
 }
 
+/** Room to keep for a large task: with the memory that it is expected to use,
+ * since it would be held back without it. */
+Resources
+RoomWanted(PlacementRound& aRound,
+           const TaskView& aTask,
+           const Resources& aLargest)
+{
+  Resources wanted = aTask.resources;
+  const auto most = static_cast<std::int64_t>(
+    kExpectedMemory * static_cast<double>(aLargest.memoryMb));
+  const auto expected =
+    static_cast<std::int64_t>(aRound.LoadOf(aTask).memoryMb);
+  wanted.memoryMb = std::max(wanted.memoryMb, std::min(expected, most));
+  return wanted;
+}
+
 } // namespace
 
 CurrentPlacement::CurrentPlacement(PlacementKnowledge& aKnowledge,
@@ -299,9 +315,11 @@
       continue;
     }
     const bool waitsForRoom = decision.block == PlacementBlock::NoRoom ||
-                              decision.block == PlacementBlock::Reserved;
+                              decision.block == PlacementBlock::Reserved ||
+                              decision.block == PlacementBlock::Avoided;
     if (waitsForRoom && this->MayReserve(round, limits, task)) {
-      this->reservations.Reserve(round, task);
+      this->reservations.Reserve(
+        round, task, RoomWanted(round, task, limits.capacity.Largest()));
     }
   }
   return decisions;
--- a/src/Reservations.cpp
+++ b/src/Reservations.cpp
@@ -98,7 +98,9 @@
 }
 
 void
-Reservations::Reserve(PlacementRound& aRound, const TaskView& aTask)
+Reservations::Reserve(PlacementRound& aRound,
+                      const TaskView& aTask,
+                      const Resources& aRoom)
 {
   const std::vector<RoundWorker>& workers = aRound.Workers();
   const std::size_t allowed =
@@ -113,17 +115,15 @@
     const bool usable =
       workers[i].accepts && this->byWorker[i] == nullptr &&
       workers[i].view->quarantine == QuarantineState::Healthy &&
-      Within(aTask.resources, workers[i].view->capacity);
+      Within(aRoom, workers[i].view->capacity);
     if (!usable) {
       continue;
     }
-    const FutureRoom room = RoomFor(aRound, i, aTask.resources);
+    const FutureRoom room = RoomFor(aRound, i, aRoom);
     if (room.at < best.startsAt) {
-      best = { workers[i].view->name,
-               i,
-               aTask.resources,
-               room.at,
-               Difference(room.free, aTask.resources) };
+      best = {
+        workers[i].view->name, i, aRoom, room.at, Difference(room.free, aRoom)
+      };
     }
   }
   if (best.startsAt == TimePoint::max()) {
--- a/src/Reservations.h
+++ b/src/Reservations.h
@@ -24,7 +24,9 @@
   void Begin(PlacementRound& aRound, std::span<const TaskView> aQueue);
 
   /** Reserves room for a task that has none now, if the limit allows. */
-  void Reserve(PlacementRound& aRound, const TaskView& aTask);
+  void Reserve(PlacementRound& aRound,
+               const TaskView& aTask,
+               const Resources& aRoom);
 
   /** Whether the worker's room may be used by the task. */
   bool Allows(PlacementRound& aRound,
