Look at a sample of the workers in large cells

With more than 128 workers a task looks at the first 128 with room from a random one on, and at all only if none of these will do; sizes that found no room are kept only as long as no smaller one did. Cells of today's and of the target's size (22 to 108 workers) are searched in full as before.

--- a/src/CurrentPlacement.cpp
+++ b/src/CurrentPlacement.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/** Workers that are scored for one task; more are sampled. */
+/** Workers that are looked at for one task, from a random one on; all are if
+ * none of these will do. */
 constexpr std::size_t kMaxScored = 128;
 /** A task with at least this share of the largest worker is large. */
 constexpr double kLargeShare = 0.25;
@@ -159,19 +160,23 @@
   return true;
 }
 
+void
+CurrentPlacement::Collect(const PlacementRound& aRound, const TaskView& aTask)
+{
+  const std::size_t workers = aRound.Workers().size();
+  if (workers <= kMaxScored) {
+    aRound.Free().Collect(aTask.resources, this->feasible);
+    return;
+  }
+  aRound.Free().CollectFrom(
+    aTask.resources, this->random() % workers, kMaxScored, this->feasible);
+}
+
 std::vector<CurrentPlacement::Candidate>
 CurrentPlacement::Score(PlacementRound& aRound,
                         const TaskView& aTask,
                         const TaskLoad& aLoad)
 {
-  if (this->feasible.size() > kMaxScored) {
-    for (std::size_t i = 0; i < kMaxScored; ++i) {
-      const std::size_t other =
-        i + this->random() % (this->feasible.size() - i);
-      std::swap(this->feasible[i], this->feasible[other]);
-    }
-    this->feasible.resize(kMaxScored);
-  }
   std::vector<Candidate> candidates;
   candidates.reserve(this->feasible.size());
   for (const std::size_t worker : this->feasible) {
@@ -220,10 +225,14 @@
     });
   this->feasible.clear();
   if (!known) {
-    aRound.Free().Collect(aTask.resources, this->feasible);
+    this->Collect(aRound, aTask);
   }
   if (this->feasible.empty()) {
     if (!known) {
+      // Only the smallest sizes are kept, which say all that larger ones do.
+      std::erase_if(aLimits.noRoom, [&](const Resources& aSize) {
+        return Within(aTask.resources, aSize);
+      });
       aLimits.noRoom.push_back(aTask.resources);
     }
     decision.block = PlacementBlock::NoRoom;
@@ -231,9 +240,17 @@
     return decision;
   }
   const TaskLoad load = aRound.LoadOf(aTask);
+  const bool sampled = this->feasible.size() >= kMaxScored;
   if (!this->Admissible(aRound, aTask, load, decision)) {
-    return decision;
+    if (!sampled) {
+      return decision;
+    }
+    aRound.Free().Collect(aTask.resources, this->feasible);
+    if (!this->Admissible(aRound, aTask, load, decision)) {
+      return decision;
+    }
   }
+  decision.block = PlacementBlock::None;
   const std::vector<Candidate> candidates = this->Score(aRound, aTask, load);
   const std::size_t chosen = this->Explore(aRound, aTask, candidates);
   const Candidate& best = candidates[chosen];
--- a/src/CurrentPlacement.h
+++ b/src/CurrentPlacement.h
@@ -63,6 +63,7 @@
   std::size_t Explore(PlacementRound& aRound,
                       const TaskView& aTask,
                       const std::vector<Candidate>& aCandidates);
+  void Collect(const PlacementRound& aRound, const TaskView& aTask);
   bool MayReserve(const PlacementRound& aRound,
                   const Limits& aLimits,
                   const TaskView& aTask) const;
--- a/src/FreeIndex.cpp
+++ b/src/FreeIndex.cpp
@@ -2,8 +2,6 @@
 
 #include "PlacementViews.h"
 
-#include <limits>
-
 namespace sequoiakeel {
 
 namespace {
@@ -41,22 +39,25 @@
 }
 
 void
-FreeIndex::Visit(std::size_t aNode,
-                 const Resources& aNeeded,
-                 std::vector<std::size_t>& aOut,
-                 std::size_t aLimit) const
+FreeIndex::Visit(const Search& aSearch,
+                 std::size_t aNode,
+                 std::size_t aFirst,
+                 std::size_t aWidth,
+                 std::vector<std::size_t>& aOut) const
 {
-  if (aOut.size() >= aLimit || !Within(aNeeded, this->nodes[aNode])) {
+  const bool outside =
+    aFirst >= aSearch.end || aFirst + aWidth <= aSearch.begin;
+  if (outside || aOut.size() >= aSearch.limit ||
+      !Within(aSearch.needed, this->nodes[aNode])) {
     return;
   }
-  if (aNode < this->leaves) {
-    this->Visit(2 * aNode, aNeeded, aOut, aLimit);
-    this->Visit(2 * aNode + 1, aNeeded, aOut, aLimit);
+  if (aWidth == 1) {
+    aOut.push_back(aFirst);
     return;
   }
-  if (aNode - this->leaves < this->workers) {
-    aOut.push_back(aNode - this->leaves);
-  }
+  const std::size_t half = aWidth / 2;
+  this->Visit(aSearch, 2 * aNode, aFirst, half, aOut);
+  this->Visit(aSearch, 2 * aNode + 1, aFirst + half, half, aOut);
 }
 
 void
@@ -64,15 +65,21 @@
                    std::vector<std::size_t>& aOut) const
 {
   aOut.clear();
-  this->Visit(1, aNeeded, aOut, std::numeric_limits<std::size_t>::max());
+  const Search all{ aNeeded, 0, this->workers, this->workers };
+  this->Visit(all, 1, 0, this->leaves, aOut);
 }
 
-std::optional<std::size_t>
-FreeIndex::First(const Resources& aNeeded) const
+void
+FreeIndex::CollectFrom(const Resources& aNeeded,
+                       std::size_t aStart,
+                       std::size_t aLimit,
+                       std::vector<std::size_t>& aOut) const
 {
-  std::vector<std::size_t> found;
-  this->Visit(1, aNeeded, found, 1);
-  return found.empty() ? std::nullopt : std::optional(found.front());
+  aOut.clear();
+  const Search after{ aNeeded, aStart, this->workers, aLimit };
+  this->Visit(after, 1, 0, this->leaves, aOut);
+  const Search before{ aNeeded, 0, aStart, aLimit };
+  this->Visit(before, 1, 0, this->leaves, aOut);
 }
 
 } // namespace sequoiakeel
--- a/src/FreeIndex.h
+++ b/src/FreeIndex.h
@@ -3,7 +3,6 @@
 #include "generated/Resources.h"
 
 #include <cstddef>
-#include <optional>
 #include <span>
 #include <vector>
 
@@ -29,14 +28,29 @@
   /** Sets aOut to the workers with room for aNeeded, in ascending order. */
   void Collect(const Resources& aNeeded, std::vector<std::size_t>& aOut) const;
 
-  /** First worker with room for aNeeded. */
-  std::optional<std::size_t> First(const Resources& aNeeded) const;
+  /** Sets aOut to the first aLimit workers with room for aNeeded from aStart
+   * on, then from the beginning. aStart must be below the size. */
+  void CollectFrom(const Resources& aNeeded,
+                   std::size_t aStart,
+                   std::size_t aLimit,
+                   std::vector<std::size_t>& aOut) const;
 
 private:
-  void Visit(std::size_t aNode,
-             const Resources& aNeeded,
-             std::vector<std::size_t>& aOut,
-             std::size_t aLimit) const;
+  /** Workers that a search looks for. */
+  struct Search
+  {
+    const Resources& needed;
+    std::size_t begin;
+    std::size_t end;
+    std::size_t limit;
+  };
+
+  /** Searches below a node whose leaves start at aFirst. */
+  void Visit(const Search& aSearch,
+             std::size_t aNode,
+             std::size_t aFirst,
+             std::size_t aWidth,
+             std::vector<std::size_t>& aOut) const;
 
   std::size_t workers;
   /** Number of leaves, a power of two; node 1 is the root. */
--- a/test/differential/Placement.cpp
+++ b/test/differential/Placement.cpp
@@ -154,6 +154,14 @@
       std::vector<std::size_t> found;
       index.Collect(needed, found);
       CHECK(found == scanned);
+      const std::size_t start = random() % free.size();
+      index.CollectFrom(needed, start, free.size(), found);
+      const auto first = std::ranges::lower_bound(scanned, start);
+      std::ranges::rotate(scanned, first);
+      CHECK(found == scanned);
+      index.CollectFrom(needed, start, 3, found);
+      scanned.resize(std::min<std::size_t>(3, scanned.size()));
+      CHECK(found == scanned);
     }
   }
 }
