--- a/bench/Lakeshore.cpp
+++ b/bench/Lakeshore.cpp
@@ -1,5 +1,6 @@
 #include "EvictionPolicy.h"
 #include "FakeWorkers.h"
+#include "LakeshoreFigures.h"
 #include "LakeshoreLoad.h"
 #include "PlacementKnowledge.h"
 #include "PlacementPolicy.h"
@@ -29,55 +30,6 @@
 constexpr std::size_t kPlacementsPerRound = 100;
 /** Time after which tasks of a lost worker are queued again: their leases. */
 constexpr Duration kLeaseTime = std::chrono::seconds(30);
-constexpr double kUrgentLimitSeconds = 1.9;
-/** Width of a bucket of the slowdown histogram. */
-constexpr double kBucket = 0.01;
-constexpr std::size_t kBuckets = 1000;
-
-double
-Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
-/** What a run is judged by. */
-struct Figures
-{
-  double finished = 0;
-  double coreHours = 0;
-  double withDeadline = 0;
-  double onTime = 0;
-  double evictions = 0;
-  double evictedWatchers = 0;
-  double failedAttempts = 0;
-  double outOfMemory = 0;
-  double abandoned = 0;
-  double overcommittedMinutes = 0;
-  double overloadedMinutes = 0;
-  double lostCoreHours = 0;
-  double throttles = 0;
-  std::map<std::string, double> refused;
-  std::vector<double> urgentWaits;
-  std::vector<double> largeWaits;
-  std::vector<double> slowdowns = std::vector<double>(kBuckets, 0);
-  double slowdownSum = 0;
-  double slowdownSeconds = 0;
-  /** The same for the services that run on every worker from the start. */
-  double pinnedSum = 0;
-  double pinnedSeconds = 0;
-};
-
-double
-Quantile(std::vector<double> aValues, double aShare)
-{
-  if (aValues.empty()) {
-    return 0;
-  }
-  std::ranges::sort(aValues);
-  const auto last = static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<std::size_t>(aShare * last)];
-}
-
 /** One run of one policy through one shape. */
 class LakeshoreRun
 {
@@ -340,14 +292,11 @@
         continue;
       }
       const double slowdown = truths[i].slowdown;
-      this->figures.slowdownSum += slowdown;
-      this->figures.slowdownSeconds += 1;
+      this->figures.AddSlowdown(slowdown);
       if (task.kind == "quote-price") {
         this->figures.pinnedSum += slowdown;
         this->figures.pinnedSeconds += 1;
       }
-      const auto bucket = static_cast<std::size_t>(slowdown / kBucket);
-      this->figures.slowdowns[std::min(bucket, kBuckets - 1)] += 1;
     }
     if (cores > 1.001 * static_cast<double>(view.capacity.cpuMillis) ||
         memory > 1.001 * static_cast<double>(view.capacity.memoryMb)) {
@@ -529,75 +478,6 @@
   Figures figures;
 };
 
-double
-SlowdownQuantile(const Figures& aFigures, double aShare)
-{
-  double seen = 0;
-  for (std::size_t i = 0; i < kBuckets; ++i) {
-    seen += aFigures.slowdowns[i];
-    if (seen >= aShare * aFigures.slowdownSeconds) {
-      return static_cast<double>(i + 1) * kBucket;
-    }
-  }
-  return kBucket * static_cast<double>(kBuckets);
-}
-
-void
-ReportFigures(const Figures& aFigures,
-              double aHours,
-              Measurement aBase,
-              const Report& aReport)
-{
-  const auto report =
-    [&](const std::string& aMeasure, double aValue, const std::string& aUnit) {
-      aBase.measure = aMeasure;
-      aBase.value = aValue;
-      aBase.unit = aUnit;
-      aReport(aBase);
-    };
-  report("finished", aFigures.finished / aHours, "tasks/h");
-  report("work", aFigures.coreHours / aHours, "core-h/h");
-  report("on-time",
-         aFigures.withDeadline > 0
-           ? 100 * aFigures.onTime / aFigures.withDeadline
-           : 100,
-         "%");
-  report("on-time-tasks", aFigures.onTime / aHours, "tasks/h");
-  report("evictions", aFigures.evictions, "count");
-  report("evicted-watchers", aFigures.evictedWatchers, "count");
-  report("failed-attempts", aFigures.failedAttempts, "count");
-  report("out-of-memory", aFigures.outOfMemory, "count");
-  report("abandoned", aFigures.abandoned, "count");
-  report("lost-work", aFigures.lostCoreHours, "core-h");
-  report("overcommitted", aFigures.overcommittedMinutes, "worker-min");
-  report("overloaded", aFigures.overloadedMinutes, "worker-min");
-  report("throttles", aFigures.throttles, "count");
-  const double late = static_cast<double>(
-    std::ranges::count_if(aFigures.urgentWaits, [](double aWait) {
-      return aWait > kUrgentLimitSeconds;
-    }));
-  const double urgent = static_cast<double>(aFigures.urgentWaits.size());
-  report("urgent-late", urgent > 0 ? 100 * late / urgent : 0, "%");
-  report("urgent-wait-p99", Quantile(aFigures.urgentWaits, 0.99), "s");
-  report("large-wait-p90", Quantile(aFigures.largeWaits, 0.9), "s");
-  report("latency-slowdown-mean",
-         100 * aFigures.slowdownSum / std::max(1.0, aFigures.slowdownSeconds),
-         "%");
-  report("pinned-slowdown-mean",
-         100 * aFigures.pinnedSum / std::max(1.0, aFigures.pinnedSeconds),
-         "%");
-  report("latency-slowdown-p99", 100 * SlowdownQuantile(aFigures, 0.99), "%");
-  for (const char* reason :
-       { "fits-nowhere", "no-room", "quota", "reserved", "avoided" }) {
-    const auto found = aFigures.refused.find(reason);
-    const double value = found == aFigures.refused.end() ? 0 : found->second;
-    const bool count = std::string(reason) == "fits-nowhere";
-    report("refused-" + std::string(reason),
-           count ? value : value / 3600,
-           count ? "jobs" : "task-h");
-  }
-}
-
 void
 RunLakeshore(const ScenarioOptions& aOptions, const Report& aReport)
 {
--- a/bench/LakeshoreLoad.cpp
+++ b/bench/LakeshoreLoad.cpp
@@ -8,19 +8,17 @@
 
 namespace {
 
-enum KindIndex : std::size_t
-{
-  kQuotePrice,
-  kQuoteLookup,
-  kWatcher,
-  kCureThermal,
-  kCureMesh,
-  kCureReport,
-  kCurePour,
-  kRecheck,
-  kScan,
-  kKinds,
-};
+/** Indices of the kinds. */
+constexpr std::size_t kQuotePrice = 0;
+constexpr std::size_t kQuoteLookup = 1;
+constexpr std::size_t kWatcher = 2;
+constexpr std::size_t kCureThermal = 3;
+constexpr std::size_t kCureMesh = 4;
+constexpr std::size_t kCureReport = 5;
+constexpr std::size_t kCurePour = 6;
+constexpr std::size_t kRecheck = 7;
+constexpr std::size_t kScan = 8;
+constexpr std::size_t kKinds = 9;
 
 struct KindSpec
 {
--- a/test/differential/Placement.cpp
+++ b/test/differential/Placement.cpp
@@ -156,8 +156,9 @@
       CHECK(found == scanned);
       const std::size_t start = random() % free.size();
       index.CollectFrom(needed, start, free.size(), found);
-      const auto first = std::ranges::lower_bound(scanned, start);
-      std::ranges::rotate(scanned, first);
+      const auto first =
+        std::lower_bound(scanned.begin(), scanned.end(), start);
+      std::rotate(scanned.begin(), first, scanned.end());
       CHECK(found == scanned);
       index.CollectFrom(needed, start, 3, found);
       scanned.resize(std::min<std::size_t>(3, scanned.size()));
