--- a/src/Reservations.cpp
+++ b/src/Reservations.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /** One reservation for so many workers of the cell. */
-constexpr std::size_t kWorkersPerReservation = 12;
+constexpr std::size_t kWorkersPerReservation = 24;
 /** Reservations end if the start lies further in the future: the room would
  * stand idle for too long. */
 constexpr Duration kLongestWait = std::chrono::hours(1);
@@ -98,7 +98,9 @@
 }
 
 void
-Reservations::Reserve(PlacementRound& aRound, const TaskView& aTask)
+Reservations::Reserve(PlacementRound& aRound,
+                      const TaskView& aTask,
+                      const Resources& aRoom)
 {
   const std::vector<RoundWorker>& workers = aRound.Workers();
   const std::size_t allowed =
@@ -113,17 +115,15 @@
     const bool usable =
       workers[i].accepts && this->byWorker[i] == nullptr &&
       workers[i].view->quarantine == QuarantineState::Healthy &&
-      Within(aTask.resources, workers[i].view->capacity);
+      Within(aRoom, workers[i].view->capacity);
     if (!usable) {
       continue;
     }
-    const FutureRoom room = RoomFor(aRound, i, aTask.resources);
+    const FutureRoom room = RoomFor(aRound, i, aRoom);
     if (room.at < best.startsAt) {
-      best = { workers[i].view->name,
-               i,
-               aTask.resources,
-               room.at,
-               Difference(room.free, aTask.resources) };
+      best = {
+        workers[i].view->name, i, aRoom, room.at, Difference(room.free, aRoom)
+      };
     }
   }
   if (best.startsAt == TimePoint::max()) {
