--- a/src/JobCommands.cpp
+++ b/src/JobCommands.cpp
@@ -223,9 +223,20 @@
   if (exit != CommandExit::Ok) {
     co_return RefusedResult(result, aJob);
   }
+  // A job that had ended before keeps its state.
+  target = "/v1/jobs/" + aJob;
+  const ExchangeResult query =
+    co_await aClient.Call("GET", std::move(target), {}, {});
+  if (query.Complete() && query.response.status == 200) {
+    json status = BodyOf(query);
+    const std::string state = TextField(status, "state");
+    std::string line = ProgressLine(aJob, status) + "\n";
+    co_return JobResult(
+      exit, std::move(line), std::move(status), state.c_str());
+  }
   json body = BodyOf(result);
   co_return JobResult(
-    exit, aJob + ": cancelled\n", std::move(body), "cancelled");
+    exit, aJob + ": cancellation accepted\n", std::move(body), "cancelled");
 }
 
 asio::awaitable<CommandResult>
--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -7,7 +7,9 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <pwd.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace sequoiakeel {
 
@@ -142,7 +144,8 @@
       return value;
     }
   }
-  return "unnamed";
+  const passwd* user = ::getpwuid(::getuid());
+  return user == nullptr ? "unnamed" : user->pw_name;
 }
 
 CommandResult
