--- a/src/EndpointText.cpp
+++ b/src/EndpointText.cpp
@@ -10,22 +10,25 @@
 namespace {
 
 std::uint32_t
-ParsePort(std::string_view aText, const std::string& aWhole)
+ParsePort(std::string_view aText,
+          std::uint32_t aMinPort,
+          const std::string& aWhole)
 {
   constexpr std::uint32_t kMaxPort = 65535;
   std::uint32_t port = 0;
   const char* end = aText.data() + aText.size();
   const auto [rest, error] = std::from_chars(aText.data(), end, port);
   UserAssert(!aText.empty() && error == std::errc() && rest == end &&
-               port >= 1 && port <= kMaxPort,
-             "'" + aWhole + "': the port must be a number from 1 to 65535");
+               port >= aMinPort && port <= kMaxPort,
+             "'" + aWhole + "': the port must be a number from " +
+               std::to_string(aMinPort) + " to 65535");
   return port;
 }
 
 } // namespace
 
 Endpoint
-ParseEndpoint(std::string_view aText)
+ParseEndpoint(std::string_view aText, std::uint32_t aMinPort)
 {
   const std::string whole(aText);
   const std::size_t colon = aText.rfind(':');
@@ -37,7 +40,7 @@
   }
   Endpoint endpoint;
   endpoint.address = std::string(address);
-  endpoint.port = ParsePort(aText.substr(colon + 1), whole);
+  endpoint.port = ParsePort(aText.substr(colon + 1), aMinPort, whole);
   boost::system::error_code error;
   boost::asio::ip::make_address(endpoint.address, error);
   UserAssert(!error, "'" + whole + "': the address must be an IP address");
--- a/src/HttpMessage.cpp
+++ b/src/HttpMessage.cpp
@@ -31,6 +31,8 @@
   return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
 }
 
+} // namespace
+
 std::string
 PercentDecode(std::string_view aText)
 {
@@ -48,8 +50,6 @@
   return decoded;
 }
 
-} // namespace
-
 std::string_view
 HttpHeaders::Get(std::string_view aName) const
 {
--- a/src/HttpMessage.h
+++ b/src/HttpMessage.h
@@ -62,6 +62,10 @@
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aBody);
 
+/** Decodes percent escapes; text that is no escape stays as it is. */
+std::string
+PercentDecode(std::string_view aText);
+
 /** Returns the path of a target, without its query. */
 std::string_view
 TargetPath(std::string_view aTarget);
--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -125,6 +125,30 @@
 
 } // namespace
 
+std::vector<DocumentChange>
+DocumentChanges(std::string_view aBefore, std::string_view aAfter)
+{
+  const json before = json::parse(aBefore);
+  const json after = json::parse(aAfter);
+  std::vector<DocumentChange> changes;
+  for (const std::string& place : DifferingFields(aBefore, aAfter)) {
+    changes.push_back(
+      DocumentChange{ place, ValueAt(before, place), ValueAt(after, place) });
+  }
+  return changes;
+}
+
+std::string
+ChangesText(const std::vector<DocumentChange>& aChanges)
+{
+  std::string text;
+  for (const DocumentChange& change : aChanges) {
+    text +=
+      change.place + "\n  - " + change.before + "\n  + " + change.after + "\n";
+  }
+  return text;
+}
+
 std::string
 ReadTextFile(const std::string& aPath)
 {
@@ -228,18 +252,15 @@
   if (!active.known) {
     co_return UnreachableResult(aClient, active.error);
   }
-  const json old =
-    active.text.empty() ? json::object() : json::parse(active.text);
-  const json changed = json::parse(text);
+  const std::string before = active.text.empty() ? "{}" : active.text;
+  const std::vector<DocumentChange> changes = DocumentChanges(before, text);
   json list = json::array();
-  std::string lines;
-  for (const std::string& place : DifferingFields(old.dump(), text)) {
-    const std::string before = ValueAt(old, place);
-    const std::string after = ValueAt(changed, place);
-    list.push_back(
-      json{ { "place", place }, { "active", before }, { "file", after } });
-    lines += place + "\n  - " + before + "\n  + " + after + "\n";
+  for (const DocumentChange& change : changes) {
+    list.push_back(json{ { "place", change.place },
+                         { "active", change.before },
+                         { "file", change.after } });
   }
+  std::string lines = ChangesText(changes);
   if (lines.empty()) {
     lines = "no difference to generation " +
             std::to_string(active.head.generation) + "\n";
--- a/src/OperatorCommands.h
+++ b/src/OperatorCommands.h
@@ -44,6 +44,23 @@
   std::string author;
 };
 
+/** One field in which two documents differ, with its values as JSON text. */
+struct DocumentChange
+{
+  std::string place;
+  std::string before;
+  std::string after;
+};
+
+/** Returns the fields in which two documents differ, without those that apply
+ * sets. Precondition: both are JSON objects. Thread safe. */
+std::vector<DocumentChange>
+DocumentChanges(std::string_view aBefore, std::string_view aAfter);
+
+/** Renders changes as text for people. Thread safe. */
+std::string
+ChangesText(const std::vector<DocumentChange>& aChanges);
+
 /** Reads a file. Throws UserError if it can't be read. Thread safe. */
 std::string
 ReadTextFile(const std::string& aPath);
