--- a/src/SchemaCheck.cpp
+++ b/src/SchemaCheck.cpp
@@ -101,8 +101,9 @@
     // The validator reports each enclosing object again; only the innermost
     // place helps.
     const bool enclosing =
-      finding.message.rfind("Failed to validate against", 0) == 0 &&
-      finding.message.find("child schema") == std::string::npos &&
+      (finding.message.rfind("Failed to validate item", 0) == 0 ||
+       (finding.message.rfind("Failed to validate against", 0) == 0 &&
+        finding.message.find("child schema") == std::string::npos)) &&
       std::any_of(found.begin(), found.end(), [&](const Finding& aOther) {
         return aOther.place.size() > finding.place.size() &&
                aOther.place.rfind(finding.place + "/", 0) == 0;
