Mend what a trial of the console in a browser showed

The difference now carries the new index and value. Findings wrapped under the label; they stand to the right of the field, are listed with links above the form, and number fields say what range they take.

--- a/src/ConfigurationForm.cpp
+++ b/src/ConfigurationForm.cpp
@@ -191,16 +191,29 @@
       this->Select(attributes, choices, aSchema, aValue);
     } else if (aSchema.value("type", "") == "array") {
       this->html += "<textarea rows=3" + attributes + ">\n" +
-                    EscapeHtml(Lines(aValue)) +
-                    "</textarea><small>one a line</small>";
+                    EscapeHtml(Lines(aValue)) + "</textarea>";
     } else {
       const ordered_json preset = aSchema.value("default", ordered_json());
       this->html += "<input" + attributes + " value=\"" +
                     EscapeHtml(Text(aValue)) + "\" placeholder=\"" +
                     EscapeHtml(Text(preset)) + "\">";
     }
-    this->Note(aHelp, aPlace);
-    this->html += "</div>\n";
+    this->html += "<div>";
+    const bool list = aSchema.value("type", "") == "array";
+    this->Note(aHelp + (list ? " One a line." : "") + Range(aSchema), aPlace);
+    this->html += "</div></div>\n";
+  }
+
+  /** Describes the numbers that a field takes. */
+  static std::string Range(const ordered_json& aSchema)
+  {
+    if (aSchema.value("type", "") != "integer") {
+      return "";
+    }
+    const std::string from = Text(aSchema.value("minimum", ordered_json()));
+    const std::string to = Text(aSchema.value("maximum", ordered_json()));
+    return " Whole number" + (from.empty() ? "" : " from " + from) +
+           (to.empty() ? "." : " to " + to + ".");
   }
 
   void Select(const std::string& aAttributes,
--- a/src/ConsolePages.cpp
+++ b/src/ConsolePages.cpp
@@ -209,6 +209,16 @@
   if (!aMessage.empty()) {
     body += "<p class=finding>" + EscapeHtml(aMessage) + "</p>";
   }
+  if (!aFindings.Ok()) {
+    body += "<p class=finding>Nothing was changed; these fields need a "
+            "correction:</p><ul>";
+    for (const Finding& finding : aFindings.All()) {
+      body += "<li><a href=\"#" + EscapeHtml(finding.place) + "\">" +
+              EscapeHtml(finding.place) + "</a> " +
+              EscapeHtml(finding.message) + "</li>";
+    }
+    body += "</ul>";
+  }
   // The first button is the one that the Enter key presses.
   body += "<form method=post action=\"/review\">" +
           this->Hidden("token", this->token) + this->Hidden("base", aBase) +
@@ -250,9 +260,7 @@
   }
   const Findings findings = CheckConfiguration(document);
   if (!findings.Ok()) {
-    const std::string count = std::to_string(findings.All().size());
-    co_return this->FormPage(
-      document, base, author, findings, count + " findings, shown below");
+    co_return this->FormPage(document, base, author, findings, "");
   }
   const ActiveDocument active = co_await this->client->Active();
   if (!active.known) {
--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <pwd.h>
 #include <sstream>
@@ -46,14 +47,27 @@
   return text;
 }
 
-/** Value at a pointer as text; "(absent)" if there is none. */
+constexpr const char* kAbsent = "(absent)";
+
+/** Reads a document without the fields that apply sets. */
+json
+WithoutHead(std::string_view aDocument)
+{
+  json document = json::parse(aDocument);
+  for (const char* name : { "generation", "write_id", "author" }) {
+    document.erase(name);
+  }
+  return document;
+}
+
+/** Value at a pointer as text; kAbsent if there is none. */
 std::string
 ValueAt(const json& aDocument, const std::string& aPlace)
 {
   try {
     return aDocument.at(json::json_pointer(aPlace)).dump();
   } catch (const json::exception&) {
-    return "(absent)";
+    return kAbsent;
   }
 }
 
@@ -128,12 +142,26 @@
 std::vector<DocumentChange>
 DocumentChanges(std::string_view aBefore, std::string_view aAfter)
 {
-  const json before = json::parse(aBefore);
-  const json after = json::parse(aAfter);
+  const json before = WithoutHead(aBefore);
+  const json after = WithoutHead(aAfter);
+  std::map<std::string, std::size_t> appended;
   std::vector<DocumentChange> changes;
-  for (const std::string& place : DifferingFields(aBefore, aAfter)) {
-    changes.push_back(
-      DocumentChange{ place, ValueAt(before, place), ValueAt(after, place) });
+  for (const json& operation : json::diff(before, after)) {
+    DocumentChange change;
+    change.place = operation.at("path").get<std::string>();
+    change.before = ValueAt(before, change.place);
+    const auto value = operation.find("value");
+    change.after = value == operation.end() ? kAbsent : value->dump();
+    if (change.place.ends_with("/-")) {
+      // A patch names the end of a list by "-".
+      change.place.pop_back();
+      const json::json_pointer list(
+        change.place.substr(0, change.place.size() - 1));
+      const std::size_t index =
+        before.at(list).size() + appended[change.place]++;
+      change.place += std::to_string(index);
+    }
+    changes.push_back(std::move(change));
   }
   return changes;
 }
--- a/test/unit/Console.cpp
+++ b/test/unit/Console.cpp
@@ -1,7 +1,9 @@
 #include "ConfigurationCheck.h"
 #include "ConfigurationForm.h"
 #include "ConsolePages.h"
-#include "HttpServer.h"
+#include "OperatorCommands.h"
+
+#include <boost/asio/io_context.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
@@ -98,6 +100,17 @@
   CHECK(fields.at("y") == "%zz");
 }
 
+// Guards against a review that does not show what was added to a list.
+TEST_CASE("the difference shows items that were added")
+{
+  const std::vector<DocumentChange> changes =
+    DocumentChanges(R"({"generation":1,"teams":[{"name":"a"}]})",
+                    R"({"teams":[{"name":"b"},{"name":"c"}]})");
+  CHECK(ChangesText(changes) == "/teams/0/name\n  - \"a\"\n  + \"b\"\n"
+                                "/teams/1\n  - (absent)\n  + "
+                                "{\"name\":\"c\"}\n");
+}
+
 // Guards against findings that stand away from their field, and against input
 // that is not a number being dropped instead of reported.
 TEST_CASE("findings stand beside their field")
