--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -6,8 +6,11 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <pwd.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace sequoiakeel {
 
@@ -44,14 +47,27 @@
   return text;
 }
 
-/** Value at a pointer as text; "(absent)" if there is none. */
+constexpr const char* kAbsent = "(absent)";
+
+/** Reads a document without the fields that apply sets. */
+json
+WithoutHead(std::string_view aDocument)
+{
+  json document = json::parse(aDocument);
+  for (const char* name : { "generation", "write_id", "author" }) {
+    document.erase(name);
+  }
+  return document;
+}
+
+/** Value at a pointer as text; kAbsent if there is none. */
 std::string
 ValueAt(const json& aDocument, const std::string& aPlace)
 {
   try {
     return aDocument.at(json::json_pointer(aPlace)).dump();
   } catch (const json::exception&) {
-    return "(absent)";
+    return kAbsent;
   }
 }
 
@@ -123,6 +139,44 @@
 
 } // namespace
 
+std::vector<DocumentChange>
+DocumentChanges(std::string_view aBefore, std::string_view aAfter)
+{
+  const json before = WithoutHead(aBefore);
+  const json after = WithoutHead(aAfter);
+  std::map<std::string, std::size_t> appended;
+  std::vector<DocumentChange> changes;
+  for (const json& operation : json::diff(before, after)) {
+    DocumentChange change;
+    change.place = operation.at("path").get<std::string>();
+    change.before = ValueAt(before, change.place);
+    const auto value = operation.find("value");
+    change.after = value == operation.end() ? kAbsent : value->dump();
+    if (change.place.ends_with("/-")) {
+      // A patch names the end of a list by "-".
+      change.place.pop_back();
+      const json::json_pointer list(
+        change.place.substr(0, change.place.size() - 1));
+      const std::size_t index =
+        before.at(list).size() + appended[change.place]++;
+      change.place += std::to_string(index);
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+std::string
+ChangesText(const std::vector<DocumentChange>& aChanges)
+{
+  std::string text;
+  for (const DocumentChange& change : aChanges) {
+    text +=
+      change.place + "\n  - " + change.before + "\n  + " + change.after + "\n";
+  }
+  return text;
+}
+
 std::string
 ReadTextFile(const std::string& aPath)
 {
@@ -142,7 +196,8 @@
       return value;
     }
   }
-  return "unnamed";
+  const passwd* user = ::getpwuid(::getuid());
+  return user == nullptr ? "unnamed" : user->pw_name;
 }
 
 CommandResult
@@ -225,18 +280,15 @@
   if (!active.known) {
     co_return UnreachableResult(aClient, active.error);
   }
-  const json old =
-    active.text.empty() ? json::object() : json::parse(active.text);
-  const json changed = json::parse(text);
+  const std::string before = active.text.empty() ? "{}" : active.text;
+  const std::vector<DocumentChange> changes = DocumentChanges(before, text);
   json list = json::array();
-  std::string lines;
-  for (const std::string& place : DifferingFields(old.dump(), text)) {
-    const std::string before = ValueAt(old, place);
-    const std::string after = ValueAt(changed, place);
-    list.push_back(
-      json{ { "place", place }, { "active", before }, { "file", after } });
-    lines += place + "\n  - " + before + "\n  + " + after + "\n";
+  for (const DocumentChange& change : changes) {
+    list.push_back(json{ { "place", change.place },
+                         { "active", change.before },
+                         { "file", change.after } });
   }
+  std::string lines = ChangesText(changes);
   if (lines.empty()) {
     lines = "no difference to generation " +
             std::to_string(active.head.generation) + "\n";
