Mend what the linter found

Cause: the first run of the linter over the whole tree. The event name of an activated configuration follows the underscore form of the others.

--- a/src/CellRunner.h
+++ b/src/CellRunner.h
@@ -67,8 +67,8 @@
 private:
   struct Waiting
   {
-    explicit Waiting(boost::asio::any_io_executor aExecutor)
-      : timer(std::move(aExecutor))
+    explicit Waiting(const boost::asio::any_io_executor& aExecutor)
+      : timer(aExecutor)
     {
     }
     boost::asio::steady_timer timer;
--- a/src/ConfigurationAgent.cpp
+++ b/src/ConfigurationAgent.cpp
@@ -137,7 +137,7 @@
     }
     active = this->keeper.Document();
   }
-  Event("configuration-activated")
+  Event("configuration_activated")
     .Add("generation", head.generation)
     .Add("author", head.author)
     .Add("source", aSource);
--- a/src/TaskRef.h
+++ b/src/TaskRef.h
@@ -16,6 +16,8 @@
   std::string job;
   std::uint32_t task = 0;
 
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const TaskRef&) const = default;
 };
 
--- a/tools/Planner.cpp
+++ b/tools/Planner.cpp
@@ -139,7 +139,8 @@
       this->Executor(),
       std::chrono::milliseconds(this->settings.drainDeadlineMs));
     co_await timer.async_wait(asio::use_awaitable);
-    Event("drain_deadline", LogLevel::Warning);
+    Event("drain_deadline", LogLevel::Warning)
+      .Add("limit_ms", this->settings.drainDeadlineMs);
     this->runtime.End(kExitForced);
   }
 
