Base throttling on current usage, not on the ledger's peak

The ledger keeps the highest usage of each task. Counting that as shortage ended the protection of latency-critical tasks and the lifting of throttles on a worker until the task ended. The new test fails without the change.

--- a/src/CurrentEvictionThrottle.cpp
+++ b/src/CurrentEvictionThrottle.cpp
@@ -33,6 +33,18 @@
                     : 0;
 }
 
+/** Processors that the tasks count for by their last reports. The ledger's sum
+ * keeps the highest usage of each task, which throttling doesn't lower. */
+std::int64_t
+CountedNow(const WorkerView& aWorker)
+{
+  std::int64_t counted = 0;
+  for (const RunningTaskView& task : aWorker.tasks) {
+    counted += std::max(task.committed.cpuMillis, task.usage.cpuMillis);
+  }
+  return counted;
+}
+
 const RunningTaskView*
 WorstLatency(const WorkerView& aWorker)
 {
@@ -57,7 +69,7 @@
   const TimePoint reported = aPass.cell.now - aWorker.observedAge;
   const auto capacity = static_cast<double>(aWorker.capacity.cpuMillis);
   const auto observed = static_cast<double>(aWorker.observed.cpuMillis);
-  const double counted = static_cast<double>(CountedOn(aWorker).cpuMillis);
+  const double counted = static_cast<double>(CountedNow(aWorker));
   const bool isShort =
     observed >= kProcessorsShort * capacity || counted > capacity;
   // The report must be newer than the last step, whose effect it would show.
@@ -82,6 +94,7 @@
   std::ranges::sort(candidates, std::greater<>(), [](const auto* aTask) {
     return aTask->usage.cpuMillis - aTask->committed.cpuMillis;
   });
+  bool throttled = false;
   for (const RunningTaskView* task : candidates) {
     if (excess <= 0) {
       break;
@@ -96,8 +109,9 @@
       static_cast<double>(task->throttlePermille) * (usage - cut) / usage);
     this->Throttle(aPass, aWorker, *task, permille, "processors short");
     excess -= cut;
+    throttled = true;
   }
-  return true;
+  return throttled;
 }
 
 double
@@ -188,8 +202,7 @@
   if (aPass.cell.now - past.calmSince < kCalmFor) {
     return;
   }
-  const std::int64_t room =
-    aWorker.capacity.cpuMillis - CountedOn(aWorker).cpuMillis;
+  const std::int64_t room = aWorker.capacity.cpuMillis - CountedNow(aWorker);
   for (const RunningTaskView& task : aWorker.tasks) {
     if (task.throttlePermille >= 1000) {
       continue;
--- a/test/unit/EvictionPolicy.cpp
+++ b/test/unit/EvictionPolicy.cpp
@@ -144,6 +144,22 @@
   CHECK(policy->Decide({ later, workers, {} }, {}, kLimits).empty());
 }
 
+// Guards against a ledger's sum that keeps a peak and switches off both the
+// protection of latency-critical tasks and the lifting of throttles.
+TEST_CASE("a peak kept by the ledger does not end latency protection")
+{
+  WorkerView worker = MakeWorker("w");
+  RunningTaskView& quote = AddRunning(worker, "quote", 4, 8);
+  quote.latencyCritical = true;
+  quote.evictable = false;
+  quote.slowdownPermille = 2500;
+  AddRunning(worker, "noisy", 10, 10);
+  worker.committed.cpuMillis = 40000;
+  const auto decisions = DecideOnce({ worker });
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].task == "noisy");
+}
+
 // Guards against throttling that is lifted and set again in turn.
 TEST_CASE("throttling is lifted only after a calm time")
 {
