--- a/bench/Lakeshore.cpp
+++ b/bench/Lakeshore.cpp
@@ -236,16 +236,6 @@
     end.ranFor = this->now - aEnd.view.startedAt;
     end.startedFromPermille = task.view.checkpointPermille;
     this->knowledge.TaskEnded(this->now, end);
-    if (aEnd.failed && getenv("DBG"))
-      fprintf(stderr,
-              "%.1f OOM %s %s %s ran %.0f mb %.0f decl %ld\n",
-              Seconds(this->now - this->start),
-              aEnd.worker.c_str(),
-              aEnd.view.task.c_str(),
-              aEnd.view.kind.c_str(),
-              aEnd.truth.ranSeconds,
-              aEnd.truth.memoryMb,
-              aEnd.view.committed.memoryMb);
     if (aEnd.failed) {
       this->figures.failedAttempts += 1;
       this->figures.outOfMemory += aEnd.outOfMemory ? 1 : 0;
@@ -324,14 +314,6 @@
           break;
         case ReliefAction::Move:
         case ReliefAction::Evict:
-          if (getenv("DBG"))
-            fprintf(stderr,
-                    "%.1f %s %s %s | %s\n",
-                    Seconds(this->now - this->start),
-                    std::string(ToString(decision.action)).c_str(),
-                    decision.worker.c_str(),
-                    decision.task.c_str(),
-                    decision.reason.c_str());
           this->workers.MarkEvicting(worker, decision.task);
           this->stops.push_back(
             { this->now + kStopTime, worker, decision.task });
