--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -124,6 +124,21 @@
                      "entry " + aClient.Entry() + ": " + aError);
 }
 
+/** Names of the cells of a document; empty if it can't be read. */
+std::vector<std::string>
+CellNames(const std::string& aDocument)
+{
+  std::vector<std::string> names;
+  const json document = json::parse(aDocument, nullptr, false);
+  if (!document.is_object()) {
+    return names;
+  }
+  for (const json& cell : document.value("cells", json::array())) {
+    names.push_back(cell.value("name", ""));
+  }
+  return names;
+}
+
 std::string
 HistoryText(const json& aHistory)
 {
@@ -349,7 +364,10 @@
   if (!body) {
     co_return failure;
   }
-  co_return Result(CommandExit::Ok, StatusText(result.response.body), *body);
+  const ActiveDocument active = co_await aClient.Active();
+  const std::vector<std::string> cells = CellNames(active.text);
+  std::string text = StatusText(result.response.body, cells);
+  co_return Result(CommandExit::Ok, std::move(text), *body);
 }
 
 asio::awaitable<CommandResult>
--- a/src/StatusText.cpp
+++ b/src/StatusText.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <vector>
 
 namespace sequoiakeel {
@@ -80,8 +81,9 @@
 }
 
 std::string
-CellsTable(const json& aStatus)
+CellsTable(const json& aStatus, const std::vector<std::string>& aCells)
 {
+  std::set<std::string> open(aCells.begin(), aCells.end());
   std::vector<Row> rows{
     { "CELL", "OWNER", "EPOCH", "WORKERS", "QUEUED", "RUNNING", "FREE" }
   };
@@ -93,6 +95,10 @@
                         Number(cell, "tasks_queued"),
                         Number(cell, "tasks_running"),
                         Free(cell) });
+    open.erase(cell.value("cell", ""));
+  }
+  for (const std::string& cell : open) {
+    rows.push_back(Row{ cell, "none", "-", "-", "-", "-", "-" });
   }
   std::sort(rows.begin() + 1, rows.end());
   return Table(rows);
@@ -101,14 +107,14 @@
 } // namespace
 
 std::string
-StatusText(std::string_view aBody)
+StatusText(std::string_view aBody, const std::vector<std::string>& aCells)
 {
   try {
     const json status = json::parse(aBody);
     std::string text = "entry " + status.value("entry", "") +
                        ", configuration generation " +
                        Number(status, "configuration_generation") + "\n\n";
-    text += MembersTable(status) + "\n" + CellsTable(status);
+    text += MembersTable(status) + "\n" + CellsTable(status, aCells);
     text += "\nleaving hosts:";
     const auto leaving =
       status.value("leaving_hosts", std::vector<std::string>{});
--- a/test/path/OperatorCommands.cpp
+++ b/test/path/OperatorCommands.cpp
@@ -206,6 +206,8 @@
   CHECK(Contains(folder.LastOutput(), "/leaving_hosts"));
   CHECK(folder.Run({ "--entry", first, "status" }) == 0);
   CHECK(Contains(folder.LastOutput(), "entry-2"));
+  // There is no planner, and the cell must not drop out of the list.
+  CHECK(Contains(folder.LastOutput(), "cell-zone-1  none"));
   CHECK(folder.Run({ "--entry", first, "diff", own }) == 0);
 }
 
