Look around less often in idle cells; announce the listed leaving hosts

Each runner asked the membership twenty times a second, for each cell that the planner knows. It now asks four times a second, and idle cells tick as often. The planner passes the host list's leaving hosts on to the gossip.

--- a/src/CellRunner.cpp
+++ b/src/CellRunner.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
+/** Most planners own few of the cells that they know. */
+constexpr std::chrono::milliseconds kIdleTickInterval{ 250 };
+constexpr std::chrono::milliseconds kLookInterval{ 250 };
 
 /** Longest time that a caller waits for an outcome. */
 constexpr std::chrono::seconds kReplyLimit{ 20 };
@@ -89,22 +92,33 @@
   }
 }
 
+void
+CellRunner::LookAround(TimePoint aNow)
+{
+  if (aNow < this->nextLook) {
+    return;
+  }
+  this->nextLook = aNow + kLookInterval;
+  const CellSurroundings now = this->surroundings();
+  this->machine.OnStoreLease(now.storeLease, now.leaseValidUntil);
+  this->machine.OnStoreReports(
+    aNow, now.majorityReachable, now.majorityUnreachable);
+  this->machine.SetCandidate(now.candidate);
+}
+
 asio::awaitable<void>
 CellRunner::TickLoop()
 {
   asio::steady_timer timer(this->strand);
   while (this->machine.Phase() != CellPhase::Released && !this->broken) {
-    const CellSurroundings now = this->surroundings();
     this->Guarded([&] {
-      const TimePoint time = this->clock.Now();
-      this->machine.OnStoreLease(now.storeLease, now.leaseValidUntil);
-      this->machine.OnStoreReports(
-        time, now.majorityReachable, now.majorityUnreachable);
-      this->machine.SetCandidate(now.candidate);
-      this->machine.Tick(time);
+      const TimePoint now = this->clock.Now();
+      this->LookAround(now);
+      this->machine.Tick(now);
     });
     this->CarryOut();
-    timer.expires_after(kTickInterval);
+    const bool idle = this->machine.Phase() == CellPhase::Idle;
+    timer.expires_after(idle ? kIdleTickInterval : kTickInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/src/CellRunner.h
+++ b/src/CellRunner.h
@@ -15,7 +15,7 @@
 
 namespace sequoiakeel {
 
-/** What a runner asks the planner before each tick. */
+/** What a runner asks the planner several times a second. */
 struct CellSurroundings
 {
   std::uint64_t storeLease = 0;
@@ -75,6 +75,7 @@
     std::optional<SubmitReply> reply;
   };
 
+  void LookAround(TimePoint aNow);
   boost::asio::awaitable<void> TickLoop();
   boost::asio::awaitable<SubmitReply> AwaitReply(std::uint64_t aToken);
   boost::asio::awaitable<SubmitReply> SubmitOnStrand(SubmitJob aRequest);
@@ -97,6 +98,7 @@
   ConfiguredPolicies policies;
   CellMachine machine;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
+  TimePoint nextLook;
   std::uint64_t nextToken = 1;
   bool broken = false;
 };
--- a/src/PlannerDriver.cpp
+++ b/src/PlannerDriver.cpp
@@ -200,6 +200,18 @@
   }
 }
 
+void
+PlannerDriver::AnnounceLeavingHosts(const HostListing& aListing)
+{
+  std::vector<std::string> leaving;
+  for (const HostRecord& host : aListing.hosts) {
+    if (host.state == HostState::Leaving) {
+      leaving.push_back(host.host);
+    }
+  }
+  this->parts.gossip.SetHostList(aListing.revision, leaving);
+}
+
 asio::awaitable<void>
 PlannerDriver::PollHosts()
 {
@@ -207,6 +219,7 @@
   while (true) {
     const std::optional<HostListing> read = co_await this->parts.hosts.Read();
     if (read) {
+      this->AnnounceLeavingHosts(*read);
       const std::lock_guard lock(this->mutex);
       // The list's revision never goes down; a lower one is stale.
       if (!this->listingKnown || read->revision >= this->listing.revision) {
--- a/src/PlannerDriver.h
+++ b/src/PlannerDriver.h
@@ -60,6 +60,7 @@
   CellRules RulesFor(const Cell& aCell) const;
   std::vector<HostRecord> HostsOf(const Cell& aCell) const;
   void Distribute();
+  void AnnounceLeavingHosts(const HostListing& aListing);
   boost::asio::awaitable<void> PollHosts();
   boost::asio::awaitable<void> TakeCare();
   std::vector<std::pair<std::string, Endpoint>> WorkersToCareFor() const;
