Correct when a completion on a cut-off worker counts as unknown

The random sequences reported a second run of a task that had finished on a worker cut off for 59 s: the fake forgave only after 60 s, while the planner counts 62 s from its last renewal, which precedes the cut.

--- a/test/guarantee/EvictedWorkResumesOnce.cpp
+++ b/test/guarantee/EvictedWorkResumesOnce.cpp
@@ -250,3 +250,23 @@
     CHECK(world.breaches.empty());
   }
 }
+
+// Guards against a stop before the checkpoint is durable: if the owner died
+// then, the work done would be lost.
+TEST_CASE("while the store is down a task is checkpointed but not stopped")
+{
+  EvictionCell world(7);
+  CHECK(world.Evict());
+  REQUIRE(world.RunUntil([&] {
+    const TaskRow* row = world.Machine("p1").Committed().FindTask({ kJob, 0 });
+    return row->phase == TaskPhase::Evicting;
+  }));
+  world.store.down = true;
+  world.Run(seconds(15));
+  const std::string worker = world.RunsOn(kTask);
+  REQUIRE(!worker.empty());
+  CHECK(!world.workers[worker]->runs[kTask].checkpoint.empty());
+  world.store.down = false;
+  CHECK(world.Finishes(kJob));
+  CHECK(world.Resumed() >= 20000);
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -318,8 +318,9 @@
       continue;
     }
     this->cutOffFor[name] += kStep;
-    // From here on its tasks may be started elsewhere.
-    if (this->cutOffFor[name] > 2 * kWorkerLeaseTtl) {
+    // Its tasks are given up 62 s after the last renewal, which may have been
+    // sent some time before it was cut off. What ended there is then unknown.
+    if (this->cutOffFor[name] > kWorkerLeaseTtl) {
       worker->ForgetCompletions();
     }
   }
