Drop the refusal all-unhealthy, which cannot occur

A request for which all servers are ejected waits in the queue, since an ejection may end before its deadline; so it leaves the queue as deadline-passed or is sent.

--- a/src/RequestOutcome.cpp
+++ b/src/RequestOutcome.cpp
@@ -46,7 +46,6 @@
   ReasonRule{ Reason::DeadlinePassed, "deadline-passed", Outcome::NotRun, 503 },
   ReasonRule{ Reason::NoServers, "no-servers", Outcome::NotRun, 503 },
   ReasonRule{ Reason::AllLeaving, "all-leaving", Outcome::NotRun, 503 },
-  ReasonRule{ Reason::AllUnhealthy, "all-unhealthy", Outcome::NotRun, 503 },
   ReasonRule{ Reason::AllAtLimit, "all-at-limit", Outcome::NotRun, 503 },
   ReasonRule{ Reason::ServersBusy, "servers-busy", Outcome::NotRun, 503 },
   ReasonRule{ Reason::ServersLeaving, "servers-leaving", Outcome::NotRun, 503 },
@@ -134,7 +133,6 @@
     case RoutingReason::AllLeaving:
       return Reason::AllLeaving;
     case RoutingReason::AllUnhealthy:
-      return Reason::AllUnhealthy;
     case RoutingReason::AllAtLimit:
       return Reason::AllAtLimit;
     case RoutingReason::DeadlinePassed:
--- a/src/RequestOutcome.h
+++ b/src/RequestOutcome.h
@@ -43,7 +43,6 @@
   DeadlinePassed,
   NoServers,
   AllLeaving,
-  AllUnhealthy,
   AllAtLimit,
   ServersBusy,
   ServersLeaving,
--- a/src/ServiceRouter.cpp
+++ b/src/ServiceRouter.cpp
@@ -92,10 +92,10 @@
 
 struct ServiceRouter::Waiter
 {
-  Waiter(RouteRequest aRequest, asio::any_io_executor aExecutor)
+  Waiter(RouteRequest aRequest, const asio::any_io_executor& aExecutor)
     : request(std::move(aRequest))
     , executor(aExecutor)
-    , timer(std::move(aExecutor))
+    , timer(aExecutor)
   {
   }
 
