Serve the connections that are open when the HTTP server stops

The stop closed idle connections at once and dropped those that waited to be accepted. A request that the kernel already had, or that a client sent before it learned of the stop, was cut with a reset. Now the server accepts what waits, closes the listener, and lets each open connection take one more request within a grace time of one second, answered with Connection: close. Before a connection is closed, what its client still sends is read, since a socket closed with unread data resets the connection and may lose the last response. Drain() waits for the connections, not only for requests in progress. A connection whose handshake completes between the last accept and the close of the listener is still reset; closing the listener alone cannot avoid that.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "Error.h"
 #include "Log.h"
 
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <unordered_set>
@@ -33,6 +34,11 @@
 constexpr std::chrono::milliseconds kDrainPollInterval{ 20 };
 /** Pause after a failed accept, for example when file descriptors ran out. */
 constexpr std::chrono::milliseconds kAcceptBackOff{ 100 };
+/** Limits for reading what a client still sends after the last response. A
+ * socket closed with unread data resets the connection, and the client may lose
+ * the response. */
+constexpr std::chrono::milliseconds kLingerTime{ 1000 };
+constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
 
 HttpRequest
 FromBeast(http::request<http::string_body>&& aMessage)
@@ -95,6 +101,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   std::atomic<bool> busy{ false };
+  /** The grace time after the stop is over. Used on the strand only. */
+  bool closing = false;
 };
 
 struct HttpServer::Shared
@@ -116,6 +124,7 @@
   std::uint16_t port = 0;
   std::atomic<std::size_t> inFlight{ 0 };
   std::atomic<bool> stopping{ false };
+  std::atomic<bool> listening{ true };
   std::mutex mutex;
   std::unordered_set<std::shared_ptr<Connection>> connections;
 };
@@ -197,6 +206,34 @@
   co_return !error && aKeepAlive;
 }
 
+/** Waits for the first bytes of a request; false if none will come. */
+asio::awaitable<bool>
+AwaitRequest(SharedPointer aShared, std::shared_ptr<Connection> aConnection)
+{
+  constexpr std::size_t kFirstRead = 4096;
+  while (aConnection->buffer.size() == 0) {
+    error_code error;
+    aConnection->stream.expires_after(aShared->stopping
+                                        ? aShared->limits.stopGrace
+                                        : aShared->limits.idleTimeout);
+    const std::size_t received = co_await aConnection->stream.async_read_some(
+      aConnection->buffer.prepare(kFirstRead),
+      asio::redirect_error(use_awaitable, error));
+    aConnection->buffer.commit(received);
+    if (!error) {
+      continue;
+    }
+    // A request may have arrived together with the end of the grace time.
+    error_code ignored;
+    const bool arrived = aConnection->closing &&
+                         aConnection->stream.socket().available(ignored) > 0;
+    if (!arrived) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 /** Serves one request; returns whether the connection stays open. */
 asio::awaitable<bool>
 ServeOne(SharedPointer aShared, std::shared_ptr<Connection> aConnection)
@@ -206,15 +243,9 @@
   parser.body_limit(aShared->limits.maxBodyBytes);
   parser.header_limit(
     static_cast<std::uint32_t>(aShared->limits.maxHeaderBytes));
-  aConnection->stream.expires_after(aShared->limits.idleTimeout);
-  if (aConnection->buffer.size() == 0) {
-    const std::size_t received = co_await aConnection->stream.async_read_some(
-      aConnection->buffer.prepare(4096),
-      asio::redirect_error(use_awaitable, error));
-    if (error) {
-      co_return false;
-    }
-    aConnection->buffer.commit(received);
+  const bool arrived = co_await AwaitRequest(aShared, aConnection);
+  if (!arrived) {
+    co_return false;
   }
   const InFlightCount count(aShared->inFlight, aConnection->busy);
   aConnection->stream.expires_after(aShared->limits.requestTimeout);
@@ -231,6 +262,7 @@
     HttpResponse refusal =
       JsonResponse(status, R"({"error":"malformed or oversized request"})");
     refusal.headers.Set("Sequoiakeel-Outcome", "not-run");
+    refusal.headers.Set("Sequoiakeel-Reason", "bad-request");
     co_await Reply(aConnection, std::move(refusal), false);
     co_return false;
   }
@@ -244,20 +276,37 @@
   co_return open;
 }
 
+/** Closes a connection without a reset that could overtake the last response.
+ */
 asio::awaitable<void>
-Serve(SharedPointer aShared, std::shared_ptr<Connection> aConnection)
+CloseGently(std::shared_ptr<Connection> aConnection)
 {
-  const Registration registration(aShared, aConnection);
-  bool open = !aShared->stopping;
-  while (open) {
-    open = co_await ServeOne(aShared, aConnection);
-  }
   error_code error;
   aConnection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
                                         error);
+  aConnection->stream.expires_after(kLingerTime);
+  std::size_t discarded = 0;
+  std::array<char, 4096> scratch{};
+  while (!error && discarded < kLingerBytes) {
+    discarded += co_await aConnection->stream.async_read_some(
+      asio::buffer(scratch), asio::redirect_error(use_awaitable, error));
+  }
   aConnection->stream.socket().close(error);
 }
 
+asio::awaitable<void>
+Serve(SharedPointer aShared,
+      std::shared_ptr<Connection> aConnection,
+      std::shared_ptr<Registration> aRegistration)
+{
+  const std::shared_ptr<Registration> registered = std::move(aRegistration);
+  bool open = true;
+  while (open) {
+    open = co_await ServeOne(aShared, aConnection);
+  }
+  co_await CloseGently(aConnection);
+}
+
 std::size_t
 ConnectionCount(HttpServer::Shared& aShared)
 {
@@ -265,32 +314,79 @@
   return aShared.connections.size();
 }
 
+void
+ServeAccepted(SharedPointer aShared,
+              asio::any_io_executor aStrand,
+              asio::ip::tcp::socket aSocket)
+{
+  if (ConnectionCount(*aShared) >= aShared->limits.maxConnections) {
+    Event("connection_refused", LogLevel::Warning)
+      .Add("reason", "connection-limit");
+    return;
+  }
+  error_code error;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), error);
+  auto connection = std::make_shared<Connection>(std::move(aSocket));
+  // Registered before the coroutine runs, so that Drain() waits for it.
+  auto registration = std::make_shared<Registration>(aShared, connection);
+  asio::co_spawn(aStrand,
+                 Serve(aShared, std::move(connection), std::move(registration)),
+                 asio::detached);
+}
+
 asio::awaitable<void>
 AcceptLoop(SharedPointer aShared)
 {
-  while (!aShared->stopping) {
+  while (aShared->acceptor.is_open()) {
     error_code error;
     const auto strand = asio::make_strand(aShared->context);
     asio::ip::tcp::socket socket = co_await aShared->acceptor.async_accept(
       strand, asio::redirect_error(use_awaitable, error));
+    if (!error) {
+      ServeAccepted(aShared, strand, std::move(socket));
+      continue;
+    }
     if (aShared->stopping) {
       co_return;
     }
-    if (error) {
-      Event("accept_failed", LogLevel::Warning).Add("error", error.message());
-      asio::steady_timer timer(aShared->context, kAcceptBackOff);
-      co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
-      continue;
-    }
-    if (ConnectionCount(*aShared) >= aShared->limits.maxConnections) {
-      Event("connection_refused", LogLevel::Warning)
-        .Add("reason", "connection-limit");
-      continue;
+    Event("accept_failed", LogLevel::Warning).Add("error", error.message());
+    asio::steady_timer timer(aShared->context, kAcceptBackOff);
+    co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
+  }
+}
+
+/** Accepts the connections that wait in the kernel, whose clients count them as
+ * open, and closes the listener. */
+void
+CloseListener(SharedPointer aShared)
+{
+  error_code error;
+  aShared->acceptor.non_blocking(true, error);
+  while (!error || error == asio::error::connection_aborted) {
+    const auto strand = asio::make_strand(aShared->context);
+    asio::ip::tcp::socket socket(strand);
+    aShared->acceptor.accept(socket, error);
+    if (!error) {
+      ServeAccepted(aShared, strand, std::move(socket));
     }
-    socket.set_option(asio::ip::tcp::no_delay(true), error);
-    auto connection = std::make_shared<Connection>(std::move(socket));
-    asio::co_spawn(
-      strand, Serve(aShared, std::move(connection)), asio::detached);
+  }
+  aShared->acceptor.close(error);
+  aShared->listening = false;
+}
+
+asio::awaitable<void>
+CloseIdleAfterGrace(SharedPointer aShared)
+{
+  asio::steady_timer timer(aShared->context, aShared->limits.stopGrace);
+  co_await timer.async_wait(use_awaitable);
+  const std::lock_guard lock(aShared->mutex);
+  for (const std::shared_ptr<Connection>& connection : aShared->connections) {
+    asio::post(connection->stream.get_executor(), [connection] {
+      connection->closing = true;
+      if (!connection->busy) {
+        connection->stream.cancel();
+      }
+    });
   }
 }
 
@@ -351,28 +447,19 @@
   if (this->shared->stopping.exchange(true)) {
     return;
   }
-  asio::post(this->shared->acceptor.get_executor(), [shared = this->shared] {
-    error_code error;
-    shared->acceptor.close(error);
-  });
-  const std::lock_guard lock(this->shared->mutex);
-  for (const std::shared_ptr<Connection>& connection :
-       this->shared->connections) {
-    asio::post(connection->stream.get_executor(), [connection] {
-      if (!connection->busy) {
-        connection->stream.cancel();
-      }
-    });
-  }
+  asio::post(this->shared->acceptor.get_executor(),
+             [shared = this->shared] { CloseListener(shared); });
+  asio::co_spawn(
+    this->shared->context, CloseIdleAfterGrace(this->shared), asio::detached);
 }
 
 asio::awaitable<bool>
 HttpServer::Drain(TimePoint aDeadline)
 {
   asio::steady_timer timer(this->shared->context);
-  while (this->shared->inFlight > 0) {
+  while (this->shared->listening || ConnectionCount(*this->shared) > 0) {
     if (std::chrono::steady_clock::now() >= aDeadline) {
-      co_return false;
+      co_return this->shared->inFlight == 0;
     }
     timer.expires_after(kDrainPollInterval);
     co_await timer.async_wait(use_awaitable);
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -24,6 +24,9 @@
   std::chrono::milliseconds requestTimeout{ 10000 };
   /** Time that a connection may stay open without a request. */
   std::chrono::milliseconds idleTimeout{ 60000 };
+  /** Time after StopAccepting in which open connections still take one request,
+   * since a client may send one before it learns of the stop. */
+  std::chrono::milliseconds stopGrace{ 1000 };
 };
 
 /** Answers one request. Runs on the connection's strand; several connections
@@ -58,12 +61,14 @@
   /** Returns the requests in progress. */
   std::size_t InFlight() const;
 
-  /** Closes the listener and idle connections; requests in progress go on and
-   * their connections then close. */
+  /** Serves the connections that wait to be accepted and closes the listener.
+   * Open connections close after their request in progress, or after one that
+   * arrives within the grace time. */
   void StopAccepting();
 
-  /** Waits until no request is in progress; returns false if aDeadline passed
-   * first. */
+  /** Waits until all connections are closed; returns false if requests were
+   * still in progress at aDeadline. Precondition: StopAccepting() was called.
+   */
   boost::asio::awaitable<bool> Drain(TimePoint aDeadline);
 
   /** State shared with the connections. */
