--- a/src/EntryService.cpp
+++ b/src/EntryService.cpp
@@ -346,6 +346,8 @@
     response = co_await this->jobs->Query(std::move(aPath[2]));
   } else if (aPath.size() == 3 && aMessage.method == "DELETE") {
     response = co_await this->jobs->Cancel(std::move(aPath[2]));
+  } else if (aPath.size() == 4 && aPath[3] == "explain") {
+    response = JsonResponse(501, R"({"error":"not-implemented"})");
   } else {
     response = ReasonResponse(OutcomeReason::BadRequest, NewRequestId());
   }
@@ -399,7 +401,7 @@
 
 EntryService::~EntryService() = default;
 
-asio::awaitable<void>
+asio::awaitable<bool>
 EntryService::Start()
 {
   const std::shared_ptr<Parts> own = this->parts;
@@ -423,12 +425,16 @@
     timer.expires_after(kRetryInterval);
     co_await timer.async_wait(use_awaitable);
   }
+  if (own->stopping) {
+    co_return false;
+  }
   asio::co_spawn(own->context, own->HostLoop(), asio::detached);
   asio::co_spawn(own->context, own->agent->Run(), asio::detached);
   own->ready = true;
   Event("entry_ready")
     .Add("http_port", static_cast<int>(this->HttpPort()))
     .Add("peer_port", static_cast<int>(this->PeerPort()));
+  co_return true;
 }
 
 asio::awaitable<bool>
--- a/src/EntryService.h
+++ b/src/EntryService.h
@@ -21,9 +21,10 @@
   EntryService& operator=(const EntryService&) = delete;
   ~EntryService();
 
-  /** Starts to listen and returns once a configuration is active and the host
-   * list was read; before that requests are refused. */
-  boost::asio::awaitable<void> Start();
+  /** Starts to listen and returns true once a configuration is active and the
+   * host list was read; before that requests are refused. Returns false if
+   * Stop() was called first. */
+  boost::asio::awaitable<bool> Start();
 
   /** Closes the listener, announces that this entry is leaving and waits for
    * the requests in progress and the records of their outcomes. Returns false
--- a/test/path/EntryRequests.cpp
+++ b/test/path/EntryRequests.cpp
@@ -1,31 +1,86 @@
+#include "EntryService.h"
 #include "support/Deployment.h"
+#include "support/RequestHarness.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 using namespace sequoiakeel;
 
 namespace {
 
-HttpHeaders
-Headers(std::initializer_list<HttpHeader> aFields)
+/** Sends raw bytes and returns what comes back until the server closes. */
+std::string
+SendRaw(const Endpoint& aEntry, const std::string& aBytes)
 {
-  HttpHeaders headers;
-  for (const HttpHeader& field : aFields) {
-    headers.Add(field.name, field.value);
-  }
-  return headers;
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect({ boost::asio::ip::make_address(aEntry.address),
+                   static_cast<std::uint16_t>(aEntry.port) });
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(aBytes), error);
+  std::string text;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(text), error);
+  CHECK(error == boost::asio::error::eof);
+  return text;
 }
 
-std::string
-OutcomeOf(const HttpResponse& aResponse)
+} // namespace
+
+// Guards against bad input that gets no answer, or one without an outcome.
+TEST_CASE("malformed and oversized requests are refused with an outcome")
 {
-  return std::string(aResponse.headers.Get("Sequoiakeel-Outcome")) + " " +
-         std::string(aResponse.headers.Get("Sequoiakeel-Reason"));
+  Deployment deployment;
+  deployment.PutConfiguration(SmallConfiguration({ "zone-1" }));
+  deployment.StartEntry("entry-1", "zone-1");
+  const Endpoint entry = deployment.EndpointOf("entry-1");
+  const std::string head = "POST /v1/services/quote HTTP/1.1\r\nHost: e\r\n";
+  for (const std::string& request :
+       { std::string("no http at all\r\n\r\n"),
+         head + "Content-Length: minus one\r\n\r\n",
+         head + "Content-Length: 99999999\r\n\r\n",
+         head + "Content-Length: 2000000\r\n\r\n" + std::string(2000000, 'b'),
+         head + "X: " + std::string(100000, 'x') + "\r\n\r\n" }) {
+    const std::string answer = SendRaw(entry, request);
+    CHECK(answer.starts_with("HTTP/1.1 4"));
+    CHECK(answer.find("Sequoiakeel-Outcome: not-run") != std::string::npos);
+  }
+  CHECK(deployment.Call("entry-1", "GET", "/healthz").status == 200);
 }
 
-} // namespace
+// Guards against an entry that routes without a configuration, and against one
+// that reports itself ready then.
+TEST_CASE("an entry without a configuration refuses requests")
+{
+  TestThreads threads;
+  Settings settings;
+  settings.name = "entry-1";
+  settings.zone = "zone-1";
+  settings.http = Endpoint{ "127.0.0.1", 0 };
+  settings.peer = Endpoint{ "127.0.0.1", 0 };
+  // Nothing listens on the discard port.
+  settings.store = Endpoint{ "127.0.0.1", 9 };
+  settings.hostList = settings.store;
+  EntryService service(threads.Context(), settings);
+  boost::asio::co_spawn(
+    threads.Context(), service.Start(), boost::asio::detached);
+  const Endpoint entry{ "127.0.0.1", service.HttpPort() };
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/services/quote";
+  CHECK(OutcomeOf(CallHttp(entry, request)) == "not-run starting");
+  HttpRequest health;
+  health.target = "/healthz";
+  CHECK(CallHttp(entry, health).status == 503);
+  threads.Stop();
+}
 
 // Guards against an entry that starts, but does not connect its parts: every
 // call of docs/api.md that needs no planner is made once.
@@ -39,13 +94,13 @@
   const HttpResponse quote =
     deployment.Call("entry-1", "POST", "/v1/services/quote", "12 steps");
   CHECK(quote.status == 200);
-  CHECK(OutcomeOf(quote) == "done ");
+  CHECK(OutcomeOf(quote) == "done");
   CHECK(quote.body.find("12 steps") != std::string::npos);
   CHECK_FALSE(quote.headers.Get("Sequoiakeel-Request-Id").empty());
 
-  const HttpHeaders once = Headers({ { "Sequoiakeel-Idempotent", "false" },
-                                     { "Idempotency-Key", "order-1" },
-                                     { "Sequoiakeel-Team", "planning" } });
+  const HttpHeaders once = MakeHeaders({ { "Sequoiakeel-Idempotent", "false" },
+                                         { "Idempotency-Key", "order-1" },
+                                         { "Sequoiakeel-Team", "planning" } });
   const HttpResponse first =
     deployment.Call("entry-1", "POST", "/v1/services/quote", "order", once);
   CHECK(first.status == 200);
@@ -77,7 +132,7 @@
                     "PUT",
                     "/v1/configuration?base=1",
                     configuration.body,
-                    Headers({ { "Sequoiakeel-Author", "operator" } }));
+                    MakeHeaders({ { "Sequoiakeel-Author", "operator" } }));
   CHECK(applied.status == 200);
   CHECK(nlohmann::json::parse(applied.body).at("generation") == 2);
 
--- a/tools/Entry.cpp
+++ b/tools/Entry.cpp
@@ -27,8 +27,8 @@
 asio::awaitable<void>
 StartAndReport(EntryService& aService, std::string aReadyFile)
 {
-  co_await aService.Start();
-  if (!aReadyFile.empty()) {
+  const bool ready = co_await aService.Start();
+  if (ready && !aReadyFile.empty()) {
     WriteFileAtomically(
       aReadyFile,
       "{\"http_port\": " + std::to_string(aService.HttpPort()) +
