Test that every caller receives the whole answer to its own request

Answers late, crossed, truncated, duplicated, without an id or a length, left-over bytes, and all of them mixed with many callers.

--- /dev/null
+++ b/test/guarantee/CallerReceivesWholeAnswer.cpp
@@ -0,0 +1,256 @@
+#include "support/Deployment.h"
+#include "support/FakeBackend.h"
+#include "support/FakeStore.h"
+#include "support/RequestHarness.h"
+
+#include <doctest/doctest.h>
+#include <mutex>
+#include <random>
+
+using namespace sequoiakeel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** One entry with one backend server. */
+struct Bench
+{
+  explicit Bench(FakeBackend::Behaviour aBehaviour)
+    : backend(this->threads.Context(), std::move(aBehaviour))
+    , entry(this->threads.Context(), this->store, this->Options())
+  {
+  }
+  ~Bench() { this->threads.Stop(); }
+
+  TestEntryOptions Options()
+  {
+    TestEntryOptions options;
+    options.ports = { this->backend.Port() };
+    return options;
+  }
+
+  TestThreads threads;
+  FakeStore store;
+  FakeBackend backend;
+  TestEntry entry;
+};
+
+HttpHeaders
+SentOnce()
+{
+  return MakeHeaders({ { "Sequoiakeel-Idempotent", "false" } });
+}
+
+Reaction
+Raw(std::string aBytes, bool aClose = false)
+{
+  Reaction reaction;
+  reaction.bytes = std::move(aBytes);
+  reaction.close = aClose;
+  return reaction;
+}
+
+} // namespace
+
+// Guards against a caller that gets the answer to another request because the
+// backend server mixed up its answers.
+TEST_CASE("an answer with another request's id reaches nobody")
+{
+  std::mutex mutex;
+  std::string previousId = "none";
+  Bench bench([&](const BackendRequest& aRequest) {
+    const std::lock_guard lock(mutex);
+    const std::string id = std::exchange(previousId, aRequest.id);
+    return Raw(RawResponse(200, id, "answer to " + aRequest.body));
+  });
+  const HttpResponse first = bench.entry.Call("one", SentOnce());
+  CHECK(OutcomeOf(first) == "unknown response-mismatched");
+  CHECK(first.body.find("answer to") == std::string::npos);
+  CHECK(OutcomeOf(bench.entry.Call("two", SentOnce())) ==
+        "unknown response-mismatched");
+}
+
+// Guards against an answer without an id, which may belong to any request.
+TEST_CASE("an answer that does not echo the request id reaches nobody")
+{
+  Bench bench([](const BackendRequest&) {
+    return Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  CHECK(OutcomeOf(bench.entry.Call("one", SentOnce())) ==
+        "unknown response-mismatched");
+}
+
+// Guards against passing on a part of an answer as if it were whole.
+TEST_CASE("a truncated answer reaches nobody")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    std::string whole = RawResponse(200, aRequest.id, "answer to one");
+    whole.resize(whole.size() - 4);
+    return Raw(std::move(whole), true);
+  });
+  CHECK(OutcomeOf(bench.entry.Call("one", SentOnce())) ==
+        "unknown connection-lost");
+}
+
+// Guards against a backend server that dies in the middle of a chunked body.
+TEST_CASE("a chunked answer without its last chunk reaches nobody")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    return Raw("HTTP/1.1 200 OK\r\nSequoiakeel-Request-Id: " + aRequest.id +
+                 "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nanswe\r\n",
+               true);
+  });
+  CHECK(OutcomeOf(bench.entry.Call("one", SentOnce())) ==
+        "unknown connection-lost");
+}
+
+// Guards against a length that is not stated: a dying server's answer looks
+// like a whole one that ends with the connection.
+TEST_CASE("an answer that ends with the connection reaches nobody")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    return Raw("HTTP/1.1 200 OK\r\nSequoiakeel-Request-Id: " + aRequest.id +
+                 "\r\n\r\nanswer to",
+               true);
+  });
+  CHECK(OutcomeOf(bench.entry.Call("one", SentOnce())) ==
+        "unknown response-mismatched");
+}
+
+// Guards against reading the second copy of an answer as the answer to the next
+// request on the same connection.
+TEST_CASE("a duplicated answer does not reach the next caller")
+{
+  milliseconds later{ 0 };
+  SUBCASE("together with the first copy") {}
+  SUBCASE("while the connection is idle")
+  {
+    later = milliseconds(30);
+  }
+  Bench bench([&](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    reaction.laterDelay = later;
+    reaction.laterBytes = reaction.bytes;
+    return reaction;
+  });
+  for (int round = 0; round < 10; ++round) {
+    // Sent once: a copy that is still noticed by its id would cost this
+    // request.
+    const std::string body = "request " + std::to_string(round);
+    CHECK(bench.entry.Call(body, SentOnce()).body == "answer to " + body);
+    std::this_thread::sleep_for(later * 2);
+  }
+}
+
+// Guards against left-over bytes, valid HTTP or not, on a reused connection.
+TEST_CASE("left-over bytes end the connection")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    reaction.bytes += "left over";
+    return reaction;
+  });
+  CHECK(bench.entry.Call("one", SentOnce()).body == "answer to one");
+  CHECK(bench.entry.Call("two", SentOnce()).body == "answer to two");
+  CHECK(bench.backend.Accepted() == 2);
+}
+
+// Guards against an answer that arrives after its caller was told that the
+// outcome is unknown, and is taken for the answer to the next request.
+TEST_CASE("an answer after the deadline reaches nobody")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    if (aRequest.body == "late") {
+      reaction.delay = milliseconds(300);
+    }
+    return reaction;
+  });
+  HttpHeaders headers = SentOnce();
+  headers.Set("Sequoiakeel-Deadline-Ms", "100");
+  CHECK(OutcomeOf(bench.entry.Call("late", headers)) ==
+        "unknown server-timeout");
+  for (int round = 0; round < 8; ++round) {
+    const std::string body = "next " + std::to_string(round);
+    CHECK(bench.entry.Call(body).body == "answer to " + body);
+    std::this_thread::sleep_for(milliseconds(60));
+  }
+}
+
+// Guards against a caller that gets an answer although its idempotent request
+// failed at first, or gets the first attempt's late answer mixed with the
+// second's.
+TEST_CASE("an idempotent request is answered by a later attempt")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    if (aRequest.number == 1) {
+      std::string whole = RawResponse(200, aRequest.id, "answer to one");
+      whole.resize(whole.size() - 4);
+      return Raw(std::move(whole), true);
+    }
+    return AnswerWell(aRequest);
+  });
+  // The budget starts with what earlier requests saved.
+  for (int request = 0; request < 20; ++request) {
+    bench.entry.Catalog().Find("quote")->router->CountRequest();
+  }
+  const HttpResponse response = bench.entry.Call("one");
+  CHECK(OutcomeOf(response) == "done");
+  CHECK(response.body == "answer to one");
+  CHECK(bench.backend.Executions() == 2);
+}
+
+// Guards against combinations: many callers at once while the server answers
+// late, twice, with wrong ids, in part, or closes, in a random order.
+TEST_CASE("with random faults every answer is whole and the caller's own")
+{
+  constexpr std::uint64_t kSeed = 20240611;
+  std::mutex mutex;
+  std::mt19937_64 random(kSeed);
+  std::string previousId;
+  Bench bench([&](const BackendRequest& aRequest) {
+    const std::lock_guard lock(mutex);
+    Reaction reaction = AnswerWell(aRequest);
+    const std::uint64_t fault = random() % 12;
+    if (fault == 0) {
+      reaction.bytes = RawResponse(200, previousId, "crossed");
+    } else if (fault == 1) {
+      reaction.bytes.resize(reaction.bytes.size() / 2);
+      reaction.close = true;
+    } else if (fault == 2) {
+      reaction.bytes += reaction.bytes;
+    } else if (fault == 3) {
+      reaction.delay = milliseconds(80);
+    } else if (fault == 4) {
+      reaction.laterDelay = milliseconds(random() % 5);
+      reaction.laterBytes = reaction.bytes;
+    } else if (fault == 5) {
+      reaction.bytes.clear();
+      reaction.close = true;
+    }
+    previousId = aRequest.id;
+    return reaction;
+  });
+  int done = 0;
+  for (int round = 0; round < 40; ++round) {
+    std::vector<std::pair<std::string, std::future<HttpResponse>>> calls;
+    for (int caller = 0; caller < 10; ++caller) {
+      const std::string body =
+        std::to_string(round) + "/" + std::to_string(caller);
+      HttpHeaders headers;
+      headers.Set("Sequoiakeel-Deadline-Ms", caller % 2 == 0 ? "60" : "2000");
+      calls.emplace_back(body, bench.entry.Send(body, headers));
+    }
+    for (auto& [body, call] : calls) {
+      const HttpResponse response = call.get();
+      if (OutcomeOf(response) != "done") {
+        CHECK(response.body.find("answer to") == std::string::npos);
+        continue;
+      }
+      ++done;
+      CHECK(response.body == "answer to " + body);
+    }
+  }
+  MESSAGE("seed " << kSeed << ", answered " << done << " of 400");
+  CHECK(done > 0);
+}
