--- /dev/null
+++ b/test/guarantee/NotRunIsTrue.cpp
@@ -0,0 +1,401 @@
+#include "RequestOutcome.h"
+#include "support/Deployment.h"
+#include "support/FakeBackend.h"
+#include "support/FakeStore.h"
+#include "support/RequestHarness.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_future.hpp>
+
+using namespace sequoiakeel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Requests with the body "hold" keep their server until Release(). */
+struct Bench
+{
+  Bench()
+    : backend(this->threads.Context(), [this](const BackendRequest& aRequest) {
+      return this->React(aRequest);
+    })
+  {
+  }
+  ~Bench() { this->threads.Stop(); }
+
+  Reaction React(const BackendRequest& aRequest) const
+  {
+    if (aRequest.body == "busy" || aRequest.body == "leaving") {
+      return RefuseExplicitly(aRequest, aRequest.body);
+    }
+    Reaction reaction = AnswerWell(aRequest);
+    if (aRequest.body == "hold") {
+      reaction.delay = this->hold;
+    }
+    return reaction;
+  }
+
+  TestEntryOptions Options()
+  {
+    TestEntryOptions options;
+    options.ports = { this->backend.Port() };
+    // One connection, so that one request keeps the server.
+    options.limits.connectionsPerWorker = 10;
+    options.service.queueLimit = 1;
+    return options;
+  }
+
+  std::unique_ptr<TestEntry> MakeEntry(TestEntryOptions aOptions)
+  {
+    return std::make_unique<TestEntry>(
+      this->threads.Context(), this->store, std::move(aOptions));
+  }
+
+  /** Waits until the backend server has aCount requests. */
+  bool AwaitExecutions(std::size_t aCount) const
+  {
+    return WaitUntil([&] { return this->backend.Executions() >= aCount; });
+  }
+
+  TestThreads threads;
+  FakeStore store;
+  milliseconds hold{ 500 };
+  FakeBackend backend;
+};
+
+using Headers = std::vector<HttpHeader>;
+
+/** Calls with a body of its own and checks that it did not run. */
+std::string
+Refused(Bench& aBench, TestEntry& aEntry, HttpHeaders aHeaders)
+{
+  const std::string body = "must not run";
+  const HttpResponse response = aEntry.Call(body, std::move(aHeaders));
+  CHECK(response.headers.Get("Sequoiakeel-Outcome") == "not-run");
+  CHECK(response.status >= 400);
+  CHECK(aBench.backend.ExecutionsOf(body) == 0);
+  return std::string(response.headers.Get("Sequoiakeel-Reason"));
+}
+
+HttpHeaders
+One(const std::string& aName, const std::string& aValue)
+{
+  return MakeHeaders({ { aName, aValue } });
+}
+
+/** Waits until requests are in the queue. */
+bool
+AwaitQueued(TestEntry& aEntry, std::size_t aCount)
+{
+  return WaitUntil([&] {
+    return aEntry.Catalog().Find("quote")->router->QueueDepth() >= aCount;
+  });
+}
+
+std::uint16_t
+ClosedPort(Bench& aBench)
+{
+  boost::asio::ip::tcp::acceptor acceptor(
+    aBench.threads.Context(), { boost::asio::ip::address_v4::loopback(), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+/** Reasons that this file brings about, by the name of the test that does. */
+const std::set<std::string_view> kProvoked{ "bad-request",
+                                            "unknown-service",
+                                            "unknown-team",
+                                            "bad-deadline",
+                                            "bad-flag",
+                                            "bad-idempotency-key",
+                                            "idempotency-key-reused",
+                                            "stopping",
+                                            "entry-overloaded",
+                                            "store-unavailable",
+                                            "queue-full",
+                                            "team-share-full",
+                                            "deadline-unreachable",
+                                            "deadline-passed",
+                                            "no-servers",
+                                            "all-leaving",
+                                            "all-at-limit",
+                                            "servers-busy",
+                                            "servers-leaving",
+                                            "connect-failed" };
+
+/** Reasons of the entry's HTTP side, provoked in test/path/EntryRequests.cpp.
+ */
+const std::set<std::string_view> kHttpSide{ "unknown-path", "starting" };
+
+} // namespace
+
+// Guards against a new refusal that no test brings about.
+TEST_CASE("each refusal of the table is brought about by a test")
+{
+  std::set<std::string_view> texts;
+  for (const ReasonRule& rule : AllReasonRules()) {
+    CHECK(RuleOf(rule.reason).text == rule.text);
+    CHECK(texts.insert(rule.text).second);
+    const bool provoked =
+      kProvoked.contains(rule.text) || kHttpSide.contains(rule.text);
+    CHECK_MESSAGE(provoked == (rule.outcome == Outcome::NotRun), rule.text);
+  }
+}
+
+// Guards against calling something "not run" that was sent: only an explicit
+// refusal or nothing sent may be.
+TEST_CASE("a request that was sent and not refused is unknown")
+{
+  for (const AttemptEnd end :
+       { AttemptEnd::TimedOut, AttemptEnd::Lost, AttemptEnd::Mismatched }) {
+    CHECK(MayHaveRun(end));
+    CHECK_FALSE(MaySendAgain(end, false));
+    CHECK(RuleOf(FinalReason(end, false)).outcome == Outcome::Unknown);
+  }
+  for (const AttemptEnd end : { AttemptEnd::RefusedBusy,
+                                AttemptEnd::RefusedLeaving,
+                                AttemptEnd::NotSent }) {
+    CHECK_FALSE(MayHaveRun(end));
+    CHECK(RuleOf(FinalReason(end, false)).outcome == Outcome::NotRun);
+    // A refusal of the second attempt says nothing about the first.
+    CHECK(RuleOf(FinalReason(end, true)).outcome == Outcome::Unknown);
+  }
+  for (const ReasonRule& rule : AllReasonRules()) {
+    const OutcomeReason after = WithUnresolved(rule.reason, true);
+    CHECK(RuleOf(after).outcome == Outcome::Unknown);
+  }
+}
+
+// Guards against an answer that looks like a refusal but is none: the status
+// alone, another value, or a refusal of another request.
+TEST_CASE("only the worker's explicit refusal of this request counts")
+{
+  ExchangeResult exchange;
+  exchange.progress = ExchangeProgress::Complete;
+  exchange.response.status = 503;
+  exchange.response.headers.Set("Content-Length", "0");
+  exchange.response.headers.Set("Sequoiakeel-Request-Id", "a");
+  CHECK(ClassifyAttempt(exchange, "a") == AttemptEnd::Answered);
+  exchange.response.headers.Set("Sequoiakeel-Not-Run", "perhaps");
+  CHECK(ClassifyAttempt(exchange, "a") == AttemptEnd::Answered);
+  exchange.response.headers.Set("Sequoiakeel-Not-Run", "busy");
+  CHECK(ClassifyAttempt(exchange, "a") == AttemptEnd::RefusedBusy);
+  CHECK(ClassifyAttempt(exchange, "b") == AttemptEnd::Mismatched);
+  exchange.response.status = 200;
+  CHECK(ClassifyAttempt(exchange, "a") == AttemptEnd::Answered);
+}
+
+// Guards against bad input that is forwarded, or refused without an outcome.
+TEST_CASE("a request with bad headers does not run")
+{
+  Bench bench;
+  const auto entry = bench.MakeEntry(bench.Options());
+  CHECK(Refused(bench, *entry, One("Sequoiakeel-Team", "x")) == "unknown-team");
+  for (const char* value : { "0",
+                             "-1",
+                             "1e3",
+                             " 5",
+                             "",
+                             "600001",
+                             "99999999999999999999",
+                             "soon" }) {
+    CHECK(Refused(bench, *entry, One("Sequoiakeel-Deadline-Ms", value)) ==
+          "bad-deadline");
+  }
+  for (const char* name : { "Sequoiakeel-Idempotent", "Sequoiakeel-Urgent" }) {
+    for (const char* value : { "False", "0", "", "no" }) {
+      CHECK(Refused(bench, *entry, One(name, value)) == "bad-flag");
+    }
+  }
+  const std::string longKey(300, 'k');
+  CHECK(Refused(bench, *entry, OnceHeaders(longKey)) == "bad-idempotency-key");
+  CHECK(Refused(bench, *entry, OnceHeaders("")) == "bad-idempotency-key");
+
+  HttpRequest wrongMethod;
+  wrongMethod.method = "PUT";
+  const HttpResponse bad =
+    boost::asio::co_spawn(bench.threads.Context(),
+                          entry->Path().Handle("quote", wrongMethod),
+                          boost::asio::use_future)
+      .get();
+  CHECK(OutcomeOf(bad) == "not-run bad-request");
+  wrongMethod.method = "POST";
+  const HttpResponse unknown =
+    boost::asio::co_spawn(bench.threads.Context(),
+                          entry->Path().Handle("none", wrongMethod),
+                          boost::asio::use_future)
+      .get();
+  CHECK(OutcomeOf(unknown) == "not-run unknown-service");
+  CHECK(bench.backend.Executions() == 0);
+}
+
+// Guards against a key that silently names two different requests.
+TEST_CASE("a key that was used for another request refuses")
+{
+  Bench bench;
+  const auto entry = bench.MakeEntry(bench.Options());
+  CHECK(OutcomeOf(entry->Call("order", OnceHeaders("k"))) == "done");
+  CHECK(Refused(bench, *entry, OnceHeaders("k")) == "idempotency-key-reused");
+}
+
+// Guards against running a request that cannot be claimed, and against "not
+// run" for one whose claim may still take effect while it is sent.
+TEST_CASE("without the store a request that runs at most once does not run")
+{
+  Bench bench;
+  const auto entry = bench.MakeEntry(bench.Options());
+  HttpHeaders headers = OnceHeaders("k");
+  headers.Set("Sequoiakeel-Deadline-Ms", "300");
+  SUBCASE("the store is down")
+  {
+    bench.store.SetDown(true);
+  }
+  SUBCASE("all claims are delayed")
+  {
+    bench.store.DelayWrites(1000);
+  }
+  CHECK(Refused(bench, *entry, headers) == "store-unavailable");
+  // A claim that takes effect later is withdrawn, so that a retry can run.
+  bench.store.SetDown(false);
+  bench.store.DelayWrites(0);
+  bench.store.ApplyDelayed();
+  CHECK(WaitUntil([&] { return entry->Records().Pending() == 0; }));
+  CHECK(bench.store.Values("requests/").empty());
+  CHECK(OutcomeOf(entry->Call("must not run", OnceHeaders("k"))) == "done");
+}
+
+// Guards against a request that is refused by the queue and nevertheless sent.
+TEST_CASE("a request that finds no place in the queue does not run")
+{
+  Bench bench;
+  TestEntryOptions options = bench.Options();
+  options.service.queueLimit = 2;
+  const auto entry = bench.MakeEntry(options);
+  std::future<HttpResponse> running = entry->Send("hold");
+  REQUIRE(bench.AwaitExecutions(1));
+  std::future<HttpResponse> first = entry->Send("first");
+  REQUIRE(AwaitQueued(*entry, 1));
+  std::future<HttpResponse> second = entry->Send("second");
+  REQUIRE(AwaitQueued(*entry, 2));
+  CHECK(Refused(bench, *entry, {}) == "queue-full");
+  // A second team has a right to half of the queue.
+  std::future<HttpResponse> other =
+    entry->Send("other", One("Sequoiakeel-Team", "planning"));
+  CHECK(OutcomeOf(second.get()) == "not-run team-share-full");
+  CHECK(OutcomeOf(running.get()) == "done");
+  CHECK(OutcomeOf(first.get()) == "done");
+  CHECK(OutcomeOf(other.get()) == "done");
+  CHECK(bench.backend.ExecutionsOf("second") == 0);
+}
+
+// Guards against sending a request whose caller has stopped waiting.
+TEST_CASE("a request that cannot meet its deadline does not run")
+{
+  Bench bench;
+  const auto entry = bench.MakeEntry(bench.Options());
+  std::future<HttpResponse> running = entry->Send("hold");
+  REQUIRE(bench.AwaitExecutions(1));
+  CHECK(Refused(bench, *entry, One("Sequoiakeel-Deadline-Ms", "50")) ==
+        "deadline-passed");
+  CHECK(OutcomeOf(running.get()) == "done");
+  // Now the usual time is known to be 500 ms.
+  running = entry->Send("hold");
+  REQUIRE(WaitUntil([&] { return bench.backend.ExecutionsOf("hold") == 2; }));
+  CHECK(Refused(bench, *entry, One("Sequoiakeel-Deadline-Ms", "50")) ==
+        "deadline-unreachable");
+  CHECK(OutcomeOf(running.get()) == "done");
+}
+
+// Guards against refusals by the state of the servers that are no refusals.
+TEST_CASE("a request without a usable server does not run")
+{
+  Bench bench;
+  TestEntryOptions options = bench.Options();
+  SUBCASE("no server")
+  {
+    options.ports.clear();
+    const auto entry = bench.MakeEntry(options);
+    CHECK(Refused(bench, *entry, {}) == "no-servers");
+  }
+  SUBCASE("nothing listens")
+  {
+    options.ports = { ClosedPort(bench) };
+    const auto entry = bench.MakeEntry(options);
+    CHECK(Refused(bench, *entry, {}) == "connect-failed");
+  }
+  SUBCASE("all leaving")
+  {
+    const auto entry = bench.MakeEntry(options);
+    entry->Call("leaving");
+    // Each tick of the test's entry lets the worker come back, so the mark is
+    // set right before the call.
+    std::string reason;
+    CHECK(WaitUntil([&] {
+      entry->Catalog().MarkLeaving("worker-1");
+      const HttpResponse response = entry->Call("may run");
+      reason = response.headers.Get("Sequoiakeel-Reason");
+      return reason == "all-leaving";
+    }));
+  }
+  SUBCASE("no connection is allowed")
+  {
+    const auto entry = bench.MakeEntry(options);
+    entry->Pool().SetLimit(0);
+    CHECK(Refused(bench, *entry, {}) == "all-at-limit");
+  }
+}
+
+// Guards against a refusal by the worker that is passed on as an answer, or a
+// retry of it that goes on for ever.
+TEST_CASE("a request that every worker refuses did not run")
+{
+  Bench bench;
+  const auto entry = bench.MakeEntry(bench.Options());
+  const HttpResponse busy = entry->Call("busy");
+  CHECK(OutcomeOf(busy) == "not-run servers-busy");
+  const HttpResponse leaving = entry->Call("leaving");
+  CHECK(leaving.headers.Get("Sequoiakeel-Outcome") == "not-run");
+  CHECK(entry->ReportedLeaving().front() == "worker-1");
+  CHECK(bench.backend.Executions() == 0);
+}
+
+// Guards against counting the last refusal only: the first attempt was sent and
+// may have run.
+TEST_CASE("a refusal after a lost attempt is unknown")
+{
+  Bench bench;
+  bench.backend.SetBehaviour([](const BackendRequest& aRequest) {
+    if (aRequest.number > 1) {
+      return RefuseExplicitly(aRequest, "busy");
+    }
+    Reaction dies;
+    dies.close = true;
+    return dies;
+  });
+  const auto entry = bench.MakeEntry(bench.Options());
+  for (int request = 0; request < 100; ++request) {
+    entry->Catalog().Find("quote")->router->CountRequest();
+  }
+  const HttpResponse response = entry->Call("lost");
+  CHECK(response.headers.Get("Sequoiakeel-Outcome") == "unknown");
+  CHECK(bench.backend.ExecutionsOf("lost") == 1);
+}
+
+// Guards against a stopping or overloaded entry that drops a request it took.
+TEST_CASE("an entry that takes no more requests runs none")
+{
+  Bench bench;
+  TestEntryOptions options = bench.Options();
+  options.path.maxRequests = 1;
+  const auto entry = bench.MakeEntry(options);
+  std::future<HttpResponse> running = entry->Send("hold");
+  REQUIRE(bench.AwaitExecutions(1));
+  CHECK(Refused(bench, *entry, {}) == "entry-overloaded");
+  entry->Path().Stop();
+  CHECK(Refused(bench, *entry, {}) == "stopping");
+  CHECK(OutcomeOf(running.get()) == "done");
+}
