Test that a non-idempotent request runs at most once

Two entries over one store with lost and delayed writes, retries at the same time and hours later on a manual clock, dead servers, silent connections, and an entry process killed with the request in flight.

--- /dev/null
+++ b/test/guarantee/NonIdempotentRunsAtMostOnce.cpp
@@ -0,0 +1,363 @@
+#include "support/Deployment.h"
+#include "support/FakeBackend.h"
+#include "support/FakeStore.h"
+#include "support/ManualClock.h"
+#include "support/RequestHarness.h"
+
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+
+using namespace sequoiakeel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Two entries over one store, with two backend servers. */
+struct Bench
+{
+  explicit Bench(FakeBackend::Behaviour aBehaviour = AnswerWell)
+    : one(this->threads.Context(), aBehaviour)
+    , two(this->threads.Context(), aBehaviour)
+    , first(this->threads.Context(), this->store, this->Options("entry-1"))
+    , second(this->threads.Context(), this->store, this->Options("entry-2"))
+  {
+  }
+  ~Bench() { this->threads.Stop(); }
+
+  TestEntryOptions Options(const std::string& aName)
+  {
+    TestEntryOptions options;
+    options.name = aName;
+    options.ports = { this->one.Port(), this->two.Port() };
+    options.isAlive = [this](std::string_view aEntry, std::uint64_t) {
+      return aEntry != "entry-1" || this->firstAlive;
+    };
+    return options;
+  }
+
+  std::size_t Runs(const std::string& aBody) const
+  {
+    return this->one.ExecutionsOf(aBody) + this->two.ExecutionsOf(aBody);
+  }
+
+  /** Waits until the outcomes are recorded. */
+  bool Settled()
+  {
+    return WaitUntil([&] {
+      return this->first.Records().Pending() == 0 &&
+             this->second.Records().Pending() == 0;
+    });
+  }
+
+  TestThreads threads;
+  FakeStore store;
+  std::atomic<bool> firstAlive{ true };
+  FakeBackend one;
+  FakeBackend two;
+  TestEntry first;
+  TestEntry second;
+};
+
+Reaction
+DieAfterRunning(const BackendRequest&)
+{
+  Reaction reaction;
+  reaction.close = true;
+  return reaction;
+}
+
+} // namespace
+
+// Guards against a retry, by the entry or by the caller, of a request whose
+// connection broke after it was sent.
+TEST_CASE("a request whose answer was lost is not sent again")
+{
+  Bench bench(DieAfterRunning);
+  CHECK(OutcomeOf(bench.first.Call("order", OnceHeaders("k"))) ==
+        "unknown connection-lost");
+  REQUIRE(bench.Settled());
+  for (TestEntry* entry : { &bench.first, &bench.second }) {
+    CHECK(OutcomeOf(entry->Call("order", OnceHeaders("k"))) ==
+          "unknown earlier-attempt-unresolved");
+  }
+  CHECK(bench.Runs("order") == 1);
+}
+
+// Guards against the same without a key, where the entry alone must not retry.
+TEST_CASE("a request without a key is sent once by its entry")
+{
+  Bench bench(DieAfterRunning);
+  const HttpHeaders headers =
+    MakeHeaders({ { "Sequoiakeel-Idempotent", "false" } });
+  CHECK(OutcomeOf(bench.first.Call("order", headers)) ==
+        "unknown connection-lost");
+  CHECK(bench.Runs("order") == 1);
+}
+
+// Guards against a connection that went silent after the request was written:
+// it may have arrived.
+TEST_CASE("a request on a connection that went silent is not sent again")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    reaction.delay = std::chrono::hours(1);
+    return reaction;
+  });
+  HttpHeaders headers = OnceHeaders("k");
+  headers.Set("Sequoiakeel-Deadline-Ms", "200");
+  CHECK(OutcomeOf(bench.first.Call("order", headers)) ==
+        "unknown server-timeout");
+  REQUIRE(bench.Settled());
+  CHECK(OutcomeOf(bench.second.Call("order", headers)) ==
+        "unknown earlier-attempt-unresolved");
+  CHECK(bench.Runs("order") == 1);
+}
+
+// Guards against two entries that both find the key free.
+TEST_CASE("retries through both entries at the same time run once")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    reaction.delay = milliseconds(20);
+    return reaction;
+  });
+  for (int round = 0; round < 50; ++round) {
+    const std::string body = "order " + std::to_string(round);
+    const std::string key = "k" + std::to_string(round);
+    std::vector<std::future<HttpResponse>> calls;
+    for (int copy = 0; copy < 6; ++copy) {
+      TestEntry& entry = copy % 2 == 0 ? bench.first : bench.second;
+      calls.push_back(entry.Send(body, OnceHeaders(key)));
+    }
+    int answered = 0;
+    for (std::future<HttpResponse>& call : calls) {
+      const HttpResponse response = call.get();
+      if (OutcomeOf(response) == "done") {
+        ++answered;
+        CHECK(response.body == "answer to " + body);
+        continue;
+      }
+      CHECK(response.status == 409);
+      CHECK(OutcomeOf(response) == "unknown in-progress");
+    }
+    CHECK(answered >= 1);
+    CHECK(bench.Runs(body) == 1);
+  }
+}
+
+// Guards against a second run when the answers of the store are lost although
+// its writes took effect, for the claim as well as for the outcome.
+TEST_CASE("lost answers of the store do not cause a second run")
+{
+  Bench bench;
+  bench.first.Call("warm up", OnceHeaders("warm up"));
+  REQUIRE(bench.Settled());
+  int lost = 0;
+  SUBCASE("of the claim")
+  {
+    lost = 1;
+  }
+  SUBCASE("of the claim and the outcome")
+  {
+    lost = 2;
+  }
+  SUBCASE("of several tries")
+  {
+    lost = 4;
+  }
+  bench.store.LoseAnswers(lost);
+  CHECK(OutcomeOf(bench.first.Call("order", OnceHeaders("k"))) == "done");
+  REQUIRE(bench.Settled());
+  const HttpResponse again = bench.second.Call("order", OnceHeaders("k"));
+  CHECK(OutcomeOf(again) == "done");
+  CHECK(again.body == "answer to order");
+  CHECK(bench.Runs("order") == 1);
+}
+
+// Guards against a delayed claim that takes effect after another entry ran the
+// request, and against a withdrawal that deletes the other entry's record.
+TEST_CASE("a claim that takes effect late does not free the key")
+{
+  Bench bench;
+  bench.store.DelayWrites(1000);
+  HttpHeaders headers = OnceHeaders("k");
+  headers.Set("Sequoiakeel-Deadline-Ms", "200");
+  CHECK(OutcomeOf(bench.first.Call("order", headers)) ==
+        "not-run store-unavailable");
+  bench.store.DelayWrites(0);
+  CHECK(OutcomeOf(bench.second.Call("order", OnceHeaders("k"))) == "done");
+  bench.store.ApplyDelayed();
+  REQUIRE(bench.Settled());
+  CHECK(OutcomeOf(bench.first.Call("order", OnceHeaders("k"))) == "done");
+  CHECK(bench.Runs("order") == 1);
+}
+
+// Guards against a lease that the store lost: the claim must fail, and must not
+// be taken for one of another request.
+TEST_CASE("a claim under a lost lease is made under a new one")
+{
+  Bench bench;
+  CHECK(OutcomeOf(bench.first.Call("order 1", OnceHeaders("1"))) == "done");
+  REQUIRE(bench.Settled());
+  bench.store.ExpireLeases();
+  CHECK(OutcomeOf(bench.first.Call("order 2", OnceHeaders("2"))) == "done");
+  CHECK(bench.Runs("order 2") == 1);
+}
+
+// Guards against losing a request that a worker refused, and against running it
+// at two workers.
+TEST_CASE("a request that one worker refused runs at another once")
+{
+  Bench bench;
+  bench.one.SetBehaviour([](const BackendRequest& aRequest) {
+    return RefuseExplicitly(aRequest, "busy");
+  });
+  for (int order = 0; order < 20; ++order) {
+    const std::string body = "order " + std::to_string(order);
+    CHECK(OutcomeOf(bench.first.Call(body, OnceHeaders(body))) == "done");
+    CHECK(bench.Runs(body) == 1);
+  }
+}
+
+// Guards against replaying nothing, a part, or another content for an answer
+// that is too large to keep or has any bytes.
+TEST_CASE("a retry gets the kept answer or is told that it was not kept")
+{
+  std::string answer;
+  SUBCASE("any bytes")
+  {
+    answer = std::string("\0\xff\r\n\"", 5);
+  }
+  SUBCASE("the largest kept")
+  {
+    answer = std::string(256 * 1024, 'a');
+  }
+  SUBCASE("too large")
+  {
+    answer = std::string(256 * 1024 + 1, 'a');
+  }
+  Bench bench([&](const BackendRequest& aRequest) {
+    Reaction reaction;
+    reaction.bytes = RawResponse(
+      201, aRequest.id, answer, "Content-Type: application/x-plan\r\n");
+    return reaction;
+  });
+  const HttpResponse first = bench.first.Call("order", OnceHeaders("k"));
+  CHECK(first.status == 201);
+  CHECK(first.body == answer);
+  REQUIRE(bench.Settled());
+  const HttpResponse again = bench.second.Call("order", OnceHeaders("k"));
+  CHECK(bench.Runs("order") == 1);
+  if (answer.size() > kMaxKeptResponseBytes) {
+    CHECK(OutcomeOf(again) == "unknown response-not-kept");
+    return;
+  }
+  CHECK(OutcomeOf(again) == "done");
+  CHECK(again.status == 201);
+  CHECK(again.body == answer);
+  CHECK(again.headers.Get("Content-Type") == "application/x-plan");
+}
+
+// Guards against a claim of a dead entry that another entry takes over: the
+// request may have been sent.
+TEST_CASE("the claim of a dead entry stays unknown")
+{
+  Bench bench([](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    reaction.delay = std::chrono::hours(1);
+    return reaction;
+  });
+  HttpHeaders headers = OnceHeaders("k");
+  headers.Set("Sequoiakeel-Deadline-Ms", "60000");
+  const std::future<HttpResponse> running = bench.first.Send("order", headers);
+  REQUIRE(WaitUntil([&] { return bench.Runs("order") == 1; }));
+  CHECK(OutcomeOf(bench.second.Call("order", headers)) ==
+        "unknown in-progress");
+  bench.firstAlive = false;
+  CHECK(OutcomeOf(bench.second.Call("order", headers)) ==
+        "unknown earlier-attempt-unresolved");
+  CHECK(bench.Runs("order") == 1);
+}
+
+// Guards against records that end before their 24 hours: a retry minutes or
+// hours later must find them. Time passes on a manual clock.
+TEST_CASE("records are kept for at least 24 hours")
+{
+  TestThreads threads;
+  FakeStore store;
+  ManualClock clock;
+  const auto isAlive = [](std::string_view, std::uint64_t) { return true; };
+  const auto records = std::make_shared<IdempotencyRecords>(
+    threads.Context().get_executor(), store, clock, "entry-1", 1, isAlive);
+  const auto claim = [&](const std::string& aKey, const std::string& aId) {
+    ClaimRequest request;
+    request.key = { "team", "service", aKey };
+    request.requestId = aId;
+    request.deadline = clock.Now() + std::chrono::seconds(5);
+    return boost::asio::co_spawn(threads.Context(),
+                                 records->Acquire(request),
+                                 boost::asio::use_future)
+      .get();
+  };
+  const Claim first = claim("k", "a");
+  REQUIRE(first.state == ClaimState::Claimed);
+  records->Complete(first, HttpResponse{});
+  REQUIRE(WaitUntil([&] { return records->Pending() == 0; }));
+  for (int passed = 0; passed < 24 * 60; passed += 10) {
+    CHECK(claim("k", "b").state == ClaimState::Replay);
+    // A new key every ten minutes: no record may hang on a lease that is
+    // older than an hour.
+    CHECK(claim(std::to_string(passed), "c").state == ClaimState::Claimed);
+    clock.Advance(std::chrono::minutes(10));
+  }
+  const std::vector<std::int64_t> ttls = store.GrantedTtls();
+  CHECK(ttls.size() == 24);
+  for (const std::int64_t ttl : ttls) {
+    CHECK(ttl >= 25 * 3600);
+  }
+  threads.Stop();
+}
+
+// Guards against a retry through another entry that runs the request again
+// after the process of the first entry was killed with it in flight.
+TEST_CASE("a request of a killed entry does not run again")
+{
+  TestThreads threads;
+  FakeBackend backend(threads.Context(), [](const BackendRequest& aRequest) {
+    Reaction reaction = AnswerWell(aRequest);
+    reaction.delay = std::chrono::hours(1);
+    return reaction;
+  });
+  Deployment deployment;
+  const nlohmann::json host{ { "host", "worker-1" },
+                             { "address", "127.0.0.1" },
+                             { "request_port", backend.Port() },
+                             { "zone", "zone-1" },
+                             { "state", "live" } };
+  deployment.Call("store", "POST", "/standin/hosts", host.dump());
+  deployment.PutConfiguration(SmallConfiguration({ "zone-1" }));
+  deployment.StartEntry("entry-1", "zone-1");
+  deployment.StartEntry("entry-2", "zone-1");
+  std::thread caller([&] {
+    CHECK_THROWS(deployment.Call(
+      "entry-1", "POST", "/v1/services/quote", "order", OnceHeaders("k")));
+  });
+  CHECK(WaitUntil([&] { return backend.ExecutionsOf("order") == 1; }));
+  deployment.Process("entry-1").Signal(SIGKILL);
+  caller.join();
+  std::string outcome;
+  // At first the dead entry still counts as a member.
+  CHECK(WaitUntil([&] {
+    outcome = OutcomeOf(deployment.Call(
+      "entry-2", "POST", "/v1/services/quote", "order", OnceHeaders("k")));
+    CHECK(outcome.starts_with("unknown"));
+    return outcome == "unknown earlier-attempt-unresolved";
+  }));
+  CHECK(backend.ExecutionsOf("order") == 1);
+  threads.Stop();
+}
