Let an entry without a host list become ready

The settings may leave the host list out; such an entry read it from an empty address for ever and never became ready, although it can serve jobs and operators.

--- a/src/EntryService.cpp
+++ b/src/EntryService.cpp
@@ -411,7 +411,9 @@
   own->server->Start();
   asio::co_spawn(own->context, own->TickLoop(), asio::detached);
   bool loaded = false;
-  bool listed = false;
+  // Without a host list an entry serves jobs and operators only.
+  const bool hasList = !own->settings.hostList.address.empty();
+  bool listed = !hasList;
   while (!own->stopping) {
     if (!loaded) {
       loaded = co_await own->agent->Load();
@@ -428,7 +430,9 @@
   if (own->stopping) {
     co_return false;
   }
-  asio::co_spawn(own->context, own->HostLoop(), asio::detached);
+  if (hasList) {
+    asio::co_spawn(own->context, own->HostLoop(), asio::detached);
+  }
   asio::co_spawn(own->context, own->agent->Run(), asio::detached);
   own->ready = true;
   Event("entry_ready")
