--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -46,10 +46,10 @@
 };
 
 /** Key-value service in memory with leases on the world's clock. */
-class FakeStore
+class FakeCellStore
 {
 public:
-  explicit FakeStore(const Clock& aClock)
+  explicit FakeCellStore(const Clock& aClock)
     : clock(aClock)
   {
   }
@@ -192,7 +192,7 @@
 
   ManualClock clock;
   std::mt19937_64 random;
-  FakeStore store;
+  FakeCellStore store;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;
   std::map<std::string, std::unique_ptr<FakePlanner>> planners;
   /** Workers that no message reaches, and whose replies get lost. */
