--- a/src/ConfigurationAgent.cpp
+++ b/src/ConfigurationAgent.cpp
@@ -122,7 +122,7 @@
   }
   const Findings findings = this->validate(aDocument);
   if (!findings.Ok()) {
-    Event("configuration-rejected", LogLevel::Error)
+    Event("configuration_rejected", LogLevel::Error)
       .Add("generation", head.generation)
       .Add("source", aSource)
       .Add("findings", findings.Format("document"));
@@ -191,7 +191,7 @@
     try {
       co_await this->Poll();
     } catch (const std::exception& error) {
-      Event("configuration-poll-failed", LogLevel::Error)
+      Event("configuration_poll_failed", LogLevel::Error)
         .Add("reason", error.what());
     }
     this->pollTimer.expires_after(this->times.pollInterval);
@@ -240,7 +240,7 @@
     this->Activate(current.document, "store");
     this->versionSeen = current.version;
   } catch (const UserError& error) {
-    Event("configuration-unreadable", LogLevel::Error)
+    Event("configuration_unreadable", LogLevel::Error)
       .Add("reason", error.what());
   }
 }
@@ -275,7 +275,7 @@
     if (document) {
       co_return this->Activate(*document, aPeer.name);
     }
-    Event("configuration-reply-dropped", LogLevel::Warning)
+    Event("configuration_reply_dropped", LogLevel::Warning)
       .Add("peer", aPeer.name)
       .Add("generation", reply->generation)
       .Add("patch", reply->isPatch);
@@ -363,7 +363,7 @@
   if (result.outcome == ApplyOutcome::Applied) {
     this->Activate(text, "apply");
   }
-  Event("configuration-apply")
+  Event("configuration_apply")
     .Add("author", aAuthor)
     .Add("base", aBase)
     .Add("outcome", static_cast<int>(result.outcome))
--- a/src/ConfigurationStartup.cpp
+++ b/src/ConfigurationStartup.cpp
@@ -25,7 +25,7 @@
   try {
     current = co_await ReadCurrentConfiguration(aStore);
   } catch (const UserError& error) {
-    Event("configuration-unreadable", LogLevel::Error)
+    Event("configuration_unreadable", LogLevel::Error)
       .Add("reason", error.what());
   }
   const std::scoped_lock guard(aGathered->lock);
--- a/src/GossipService.cpp
+++ b/src/GossipService.cpp
@@ -267,7 +267,7 @@
 GossipService::Start()
 {
   const MemberRow own = this->OwnRow();
-  Event("gossip-started")
+  Event("gossip_started")
     .Add("name", own.name)
     .Add("address", own.address)
     .Add("port", own.port)
