Keep what requests hold alive until the io_context ends

A forced stop destroys the requests in progress together with the io_context, after the service: the counters of RequestPath and the clock of the routers were then already gone. ThreadSanitizer reported a use after free in ~Load at the end of a test that leaves a request in flight. The counters are shared with the requests now, and each request of an entry keeps the entry's parts alive.

--- a/src/EntryService.cpp
+++ b/src/EntryService.cpp
@@ -60,7 +60,7 @@
 } // namespace
 
 /** The parts in the order in which they depend on each other. */
-struct EntryService::Parts
+struct EntryService::Parts : std::enable_shared_from_this<EntryService::Parts>
 {
   Parts(asio::io_context& aContext, Settings aSettings);
 
@@ -357,6 +357,9 @@
 asio::awaitable<HttpResponse>
 EntryService::Parts::Route(HttpRequest aMessage)
 {
+  // A request that a forced stop cuts ends with the io_context, after the
+  // service.
+  const std::shared_ptr<Parts> self = this->shared_from_this();
   std::vector<std::string> segments = PathSegments(aMessage.target);
   const std::string target(TargetPath(aMessage.target));
   HttpResponse response;
--- a/src/RequestPath.cpp
+++ b/src/RequestPath.cpp
@@ -108,27 +108,27 @@
 class RequestPath::Load
 {
 public:
-  Load(RequestPath& aPath, std::size_t aBytes)
-    : path(aPath)
+  Load(const RequestPath& aPath, std::size_t aBytes)
+    : held(aPath.held)
     , bytes(aBytes)
   {
-    const std::size_t count = ++this->path.requests;
-    const std::size_t held = this->path.bodyBytes += this->bytes;
-    this->withinBounds = count <= this->path.options.maxRequests &&
-                         held <= this->path.options.maxBodyBytes;
+    const std::size_t count = ++this->held->requests;
+    const std::size_t sum = this->held->bodyBytes += this->bytes;
+    this->withinBounds =
+      count <= aPath.options.maxRequests && sum <= aPath.options.maxBodyBytes;
   }
   Load(const Load&) = delete;
   Load& operator=(const Load&) = delete;
   ~Load()
   {
-    this->path.bodyBytes -= this->bytes;
-    --this->path.requests;
+    this->held->bodyBytes -= this->bytes;
+    --this->held->requests;
   }
 
   bool WithinBounds() const { return this->withinBounds; }
 
 private:
-  RequestPath& path;
+  std::shared_ptr<Held> held;
   std::size_t bytes;
   bool withinBounds = false;
 };
@@ -147,6 +147,7 @@
   , clock(&aClock)
   , onLeaving(std::move(aOnLeaving))
   , options(aOptions)
+  , held(std::make_shared<Held>())
 {
 }
 
--- a/src/RequestPath.h
+++ b/src/RequestPath.h
@@ -56,12 +56,19 @@
   void Stop() { this->stopping = true; }
 
   /** Returns the requests in progress. */
-  std::size_t InFlight() const { return this->requests; }
+  std::size_t InFlight() const { return this->held->requests; }
 
 private:
   /** Result of the attempts: the answer, or why there is none. */
   using Answer = std::variant<HttpResponse, OutcomeReason>;
 
+  /** What the requests in progress hold; outlives the path with them. */
+  struct Held
+  {
+    std::atomic<std::size_t> requests{ 0 };
+    std::atomic<std::size_t> bodyBytes{ 0 };
+  };
+
   struct Work;
   class Load;
 
@@ -88,8 +95,7 @@
   OnLeaving onLeaving;
   RequestPathOptions options;
   std::atomic<bool> stopping{ false };
-  std::atomic<std::size_t> requests{ 0 };
-  std::atomic<std::size_t> bodyBytes{ 0 };
+  std::shared_ptr<Held> held;
 };
 
 } // namespace sequoiakeel
--- a/test/support/RequestHarness.h
+++ b/test/support/RequestHarness.h
@@ -90,7 +90,8 @@
   boost::asio::awaitable<void> Loop();
 
   boost::asio::io_context& context;
-  SystemClock clock;
+  /** Outlives requests that end with the io_context. */
+  static inline const SystemClock clock{};
   Metrics metrics;
   ServiceCatalog catalog;
   std::shared_ptr<ConnectionPool> pool;
