Place only under a lease that the worker's report lists

A grant could be confirmed by a worker's new, smaller incarnation before its report showed the new capacity; starts under it then overcommitted the worker. The report that lists the lease now also tells the capacity that counts, and a later restart drops the lease.

--- a/src/CellMachineJobs.cpp
+++ b/src/CellMachineJobs.cpp
@@ -265,7 +265,13 @@
   const auto link = this->links.find(aDecision.worker);
   if (aDecision.outcome != PlacementOutcome::Placed ||
       link == this->links.end() || !link->second.granted ||
-      link->second.leaving || !this->IsResponsive(link->second, aNow)) {
+      link->second.leaving ||
+      // The incarnation that knows the lease is the one whose capacity counts.
+      std::ranges::none_of(link->second.report.leases,
+                           [&](const WorkerLease& aLease) {
+                             return aLease.id == this->LeaseOf(link->second);
+                           }) ||
+      !this->IsResponsive(link->second, aNow)) {
     return;
   }
   const TaskRow* row = this->working.FindTask(*ref);
--- a/src/CellMachineLeases.cpp
+++ b/src/CellMachineLeases.cpp
@@ -54,6 +54,7 @@
       link->second.granted =
         aReply.result == AgentResult::Ok && link->second.grant == grant;
       if (link->second.granted) {
+        link->second.nextStatus = aThen;
         this->MoveTasks(aName, link->second, aThen);
       }
     });
