--- a/src/Membership.h
+++ b/src/Membership.h
@@ -166,7 +166,8 @@
 private:
   struct Entry
   {
-    /** Heartbeat and store report are the latest that a row or a beat brought. */
+    /** Heartbeat and store report are the latest that a row or a beat brought.
+     */
     MemberRow row;
     /** Heartbeat at which the row's other fields were written. */
     std::uint64_t written = 0;
--- a/tools/Planner.cpp
+++ b/tools/Planner.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cstdlib>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -181,13 +182,20 @@
   CLI::App app("Owns cells of workers; accepts, places and recovers tasks");
   std::string settingsPath;
   std::string readyFile;
+  bool check = false;
   app.add_option("--settings", settingsPath, "Settings file")->required();
+  app.add_flag("--check", check, "Check the settings and exit");
+  app.set_version_flag("--version", SEQUOIAKEEL_VERSION);
   app.add_option("--ready-file",
                  readyFile,
                  "File to write the port to once the planner listens");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   try {
     const Settings settings = LoadSettings(settingsPath);
+    if (check) {
+      std::cout << settingsPath << ": ok\n";
+      return EXIT_SUCCESS;
+    }
     StartLogging(settings.name, ParseLogLevel(settings.logLevel));
     Planner planner(settings, readyFile);
     return planner.Run();
