Explain a job by its last decisions

Cause: GET /v1/jobs/{id}/explain answered 501, so sequoiakeelctl explain could not work. The owner keeps the last 32 decisions of the 2,000 jobs decided on last; path_WholePath asks for them through an entry that has not seen the job.

--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -3,6 +3,7 @@
 #include "CellLog.h"
 #include "CellPolicies.h"
 #include "CellState.h"
+#include "DecisionHistory.h"
 #include "RenewalGate.h"
 #include "generated/Configuration.h"
 
@@ -118,6 +119,13 @@
   /** State of a job as far as it is durable. */
   JobStatus Query(const std::string& aJob) const;
 
+  /** The last decisions on a job since this planner owns the cell. */
+  std::vector<JobDecision> Decisions(const std::string& aJob,
+                                     TimePoint aNow) const
+  {
+    return this->history.Of(aJob, aNow);
+  }
+
   /** Records that a job that has not started goes to another cell. Returns
    * whether that was possible. */
   bool Move(const std::string& aJob, const std::string& aCell, TimePoint aNow);
@@ -353,6 +361,7 @@
   /** Jobs that fit nowhere, with the reason. */
   std::map<std::string, std::string> unplaceable;
   std::map<std::string, TimePoint> queuedSince;
+  DecisionHistory history;
   TimePoint nextPlacement;
   TimePoint nextRelief;
 };
--- a/src/CellMachineJobs.cpp
+++ b/src/CellMachineJobs.cpp
@@ -257,6 +257,7 @@
   }
   if (aDecision.outcome == PlacementOutcome::Unplaceable) {
     this->unplaceable[ref->job] = aDecision.reason;
+    this->history.Add(ref->job, "unplaceable", aDecision.reason, aNow);
     Event("job_unplaceable")
       .Add("job", ref->job)
       .Add("reason", aDecision.reason);
@@ -300,6 +301,11 @@
     .Add("attempt", entry.attempt)
     .Add("worker", entry.worker)
     .Add("reason", aDecision.reason);
+  this->history.Add(ref->job,
+                    "placed",
+                    "task " + std::to_string(ref->task) + " on " +
+                      entry.worker + ": " + aDecision.reason,
+                    aNow);
   const std::uint32_t attempt = entry.attempt;
   const TaskRef task = *ref;
   TaskRuntime& runtime = this->RuntimeOf(task, attempt);
@@ -343,6 +349,11 @@
     .Add("worker", aDecision.worker)
     .Add("action", ToString(aDecision.action))
     .Add("reason", aDecision.reason);
+  this->history.Add(ref->job,
+                    std::string(ToString(aDecision.action)),
+                    "task " + std::to_string(ref->task) + " on " +
+                      aDecision.worker + ": " + aDecision.reason,
+                    aNow);
   switch (aDecision.action) {
     case ReliefAction::Throttle: {
       WorkerCommand command =
--- a/src/CellMachineTasks.cpp
+++ b/src/CellMachineTasks.cpp
@@ -182,6 +182,11 @@
     .Add("worker", row.worker)
     .Add("kind", ToString(aKind))
     .Add("reason", aReason);
+  this->history.Add(aTask.job,
+                    std::string(ToString(aKind)),
+                    "task " + std::to_string(aTask.task) + " on " + row.worker +
+                      ": " + aReason,
+                    aNow);
   this->runtimes.erase(aTask);
   this->startsDue.erase(aTask);
   this->attention.erase(aTask);
--- a/src/CellRunner.cpp
+++ b/src/CellRunner.cpp
@@ -287,7 +287,11 @@
 asio::awaitable<JobStatus>
 CellRunner::QueryOnStrand(std::string aJob)
 {
-  co_return this->machine.Query(aJob);
+  JobStatus status = this->machine.Query(aJob);
+  if (status.found) {
+    status.decisions = this->machine.Decisions(aJob, this->clock.Now());
+  }
+  co_return status;
 }
 
 asio::awaitable<std::optional<CellStatus>>
--- /dev/null
+++ b/src/DecisionHistory.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Clock.h"
+#include "generated/Messages.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/**
+ * The last decisions on each job, for operators. Bounded: kDecisionsPerJob for
+ * each of the kJobsRemembered jobs that were decided on last. It is not
+ * durable; a new owner of the cell starts with an empty one. Not thread safe.
+ */
+class DecisionHistory
+{
+public:
+  /** Adds a decision; the oldest one of the job or the job decided on longest
+   * ago goes when there are too many. */
+  void Add(const std::string& aJob,
+           std::string aEvent,
+           std::string aReason,
+           TimePoint aNow);
+
+  /** Returns a job's decisions, oldest first. */
+  std::vector<JobDecision> Of(const std::string& aJob, TimePoint aNow) const;
+
+private:
+  struct Decision
+  {
+    TimePoint at;
+    std::string event;
+    std::string reason;
+  };
+  struct Record
+  {
+    std::uint64_t used = 0;
+    std::deque<Decision> decisions;
+  };
+
+  void DropOldest();
+
+  std::uint64_t sequence = 0;
+  std::map<std::string, Record> jobs;
+  /** Jobs by when they were last decided on. */
+  std::map<std::uint64_t, std::string> byUse;
+};
+
+inline constexpr std::size_t kDecisionsPerJob = 32;
+inline constexpr std::size_t kJobsRemembered = 2000;
+
+} // namespace sequoiakeel
--- a/src/EntryService.cpp
+++ b/src/EntryService.cpp
@@ -347,7 +347,7 @@
   } else if (aPath.size() == 3 && aMessage.method == "DELETE") {
     response = co_await this->jobs->Cancel(std::move(aPath[2]));
   } else if (aPath.size() == 4 && aPath[3] == "explain") {
-    response = JsonResponse(501, R"({"error":"not-implemented"})");
+    response = co_await this->jobs->Explain(std::move(aPath[2]));
   } else {
     response = ReasonResponse(OutcomeReason::BadRequest, NewRequestId());
   }
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -430,11 +430,35 @@
     co_return Refusal(404, "unknown-job");
   }
   json body = *status;
+  body.erase("decisions");
   body["job_id"] = aJobId;
   body["cell"] = *cell;
   co_return JsonResponse(200, body.dump());
 }
 
+asio::awaitable<HttpResponse>
+JobGateway::Explain(std::string aJobId)
+{
+  std::optional<std::string> cell = CellOfJobId(aJobId);
+  if (!cell) {
+    co_return Refusal(404, "unknown-job");
+  }
+  const TimePoint deadline = this->clock->Now() + kQueryDeadline;
+  const std::optional<JobStatus> status =
+    co_await this->Locate(aJobId, *cell, deadline);
+  if (!status) {
+    co_return Refusal(503, "no-planner");
+  }
+  if (!status->found) {
+    co_return Refusal(404, "unknown-job");
+  }
+  json body;
+  body["job_id"] = aJobId;
+  body["state"] = status->state;
+  body["decisions"] = status->decisions;
+  co_return JsonResponse(200, body.dump());
+}
+
 asio::awaitable<HttpResponse>
 JobGateway::Cancel(std::string aJobId)
 {
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -39,6 +39,9 @@
   /** Serves POST /v1/jobs. */
   boost::asio::awaitable<HttpResponse> Submit(HttpRequest aMessage);
 
+  /** Serves GET /v1/jobs/{aJobId}/explain. */
+  boost::asio::awaitable<HttpResponse> Explain(std::string aJobId);
+
   /** Serves GET /v1/jobs/{aJobId}. */
   boost::asio::awaitable<HttpResponse> Query(std::string aJobId);
 
--- a/test/path/WholePath.cpp
+++ b/test/path/WholePath.cpp
@@ -118,6 +118,10 @@
   INFO(status.dump());
   CHECK(status.value("tasks_finished", 0) == 4);
   CHECK(StartsOf(deployment, id) == 4);
+  const json explained = json::parse(
+    deployment.Call("entry-0", "GET", "/v1/jobs/" + id + "/explain").body);
+  CHECK(explained.at("decisions").size() == 8);
+  CHECK(explained.at("decisions").front().at("event") == "placed");
 
   json document =
     json::parse(deployment.Call("entry-0", "GET", "/v1/configuration").body);
