--- a/bench/Association.cpp
+++ b/bench/Association.cpp
@@ -205,7 +205,7 @@
       std::exp(kWorkSpread * normal - kWorkSpread * kWorkSpread / 2));
   }
 
-  Duration DrawPatience()
+  Duration DrawDeadline()
   {
     const double kind = this->Draw();
     if (kind < 0.3) {
@@ -237,7 +237,7 @@
     quote->id = this->nextId++;
     quote->sent = this->loop.Now();
     quote->work = this->DrawWork();
-    quote->deadline = quote->sent + this->DrawPatience() - kClientDelay;
+    quote->deadline = quote->sent + this->DrawDeadline() - kClientDelay;
     quote->team = "team-" + std::to_string(DrawIndex(this->worldRandom, 4));
     quote->urgent = this->Draw() < kUrgentShare;
     const std::uint32_t entry = this->DrawEntry();
--- a/bench/AssociationEntry.cpp
+++ b/bench/AssociationEntry.cpp
@@ -271,15 +271,15 @@
   if (this->options.naive || aQuote->attempts >= this->options.retry.attempts) {
     return;
   }
-  const std::optional<Duration> patience =
+  const std::optional<Duration> limit =
     AttemptTimeout(this->options.retry,
                    this->table.TypicalLatency(),
                    this->table.LongLatency(),
                    aQuote->deadline - this->loop.Now());
-  if (!patience) {
+  if (!limit) {
     return;
   }
-  this->loop.After(*patience, [this, aQuote, attempt = aQuote->current]() {
+  this->loop.After(*limit, [this, aQuote, attempt = aQuote->current]() {
     if (aQuote->open && aQuote->current == attempt) {
       this->GiveUp(aQuote);
     }
--- a/src/ConfigurationKeeper.cpp
+++ b/src/ActiveConfiguration.cpp
@@ -1,4 +1,4 @@
-#include "ConfigurationKeeper.h"
+#include "ActiveConfiguration.h"
 
 #include "Error.h"
 
@@ -110,7 +110,7 @@
 }
 
 bool
-ConfigurationKeeper::Activate(std::string_view aDocument)
+ActiveConfiguration::Activate(std::string_view aDocument)
 {
   const json next = ParseDocument(aDocument);
   const DocumentHead head = HeadOf(next);
@@ -135,7 +135,7 @@
 }
 
 ConfigurationReply
-ConfigurationKeeper::ReplyTo(const FetchConfiguration& aRequest) const
+ActiveConfiguration::ReplyTo(const FetchConfiguration& aRequest) const
 {
   ConfigurationReply reply;
   reply.generation = this->generation;
@@ -163,7 +163,7 @@
 }
 
 std::optional<std::string>
-ConfigurationKeeper::Resolve(const ConfigurationReply& aReply) const
+ActiveConfiguration::Resolve(const ConfigurationReply& aReply) const
 {
   if (aReply.generation <= this->generation || aReply.body.empty()) {
     return std::nullopt;
@@ -187,7 +187,7 @@
 }
 
 std::vector<ConfigurationChange>
-ConfigurationKeeper::History() const
+ActiveConfiguration::History() const
 {
   std::vector<ConfigurationChange> history;
   for (const Change& change : this->changes) {
--- a/src/ConfigurationKeeper.h
+++ b/src/ActiveConfiguration.h
@@ -59,7 +59,7 @@
 
 /** The active configuration; it activates only higher generations. Not thread
  * safe. */
-class ConfigurationKeeper
+class ActiveConfiguration
 {
 public:
   /** Activates a document if its generation is higher than the active one;
--- a/src/ConfigurationAgent.cpp
+++ b/src/ConfigurationAgent.cpp
@@ -71,12 +71,12 @@
                                      std::uint64_t aBase,
                                      std::string aAuthor);
 
-  /** The keeper is read under the lock. */
+  /** The active configuration is read under the lock. */
   template<typename Read>
-  auto WithKeeper(Read aRead) const
+  auto WithActive(Read aRead) const
   {
-    const std::scoped_lock guard(this->keeperLock);
-    return aRead(this->keeper);
+    const std::scoped_lock guard(this->activeLock);
+    return aRead(this->active);
   }
 
 private:
@@ -86,8 +86,8 @@
   bool IsPoller() const;
   std::uint64_t Generation() const
   {
-    return this->WithKeeper(
-      [](const ConfigurationKeeper& aKeeper) { return aKeeper.Generation(); });
+    return this->WithActive(
+      [](const ActiveConfiguration& aActive) { return aActive.Generation(); });
   }
 
   asio::any_io_executor executor;
@@ -102,10 +102,10 @@
   std::atomic<std::uint64_t> versionSeen{ kAbsentVersion };
 
   /** Held over an activation and its callback, so that callbacks come in the
-   * order of generations. Taken before keeperLock. */
+   * order of generations. Taken before activeLock. */
   std::mutex activationLock;
-  mutable std::mutex keeperLock;
-  ConfigurationKeeper keeper;
+  mutable std::mutex activeLock;
+  ActiveConfiguration active;
 
   std::mutex fetchLock;
   bool fetching = false;
@@ -129,19 +129,19 @@
     return false;
   }
   const std::scoped_lock guard(this->activationLock);
-  std::string active;
+  std::string document;
   {
-    const std::scoped_lock keeperGuard(this->keeperLock);
-    if (!this->keeper.Activate(aDocument)) {
+    const std::scoped_lock activeGuard(this->activeLock);
+    if (!this->active.Activate(aDocument)) {
       return false;
     }
-    active = this->keeper.Document();
+    document = this->active.Document();
   }
   Event("configuration_activated")
     .Add("generation", head.generation)
     .Add("author", head.author)
     .Add("source", aSource);
-  this->onActive(head.generation, active);
+  this->onActive(head.generation, document);
   this->membership.AnnounceGeneration(head.generation);
   return true;
 }
@@ -269,8 +269,8 @@
       co_return false;
     }
     const std::optional<std::string> document =
-      this->WithKeeper([&reply](const ConfigurationKeeper& aKeeper) {
-        return aKeeper.Resolve(*reply);
+      this->WithActive([&reply](const ActiveConfiguration& aActive) {
+        return aActive.Resolve(*reply);
       });
     if (document) {
       co_return this->Activate(*document, aPeer.name);
@@ -355,8 +355,8 @@
   write.base = aBase;
   write.retryDelay = this->times.retryDelay;
   write.history = [self] {
-    return self->WithKeeper(
-      [](const ConfigurationKeeper& aKeeper) { return aKeeper.History(); });
+    return self->WithActive(
+      [](const ActiveConfiguration& aActive) { return aActive.History(); });
   };
   write.activeGeneration = [self] { return self->Generation(); };
   result = co_await WriteConfiguration(this->store, std::move(write));
@@ -441,31 +441,31 @@
 ConfigurationReply
 ConfigurationAgent::ReplyTo(const FetchConfiguration& aRequest) const
 {
-  return this->impl->WithKeeper(
-    [&aRequest](const ConfigurationKeeper& aKeeper) {
-      return aKeeper.ReplyTo(aRequest);
+  return this->impl->WithActive(
+    [&aRequest](const ActiveConfiguration& aActive) {
+      return aActive.ReplyTo(aRequest);
     });
 }
 
 std::uint64_t
 ConfigurationAgent::Generation() const
 {
-  return this->impl->WithKeeper(
-    [](const ConfigurationKeeper& aKeeper) { return aKeeper.Generation(); });
+  return this->impl->WithActive(
+    [](const ActiveConfiguration& aActive) { return aActive.Generation(); });
 }
 
 std::string
 ConfigurationAgent::Document() const
 {
-  return this->impl->WithKeeper(
-    [](const ConfigurationKeeper& aKeeper) { return aKeeper.Document(); });
+  return this->impl->WithActive(
+    [](const ActiveConfiguration& aActive) { return aActive.Document(); });
 }
 
 std::vector<ConfigurationChange>
 ConfigurationAgent::History() const
 {
-  return this->impl->WithKeeper(
-    [](const ConfigurationKeeper& aKeeper) { return aKeeper.History(); });
+  return this->impl->WithActive(
+    [](const ActiveConfiguration& aActive) { return aActive.History(); });
 }
 
 } // namespace sequoiakeel
--- a/src/ConfigurationAgent.h
+++ b/src/ConfigurationAgent.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ConfigurationKeeper.h"
+#include "ActiveConfiguration.h"
 #include "ConfigurationStartup.h"
 #include "ConfigurationWriter.h"
 #include "Findings.h"
--- a/src/ConfigurationWriter.h
+++ b/src/ConfigurationWriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ConfigurationKeeper.h"
+#include "ActiveConfiguration.h"
 #include "Findings.h"
 #include "KeyValueStore.h"
 
--- a/src/CurrentEviction.cpp
+++ b/src/CurrentEviction.cpp
@@ -15,7 +15,7 @@
 constexpr double kMoveGain = 0.5;
 /** Waiting time after which an urgent task may displace others: placement has
  * had one try. */
-constexpr Duration kUrgentPatience = std::chrono::milliseconds(250);
+constexpr Duration kUrgentWaitLimit = std::chrono::milliseconds(250);
 /** Time in which a worker stops a task. */
 constexpr Duration kStopTime = std::chrono::seconds(1);
 constexpr Duration kForgetAfter = std::chrono::minutes(10);
@@ -75,7 +75,7 @@
                                : Resources{ -1, -1, -1 });
   }
   for (const TaskView& task : aWaiting) {
-    if (task.urgent && aCell.now - task.queuedSince >= kUrgentPatience) {
+    if (task.urgent && aCell.now - task.queuedSince >= kUrgentWaitLimit) {
       this->MakeRoomForUrgent(pass, task);
     }
   }
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -413,49 +413,56 @@
   co_return status;
 }
 
-asio::awaitable<HttpResponse>
-JobGateway::Query(std::string aJobId)
+asio::awaitable<JobGateway::FoundJob>
+JobGateway::Find(std::string aJobId)
 {
+  FoundJob found;
   std::optional<std::string> cell = CellOfJobId(aJobId);
   if (!cell) {
-    co_return Refusal(404, "unknown-job");
+    found.refusal = Refusal(404, "unknown-job");
+    co_return found;
   }
   const TimePoint deadline = this->clock->Now() + kQueryDeadline;
-  const std::optional<JobStatus> status =
-    co_await this->Locate(aJobId, *cell, deadline);
+  std::optional<JobStatus> status =
+    co_await this->Locate(std::move(aJobId), *cell, deadline);
   if (!status) {
-    co_return Refusal(503, "no-planner");
+    found.refusal = Refusal(503, "no-planner");
+    co_return found;
   }
   if (!status->found) {
-    co_return Refusal(404, "unknown-job");
+    found.refusal = Refusal(404, "unknown-job");
+    co_return found;
+  }
+  found.status = std::move(*status);
+  found.cell = std::move(*cell);
+  co_return found;
+}
+
+asio::awaitable<HttpResponse>
+JobGateway::Query(std::string aJobId)
+{
+  FoundJob found = co_await this->Find(aJobId);
+  if (found.refusal) {
+    co_return std::move(*found.refusal);
   }
-  json body = *status;
+  json body = found.status;
   body.erase("decisions");
   body["job_id"] = aJobId;
-  body["cell"] = *cell;
+  body["cell"] = found.cell;
   co_return JsonResponse(200, body.dump());
 }
 
 asio::awaitable<HttpResponse>
 JobGateway::Explain(std::string aJobId)
 {
-  std::optional<std::string> cell = CellOfJobId(aJobId);
-  if (!cell) {
-    co_return Refusal(404, "unknown-job");
-  }
-  const TimePoint deadline = this->clock->Now() + kQueryDeadline;
-  const std::optional<JobStatus> status =
-    co_await this->Locate(aJobId, *cell, deadline);
-  if (!status) {
-    co_return Refusal(503, "no-planner");
-  }
-  if (!status->found) {
-    co_return Refusal(404, "unknown-job");
+  FoundJob found = co_await this->Find(aJobId);
+  if (found.refusal) {
+    co_return std::move(*found.refusal);
   }
   json body;
   body["job_id"] = aJobId;
-  body["state"] = status->state;
-  body["decisions"] = status->decisions;
+  body["state"] = found.status.state;
+  body["decisions"] = found.status.decisions;
   co_return JsonResponse(200, body.dump());
 }
 
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -62,6 +62,15 @@
                                                         PeerMessage aKind,
                                                         Message aMessage,
                                                         TimePoint aDeadline);
+  /** A job that its owner knows, or the response that says why not. */
+  struct FoundJob
+  {
+    std::optional<HttpResponse> refusal;
+    JobStatus status;
+    std::string cell;
+  };
+
+  boost::asio::awaitable<FoundJob> Find(std::string aJobId);
   boost::asio::awaitable<std::optional<JobStatus>> Locate(std::string aJobId,
                                                           std::string& aCell,
                                                           TimePoint aDeadline);
--- a/src/PlannerDriver.h
+++ b/src/PlannerDriver.h
@@ -4,7 +4,7 @@
 #include "GossipService.h"
 #include "HostList.h"
 #include "PeerRpc.h"
-#include "StoreLeaseKeeper.h"
+#include "StoreLeaseHolder.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -73,7 +73,7 @@
   std::string name;
   Endpoint peer;
   std::string writer;
-  StoreLeaseKeeper lease;
+  StoreLeaseHolder lease;
   TimePoint claimsFrom;
   mutable std::mutex mutex;
   Configuration configuration;
--- a/src/RequestPath.cpp
+++ b/src/RequestPath.cpp
@@ -359,12 +359,12 @@
   }
   // A multiple of the usual latency would restart large requests, so the limit
   // follows a long one; without time for another server it is the deadline.
-  const std::optional<Duration> patience =
+  const std::optional<Duration> limit =
     sequoiakeel::AttemptTimeout(RetryOptions{}, typical, longLatency, left);
-  if (!patience) {
+  if (!limit) {
     return left;
   }
-  return std::min(left, std::max(this->options.minProgress, *patience));
+  return std::min(left, std::max(this->options.minProgress, *limit));
 }
 
 void
--- a/src/RetryBudget.cpp
+++ b/src/RetryBudget.cpp
@@ -31,11 +31,11 @@
   if (aLong <= Duration(0)) {
     return std::nullopt;
   }
-  const Duration patience = Scale(aLong, aOptions.patience);
-  if (patience + Scale(aTypical, kSecondAttempt) > aRemaining) {
+  const Duration limit = Scale(aLong, aOptions.longLatencyFactor);
+  if (limit + Scale(aTypical, kSecondAttempt) > aRemaining) {
     return std::nullopt;
   }
-  return patience;
+  return limit;
 }
 
 RetryBudget::RetryBudget(const RetryOptions& aOptions)
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -21,7 +21,7 @@
   std::uint32_t attempts = 3;
   /** Multiple of a long latency (the 99th percentile) after which an attempt is
    * given up. */
-  double patience = 5;
+  double longLatencyFactor = 5;
 };
 
 /** Returns the time after which an attempt is given up in favour of another
--- a/src/StoreLeaseKeeper.cpp
+++ b/src/StoreLeaseHolder.cpp
@@ -1,4 +1,4 @@
-#include "StoreLeaseKeeper.h"
+#include "StoreLeaseHolder.h"
 
 #include "Log.h"
 
@@ -10,21 +10,21 @@
 
 namespace asio = boost::asio;
 
-StoreLeaseKeeper::StoreLeaseKeeper(KeyValueStore& aStore, const Clock& aClock)
+StoreLeaseHolder::StoreLeaseHolder(KeyValueStore& aStore, const Clock& aClock)
   : store(aStore)
   , clock(aClock)
 {
 }
 
 HeldLease
-StoreLeaseKeeper::Current() const
+StoreLeaseHolder::Current() const
 {
   const std::lock_guard lock(this->mutex);
   return this->held;
 }
 
 void
-StoreLeaseKeeper::Take(const StoreLeaseReply& aReply, TimePoint aSent)
+StoreLeaseHolder::Take(const StoreLeaseReply& aReply, TimePoint aSent)
 {
   const bool wasReachable = this->reachable;
   this->reachable =
@@ -44,7 +44,7 @@
 }
 
 asio::awaitable<void>
-StoreLeaseKeeper::Renew()
+StoreLeaseHolder::Renew()
 {
   const std::uint64_t lease = this->Current().lease;
   TimePoint sent = this->clock.Now();
@@ -62,7 +62,7 @@
 }
 
 asio::awaitable<void>
-StoreLeaseKeeper::Run()
+StoreLeaseHolder::Run()
 {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (!this->stopping) {
@@ -73,7 +73,7 @@
 }
 
 asio::awaitable<void>
-StoreLeaseKeeper::Stop()
+StoreLeaseHolder::Stop()
 {
   this->stopping = true;
   const std::uint64_t lease = this->Current().lease;
--- a/src/StoreLeaseKeeper.h
+++ b/src/StoreLeaseHolder.h
@@ -26,11 +26,11 @@
  * Grants and renews the planner's store lease. It counts as held from the
  * moment the last successful call was sent. Thread safe.
  */
-class StoreLeaseKeeper
+class StoreLeaseHolder
 {
 public:
   /** The references must outlive the object. */
-  StoreLeaseKeeper(KeyValueStore& aStore, const Clock& aClock);
+  StoreLeaseHolder(KeyValueStore& aStore, const Clock& aClock);
 
   /** Renews until Stop. Call once. */
   boost::asio::awaitable<void> Run();
--- a/test/path/OperatorCommands.cpp
+++ b/test/path/OperatorCommands.cpp
@@ -1,4 +1,4 @@
-#include "ConfigurationKeeper.h"
+#include "ActiveConfiguration.h"
 #include "EndpointText.h"
 #include "support/Deployment.h"
 
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -1,7 +1,7 @@
 #include "support/CellWorld.h"
 
 #include "Log.h"
-#include "StoreLeaseKeeper.h"
+#include "StoreLeaseHolder.h"
 
 namespace sequoiakeel {
 
--- a/test/support/FakeCellStore.cpp
+++ b/test/support/FakeCellStore.cpp
@@ -1,4 +1,4 @@
-#include "StoreLeaseKeeper.h"
+#include "StoreLeaseHolder.h"
 #include "support/CellWorld.h"
 
 namespace sequoiakeel {
--- a/test/unit/ConfigurationKeeper.cpp
+++ b/test/unit/ActiveConfiguration.cpp
@@ -1,4 +1,4 @@
-#include "ConfigurationKeeper.h"
+#include "ActiveConfiguration.h"
 
 #include "Error.h"
 
@@ -30,20 +30,20 @@
 // Guards against a late or repeated document that rolls the active one back.
 TEST_CASE("only a higher generation is activated")
 {
-  ConfigurationKeeper keeper;
-  CHECK(keeper.Activate(Document(5, "five")));
-  CHECK_FALSE(keeper.Activate(Document(4, "four")));
-  CHECK_FALSE(keeper.Activate(Document(5, "other")));
-  CHECK(keeper.Document() == Document(5, "five"));
-  CHECK(keeper.Activate(Document(9, "nine")));
-  CHECK(keeper.Generation() == 9);
+  ActiveConfiguration active;
+  CHECK(active.Activate(Document(5, "five")));
+  CHECK_FALSE(active.Activate(Document(4, "four")));
+  CHECK_FALSE(active.Activate(Document(5, "other")));
+  CHECK(active.Document() == Document(5, "five"));
+  CHECK(active.Activate(Document(9, "nine")));
+  CHECK(active.Generation() == 9);
 }
 
 // Guards against patches that lead to another document than the sender's.
 TEST_CASE("a patch brings a lagging process to the same document")
 {
-  ConfigurationKeeper ahead;
-  ConfigurationKeeper behind;
+  ActiveConfiguration ahead;
+  ActiveConfiguration behind;
   for (std::uint64_t generation = 1; generation <= 80; ++generation) {
     ahead.Activate(Document(generation, "t" + std::to_string(generation)));
     if (generation == 70) {
@@ -67,8 +67,8 @@
 // generation than its document.
 TEST_CASE("a reply that fails its checks is not used")
 {
-  ConfigurationKeeper ahead;
-  ConfigurationKeeper behind;
+  ActiveConfiguration ahead;
+  ActiveConfiguration behind;
   behind.Activate(Document(1, "different"));
   ahead.Activate(Document(1, "one"));
   ahead.Activate(Document(2, "two"));
@@ -83,7 +83,7 @@
   whole = ahead.ReplyTo(Have(0));
   whole.body.resize(whole.body.size() / 2);
   CHECK_FALSE(behind.Resolve(whole).has_value());
-  ConfigurationKeeper other;
+  ActiveConfiguration other;
   other.Activate(R"({"generation": 1, "teams": []})");
   CHECK_FALSE(other.Resolve(ahead.ReplyTo(Have(1))).has_value());
   whole = ahead.ReplyTo(Have(0));
