Take a 503 of the store for an unknown outcome

Cause: the service also answers 503 when it lost its leader after it took the call, so 'nothing took effect' was not known.

--- a/src/EtcdStore.cpp
+++ b/src/EtcdStore.cpp
@@ -58,14 +58,13 @@
            : StoreResult::Unknown;
 }
 
-/** A server error does not say whether the call took effect, but 503 says that
- * the service took no call. */
+/** A server error, 503 included, does not say whether the call took effect: the
+ * service also answers 503 when it lost its leader after it took the call. */
 StoreResult
 ResultOfStatus(unsigned aStatus)
 {
-  return aStatus == 503 || aStatus == 400 || aStatus == 404
-           ? StoreResult::Unavailable
-           : StoreResult::Unknown;
+  return aStatus == 400 || aStatus == 404 ? StoreResult::Unavailable
+                                          : StoreResult::Unknown;
 }
 
 } // namespace
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -233,12 +233,17 @@
                           json{ { "checkpoint", task.checkpoint } }.dump());
     }
     if (aPath[3] == "stop") {
-      const WorkerTaskState state = task.state == WorkerTaskState::Running
-                                      ? WorkerTaskState::Stopped
-                                      : task.state;
+      if (task.state != WorkerTaskState::Running) {
+        // It stays listed until it is acknowledged, so that its end is not lost
+        // with this answer.
+        return JsonResponse(
+          200, json{ { "state", std::string(ToString(task.state)) } }.dump());
+      }
       this->tasks.erase(found);
       return JsonResponse(
-        200, json{ { "state", std::string(ToString(state)) } }.dump());
+        200,
+        json{ { "state", std::string(ToString(WorkerTaskState::Stopped)) } }
+          .dump());
     }
     if (aPath[3] == "acknowledge" && task.state != WorkerTaskState::Running) {
       this->tasks.erase(found);
