Serve metrics at planners

Cause: placements, evictions and changes of owner were visible in logs only. Counts by kind and gauges by cell come from the state that peers ask for too; path_WholePath reads them.

--- a/src/CellMachine.cpp
+++ b/src/CellMachine.cpp
@@ -251,6 +251,7 @@
 CellMachine::BecomeActive(TimePoint aNow)
 {
   this->phase = CellPhase::Active;
+  this->history.Count("cell_owned");
   Event("cell_owned")
     .Add("cell", this->options.cell)
     .Add("epoch", this->working.Epoch())
@@ -286,6 +287,7 @@
   if (this->phase == CellPhase::Idle) {
     return;
   }
+  this->history.Count("cell_lost");
   Event("cell_lost", LogLevel::Warning)
     .Add("cell", this->options.cell)
     .Add("phase", ToString(this->phase))
--- a/src/CellMachineViews.cpp
+++ b/src/CellMachineViews.cpp
@@ -177,6 +177,7 @@
   CellStatus result;
   result.cell = this->options.cell;
   result.epoch = this->committed.Epoch();
+  result.decisionCounts = this->history.Counts();
   result.workers = static_cast<std::uint32_t>(this->committed.Workers().size());
   result.tasksQueued = static_cast<std::uint32_t>(this->working.QueuedTasks());
   for (const auto& [name, row] : this->working.Workers()) {
--- a/src/DecisionHistory.cpp
+++ b/src/DecisionHistory.cpp
@@ -10,6 +10,7 @@
                      std::string aReason,
                      TimePoint aNow)
 {
+  this->Count(aEvent);
   Record& record = this->jobs[aJob];
   this->byUse.erase(record.used);
   record.used = ++this->sequence;
--- a/src/DecisionHistory.h
+++ b/src/DecisionHistory.h
@@ -25,6 +25,15 @@
            std::string aReason,
            TimePoint aNow);
 
+  /** Counts a decision that concerns no single job. */
+  void Count(const std::string& aEvent) { ++this->counts[aEvent]; }
+
+  /** Returns how often each kind of decision was added or counted. */
+  const std::map<std::string, std::uint64_t>& Counts() const
+  {
+    return this->counts;
+  }
+
   /** Returns a job's decisions, oldest first. */
   std::vector<JobDecision> Of(const std::string& aJob, TimePoint aNow) const;
 
@@ -43,6 +52,7 @@
 
   void DropOldest();
 
+  std::map<std::string, std::uint64_t> counts;
   std::uint64_t sequence = 0;
   std::map<std::string, Record> jobs;
   /** Jobs by when they were last decided on. */
--- a/src/PlannerDriver.cpp
+++ b/src/PlannerDriver.cpp
@@ -359,8 +359,8 @@
   co_return EncodeMessage(status);
 }
 
-asio::awaitable<std::string>
-PlannerDriver::HandleStatus([[maybe_unused]] std::string aBody)
+asio::awaitable<PlannerStatusReply>
+PlannerDriver::Status()
 {
   PlannerStatusReply reply;
   reply.planner = this->name;
@@ -371,6 +371,13 @@
       reply.cells.push_back(std::move(*status));
     }
   }
+  co_return reply;
+}
+
+asio::awaitable<std::string>
+PlannerDriver::HandleStatus([[maybe_unused]] std::string aBody)
+{
+  const PlannerStatusReply reply = co_await this->Status();
   co_return EncodeMessage(reply);
 }
 
--- a/src/PlannerDriver.h
+++ b/src/PlannerDriver.h
@@ -49,6 +49,9 @@
    * started. */
   void Serve(PeerServer& aServer);
 
+  /** Returns the state of the cells that the planner owns. Thread safe. */
+  boost::asio::awaitable<PlannerStatusReply> Status();
+
   /** Hands all cells over and ends the store lease. */
   boost::asio::awaitable<void> Drain();
 
--- a/test/path/WholePath.cpp
+++ b/test/path/WholePath.cpp
@@ -123,6 +123,12 @@
   CHECK(explained.at("decisions").size() == 8);
   CHECK(explained.at("decisions").front().at("event") == "placed");
 
+  std::string metrics;
+  for (const char* planner : { "planner-0", "planner-1", "planner-2" }) {
+    metrics += deployment.Call(planner, "GET", "/metrics").body;
+  }
+  CHECK(metrics.find("kind=\"task_finished\"") != std::string::npos);
+
   json document =
     json::parse(deployment.Call("entry-0", "GET", "/v1/configuration").body);
   document["services"][0]["deadline_ms"] = 4000;
--- a/tools/Planner.cpp
+++ b/tools/Planner.cpp
@@ -7,9 +7,11 @@
 #include "ConfigurationPeers.h"
 #include "EtcdStore.h"
 #include "HttpHostList.h"
+#include "HttpServer.h"
 #include "HttpWorkerAgent.h"
 #include "Log.h"
 #include "PlannerDriver.h"
+#include "PlannerMetrics.h"
 #include "Runtime.h"
 #include "SettingsFile.h"
 
@@ -20,6 +22,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace {
@@ -87,6 +90,7 @@
     this->gossip.SetOnGeneration(
       [this](const MemberRow& aPeer) { this->configuration.Announced(aPeer); });
     this->server.Start();
+    this->ServeMetrics();
     this->gossip.Start();
     asio::co_spawn(
       this->runtime.Context(),
@@ -110,12 +114,43 @@
     this->driver.Configure(document);
   }
 
+  /** Serves /metrics if the settings name an HTTP address. */
+  void ServeMetrics()
+  {
+    if (this->settings.http.address.empty()) {
+      return;
+    }
+    this->http = std::make_unique<HttpServer>(this->runtime.Context(),
+                                              this->settings.http,
+                                              HttpServerLimits{},
+                                              [this](HttpRequest aRequest) {
+                                                return this->AnswerHttp(
+                                                  std::move(aRequest));
+                                              });
+    this->http->Start();
+  }
+
+  asio::awaitable<HttpResponse> AnswerHttp(HttpRequest aRequest)
+  {
+    HttpResponse response;
+    if (TargetPath(aRequest.target) != "/metrics") {
+      response.status = 404;
+      co_return response;
+    }
+    const PlannerStatusReply status = co_await this->driver.Status();
+    response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    response.body = ExportPlannerMetrics(status);
+    co_return response;
+  }
+
   asio::awaitable<void> Begin()
   {
     if (!this->readyFile.empty()) {
-      WriteFileAtomically(
-        this->readyFile,
-        nlohmann::json{ { "peer_port", this->server.Port() } }.dump());
+      nlohmann::json ports{ { "peer_port", this->server.Port() } };
+      if (this->http) {
+        ports["http_port"] = this->http->Port();
+      }
+      WriteFileAtomically(this->readyFile, ports.dump());
     }
     this->driver.Start();
     while (true) {
@@ -172,6 +207,7 @@
   GossipService gossip;
   PlannerDriver driver;
   ConfigurationAgent configuration;
+  std::unique_ptr<HttpServer> http;
 };
 
 } // namespace
