Log and count changes of a worker's quarantine

Cause: a quarantined worker showed only in the reasons of placements. In a run with one of four stand-in workers failing every task the owner logs the change to quarantined after the first jobs.

--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -171,6 +171,7 @@
     std::uint64_t statusSent = 0;
     bool statusPending = false;
     TimePoint nextStatus;
+    QuarantineState quarantine = QuarantineState::Healthy;
     /** Status queries sent since its leases had surely expired. */
     int finalQueries = 0;
     std::optional<TimePoint> lastReply;
@@ -305,6 +306,9 @@
   void AcceptLateCompletions(const WorkerLink& aLink);
   bool IsReleased(const TaskRef& aTask, std::uint64_t aAttempt) const;
   bool IsOver(const TaskRef& aTask, std::uint64_t aAttempt) const;
+  void NoteQuarantine(const std::string& aName,
+                      WorkerLink& aLink,
+                      TimePoint aNow);
   void MaintainLease(const std::string& aName,
                      WorkerLink& aLink,
                      TimePoint aNow);
--- a/src/CellMachineWorkers.cpp
+++ b/src/CellMachineWorkers.cpp
@@ -145,6 +145,24 @@
   this->EvictOverflow(aName, aNow);
   this->MaintainLease(aName, link, aNow);
   this->policies.ObserveWorker(aNow, this->ViewOf(aName, aNow));
+  this->NoteQuarantine(aName, link, aNow);
+}
+
+void
+CellMachine::NoteQuarantine(const std::string& aName,
+                            WorkerLink& aLink,
+                            TimePoint aNow)
+{
+  const QuarantineState state = this->policies.StateOf(aNow, aName);
+  if (state == aLink.quarantine) {
+    return;
+  }
+  aLink.quarantine = state;
+  Event("worker_health", LogLevel::Warning)
+    .Add("cell", this->options.cell)
+    .Add("worker", aName)
+    .Add("state", ToString(state));
+  this->history.Count("worker_" + std::string(ToString(state)));
 }
 
 bool
--- a/src/PlacementViews.h
+++ b/src/PlacementViews.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiakeel {
@@ -22,6 +23,16 @@
   Quarantined,
 };
 
+/** Text of a state. Thread safe. */
+constexpr std::string_view
+ToString(QuarantineState aState)
+{
+  constexpr std::string_view kTexts[] = { "healthy",
+                                          "probation",
+                                          "quarantined" };
+  return kTexts[static_cast<std::size_t>(aState)];
+}
+
 /** A task that holds resources on a worker. */
 struct RunningTaskView
 {
