--- /dev/null
+++ b/src/CellScheduler.cpp
@@ -0,0 +1,436 @@
+#include "CellScheduler.h"
+
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Workers' clocks may run this much slower than ours. */
+constexpr double kSlowestClockRate = 0.98;
+
+/** Covers rounding and the granularity of timers on a worker. */
+constexpr std::chrono::milliseconds kLeaseMargin{ 100 };
+
+} // namespace
+
+CellScheduler::CellScheduler(SchedulerBounds aBounds,
+                             SchedulerPolicies aPolicies,
+                             const Clock& aClock,
+                             const WallClock& aWallClock,
+                             TimePoint aOlderLeasesGone)
+  : bounds(aBounds)
+  , policies(aPolicies)
+  , clock(aClock)
+  , wallClock(aWallClock)
+  , olderLeasesGone(aOlderLeasesGone)
+{
+}
+
+void
+CellScheduler::AddJob(WorkflowSubmission aSubmission, bool aFromEarlierOwner)
+{
+  const std::string id = aSubmission.id;
+  this->jobs.emplace(
+    id,
+    Entry{ WorkflowJob(std::move(aSubmission), this->clock.Now()),
+           aFromEarlierOwner });
+}
+
+void
+CellScheduler::Restore(WorkflowSubmission aSubmission,
+                       const WorkflowProgress& aProgress)
+{
+  const std::string id = aSubmission.id;
+  if (this->jobs.contains(id) || this->ended.contains(id)) {
+    return;
+  }
+  this->AddJob(std::move(aSubmission), true);
+  Entry& entry = this->jobs.at(id);
+  entry.job.Restore(aProgress);
+  if (entry.job.AllDone()) {
+    this->EndJob(id, WorkflowState::Completed, "restored");
+    return;
+  }
+  if (entry.job.AttemptsExhausted()) {
+    this->EndJob(id, WorkflowState::Failed, "restored");
+  }
+}
+
+void
+CellScheduler::RestoreEnded(const WorkflowProgress& aProgress)
+{
+  this->ended[aProgress.id] = Ended{ aProgress, true };
+}
+
+void
+CellScheduler::SetRoster(std::span<const std::string> aWorkers)
+{
+  this->roster.insert(aWorkers.begin(), aWorkers.end());
+  this->awaitedWorkers.insert(aWorkers.begin(), aWorkers.end());
+  this->CheckRecovered();
+}
+
+bool
+CellScheduler::Accept(WorkflowSubmission aSubmission)
+{
+  const std::string id = aSubmission.id;
+  if (this->jobs.contains(id) || this->ended.contains(id)) {
+    return false;
+  }
+  Event("job_accepted")
+    .Add("job", id)
+    .Add("queue", aSubmission.queue)
+    .Add("steps", static_cast<std::uint64_t>(aSubmission.steps.size()))
+    .Add("age_ms", this->wallClock.UnixMs() - aSubmission.acceptedUnixMs);
+  this->AddJob(std::move(aSubmission), false);
+  ++this->counts.accepted;
+  return true;
+}
+
+bool
+CellScheduler::Cancel(const std::string& aJob)
+{
+  if (!this->jobs.contains(aJob)) {
+    return false;
+  }
+  this->EndJob(aJob, WorkflowState::Cancelled, "cancelled");
+  return true;
+}
+
+void
+CellScheduler::EndJob(const std::string& aJob,
+                      WorkflowState aState,
+                      const char* aWhy)
+{
+  const auto found = this->jobs.find(aJob);
+  Ended end;
+  end.progress = found->second.job.Progress(aState);
+  // Callers ask for the state only; the finished tasks are of no more use.
+  end.progress.steps.clear();
+  end.progress.failures.clear();
+  end.progress.endedUnixMs = this->wallClock.UnixMs();
+  const std::uint64_t age =
+    end.progress.endedUnixMs - found->second.job.Submission().acceptedUnixMs;
+  Event("job_ended")
+    .Add("job", aJob)
+    .Add("state", ToString(aState))
+    .Add("why", aWhy)
+    .Add("age_ms", age)
+    .Add("objective_ms",
+         found->second.job.ObjectiveUnixMs() -
+           static_cast<double>(found->second.job.Submission().acceptedUnixMs));
+  switch (aState) {
+    case WorkflowState::Completed:
+      ++this->counts.completed;
+      break;
+    case WorkflowState::Failed:
+      ++this->counts.failed;
+      break;
+    default:
+      ++this->counts.cancelled;
+      break;
+  }
+  const std::string prefix = aJob + ".";
+  for (auto& [id, worker] : this->workers) {
+    for (const auto& [task, commitment] : worker.Commitments()) {
+      if (!task.starts_with(prefix) ||
+          commitment.phase == CommitmentPhase::Stopping) {
+        continue;
+      }
+      this->StopRun(worker, task, aWhy);
+    }
+  }
+  this->jobs.erase(found);
+  this->ended[aJob] = std::move(end);
+  this->dirty.erase(aJob);
+  this->MarkDirty(aJob);
+  ++this->finalDirty;
+}
+
+void
+CellScheduler::StopRun(ScheduledWorker& aWorker,
+                       const std::string& aTask,
+                       const char* aReason)
+{
+  Commitment* const commitment = aWorker.Find(aTask);
+  if (commitment == nullptr || commitment->phase == CommitmentPhase::Stopping) {
+    return;
+  }
+  commitment->phase = CommitmentPhase::Stopping;
+  commitment->stopSentAt = TimePoint();
+  Event("task_stop")
+    .Add("task", aTask)
+    .Add("run", commitment->run)
+    .Add("worker", aWorker.description.id)
+    .Add("reason", aReason);
+}
+
+void
+CellScheduler::UpdateWorkers(std::span<const WorkerDescription> aWorkers)
+{
+  for (auto& [id, worker] : this->workers) {
+    worker.listed = false;
+  }
+  for (const WorkerDescription& description : aWorkers) {
+    const auto found = this->workers.find(description.id);
+    if (found == this->workers.end()) {
+      ScheduledWorker worker;
+      worker.description = description;
+      worker.leaseGoneAt = this->olderLeasesGone;
+      this->workers.emplace(description.id, std::move(worker));
+      Event("worker_listed")
+        .Add("worker", description.id)
+        .Add("rack", description.rack)
+        .Add("cpu_milli", description.room.cpuMilli)
+        .Add("draining", description.draining);
+      continue;
+    }
+    ScheduledWorker& worker = found->second;
+    worker.listed = true;
+    if (worker.description.draining != description.draining) {
+      Event("worker_draining")
+        .Add("worker", description.id)
+        .Add("draining", description.draining);
+    }
+    worker.description = description;
+  }
+  this->DropUnlistedWorkers();
+  this->quarantine.SetFleetSize(this->workers.size());
+}
+
+void
+CellScheduler::DropUnlistedWorkers()
+{
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->workers, [&](const auto& aItem) {
+    const ScheduledWorker& worker = aItem.second;
+    const bool idle = worker.Commitments().empty() && now > worker.leaseGoneAt;
+    if (worker.listed || !idle) {
+      return false;
+    }
+    Event("worker_dropped").Add("worker", aItem.first);
+    this->roster.erase(aItem.first);
+    return true;
+  });
+}
+
+std::vector<std::string>
+CellScheduler::WorkersOutsideRoster() const
+{
+  std::vector<std::string> result;
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.listed && !this->roster.contains(id)) {
+      result.push_back(id);
+    }
+  }
+  return result;
+}
+
+std::vector<std::string>
+CellScheduler::RosterToWrite() const
+{
+  std::set<std::string> result = this->awaitedWorkers;
+  for (const auto& [id, worker] : this->workers) {
+    result.insert(id);
+  }
+  return { result.begin(), result.end() };
+}
+
+void
+CellScheduler::RosterWritten(std::span<const std::string> aWorkers)
+{
+  this->roster = { aWorkers.begin(), aWorkers.end() };
+}
+
+std::vector<std::string>
+CellScheduler::WorkersToRenew() const
+{
+  std::vector<std::string> result;
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.listed || !worker.Commitments().empty()) {
+      result.push_back(id);
+    }
+  }
+  return result;
+}
+
+const ScheduledWorker*
+CellScheduler::FindWorker(const std::string& aWorker) const
+{
+  const auto found = this->workers.find(aWorker);
+  return found == this->workers.end() ? nullptr : &found->second;
+}
+
+ScheduledWorker*
+CellScheduler::Worker(const std::string& aWorker)
+{
+  const auto found = this->workers.find(aWorker);
+  return found == this->workers.end() ? nullptr : &found->second;
+}
+
+CellScheduler::Entry*
+CellScheduler::FindJob(const std::string& aJob)
+{
+  const auto found = this->jobs.find(aJob);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+std::uint64_t
+CellScheduler::LeaseUntil(const std::string& aWorker) const
+{
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  if (worker == nullptr || worker->clockMs == 0) {
+    return 0;
+  }
+  return worker->ClockAt(this->clock.Now()) +
+         static_cast<std::uint64_t>(this->bounds.workerLease.count());
+}
+
+void
+CellScheduler::NoteLease(const std::string& aWorker,
+                         std::uint64_t aUntilWorkerMs)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker == nullptr || worker->clockMs == 0) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  const std::uint64_t workerNow = worker->ClockAt(now);
+  const double left =
+    aUntilWorkerMs > workerNow
+      ? static_cast<double>(aUntilWorkerMs - workerNow) / kSlowestClockRate
+      : 0;
+  const TimePoint gone =
+    now + std::chrono::milliseconds(static_cast<std::int64_t>(left) + 1) +
+    kLeaseMargin;
+  worker->leaseGoneAt = std::max(worker->leaseGoneAt, gone);
+}
+
+void
+CellScheduler::CheckRecovered()
+{
+  if (this->recovered) {
+    return;
+  }
+  if (!this->awaitedWorkers.empty() &&
+      this->clock.Now() <= this->olderLeasesGone) {
+    return;
+  }
+  this->recovered = true;
+  Event("cell_recovered")
+    .Add("jobs", static_cast<std::uint64_t>(this->jobs.size()))
+    .Add("silent_workers",
+         static_cast<std::uint64_t>(this->awaitedWorkers.size()));
+  this->awaitedWorkers.clear();
+}
+
+void
+CellScheduler::MarkDirty(const std::string& aJob)
+{
+  ++this->change;
+  this->dirty.insert(aJob);
+}
+
+ProgressBatch
+CellScheduler::TakeProgress()
+{
+  ProgressBatch batch;
+  batch.change = this->change;
+  for (const std::string& id : this->dirty) {
+    ProgressRecord record;
+    if (const Entry* const entry = this->FindJob(id)) {
+      record.progress = entry->job.Progress(WorkflowState::Running);
+    } else {
+      record.progress = this->ended.at(id).progress;
+      record.final = true;
+    }
+    batch.records.push_back(std::move(record));
+  }
+  this->dirty.clear();
+  this->finalDirty = 0;
+  return batch;
+}
+
+void
+CellScheduler::ProgressWritten(const ProgressRecord& aRecord)
+{
+  const auto found = this->ended.find(aRecord.progress.id);
+  if (aRecord.final && found != this->ended.end()) {
+    found->second.durable = true;
+  }
+}
+
+void
+CellScheduler::ProgressNotWritten(const ProgressRecord& aRecord)
+{
+  const bool added = this->dirty.insert(aRecord.progress.id).second;
+  if (added && !this->jobs.contains(aRecord.progress.id)) {
+    ++this->finalDirty;
+  }
+}
+
+void
+CellScheduler::SettleBatch(std::uint64_t aChange)
+{
+  for (auto& [id, worker] : this->workers) {
+    if (worker.seenChange <= aChange) {
+      worker.durableEnds = worker.seenEnds;
+    }
+  }
+}
+
+WorkflowState
+CellScheduler::StateOf(const std::string& aJob) const
+{
+  if (const auto job = this->jobs.find(aJob); job != this->jobs.end()) {
+    return job->second.job.Started() ? WorkflowState::Running
+                                     : WorkflowState::Queued;
+  }
+  const auto end = this->ended.find(aJob);
+  if (end == this->ended.end()) {
+    return WorkflowState::Unknown;
+  }
+  const WorkflowState state = end->second.progress.state;
+  // An end is shown only once no restart of the system can take it back. A
+  // cancellation was durable before it came here.
+  if (end->second.durable || state == WorkflowState::Cancelled) {
+    return state;
+  }
+  return WorkflowState::Running;
+}
+
+std::uint64_t
+CellScheduler::PendingOf(const std::string& aQueue) const
+{
+  std::uint64_t pending = 0;
+  for (const auto& [id, entry] : this->jobs) {
+    if (entry.job.Submission().queue == aQueue && !entry.job.Started()) {
+      ++pending;
+    }
+  }
+  return pending;
+}
+
+std::vector<std::string>
+CellScheduler::TakeExpired(std::size_t aMost)
+{
+  const std::uint64_t now = this->wallClock.UnixMs();
+  const auto retention =
+    static_cast<std::uint64_t>(this->bounds.stateRetention.count());
+  std::vector<std::string> result;
+  for (const auto& [id, end] : this->ended) {
+    const bool over = end.progress.endedUnixMs + retention < now;
+    if (over && end.durable && result.size() < aMost) {
+      result.push_back(id);
+    }
+  }
+  for (const std::string& id : result) {
+    this->ended.erase(id);
+  }
+  return result;
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/CellScheduler.h
@@ -0,0 +1,314 @@
+#pragma once
+
+#include "BootClock.h"
+#include "Clock.h"
+#include "FillerThrottle.h"
+#include "Quarantine.h"
+#include "ScheduledWorker.h"
+#include "StepOrder.h"
+#include "WorkerChoice.h"
+#include "WorkflowJob.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** Durations that the platform promises or demands. */
+struct SchedulerBounds
+{
+  /** Longest lease that a worker gives. */
+  std::chrono::milliseconds workerLease{ 6000 };
+  /** How long before its due time an occurrence may start. */
+  std::chrono::milliseconds earlyStart{ 250 };
+  /** How long the state of an ended job can be asked for. */
+  std::chrono::milliseconds stateRetention{ 120000 };
+};
+
+/** Decisions that vary; the objects must outlive the scheduler. */
+struct SchedulerPolicies
+{
+  const StepOrder& order;
+  const WorkerChoice& choice;
+  const FillerThrottle& throttle;
+};
+
+/** A start that was decided on. */
+struct PlannedStart
+{
+  std::string worker;
+  Endpoint endpoint;
+  StartOrder order;
+};
+
+/** A stop that was decided on. */
+struct PlannedStop
+{
+  std::string worker;
+  Endpoint endpoint;
+  std::string task;
+  std::uint64_t run = 0;
+  /** Why, for the log. */
+  const char* reason = "";
+};
+
+/** A change of a filler's speed. */
+struct PlannedThrottle
+{
+  std::string worker;
+  Endpoint endpoint;
+  std::string task;
+  std::uint64_t run = 0;
+  int percent = 100;
+  double latencyRatio = 0;
+};
+
+/** Orders to workers that one round of planning led to. */
+struct PlannedOrders
+{
+  std::vector<PlannedStart> starts;
+  std::vector<PlannedStop> stops;
+  std::vector<PlannedThrottle> throttles;
+};
+
+/** A job's durable progress that has to be written. */
+struct ProgressRecord
+{
+  WorkflowProgress progress;
+  /** The job has ended; its submission need not be kept. */
+  bool final = false;
+};
+
+/** Progress that is written together. */
+struct ProgressBatch
+{
+  std::vector<ProgressRecord> records;
+  /** Number of the last change that the records cover. */
+  std::uint64_t change = 0;
+};
+
+/** Counts since the scheduler was made. */
+struct SchedulerCounts
+{
+  std::uint64_t accepted = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t starts = 0;
+  std::uint64_t startsTurnedAway = 0;
+  std::uint64_t runsLost = 0;
+  std::uint64_t runsFailed = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t throttles = 0;
+};
+
+/**
+ * Decides where and when the tasks of one cell run. It keeps the jobs, the
+ * workers with what may run on them, and turns reports into orders and durable
+ * progress. It knows no socket, store or thread: its caller feeds it events and
+ * carries out the orders. Not thread safe.
+ *
+ * A run counts as over only if its worker listed its end, if a report that was
+ * requested after the order's last chance does not show it, or if every lease
+ * that the worker may hold has expired by the slowest clock.
+ */
+class CellScheduler
+{
+public:
+  /** aOlderLeasesGone: when every lease that earlier owners granted has
+   * expired. */
+  CellScheduler(SchedulerBounds aBounds,
+                SchedulerPolicies aPolicies,
+                const Clock& aClock,
+                const WallClock& aWallClock,
+                TimePoint aOlderLeasesGone);
+
+  /** Takes over a job that an earlier owner may have started. Its tasks wait
+   * until the workers in aRoster have reported. */
+  void Restore(WorkflowSubmission aSubmission,
+               const WorkflowProgress& aProgress);
+
+  /** Takes over the state of an ended job. */
+  void RestoreEnded(const WorkflowProgress& aProgress);
+
+  /** Names the workers on which earlier owners may have started tasks. */
+  void SetRoster(std::span<const std::string> aWorkers);
+
+  /** Takes in a job that nobody can have started. Returns false if it is known.
+   */
+  bool Accept(WorkflowSubmission aSubmission);
+
+  /** Cancels a job; returns false if it is unknown or has ended. */
+  bool Cancel(const std::string& aJob);
+
+  /** Takes in the registry's list of workers. */
+  void UpdateWorkers(std::span<const WorkerDescription> aWorkers);
+
+  /** Returns the ids of listed workers that are not in the durable roster yet
+   * and so get no task. */
+  std::vector<std::string> WorkersOutsideRoster() const;
+
+  /** Returns all workers that belong into the durable roster. */
+  std::vector<std::string> RosterToWrite() const;
+
+  /** Notes that a roster is durable. */
+  void RosterWritten(std::span<const std::string> aWorkers);
+
+  /** Returns the ids of workers that need a lease or a report. */
+  std::vector<std::string> WorkersToRenew() const;
+
+  /** Returns a worker, or null. The pointer is valid until the next call of a
+   * non-const method. */
+  const ScheduledWorker* FindWorker(const std::string& aWorker) const;
+
+  /** Returns until when, by the worker's clock, a lease of full length lasts; 0
+   * if that clock is unknown. */
+  std::uint64_t LeaseUntil(const std::string& aWorker) const;
+
+  /** Notes that an order that grants a lease is about to be sent. */
+  void NoteLease(const std::string& aWorker, std::uint64_t aUntilWorkerMs);
+
+  /** Takes in a worker's report. aSentAt: when it was requested. */
+  void HandleReport(const std::string& aWorker,
+                    TimePoint aSentAt,
+                    std::uint64_t aWorkerMs,
+                    const WorkerReport& aReport);
+
+  /** Takes in the outcome of a start. aMayBeInFlight: an earlier copy of the
+   * order had no answer. */
+  void HandleStart(const std::string& aWorker,
+                   const std::string& aTask,
+                   std::uint64_t aRun,
+                   const OrderReply& aReply,
+                   bool aMayBeInFlight);
+
+  /** Takes in that the worker's address belongs to another worker. */
+  void HandleWrongWorker(const std::string& aWorker);
+
+  /** Decides what to do now. */
+  PlannedOrders Plan();
+
+  /** Returns all progress that is to be written. Precondition: the batch before
+   * it was settled or returned. */
+  ProgressBatch TakeProgress();
+
+  /** Notes that a record is durable. */
+  void ProgressWritten(const ProgressRecord& aRecord);
+
+  /** Puts a record back that was not written. */
+  void ProgressNotWritten(const ProgressRecord& aRecord);
+
+  /** Notes that all records of a batch are durable: the ends that led to them
+   * may be acknowledged. */
+  void SettleBatch(std::uint64_t aChange);
+
+  /** Tells whether progress waits to be written, and whether a job's end is
+   * among it. */
+  bool HasProgress() const { return !this->dirty.empty(); }
+  bool HasFinalProgress() const { return this->finalDirty > 0; }
+
+  /** Returns a job's state for callers. */
+  WorkflowState StateOf(const std::string& aJob) const;
+
+  /** Returns how many jobs of a queue have no started task. */
+  std::uint64_t PendingOf(const std::string& aQueue) const;
+
+  /** Returns keys of records whose retention is over, and forgets them. */
+  std::vector<std::string> TakeExpired(std::size_t aMost);
+
+  /** Tells whether it is known where all tasks of earlier owners are. */
+  bool Recovered() const { return this->recovered; }
+
+  const SchedulerCounts& Counts() const { return this->counts; }
+  std::size_t Jobs() const { return this->jobs.size(); }
+  std::size_t Workers() const { return this->workers.size(); }
+
+private:
+  struct Entry
+  {
+    WorkflowJob job;
+    /** An earlier owner may have started its tasks. */
+    bool fromEarlierOwner = false;
+  };
+  struct Ended
+  {
+    WorkflowProgress progress;
+    bool durable = false;
+  };
+  struct Candidate
+  {
+    std::string job;
+    std::uint32_t occurrence;
+    std::uint32_t step;
+    WaitingStep order;
+  };
+
+  void AddJob(WorkflowSubmission aSubmission, bool aFromEarlierOwner);
+  void EndJob(const std::string& aJob, WorkflowState aState, const char* aWhy);
+  void StopRun(ScheduledWorker& aWorker,
+               const std::string& aTask,
+               const char* aReason);
+  void TakeEnd(ScheduledWorker& aWorker, const EndedRow& aRow);
+  void TakeRunEnd(const std::string& aWorker,
+                  const TaskName& aName,
+                  Entry& aEntry,
+                  const EndedRow& aRow);
+  void TakeRunning(ScheduledWorker& aWorker, const RunningRow& aRow);
+  void Adopt(ScheduledWorker& aWorker,
+             const TaskName& aName,
+             const RunningRow& aRow);
+  void CheckMissing(ScheduledWorker& aWorker,
+                    TimePoint aSentAt,
+                    const WorkerReport& aReport);
+  void LoseRun(ScheduledWorker& aWorker,
+               const std::string& aTask,
+               const char* aReason);
+  void LoseAll(ScheduledWorker& aWorker, const char* aReason);
+  void ExpireLeases();
+  void CheckRecovered();
+  void MarkDirty(const std::string& aJob);
+  std::vector<Candidate> Candidates() const;
+  bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
+  void PlanStep(const Candidate& aCandidate, PlannedOrders& aOrders);
+  bool PlanGang(const Candidate& aCandidate, PlannedOrders& aOrders);
+  ScheduledWorker* Choose(const WorkflowSubmission& aSubmission,
+                          const WorkflowStep& aStep,
+                          const std::string& aStepKey,
+                          const std::string& aRack);
+  PlannedStart Start(Entry& aEntry,
+                     const TaskName& aName,
+                     std::uint64_t aRun,
+                     ScheduledWorker& aWorker,
+                     const std::string& aStepKey);
+  void PlanStops(PlannedOrders& aOrders);
+  void PlanDrains();
+  void PlanThrottles(PlannedOrders& aOrders);
+  void DropUnlistedWorkers();
+  ScheduledWorker* Worker(const std::string& aWorker);
+  Entry* FindJob(const std::string& aJob);
+
+  SchedulerBounds bounds;
+  SchedulerPolicies policies;
+  const Clock& clock;
+  const WallClock& wallClock;
+  TimePoint olderLeasesGone;
+  bool recovered = false;
+  std::set<std::string> awaitedWorkers;
+  std::set<std::string> roster;
+  std::unordered_map<std::string, Entry> jobs;
+  std::unordered_map<std::string, Ended> ended;
+  std::map<std::string, ScheduledWorker> workers;
+  std::set<std::string> dirty;
+  std::size_t finalDirty = 0;
+  /** Number of the last change of durable progress. */
+  std::uint64_t change = 0;
+  Quarantine quarantine;
+  SchedulerCounts counts;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/CellSchedulerPlan.cpp
@@ -0,0 +1,340 @@
+#include "CellScheduler.h"
+
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Time in which a start order can take effect. An order without an answer can
+ * be carried out up to 12 s later; after this time it is rejected, and the task
+ * may go elsewhere. */
+constexpr std::chrono::milliseconds kStartValidity{ 1500 };
+
+/** Starts of one round, so that a burst of jobs does not delay answers. */
+constexpr std::size_t kMaxStartsPerRound = 64;
+
+/** A stop without a listed end is sent again after this time. */
+constexpr std::chrono::milliseconds kStopRepeat{ 500 };
+
+/** Weight of a worker in the rack that a step already uses. */
+constexpr double kSameRackBonus = 1e5;
+
+std::string
+StepKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  return aJob + "." + std::to_string(aOccurrence) + "." + std::to_string(aStep);
+}
+
+} // namespace
+
+PlannedOrders
+CellScheduler::Plan()
+{
+  PlannedOrders orders;
+  this->ExpireLeases();
+  this->PlanDrains();
+  this->PlanStops(orders);
+  this->PlanThrottles(orders);
+  const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
+  std::vector<Candidate> candidates = this->Candidates();
+  std::stable_sort(candidates.begin(),
+                   candidates.end(),
+                   [&](const Candidate& aLeft, const Candidate& aRight) {
+                     return this->policies.order.Before(
+                       aLeft.order, aRight.order, nowUnixMs);
+                   });
+  for (const Candidate& candidate : candidates) {
+    if (orders.starts.size() >= kMaxStartsPerRound) {
+      break;
+    }
+    this->PlanStep(candidate, orders);
+  }
+  return orders;
+}
+
+bool
+CellScheduler::StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const
+{
+  const std::uint64_t due = aEntry.job.Occurrences()[aOccurrence].dueUnixMs;
+  return due == 0 || this->wallClock.UnixMs() >= due;
+}
+
+std::vector<CellScheduler::Candidate>
+CellScheduler::Candidates() const
+{
+  std::vector<Candidate> result;
+  for (const auto& [id, entry] : this->jobs) {
+    if (entry.fromEarlierOwner && !this->recovered) {
+      continue;
+    }
+    const WorkflowSubmission& submission = entry.job.Submission();
+    for (std::uint32_t k = 0; k < entry.job.Occurrences().size(); ++k) {
+      if (!this->StepIsDue(entry, k)) {
+        continue;
+      }
+      const WorkflowOccurrence& occurrence = entry.job.Occurrences()[k];
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (occurrence.steps[s].pending == 0 ||
+            !entry.job.DependenciesDone(k, s)) {
+          continue;
+        }
+        const WorkflowStep& step = submission.steps[s];
+        WaitingStep order;
+        order.priority = submission.priority;
+        order.longRunning = step.longRunning;
+        order.filler = step.filler;
+        order.objectiveUnixMs = entry.job.ObjectiveUnixMs();
+        order.remainingMs = step.estimateMs;
+        order.acceptedUnixMs = submission.acceptedUnixMs;
+        result.push_back(Candidate{ id, k, s, order });
+      }
+    }
+  }
+  return result;
+}
+
+ScheduledWorker*
+CellScheduler::Choose(const WorkflowSubmission& aSubmission,
+                      const WorkflowStep& aStep,
+                      const std::string& aStepKey,
+                      const std::string& aRack)
+{
+  const TimePoint now = this->clock.Now();
+  ScheduledWorker* best = nullptr;
+  double bestRate = 0;
+  for (auto& [id, worker] : this->workers) {
+    if (!this->roster.contains(id) ||
+        !MayRun(worker, aSubmission.service, aStep, aStepKey, now)) {
+      continue;
+    }
+    if (this->quarantine.StateOf(now, id) == QuarantineState::Quarantined) {
+      continue;
+    }
+    std::optional<double> rate = this->policies.choice.Rate(worker, aStep);
+    if (!rate) {
+      continue;
+    }
+    if (aStep.sameRack && worker.description.rack == aRack) {
+      *rate += kSameRackBonus;
+    }
+    if (best == nullptr || *rate > bestRate) {
+      best = &worker;
+      bestRate = *rate;
+    }
+  }
+  return best;
+}
+
+void
+CellScheduler::PlanStep(const Candidate& aCandidate, PlannedOrders& aOrders)
+{
+  Entry& entry = this->jobs.at(aCandidate.job);
+  const WorkflowStep& step = entry.job.Submission().steps[aCandidate.step];
+  if (step.gang) {
+    this->PlanGang(aCandidate, aOrders);
+    return;
+  }
+  const std::string key =
+    StepKey(aCandidate.job, aCandidate.occurrence, aCandidate.step);
+  const std::vector<WorkflowTask>& tasks =
+    entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step].tasks;
+  std::string rack;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].status != TaskStatus::Pending) {
+      continue;
+    }
+    if (aOrders.starts.size() >= kMaxStartsPerRound) {
+      return;
+    }
+    ScheduledWorker* const worker =
+      this->Choose(entry.job.Submission(), step, key, rack);
+    if (worker == nullptr) {
+      return;
+    }
+    rack = worker->description.rack;
+    const TaskName name{
+      aCandidate.job, aCandidate.occurrence, aCandidate.step, i
+    };
+    aOrders.starts.push_back(
+      this->Start(entry, name, tasks[i].run + 1, *worker, key));
+  }
+}
+
+bool
+CellScheduler::PlanGang(const Candidate& aCandidate, PlannedOrders& aOrders)
+{
+  Entry& entry = this->jobs.at(aCandidate.job);
+  const WorkflowStep& step = entry.job.Submission().steps[aCandidate.step];
+  const WorkflowStepTasks& members =
+    entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step];
+  if (members.pending != members.tasks.size()) {
+    return false;
+  }
+  const std::string key =
+    StepKey(aCandidate.job, aCandidate.occurrence, aCandidate.step);
+  std::uint64_t run = 0;
+  std::string checkpoint;
+  for (const WorkflowTask& task : members.tasks) {
+    run = std::max(run, task.run);
+    if (!task.checkpoint.empty()) {
+      checkpoint = task.checkpoint;
+    }
+  }
+  // Room is reserved for all members before the first order goes out, since a
+  // gang without one of its members only wastes the others' time.
+  std::vector<ScheduledWorker*> chosen;
+  std::string rack;
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    ScheduledWorker* const worker =
+      this->Choose(entry.job.Submission(), step, key, rack);
+    if (worker == nullptr) {
+      break;
+    }
+    rack = worker->description.rack;
+    Commitment reserved;
+    reserved.step = step;
+    reserved.stepKey = key;
+    worker->Commit(
+      FormatTaskName(
+        { aCandidate.job, aCandidate.occurrence, aCandidate.step, i }),
+      reserved);
+    chosen.push_back(worker);
+  }
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    chosen[i]->Release(FormatTaskName(
+      { aCandidate.job, aCandidate.occurrence, aCandidate.step, i }));
+  }
+  if (chosen.size() != step.count) {
+    return false;
+  }
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    const TaskName name{
+      aCandidate.job, aCandidate.occurrence, aCandidate.step, i
+    };
+    entry.job.Find(name)->checkpoint = checkpoint;
+    aOrders.starts.push_back(
+      this->Start(entry, name, run + 1, *chosen[i], key));
+  }
+  return true;
+}
+
+PlannedStart
+CellScheduler::Start(Entry& aEntry,
+                     const TaskName& aName,
+                     std::uint64_t aRun,
+                     ScheduledWorker& aWorker,
+                     const std::string& aStepKey)
+{
+  const TimePoint now = this->clock.Now();
+  const WorkflowTask& task = *aEntry.job.Find(aName);
+  PlannedStart start;
+  start.worker = aWorker.description.id;
+  start.endpoint = aWorker.description.endpoint;
+  start.order.task = FormatTaskName(aName);
+  start.order.run = aRun;
+  start.order.payload = aEntry.job.Submission().payload;
+  start.order.checkpoint = task.checkpoint;
+  start.order.validUntilWorkerMs =
+    aWorker.ClockAt(now) + static_cast<std::uint64_t>(kStartValidity.count());
+  this->NoteLease(start.worker, start.order.validUntilWorkerMs);
+  Commitment commitment;
+  commitment.run = aRun;
+  commitment.step = aEntry.job.StepOf(aName);
+  commitment.stepKey = aStepKey;
+  commitment.startedAt = now;
+  // The worker's clock may run slow, so the order stays valid a little longer
+  // by ours.
+  commitment.voidAt = now + kStartValidity + kStartValidity / 20;
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+    now - task.pendingSince);
+  Event("task_start")
+    .Add("task", start.order.task)
+    .Add("run", aRun)
+    .Add("worker", start.worker)
+    .Add("rack", aWorker.description.rack)
+    .Add("waited_ms", static_cast<std::int64_t>(waited.count()))
+    .Add("free_cpu_milli",
+         aWorker.description.room.cpuMilli - aWorker.Committed().cpuMilli)
+    .Add("report_age_ms",
+         static_cast<std::int64_t>(
+           std::chrono::duration_cast<std::chrono::milliseconds>(
+             now - aWorker.lastReportAt)
+             .count()));
+  aWorker.Commit(start.order.task, std::move(commitment));
+  aEntry.job.Assign(aName, start.worker, aRun);
+  ++this->counts.starts;
+  return start;
+}
+
+void
+CellScheduler::PlanDrains()
+{
+  for (auto& [id, worker] : this->workers) {
+    if (!worker.description.draining) {
+      continue;
+    }
+    std::vector<std::string> leaving;
+    for (const auto& [task, commitment] : worker.Commitments()) {
+      if (commitment.step.longRunning &&
+          commitment.phase == CommitmentPhase::Running) {
+        leaving.push_back(task);
+      }
+    }
+    for (const std::string& task : leaving) {
+      this->StopRun(worker, task, "worker drains");
+    }
+  }
+}
+
+void
+CellScheduler::PlanStops(PlannedOrders& aOrders)
+{
+  const TimePoint now = this->clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    for (const auto& [task, unused] : worker.Commitments()) {
+      Commitment& commitment = *worker.Find(task);
+      if (commitment.phase != CommitmentPhase::Stopping ||
+          now - commitment.stopSentAt < kStopRepeat) {
+        continue;
+      }
+      commitment.stopSentAt = now;
+      ++this->counts.stops;
+      aOrders.stops.push_back(PlannedStop{
+        id, worker.description.endpoint, task, commitment.run, "" });
+    }
+  }
+}
+
+void
+CellScheduler::PlanThrottles(PlannedOrders& aOrders)
+{
+  for (auto& [id, worker] : this->workers) {
+    for (const auto& [task, unused] : worker.Commitments()) {
+      Commitment& commitment = *worker.Find(task);
+      if (!commitment.step.filler ||
+          commitment.phase != CommitmentPhase::Running ||
+          commitment.speedPercent == worker.fillerPercent) {
+        continue;
+      }
+      commitment.speedPercent = worker.fillerPercent;
+      ++this->counts.throttles;
+      const double ratio = worker.WorstLatencyRatio();
+      Event("filler_speed")
+        .Add("task", task)
+        .Add("worker", id)
+        .Add("percent", commitment.speedPercent)
+        .Add("latency_ratio", ratio);
+      aOrders.throttles.push_back(PlannedThrottle{ id,
+                                                   worker.description.endpoint,
+                                                   task,
+                                                   commitment.run,
+                                                   commitment.speedPercent,
+                                                   ratio });
+    }
+  }
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/CellSchedulerReports.cpp
@@ -0,0 +1,363 @@
+#include "CellScheduler.h"
+
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** A worker that turned a start away gets none for this long; its room or
+ * health rarely changes faster than it reports. */
+constexpr std::chrono::milliseconds kTurnedAwayBackoff{ 300 };
+
+std::string
+StepKeyOf(const TaskName& aName)
+{
+  return aName.job + "." + std::to_string(aName.occurrence) + "." +
+         std::to_string(aName.step);
+}
+
+} // namespace
+
+void
+CellScheduler::HandleReport(const std::string& aWorker,
+                            TimePoint aSentAt,
+                            std::uint64_t aWorkerMs,
+                            const WorkerReport& aReport)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  const bool reborn = worker->reported &&
+                      aReport.incarnation != worker->description.incarnation &&
+                      aReport.incarnation > 0;
+  if (reborn || !worker->reported) {
+    Event("worker_reported")
+      .Add("worker", aWorker)
+      .Add("incarnation", aReport.incarnation)
+      .Add("reborn", reborn)
+      .Add("running", static_cast<std::uint64_t>(aReport.running.size()))
+      .Add("ended", static_cast<std::uint64_t>(aReport.ended.size()));
+  }
+  if (reborn) {
+    this->LoseAll(*worker, "reborn");
+    worker->seenEnds = 0;
+    worker->durableEnds = 0;
+  }
+  if (aReport.incarnation > 0) {
+    worker->description.incarnation = aReport.incarnation;
+  }
+  worker->reported = true;
+  worker->lastReportAt = now;
+  worker->clockMs = aWorkerMs;
+  worker->clockAt = now;
+  for (const EndedRow& row : aReport.ended) {
+    if (row.sequence > worker->seenEnds) {
+      worker->seenEnds = row.sequence;
+      this->TakeEnd(*worker, row);
+      worker->seenChange = this->change;
+    }
+  }
+  worker->foreignRuns = false;
+  for (const RunningRow& row : aReport.running) {
+    this->TakeRunning(*worker, row);
+  }
+  this->CheckMissing(*worker, aSentAt, aReport);
+  worker->fillerPercent = this->policies.throttle.Next(
+    worker->fillerPercent, worker->WorstLatencyRatio());
+  this->awaitedWorkers.erase(aWorker);
+  this->CheckRecovered();
+}
+
+void
+CellScheduler::TakeEnd(ScheduledWorker& aWorker, const EndedRow& aRow)
+{
+  const Commitment* const commitment = aWorker.Find(aRow.task);
+  if (commitment != nullptr && commitment->run <= aRow.run) {
+    aWorker.Release(aRow.task);
+  }
+  const std::optional<TaskName> name = ParseTaskName(aRow.task);
+  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  Event("task_ended", LogLevel::Debug)
+    .Add("task", aRow.task)
+    .Add("run", aRow.run)
+    .Add("worker", aWorker.description.id)
+    .Add("end", ToString(aRow.end));
+  if (entry == nullptr || entry->job.Find(*name) == nullptr) {
+    return;
+  }
+  this->TakeRunEnd(aWorker.description.id, *name, *entry, aRow);
+}
+
+void
+CellScheduler::TakeRunEnd(const std::string& aWorker,
+                          const TaskName& aName,
+                          Entry& aEntry,
+                          const EndedRow& aRow)
+{
+  WorkflowJob& job = aEntry.job;
+  WorkflowTask& task = *job.Find(aName);
+  const WorkflowStep& step = job.StepOf(aName);
+  job.MarkStarted();
+  task.run = std::max(task.run, aRow.run);
+  if (!aRow.checkpoint.empty()) {
+    task.checkpoint = aRow.checkpoint;
+  }
+  const bool elsewhere =
+    task.status == TaskStatus::Assigned && task.worker != aWorker;
+  if (elsewhere || task.status == TaskStatus::Done) {
+    // The worker's lease had expired, so the task runs elsewhere by now. Its
+    // end is void unless copies are allowed.
+    return;
+  }
+  if (aRow.end == RunEnd::Done || aRow.end == RunEnd::Failed) {
+    const ScheduledWorker* const worker = this->FindWorker(aWorker);
+    this->quarantine.Report(this->clock.Now(),
+                            aWorker,
+                            worker != nullptr ? worker->description.rack : "",
+                            aName.job,
+                            aRow.end == RunEnd::Failed);
+  }
+  if (aRow.end == RunEnd::Done && !step.longRunning) {
+    if (step.gang) {
+      for (std::uint32_t i = 0; i < step.count; ++i) {
+        TaskName member = aName;
+        member.index = i;
+        job.MarkDone(member);
+      }
+    } else {
+      job.MarkDone(aName);
+    }
+    this->MarkDirty(aName.job);
+    if (job.AllDone()) {
+      this->EndJob(aName.job, WorkflowState::Completed, "all tasks done");
+    }
+    return;
+  }
+  if (task.status == TaskStatus::Assigned) {
+    job.Unassign(aName, this->clock.Now());
+  }
+  if (aRow.end != RunEnd::Failed) {
+    return;
+  }
+  ++this->counts.runsFailed;
+  TaskName counted = aName;
+  if (step.gang) {
+    counted.index = 0;
+  }
+  if (!job.MarkFailed(counted, aRow.run)) {
+    return;
+  }
+  Event("task_failed")
+    .Add("task", aRow.task)
+    .Add("run", aRow.run)
+    .Add("worker", aWorker)
+    .Add("failures",
+         static_cast<std::uint64_t>(job.Find(counted)->failedRuns.size()))
+    .Add("limit", job.Submission().maxAttempts);
+  this->MarkDirty(aName.job);
+  if (job.AttemptsExhausted()) {
+    this->EndJob(aName.job, WorkflowState::Failed, "attempts used up");
+  }
+}
+
+void
+CellScheduler::TakeRunning(ScheduledWorker& aWorker, const RunningRow& aRow)
+{
+  Commitment* const commitment = aWorker.Find(aRow.task);
+  const std::optional<TaskName> name = ParseTaskName(aRow.task);
+  if (commitment != nullptr && commitment->run == aRow.run) {
+    if (commitment->phase == CommitmentPhase::Starting) {
+      commitment->phase = CommitmentPhase::Running;
+      commitment->confirmedAt = this->clock.Now();
+    }
+    commitment->usage = aRow.usage;
+    commitment->progressPercent = aRow.percent;
+    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+    WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+    if (task != nullptr && !aRow.checkpoint.empty() && task->run == aRow.run) {
+      task->checkpoint = aRow.checkpoint;
+    }
+    return;
+  }
+  if (commitment != nullptr) {
+    // An older run of a task that was started here anew is about to be listed
+    // as ended.
+    return;
+  }
+  if (!name) {
+    aWorker.foreignRuns = true;
+    return;
+  }
+  this->Adopt(aWorker, *name, aRow);
+}
+
+void
+CellScheduler::Adopt(ScheduledWorker& aWorker,
+                     const TaskName& aName,
+                     const RunningRow& aRow)
+{
+  Entry* const entry = this->FindJob(aName.job);
+  WorkflowTask* const task = entry ? entry->job.Find(aName) : nullptr;
+  Commitment commitment;
+  commitment.run = aRow.run;
+  commitment.phase = CommitmentPhase::Running;
+  commitment.confirmedAt = this->clock.Now();
+  commitment.startedAt = this->clock.Now();
+  commitment.stepKey = StepKeyOf(aName);
+  commitment.usage = aRow.usage;
+  commitment.progressPercent = aRow.percent;
+  if (task == nullptr) {
+    // Nothing is started beside a run of unknown size until it has gone.
+    commitment.sizeKnown = false;
+    aWorker.Commit(aRow.task, commitment);
+    this->StopRun(aWorker, aRow.task, "job has ended");
+    return;
+  }
+  commitment.step = entry->job.StepOf(aName);
+  const bool wanted =
+    task->status == TaskStatus::Pending && aRow.run >= task->run;
+  aWorker.Commit(aRow.task, commitment);
+  Event("task_found")
+    .Add("task", aRow.task)
+    .Add("run", aRow.run)
+    .Add("worker", aWorker.description.id)
+    .Add("adopted", wanted);
+  if (!wanted) {
+    this->StopRun(aWorker, aRow.task, "not wanted here");
+    return;
+  }
+  entry->job.Assign(aName, aWorker.description.id, aRow.run);
+  if (!aRow.checkpoint.empty()) {
+    task->checkpoint = aRow.checkpoint;
+  }
+}
+
+void
+CellScheduler::CheckMissing(ScheduledWorker& aWorker,
+                            TimePoint aSentAt,
+                            const WorkerReport& aReport)
+{
+  std::set<std::string_view> present;
+  for (const RunningRow& row : aReport.running) {
+    present.insert(row.task);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (present.contains(task)) {
+      continue;
+    }
+    // A report shows that a run is not there only if it was requested after the
+    // start was confirmed or could no longer take effect.
+    const bool settled = commitment.confirmedAt != TimePoint()
+                           ? aSentAt > commitment.confirmedAt
+                           : aSentAt > commitment.voidAt;
+    if (settled) {
+      missing.push_back(task);
+    }
+  }
+  for (const std::string& task : missing) {
+    this->LoseRun(aWorker, task, "not listed");
+  }
+}
+
+void
+CellScheduler::LoseRun(ScheduledWorker& aWorker,
+                       const std::string& aTask,
+                       const char* aReason)
+{
+  const Commitment* const commitment = aWorker.Find(aTask);
+  if (commitment == nullptr) {
+    return;
+  }
+  Event("run_lost")
+    .Add("task", aTask)
+    .Add("run", commitment->run)
+    .Add("worker", aWorker.description.id)
+    .Add("reason", aReason);
+  ++this->counts.runsLost;
+  aWorker.Release(aTask);
+  const std::optional<TaskName> name = ParseTaskName(aTask);
+  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  const WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+  if (task != nullptr && task->status == TaskStatus::Assigned &&
+      task->worker == aWorker.description.id) {
+    entry->job.Unassign(*name, this->clock.Now());
+  }
+}
+
+void
+CellScheduler::LoseAll(ScheduledWorker& aWorker, const char* aReason)
+{
+  std::vector<std::string> tasks;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    tasks.push_back(task);
+  }
+  for (const std::string& task : tasks) {
+    this->LoseRun(aWorker, task, aReason);
+  }
+}
+
+void
+CellScheduler::ExpireLeases()
+{
+  const TimePoint now = this->clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    if (now > worker.leaseGoneAt && !worker.Commitments().empty()) {
+      this->LoseAll(worker, "lease expired");
+    }
+  }
+  this->CheckRecovered();
+}
+
+void
+CellScheduler::HandleStart(const std::string& aWorker,
+                           const std::string& aTask,
+                           std::uint64_t aRun,
+                           const OrderReply& aReply,
+                           bool aMayBeInFlight)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  Commitment* const commitment = worker ? worker->Find(aTask) : nullptr;
+  if (commitment == nullptr || commitment->run != aRun) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  if (aReply.result == OrderResult::Done) {
+    if (commitment->phase == CommitmentPhase::Starting) {
+      commitment->phase = CommitmentPhase::Running;
+    }
+    commitment->confirmedAt = now;
+    return;
+  }
+  Event("start_turned_away", LogLevel::Warning)
+    .Add("task", aTask)
+    .Add("run", aRun)
+    .Add("worker", aWorker)
+    .Add("result", ToString(aReply.result))
+    .Add("in_flight", aMayBeInFlight);
+  ++this->counts.startsTurnedAway;
+  worker->backoffUntil = now + kTurnedAwayBackoff;
+  const bool final = aReply.result == OrderResult::OldRun ||
+                     aReply.result == OrderResult::Expired;
+  if (aReply.result == OrderResult::Unknown ||
+      aReply.result == OrderResult::Fenced || (aMayBeInFlight && !final)) {
+    return;
+  }
+  this->LoseRun(*worker, aTask, "start turned away");
+}
+
+void
+CellScheduler::HandleWrongWorker(const std::string& aWorker)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker != nullptr) {
+    worker->backoffUntil = this->clock.Now() + kTurnedAwayBackoff;
+  }
+}
+
+} // namespace sequoiakeel
--- a/src/PeerRpc.h
+++ b/src/PeerRpc.h
@@ -27,6 +27,7 @@
   QueryJob = 4,
   PlannerStatus = 5,
   ExplainJob = 6,
+  QueryWorkflow = 7,
 };
 
 /** Largest message, in bytes: a configuration document with room to spare. */
--- /dev/null
+++ b/src/ScheduledWorker.cpp
@@ -0,0 +1,123 @@
+#include "ScheduledWorker.h"
+
+#include "Error.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Share of its reservation that a task with a latency target uses on average.
+ * Serving tasks are sized for their peaks; the sheets of both deployments give
+ * a load of 0.45 with swings of half of that. */
+constexpr double kServingUse = 0.5;
+
+} // namespace
+
+Commitment*
+ScheduledWorker::Find(const std::string& aTask)
+{
+  const auto found = this->commitments.find(aTask);
+  return found == this->commitments.end() ? nullptr : &found->second;
+}
+
+void
+ScheduledWorker::Commit(const std::string& aTask, Commitment aCommitment)
+{
+  this->Count(aCommitment, 1);
+  ++this->byStep[aCommitment.stepKey];
+  const bool added =
+    this->commitments.emplace(aTask, std::move(aCommitment)).second;
+  InternalAssert(added, "the task already has a commitment on this worker");
+}
+
+void
+ScheduledWorker::Release(const std::string& aTask)
+{
+  const auto found = this->commitments.find(aTask);
+  if (found == this->commitments.end()) {
+    return;
+  }
+  this->Count(found->second, -1);
+  const auto step = this->byStep.find(found->second.stepKey);
+  if (--step->second == 0) {
+    this->byStep.erase(step);
+  }
+  this->commitments.erase(found);
+}
+
+void
+ScheduledWorker::Count(const Commitment& aCommitment, int aSign)
+{
+  CommittedRoom& sum = this->committed;
+  const WorkflowStep& step = aCommitment.step;
+  sum.unknownSizes += aCommitment.sizeKnown ? 0 : aSign;
+  sum.memoryMb += aSign * static_cast<std::int64_t>(step.memoryMb);
+  sum.accelerators += aSign * static_cast<std::int64_t>(step.accelerators);
+  const std::int64_t cpu = aSign * static_cast<std::int64_t>(step.cpuMilli);
+  if (step.filler) {
+    sum.fillerCpuMilli += cpu;
+    return;
+  }
+  sum.cpuMilli += cpu;
+  if (step.latencyTargetMs > 0) {
+    sum.servingCpuMilli += cpu;
+  }
+}
+
+bool
+ScheduledWorker::Fits(const WorkflowStep& aStep) const
+{
+  const WorkerRoom& room = this->description.room;
+  const CommittedRoom& used = this->committed;
+  if (used.memoryMb + aStep.memoryMb > room.memoryMb ||
+      used.accelerators + aStep.accelerators > room.accelerators) {
+    return false;
+  }
+  return aStep.filler || used.cpuMilli + aStep.cpuMilli <= room.cpuMilli;
+}
+
+std::uint32_t
+ScheduledWorker::CountOfStep(const std::string& aStepKey) const
+{
+  const auto found = this->byStep.find(aStepKey);
+  return found == this->byStep.end() ? 0 : found->second;
+}
+
+std::uint64_t
+ScheduledWorker::ClockAt(TimePoint aNow) const
+{
+  const auto elapsed =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - this->clockAt);
+  return this->clockMs +
+         static_cast<std::uint64_t>(std::max<std::int64_t>(0, elapsed.count()));
+}
+
+double
+ScheduledWorker::WorstLatencyRatio() const
+{
+  double worst = 0;
+  for (const auto& [task, commitment] : this->commitments) {
+    if (!commitment.Serves() || commitment.phase != CommitmentPhase::Running) {
+      continue;
+    }
+    worst = std::max(worst,
+                     static_cast<double>(commitment.usage) /
+                       commitment.step.latencyTargetMs);
+  }
+  return worst;
+}
+
+std::int64_t
+ScheduledWorker::SpareForFillers() const
+{
+  const CommittedRoom& used = this->committed;
+  const std::int64_t others = used.cpuMilli - used.servingCpuMilli;
+  const auto serving =
+    static_cast<std::int64_t>(kServingUse * used.servingCpuMilli);
+  return this->description.room.cpuMilli - others - serving -
+         used.fillerCpuMilli;
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/TaskName.cpp
@@ -0,0 +1,47 @@
+#include "TaskName.h"
+
+#include <charconv>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Cuts the last part after a dot off aText and reads it as a number. */
+bool
+TakeLastNumber(std::string_view& aText, std::uint32_t& aValue)
+{
+  const std::size_t dot = aText.rfind('.');
+  if (dot == std::string_view::npos) {
+    return false;
+  }
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + dot + 1, end, aValue);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return false;
+  }
+  aText.remove_suffix(aText.size() - dot);
+  return true;
+}
+
+} // namespace
+
+std::string
+FormatTaskName(const TaskName& aName)
+{
+  return aName.job + "." + std::to_string(aName.occurrence) + "." +
+         std::to_string(aName.step) + "." + std::to_string(aName.index);
+}
+
+std::optional<TaskName>
+ParseTaskName(std::string_view aText)
+{
+  TaskName name;
+  if (!TakeLastNumber(aText, name.index) || !TakeLastNumber(aText, name.step) ||
+      !TakeLastNumber(aText, name.occurrence) || aText.empty()) {
+    return std::nullopt;
+  }
+  name.job = aText;
+  return name;
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/TransactionalStore.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "Clock.h"
+#include "KeyValueStore.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** A key with its value, as of one revision of the store. */
+struct StoreItem
+{
+  std::string key;
+  std::string value;
+  /** Revision of the last write of the key. */
+  std::uint64_t revision = 0;
+  /** Revision in which the key was created. */
+  std::uint64_t created = 0;
+  /** Lease that the key is attached to, or kNoLease. */
+  std::uint64_t lease = 0;
+  /** The key was deleted in this revision. Only in watch events. */
+  bool deleted = false;
+};
+
+/** Condition of a transaction: the key's last write is at this revision;
+ * kAbsentVersion: the key does not exist. */
+struct StoreExpectation
+{
+  std::string key;
+  std::uint64_t revision = 0;
+};
+
+/** Write of a transaction. */
+struct StorePut
+{
+  std::string key;
+  std::string value;
+  std::uint64_t lease = kNoLease;
+};
+
+/** All-or-nothing change of several keys. */
+struct StoreTransaction
+{
+  std::vector<StoreExpectation> expect;
+  std::vector<StorePut> puts;
+  std::vector<std::string> removes;
+
+  std::size_t Size() const
+  {
+    return this->expect.size() + this->puts.size() + this->removes.size();
+  }
+};
+
+/** Most conditions and writes of one transaction. */
+inline constexpr std::size_t kMaxTransactionEntries = 32;
+
+struct StoreTransactionReply
+{
+  /** Conflict: a condition did not hold, or a lease is unknown. */
+  StoreResult result = StoreResult::Unavailable;
+  /** Revision of the change, if the result is Ok. */
+  std::uint64_t revision = 0;
+  /** State of the keys named in conditions, if the result is Conflict. Keys
+   * that do not exist are left out. */
+  std::vector<StoreItem> current;
+};
+
+struct StoreRangeReply
+{
+  StoreResult result = StoreResult::Unavailable;
+  std::vector<StoreItem> items;
+  /** Revision of the store when the first page was read. */
+  std::uint64_t revision = 0;
+};
+
+struct StoreWatchReply
+{
+  StoreResult result = StoreResult::Unavailable;
+  /** The history after the revision is gone: read the range again. */
+  bool compacted = false;
+  std::vector<StoreItem> events;
+  /** Revision from which to go on. */
+  std::uint64_t revision = 0;
+};
+
+/** Whether a read may be served from a copy that is seconds old. */
+enum class ReadFreshness : std::uint8_t
+{
+  Linearizable,
+  Stale,
+};
+
+/** A key-value service with multi-key transactions, leases and watches. Thread
+ * safe. Every call ends within aTimeout. */
+class TransactionalStore
+{
+public:
+  virtual ~TransactionalStore() = default;
+
+  /** Reads one key; no item: it does not exist. */
+  virtual boost::asio::awaitable<StoreRangeReply> Get(std::string aKey,
+                                                      Duration aTimeout) = 0;
+
+  /** Reads all keys with a prefix, page by page; the pages together are not a
+   * snapshot. */
+  virtual boost::asio::awaitable<StoreRangeReply>
+  Range(std::string aPrefix, ReadFreshness aFreshness, Duration aTimeout) = 0;
+
+  /** Waits up to aWait for changes after a revision. */
+  virtual boost::asio::awaitable<StoreWatchReply> Watch(std::string aPrefix,
+                                                        std::uint64_t aAfter,
+                                                        Duration aWait) = 0;
+
+  /** Applies a transaction. Result Unknown: it may have been applied, or may be
+   * later while its conditions hold. */
+  virtual boost::asio::awaitable<StoreTransactionReply> Commit(
+    StoreTransaction aTransaction,
+    Duration aTimeout) = 0;
+
+  /** Grants a lease. */
+  virtual boost::asio::awaitable<StoreLeaseReply> GrantLease(
+    std::chrono::milliseconds aTtl,
+    Duration aTimeout) = 0;
+
+  /** Renews a lease; Conflict: it has ended. */
+  virtual boost::asio::awaitable<StoreLeaseReply> RenewLease(
+    std::uint64_t aLease,
+    Duration aTimeout) = 0;
+
+  /** Ends a lease and deletes its keys. */
+  virtual boost::asio::awaitable<StoreLeaseReply> EndLease(
+    std::uint64_t aLease,
+    Duration aTimeout) = 0;
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/WorkerChoice.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "ScheduledWorker.h"
+
+#include <optional>
+
+namespace sequoiakeel {
+
+/**
+ * Strategy that rates workers for one task. Only workers that may run the task
+ * by every hard rule are offered to it. Stateless; thread safe.
+ */
+class WorkerChoice
+{
+public:
+  virtual ~WorkerChoice() = default;
+
+  /** Returns how well a worker suits a task, higher is better; empty: the task
+   * should rather wait. */
+  virtual std::optional<double> Rate(const ScheduledWorker& aWorker,
+                                     const WorkflowStep& aStep) const = 0;
+};
+
+/** Takes any worker with room. The baseline for differential tests. */
+class FirstFitChoice : public WorkerChoice
+{
+public:
+  std::optional<double> Rate(const ScheduledWorker& aWorker,
+                             const WorkflowStep& aStep) const override;
+};
+
+/**
+ * Answers a pool that is mostly full of long-running tasks, beside which short
+ * jobs and fillers come and go:
+ * - long-running tasks are spread, so that one crash costs each job little;
+ * - short tasks take the worker with the least room that is enough, so that
+ *   large tasks still find a place;
+ * - fillers go where most processor time is unused and no serving task is close
+ *   to its latency target.
+ */
+class ColocationChoice : public WorkerChoice
+{
+public:
+  std::optional<double> Rate(const ScheduledWorker& aWorker,
+                             const WorkflowStep& aStep) const override;
+};
+
+/** Tells whether a worker may run a task of a step by every rule that does not
+ * depend on preferences: state, room, labels, limits by step. */
+bool
+MayRun(const ScheduledWorker& aWorker,
+       const std::string& aService,
+       const WorkflowStep& aStep,
+       const std::string& aStepKey,
+       TimePoint aNow);
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/WorkflowGateway.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "CellService.h"
+#include "PeerRpc.h"
+#include "TransactionalStore.h"
+#include "generated/Workflow.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** What became of a submission. */
+enum class SubmissionOutcome : std::uint8_t
+{
+  /** The job is stored, now or by an earlier submission of its id. */
+  Accepted,
+  /** It was not stored and never will be by this call. */
+  NotAccepted,
+  /** Whether it was stored isn't known; the same id may be submitted again. */
+  Unknown,
+};
+
+/** What became of a cancellation. */
+enum class CancelOutcome : std::uint8_t
+{
+  Cancelled,
+  /** No such job. */
+  NoSuchJob,
+  /** The store did not answer in time. */
+  Unknown,
+};
+
+/**
+ * Callers' side of workflow jobs at any node: submissions and cancellations go
+ * to the store, queries to the owner of the job's cell or, without one, to the
+ * store. Thread safe.
+ */
+class WorkflowGateway
+{
+public:
+  /** aCells holds the service of each cell, by number. The references outlive
+   * the gateway. */
+  WorkflowGateway(TransactionalStore& aStore,
+                  PeerClient& aPeers,
+                  std::vector<std::shared_ptr<CellService>> aCells,
+                  const Clock& aClock);
+
+  /** Stores a job unless its id is known. Precondition: CheckSubmission()
+   * found no fault. */
+  boost::asio::awaitable<SubmissionOutcome> Submit(
+    WorkflowSubmission aSubmission,
+    TimePoint aDeadline);
+
+  /** Returns a job's state; Unknown: no such job; nothing: it can't be read. */
+  boost::asio::awaitable<std::optional<WorkflowState>> State(
+    std::string aJob,
+    TimePoint aDeadline);
+
+  /** Cancels a job. */
+  boost::asio::awaitable<CancelOutcome> Cancel(std::string aJob,
+                                               TimePoint aDeadline);
+
+  /** Returns how many jobs of a queue have no started task; nothing if an owner
+   * does not answer. */
+  boost::asio::awaitable<std::optional<std::uint64_t>> Pending(
+    std::string aQueue,
+    TimePoint aDeadline);
+
+private:
+  std::uint32_t CellOf(const std::string& aJob) const;
+  boost::asio::awaitable<std::optional<WorkflowReply>> AskOwner(
+    WorkflowQuery aQuery,
+    TimePoint aDeadline);
+  boost::asio::awaitable<std::optional<WorkflowState>> StateInStore(
+    std::string aJob,
+    TimePoint aDeadline);
+  Duration Left(TimePoint aDeadline) const;
+
+  TransactionalStore& store;
+  PeerClient& peers;
+  std::vector<std::shared_ptr<CellService>> cells;
+  const Clock& clock;
+};
+
+/** Answers WorkflowQuery messages of peers from the cells of this process.
+ * Precondition: the server was not started. */
+void
+ServeWorkflowQueries(PeerServer& aServer,
+                     std::vector<std::shared_ptr<CellService>> aCells);
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/WorkflowJob.cpp
@@ -0,0 +1,243 @@
+#include "WorkflowJob.h"
+
+#include "Error.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Returns for each step the duration of the longest chain that ends with it.
+ */
+double
+LongestChainMs(const std::vector<WorkflowStep>& aSteps)
+{
+  std::vector<double> until(aSteps.size(), 0.0);
+  double longest = 0;
+  for (std::size_t i = 0; i < aSteps.size(); ++i) {
+    double before = 0;
+    for (const std::uint32_t earlier : aSteps[i].after) {
+      before = std::max(before, until[earlier]);
+    }
+    until[i] = before + aSteps[i].estimateMs;
+    longest = std::max(longest, until[i]);
+  }
+  return longest;
+}
+
+} // namespace
+
+WorkflowJob::WorkflowJob(WorkflowSubmission aSubmission, TimePoint aNow)
+  : submission(std::move(aSubmission))
+  , criticalPathMs(LongestChainMs(submission.steps))
+{
+  const Recurrence& recurrence = this->submission.recurrence;
+  const std::uint32_t count = std::max<std::uint32_t>(1, recurrence.count);
+  this->occurrences.resize(count);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    WorkflowOccurrence& occurrence = this->occurrences[i];
+    if (recurrence.count > 0) {
+      occurrence.dueUnixMs = recurrence.firstUnixMs + i * recurrence.intervalMs;
+    }
+    for (const WorkflowStep& step : this->submission.steps) {
+      WorkflowStepTasks tasks;
+      tasks.tasks.resize(step.count);
+      tasks.pending = step.count;
+      for (WorkflowTask& task : tasks.tasks) {
+        task.pendingSince = aNow;
+      }
+      this->openTasks += step.count;
+      occurrence.steps.push_back(std::move(tasks));
+    }
+  }
+}
+
+void
+WorkflowJob::Restore(const WorkflowProgress& aProgress)
+{
+  for (const StepProgress& step : aProgress.steps) {
+    for (const std::uint32_t index : step.done) {
+      const TaskName name{
+        this->submission.id, step.occurrence, step.step, index
+      };
+      if (this->Find(name) != nullptr) {
+        this->MarkDone(name);
+      }
+    }
+    this->started = true;
+  }
+  for (const TaskFailures& failures : aProgress.failures) {
+    const TaskName name{
+      this->submission.id, failures.occurrence, failures.step, failures.index
+    };
+    if (this->Find(name) == nullptr) {
+      continue;
+    }
+    for (const std::uint64_t run : failures.runs) {
+      this->MarkFailed(name, run);
+    }
+    this->started = true;
+  }
+}
+
+WorkflowTask*
+WorkflowJob::Find(const TaskName& aName)
+{
+  if (aName.occurrence >= this->occurrences.size()) {
+    return nullptr;
+  }
+  WorkflowOccurrence& occurrence = this->occurrences[aName.occurrence];
+  if (aName.step >= occurrence.steps.size() ||
+      aName.index >= occurrence.steps[aName.step].tasks.size()) {
+    return nullptr;
+  }
+  return &occurrence.steps[aName.step].tasks[aName.index];
+}
+
+bool
+WorkflowJob::DependenciesDone(std::uint32_t aOccurrence,
+                              std::uint32_t aStep) const
+{
+  const std::vector<std::uint32_t>& after = this->submission.steps[aStep].after;
+  const WorkflowOccurrence& occurrence = this->occurrences[aOccurrence];
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
+    return occurrence.steps[aEarlier].AllDone();
+  });
+}
+
+void
+WorkflowJob::Assign(const TaskName& aName,
+                    const std::string& aWorker,
+                    std::uint64_t aRun)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr && task->status == TaskStatus::Pending,
+                 "only a pending task can be assigned");
+  task->status = TaskStatus::Assigned;
+  task->worker = aWorker;
+  task->run = std::max(task->run, aRun);
+  --this->TasksOf(aName).pending;
+  this->started = true;
+}
+
+void
+WorkflowJob::Unassign(const TaskName& aName, TimePoint aNow)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr && task->status == TaskStatus::Assigned,
+                 "only an assigned task can be taken back");
+  task->status = TaskStatus::Pending;
+  task->worker.clear();
+  task->pendingSince = aNow;
+  ++this->TasksOf(aName).pending;
+}
+
+bool
+WorkflowJob::MarkDone(const TaskName& aName)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr, "unknown task");
+  if (task->status == TaskStatus::Done) {
+    return false;
+  }
+  WorkflowStepTasks& tasks = this->TasksOf(aName);
+  if (task->status == TaskStatus::Pending) {
+    --tasks.pending;
+  }
+  task->status = TaskStatus::Done;
+  task->worker.clear();
+  ++tasks.done;
+  --this->openTasks;
+  return true;
+}
+
+bool
+WorkflowJob::MarkFailed(const TaskName& aName, std::uint64_t aRun)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr, "unknown task");
+  std::vector<std::uint64_t>& runs = task->failedRuns;
+  if (std::find(runs.begin(), runs.end(), aRun) != runs.end()) {
+    return false;
+  }
+  task->run = std::max(task->run, aRun);
+  if (this->StepOf(aName).longRunning) {
+    return false;
+  }
+  runs.push_back(aRun);
+  if (runs.size() >= this->submission.maxAttempts) {
+    this->exhausted = true;
+  }
+  return true;
+}
+
+WorkflowProgress
+WorkflowJob::Progress(WorkflowState aState) const
+{
+  WorkflowProgress progress;
+  progress.id = this->submission.id;
+  progress.queue = this->submission.queue;
+  progress.state = aState;
+  for (std::uint32_t k = 0; k < this->occurrences.size(); ++k) {
+    for (std::uint32_t s = 0; s < this->occurrences[k].steps.size(); ++s) {
+      const WorkflowStepTasks& step = this->occurrences[k].steps[s];
+      StepProgress done{ k, s, {} };
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const WorkflowTask& task = step.tasks[i];
+        if (task.status == TaskStatus::Done) {
+          done.done.push_back(i);
+          continue;
+        }
+        if (!task.failedRuns.empty()) {
+          progress.failures.push_back(TaskFailures{ k, s, i, task.failedRuns });
+        }
+      }
+      if (!done.done.empty()) {
+        progress.steps.push_back(std::move(done));
+      }
+    }
+  }
+  return progress;
+}
+
+double
+WorkflowJob::ObjectiveUnixMs() const
+{
+  return static_cast<double>(this->submission.acceptedUnixMs) +
+         this->submission.objectiveStretch * this->criticalPathMs +
+         this->submission.objectiveMs;
+}
+
+std::string
+CheckSubmission(const WorkflowSubmission& aSubmission)
+{
+  if (aSubmission.id.empty()) {
+    return "the job has no id";
+  }
+  if (aSubmission.steps.empty()) {
+    return "the job has no steps";
+  }
+  std::uint64_t tasks = 0;
+  for (std::size_t i = 0; i < aSubmission.steps.size(); ++i) {
+    const WorkflowStep& step = aSubmission.steps[i];
+    if (step.count == 0) {
+      return "step " + std::to_string(i) + " has no tasks";
+    }
+    tasks += step.count;
+    for (const std::uint32_t earlier : step.after) {
+      if (earlier >= i) {
+        return "step " + std::to_string(i) +
+               " waits for a step that is not before it";
+      }
+    }
+  }
+  tasks *= std::max<std::uint32_t>(1, aSubmission.recurrence.count);
+  if (tasks > kMaxTasksPerJob) {
+    return "the job has more than " + std::to_string(kMaxTasksPerJob) +
+           " tasks";
+  }
+  return "";
+}
+
+} // namespace sequoiakeel
