--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -65,7 +65,6 @@
   std::string task;
   std::uint64_t run = 0;
   int percent = 100;
-  double latencyRatio = 0;
 };
 
 /** Orders to workers that one round of planning led to. */
@@ -253,6 +252,10 @@
   void StopRun(ScheduledWorker& aWorker,
                const std::string& aTask,
                const char* aReason);
+  void ObserveInterference(const ScheduledWorker& aWorker);
+  void AdjustFillers(ScheduledWorker& aWorker);
+  double LatencyRatioFor(const ScheduledWorker& aWorker,
+                         const std::string& aFillerImage) const;
   void TakeEnd(ScheduledWorker& aWorker, const EndedRow& aRow);
   void TakeRunEnd(const std::string& aWorker,
                   const TaskName& aName,
@@ -308,6 +311,8 @@
   /** Number of the last change of durable progress. */
   std::uint64_t change = 0;
   Quarantine quarantine;
+  FillerInterference interference;
+  TimePoint interferenceUpdatedAt;
   SchedulerCounts counts;
 };
 
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -113,7 +113,8 @@
     if (this->quarantine.StateOf(now, id) == QuarantineState::Quarantined) {
       continue;
     }
-    std::optional<double> rate = this->policies.choice.Rate(worker, aStep);
+    std::optional<double> rate =
+      this->policies.choice.Rate(worker, aStep, this->interference, now);
     if (!rate) {
       continue;
     }
@@ -316,23 +317,17 @@
       Commitment& commitment = *worker.Find(task);
       if (!commitment.step.filler ||
           commitment.phase != CommitmentPhase::Running ||
-          commitment.speedPercent == worker.fillerPercent) {
+          commitment.speedPercent ==
+            worker.FillerPercent(commitment.step.image)) {
         continue;
       }
-      commitment.speedPercent = worker.fillerPercent;
+      commitment.speedPercent = worker.FillerPercent(commitment.step.image);
       ++this->counts.throttles;
-      const double ratio = worker.WorstLatencyRatio();
-      Event("filler_speed")
-        .Add("task", task)
-        .Add("worker", id)
-        .Add("percent", commitment.speedPercent)
-        .Add("latency_ratio", ratio);
       aOrders.throttles.push_back(PlannedThrottle{ id,
                                                    worker.description.endpoint,
                                                    task,
                                                    commitment.run,
-                                                   commitment.speedPercent,
-                                                   ratio });
+                                                   commitment.speedPercent });
     }
   }
 }
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -12,6 +12,23 @@
  * health rarely changes faster than it reports. */
 constexpr std::chrono::milliseconds kTurnedAwayBackoff{ 300 };
 
+/** Workers report latencies over the last half second, so the speed of fillers
+ * is adjusted once in that time. */
+constexpr std::chrono::milliseconds kLatencyWindow{ 500 };
+
+/** A run shows in the figures of its worker only after this time. */
+constexpr std::chrono::milliseconds kSettleTime{ 700 };
+
+constexpr std::chrono::milliseconds kInterferenceInterval{ 1000 };
+
+/** A filler with a smaller effect on a serving task is not slowed for it. */
+constexpr double kHarmlessEffect = 0.2;
+
+/** After so many readings in a row over a target all fillers are slowed, since
+ * the learnt effects explain the latency no longer. A target may be missed for
+ * four seconds because of fillers. */
+constexpr int kSuspectAllAfter = 3;
+
 std::string
 StepKeyOf(const TaskName& aName)
 {
@@ -67,12 +84,104 @@
     this->TakeRunning(*worker, row);
   }
   this->CheckMissing(*worker, aSentAt, aReport);
-  worker->fillerPercent = this->policies.throttle.Next(
-    worker->fillerPercent, worker->WorstLatencyRatio());
+  this->AdjustFillers(*worker);
   this->awaitedWorkers.erase(aWorker);
   this->CheckRecovered();
 }
 
+void
+CellScheduler::ObserveInterference(const ScheduledWorker& aWorker)
+{
+  const TimePoint now = this->clock.Now();
+  const auto isSettled = [now](const Commitment& aCommitment) {
+    return aCommitment.phase == CommitmentPhase::Running &&
+           now - aCommitment.confirmedAt > kSettleTime;
+  };
+  std::map<std::string, double> shares;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (commitment.step.filler && isSettled(commitment)) {
+      shares[commitment.step.image] +=
+        static_cast<double>(commitment.usage) /
+        static_cast<double>(aWorker.description.room.cpuMilli);
+    }
+  }
+  std::vector<FillerLoad> fillers;
+  for (const auto& [image, share] : shares) {
+    fillers.push_back(FillerLoad{ image, share });
+  }
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (commitment.Serves() && isSettled(commitment)) {
+      this->interference.Observe(
+        commitment.step.image, static_cast<double>(commitment.usage), fillers);
+    }
+  }
+  if (now - this->interferenceUpdatedAt > kInterferenceInterval) {
+    this->interferenceUpdatedAt = now;
+    this->interference.Update();
+  }
+}
+
+double
+CellScheduler::LatencyRatioFor(const ScheduledWorker& aWorker,
+                               const std::string& aFillerImage) const
+{
+  const bool suspectAll = aWorker.overTarget >= kSuspectAllAfter;
+  double worst = 0;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (!commitment.Serves() || commitment.phase != CommitmentPhase::Running) {
+      continue;
+    }
+    const double effect =
+      this->interference.Effect(commitment.step.image, aFillerImage);
+    if (!suspectAll && effect <= kHarmlessEffect) {
+      continue;
+    }
+    worst = std::max(worst,
+                     static_cast<double>(commitment.usage) /
+                       commitment.step.latencyTargetMs);
+  }
+  return worst;
+}
+
+void
+CellScheduler::AdjustFillers(ScheduledWorker& aWorker)
+{
+  const TimePoint now = this->clock.Now();
+  if (now - aWorker.fillersAdjustedAt < kLatencyWindow) {
+    return;
+  }
+  aWorker.fillersAdjustedAt = now;
+  this->ObserveInterference(aWorker);
+  const double ratio = aWorker.WorstLatencyRatio();
+  aWorker.overTarget = ratio > 1 ? aWorker.overTarget + 1 : 0;
+  std::set<std::string> images;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (commitment.step.filler) {
+      images.insert(commitment.step.image);
+    }
+  }
+  std::erase_if(aWorker.fillerPercents, [&images](const auto& aItem) {
+    return !images.contains(aItem.first);
+  });
+  for (const std::string& image : images) {
+    const int before = aWorker.FillerPercent(image);
+    const double own = this->LatencyRatioFor(aWorker, image);
+    const int percent = this->policies.throttle.Next(before, own);
+    if (percent == before) {
+      continue;
+    }
+    aWorker.fillerPercents[image] = percent;
+    Event("filler_speed")
+      .Add("worker", aWorker.description.id)
+      .Add("image", image)
+      .Add("from_percent", before)
+      .Add("percent", percent)
+      .Add("latency_ratio", own)
+      .Add("worst_ratio", ratio)
+      .Add("over_target", aWorker.overTarget);
+  }
+}
+
 void
 CellScheduler::TakeEnd(ScheduledWorker& aWorker, const EndedRow& aRow)
 {
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -94,6 +94,13 @@
          static_cast<std::uint64_t>(std::max<std::int64_t>(0, elapsed.count()));
 }
 
+int
+ScheduledWorker::FillerPercent(const std::string& aImage) const
+{
+  const auto found = this->fillerPercents.find(aImage);
+  return found == this->fillerPercents.end() ? 100 : found->second;
+}
+
 double
 ScheduledWorker::WorstLatencyRatio() const
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -89,8 +89,12 @@
   std::uint64_t seenChange = 0;
   /** Ends up to here are durable and may be forgotten by the worker. */
   std::uint64_t durableEnds = 0;
-  /** Share of their speed that fillers have here. */
-  int fillerPercent = 100;
+  /** Speed of fillers by image, in percent; full speed if not listed. */
+  std::map<std::string, int> fillerPercents;
+  /** When fillerPercents was last considered. */
+  TimePoint fillersAdjustedAt;
+  /** Considerations in a row that found a serving task over its target. */
+  int overTarget = 0;
 
   const std::map<std::string, Commitment>& Commitments() const
   {
@@ -119,6 +123,9 @@
    * from its rate. Precondition: clockMs is known. */
   std::uint64_t ClockAt(TimePoint aNow) const;
 
+  /** Returns the speed that fillers of an image have here, in percent. */
+  int FillerPercent(const std::string& aImage) const;
+
   /** Returns the largest tail latency of a serving task against its target; 0
    * without any. */
   double WorstLatencyRatio() const;
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FillerInterference.h"
 #include "ScheduledWorker.h"
 
 #include <optional>
@@ -18,7 +19,9 @@
   /** Returns how well a worker suits a task, higher is better; empty: the task
    * should rather wait. */
   virtual std::optional<double> Rate(const ScheduledWorker& aWorker,
-                                     const WorkflowStep& aStep) const = 0;
+                                     const WorkflowStep& aStep,
+                                     const FillerInterference& aInterference,
+                                     TimePoint aNow) const = 0;
 };
 
 /** Takes any worker with room. The baseline for differential tests. */
@@ -26,23 +29,29 @@
 {
 public:
   std::optional<double> Rate(const ScheduledWorker& aWorker,
-                             const WorkflowStep& aStep) const override;
+                             const WorkflowStep& aStep,
+                             const FillerInterference& aInterference,
+                             TimePoint aNow) const override;
 };
 
 /**
  * Answers a pool that is mostly full of long-running tasks, beside which short
  * jobs and fillers come and go:
- * - long-running tasks are spread, so that one crash costs each job little;
- * - short tasks take the worker with the least room that is enough, so that
+ * - tasks that serve requests are packed with others of their image, so that
+ *   each filler finds workers on which it disturbs nobody, and some workers
+ * stay free of serving tasks;
+ * - other tasks take the worker with the least room that is enough, so that
  *   large tasks still find a place;
- * - fillers go where most processor time is unused and no serving task is close
- *   to its latency target.
+ * - fillers go where most processor time is unused and where they press serving
+ *   tasks least.
  */
 class ColocationChoice : public WorkerChoice
 {
 public:
   std::optional<double> Rate(const ScheduledWorker& aWorker,
-                             const WorkflowStep& aStep) const override;
+                             const WorkflowStep& aStep,
+                             const FillerInterference& aInterference,
+                             TimePoint aNow) const override;
 };
 
 /** Tells whether a worker may run a task of a step by every rule that does not
