Detect silent paths on client connections by keep-alive probes

Ruled out: the read after a failed watch, which works. Connection attempts could also wait for retransmissions of the opening packet.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -10,6 +10,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace sequoiakeel {
 
@@ -28,6 +31,16 @@
 
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
 
+/** A connection is set up within milliseconds. A lost opening packet is sent
+ * again after a second and then ever later, so a new attempt is faster. */
+constexpr std::chrono::milliseconds kConnectTimeout{ 800 };
+
+/** A silent path is found within two seconds: a configuration has to be in
+ * force that long after it was accepted. */
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 1;
+constexpr int kUserTimeoutMs = 2000;
+
 http::request<http::string_body>
 ToBeast(HttpRequest& aRequest)
 {
@@ -57,6 +70,21 @@
   return response;
 }
 
+/** Lets the system end a connection whose other end or path has gone, also one
+ * on which a response is awaited for long. */
+void
+DetectSilence(int aSocket)
+{
+  const auto set = [aSocket](int aLevel, int aName, int aValue) {
+    setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
 bool
 IsTimeout(const error_code& aError)
 {
@@ -94,14 +122,16 @@
   }
   const asio::ip::tcp::endpoint endpoint(
     address, static_cast<std::uint16_t>(aEndpoint.port));
-  this->implementation->stream.expires_after(aTimeout);
+  this->implementation->stream.expires_after(
+    std::min<Duration>(aTimeout, kConnectTimeout));
   co_await this->implementation->stream.async_connect(
     endpoint, asio::redirect_error(use_awaitable, error));
   if (error) {
     co_return error.message();
   }
-  this->implementation->stream.socket().set_option(
-    asio::ip::tcp::no_delay(true), error);
+  auto& socket = this->implementation->stream.socket();
+  socket.set_option(asio::ip::tcp::no_delay(true), error);
+  DetectSilence(socket.native_handle());
   this->implementation->reusable = true;
   co_return std::string();
 }
