--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -196,6 +196,10 @@
         .Add("draining", description.draining);
     }
     worker.description = description;
+    if (worker.reported &&
+        description.incarnation > worker.reportedIncarnation) {
+      this->BeginIncarnation(worker, description.incarnation);
+    }
   }
   this->DropUnlistedWorkers();
   this->quarantine.SetFleetSize(this->workers.size());
@@ -282,7 +286,7 @@
 CellScheduler::LeaseUntil(const std::string& aWorker) const
 {
   const ScheduledWorker* const worker = this->FindWorker(aWorker);
-  if (worker == nullptr || worker->clockMs == 0) {
+  if (worker == nullptr || worker->clockMs == 0 || worker->silent) {
     return 0;
   }
   return worker->ClockAt(this->clock.Now()) +
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -178,6 +178,11 @@
                     std::uint64_t aWorkerMs,
                     const WorkerReport& aReport);
 
+  /** Takes in that a worker did not answer a renewal. Until it reports again it
+   * gets no further lease, so that its tasks can go elsewhere once the present
+   * one has expired. */
+  void HandleSilence(const std::string& aWorker);
+
   /** Takes in the outcome of a start. aMayBeInFlight: an earlier copy of the
    * order had no answer. */
   void HandleStart(const std::string& aWorker,
@@ -272,6 +277,7 @@
                const std::string& aTask,
                const char* aReason);
   void LoseAll(ScheduledWorker& aWorker, const char* aReason);
+  void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
   void ExpireLeases();
   void CheckRecovered();
   void MarkDirty(const std::string& aJob);
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -49,25 +49,20 @@
     return;
   }
   const TimePoint now = this->clock.Now();
-  const bool reborn = worker->reported &&
-                      aReport.incarnation != worker->description.incarnation &&
-                      aReport.incarnation > 0;
-  if (reborn || !worker->reported) {
+  if (aReport.incarnation < worker->reportedIncarnation) {
+    return;
+  }
+  if (!worker->reported) {
     Event("worker_reported")
       .Add("worker", aWorker)
       .Add("incarnation", aReport.incarnation)
-      .Add("reborn", reborn)
       .Add("running", static_cast<std::uint64_t>(aReport.running.size()))
       .Add("ended", static_cast<std::uint64_t>(aReport.ended.size()));
+    worker->reportedIncarnation = aReport.incarnation;
+  } else if (aReport.incarnation > worker->reportedIncarnation) {
+    this->BeginIncarnation(*worker, aReport.incarnation);
   }
-  if (reborn) {
-    this->LoseAll(*worker, "reborn");
-    worker->seenEnds = 0;
-    worker->durableEnds = 0;
-  }
-  if (aReport.incarnation > 0) {
-    worker->description.incarnation = aReport.incarnation;
-  }
+  worker->silent = false;
   worker->reported = true;
   worker->lastReportAt = now;
   worker->clockMs = aWorkerMs;
@@ -411,6 +406,22 @@
   }
 }
 
+void
+CellScheduler::BeginIncarnation(ScheduledWorker& aWorker,
+                                std::uint64_t aIncarnation)
+{
+  Event("worker_restarted")
+    .Add("worker", aWorker.description.id)
+    .Add("from_incarnation", aWorker.reportedIncarnation)
+    .Add("incarnation", aIncarnation);
+  this->LoseAll(aWorker, "worker restarted");
+  aWorker.reportedIncarnation = aIncarnation;
+  aWorker.seenEnds = 0;
+  aWorker.durableEnds = 0;
+  // The new incarnation's clock is unknown until it reports.
+  aWorker.clockMs = 0;
+}
+
 void
 CellScheduler::ExpireLeases()
 {
@@ -451,15 +462,28 @@
     .Add("in_flight", aMayBeInFlight);
   ++this->counts.startsTurnedAway;
   worker->backoffUntil = now + kTurnedAwayBackoff;
-  const bool final = aReply.result == OrderResult::OldRun ||
-                     aReply.result == OrderResult::Expired;
+  if (aReply.result == OrderResult::OldRun) {
+    // An earlier copy of the order was carried out and its run has ended. The
+    // next report tells how.
+    commitment->phase = CommitmentPhase::Running;
+    commitment->confirmedAt = now;
+    return;
+  }
   if (aReply.result == OrderResult::Unknown ||
-      aReply.result == OrderResult::Fenced || (aMayBeInFlight && !final)) {
+      aReply.result == OrderResult::Fenced || aMayBeInFlight) {
     return;
   }
   this->LoseRun(*worker, aTask, "start turned away");
 }
 
+void
+CellScheduler::HandleSilence(const std::string& aWorker)
+{
+  if (ScheduledWorker* const worker = this->Worker(aWorker)) {
+    worker->silent = true;
+  }
+}
+
 void
 CellScheduler::HandleWrongWorker(const std::string& aWorker)
 {
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -15,7 +15,10 @@
 
 constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
 constexpr std::chrono::milliseconds kStoreRetry{ 150 };
-constexpr std::chrono::seconds kWatchWait{ 25 };
+
+/** Longest wait of the watch of the owner. A watch that was waiting when the
+ * store failed hears nothing more; each one that ends counts as a call. */
+constexpr std::chrono::milliseconds kWatchWait{ 3000 };
 
 /** Candidates spread their attempts over this time, so that most of them see
  * the winner before they try. */
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -25,8 +25,10 @@
  * 300. */
 constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
 
-/** Longest wait of a watch; each one that ends counts as a call. */
-constexpr std::chrono::seconds kWatchWait{ 20 };
+/** Longest wait of the watch of submissions. A watch that was waiting when the
+ * store failed hears nothing more on a connection that stays open;
+ * cancellations must be seen within three seconds. */
+constexpr std::chrono::milliseconds kWatchWait{ 1000 };
 
 constexpr std::chrono::milliseconds kStoreRetry{ 100 };
 
@@ -655,6 +657,7 @@
     }
     reachable = done;
     if (!done) {
+      this->scheduler.HandleSilence(aWorker);
       if (reply.order.result == OrderResult::WrongWorker) {
         this->scheduler.HandleWrongWorker(aWorker);
       }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -73,6 +73,11 @@
   bool listed = true;
   /** The worker has reported to this owner. */
   bool reported = false;
+  /** Incarnation whose ends are counted in seenEnds; the registry may already
+   * describe a newer one. */
+  std::uint64_t reportedIncarnation = 0;
+  /** The worker did not answer the last renewal. */
+  bool silent = false;
   /** The worker listed a run whose name is not ours. */
   bool foreignRuns = false;
   /** No starts until then, after it turned one away. */
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -28,6 +28,9 @@
  * unused; with less it would slow down itself and all others there. */
 constexpr double kFillerMinShare = 0.6;
 
+/** A worker reports at least once a second; one that is late may hang. */
+constexpr std::chrono::milliseconds kReportOverdue{ 1500 };
+
 /** Weight of a worker in the rack that holds the data, above any other
  * preference. */
 constexpr double kDataRackBonus = 1e6;
@@ -169,7 +172,9 @@
        TimePoint aNow)
 {
   const WorkerDescription& worker = aWorker.description;
-  if (!aWorker.listed || !aWorker.reported || aWorker.foreignRuns ||
+  const bool silent =
+    aWorker.silent || aNow - aWorker.lastReportAt > kReportOverdue;
+  if (!aWorker.listed || !aWorker.reported || silent || aWorker.foreignRuns ||
       aWorker.Committed().unknownSizes > 0 || worker.draining ||
       aNow < aWorker.backoffUntil || aWorker.clockMs == 0) {
     return false;
--- /dev/null
+++ b/test/support/SchedulerHarness.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "CellScheduler.h"
+#include "ManualClock.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** A time of day that follows a manual clock. */
+class ManualWallClock : public WallClock
+{
+public:
+  explicit ManualWallClock(const Clock& aClock)
+    : clock(aClock)
+  {
+  }
+
+  std::uint64_t UnixMs() const override
+  {
+    return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->clock.Now().time_since_epoch())
+        .count());
+  }
+
+private:
+  const Clock& clock;
+};
+
+/** A scheduler with its policies on a manual clock. */
+struct SchedulerHarness
+{
+  ManualClock clock;
+  ManualWallClock wallClock{ clock };
+  SlackOrder order;
+  ColocationChoice choice;
+  MultiplicativeThrottle throttle;
+  SchedulerBounds bounds;
+  CellScheduler scheduler{ bounds,
+                           { order, choice, throttle },
+                           clock,
+                           wallClock,
+                           clock.Now() + std::chrono::seconds(8) };
+
+  static WorkerDescription Worker(const std::string& aId,
+                                  std::uint64_t aIncarnation = 1)
+  {
+    WorkerDescription worker;
+    worker.id = aId;
+    worker.incarnation = aIncarnation;
+    worker.service = "desk";
+    worker.endpoint = Endpoint{ "127.0.0.1", 1 };
+    worker.rack = "r1";
+    worker.labels = { "a", "r1" };
+    worker.room = WorkerRoom{ 32000, 128000, 0 };
+    return worker;
+  }
+
+  /** A job of one step with aCount tasks of a core each. */
+  WorkflowSubmission Job(const std::string& aId, std::uint32_t aCount = 1) const
+  {
+    WorkflowSubmission job;
+    job.id = aId;
+    job.queue = "quotes";
+    job.service = "desk";
+    job.maxAttempts = 3;
+    job.acceptedUnixMs = this->wallClock.UnixMs();
+    WorkflowStep step;
+    step.count = aCount;
+    step.cpuMilli = 1000;
+    step.memoryMb = 100;
+    step.estimateMs = 500;
+    job.steps.push_back(step);
+    return job;
+  }
+
+  /** The worker's clock counts from the manual clock's zero. */
+  std::uint64_t WorkerMs() const { return this->wallClock.UnixMs(); }
+
+  /** Lists workers, makes them part of the roster and lets them report. */
+  void AddWorkers(const std::vector<std::string>& aIds)
+  {
+    std::vector<WorkerDescription> workers;
+    for (const std::string& id : aIds) {
+      workers.push_back(Worker(id));
+    }
+    this->scheduler.SetRoster({});
+    this->scheduler.UpdateWorkers(workers);
+    this->scheduler.RosterWritten(this->scheduler.RosterToWrite());
+    for (const std::string& id : aIds) {
+      this->Report(id, 1, {}, {});
+    }
+  }
+
+  void Report(const std::string& aWorker,
+              std::uint64_t aIncarnation,
+              std::vector<RunningRow> aRunning,
+              std::vector<EndedRow> aEnded)
+  {
+    const TimePoint sentAt = this->clock.Now();
+    this->clock.Advance(std::chrono::milliseconds(2));
+    this->scheduler.HandleReport(
+      aWorker,
+      sentAt,
+      this->WorkerMs(),
+      WorkerReport{ aIncarnation, std::move(aRunning), std::move(aEnded) });
+  }
+
+  /** Plans and confirms every start. */
+  std::vector<PlannedStart> PlanAndConfirm()
+  {
+    std::vector<PlannedStart> starts = this->scheduler.Plan().starts;
+    for (const PlannedStart& start : starts) {
+      this->scheduler.HandleStart(
+        start.worker,
+        start.order.task,
+        start.order.run,
+        OrderReply{ OrderResult::Done, this->WorkerMs() },
+        false);
+    }
+    return starts;
+  }
+
+  /** Writes all progress. */
+  void WriteProgress()
+  {
+    const ProgressBatch batch = this->scheduler.TakeProgress();
+    for (const ProgressRecord& record : batch.records) {
+      this->scheduler.ProgressWritten(record);
+    }
+    this->scheduler.SettleBatch(batch.change);
+  }
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/test/unit/CellScheduler.cpp
@@ -0,0 +1,254 @@
+#include "CellScheduler.h"
+
+#include "support/SchedulerHarness.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Returns the tasks that a plan starts. */
+std::vector<std::string>
+StartedTasks(const std::vector<PlannedStart>& aStarts)
+{
+  std::vector<std::string> tasks;
+  for (const PlannedStart& start : aStarts) {
+    tasks.push_back(start.order.task);
+  }
+  return tasks;
+}
+
+} // namespace
+
+// Guards against a job whose end is shown before it is durable: a new owner
+// would run it again.
+TEST_CASE("a job is shown as completed once its end is written")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j"));
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Queued);
+  CHECK(harness.scheduler.PendingOf("quotes") == 1);
+  const auto starts = harness.PlanAndConfirm();
+  REQUIRE(StartedTasks(starts) == std::vector<std::string>{ "j.0.0.0" });
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Running);
+  CHECK(harness.scheduler.PendingOf("quotes") == 0);
+  harness.Report("w1", 1, {}, { { 1, "j.0.0.0", 1, RunEnd::Done, "" } });
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Running);
+  CHECK(harness.scheduler.FindWorker("w1")->durableEnds == 0);
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Completed);
+  CHECK(harness.scheduler.FindWorker("w1")->durableEnds == 1);
+}
+
+// Guards against a step that starts before the steps it waits for are done.
+TEST_CASE("a dependent step waits for every task before it")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission job = harness.Job("j", 2);
+  job.steps.push_back(job.steps.front());
+  job.steps.back().count = 1;
+  job.steps.back().after = { 0 };
+  harness.scheduler.Accept(job);
+  CHECK(harness.PlanAndConfirm().size() == 2);
+  harness.Report("w1",
+                 1,
+                 { { "j.0.0.1", 1, "", 50, 0 } },
+                 { { 1, "j.0.0.0", 1, RunEnd::Done, "" } });
+  CHECK(harness.PlanAndConfirm().empty());
+  harness.Report("w1", 1, {}, { { 2, "j.0.0.1", 1, RunEnd::Done, "" } });
+  CHECK(StartedTasks(harness.PlanAndConfirm()) ==
+        std::vector<std::string>{ "j.0.1.0" });
+}
+
+// Guards against a second run of a task whose start order had no answer and may
+// still be carried out.
+TEST_CASE("a start without an answer goes elsewhere only when it is void")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j"));
+  const auto starts = harness.scheduler.Plan().starts;
+  REQUIRE(starts.size() == 1);
+  harness.scheduler.HandleStart(
+    "w1", "j.0.0.0", 1, OrderReply{ OrderResult::Unknown, 0 }, true);
+  harness.clock.Advance(milliseconds(1000));
+  harness.Report("w1", 1, {}, {});
+  CHECK(harness.scheduler.Plan().starts.empty());
+  const std::uint64_t validUntil = starts[0].order.validUntilWorkerMs;
+  harness.clock.Advance(milliseconds(1000));
+  REQUIRE(harness.WorkerMs() > validUntil);
+  harness.Report("w1", 1, {}, {});
+  const auto again = harness.scheduler.Plan().starts;
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].order.run == 2);
+}
+
+// Guards against the loss of ends on a worker that was restarted under its id:
+// the registry shows the new incarnation before its first report, and the
+// numbers of its ends begin anew.
+TEST_CASE("ends of a restarted worker are taken in from the first one")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("a"));
+  harness.PlanAndConfirm();
+  harness.Report("w1", 1, {}, { { 1, "a.0.0.0", 1, RunEnd::Done, "" } });
+  harness.WriteProgress();
+  const std::vector<WorkerDescription> reborn{ SchedulerHarness::Worker("w1",
+                                                                        2) };
+  harness.scheduler.UpdateWorkers(reborn);
+  harness.Report("w1", 2, {}, {});
+  CHECK(harness.scheduler.FindWorker("w1")->durableEnds == 0);
+  harness.scheduler.Accept(harness.Job("b"));
+  CHECK(harness.PlanAndConfirm().size() == 1);
+  harness.Report("w1", 2, {}, { { 1, "b.0.0.0", 1, RunEnd::Done, "" } });
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("b") == WorkflowState::Completed);
+}
+
+// Guards against tasks that are never restarted: a worker that is lost for good
+// must not count as leased because of renewals that never reach it.
+TEST_CASE("a silent worker gets no further lease")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2" });
+  harness.scheduler.Accept(harness.Job("j"));
+  const auto starts = harness.PlanAndConfirm();
+  REQUIRE(starts.size() == 1);
+  const std::string lost = starts[0].worker;
+  const std::string other = lost == "w1" ? "w2" : "w1";
+  harness.scheduler.NoteLease(lost, harness.scheduler.LeaseUntil(lost));
+  harness.scheduler.HandleSilence(lost);
+  CHECK(harness.scheduler.LeaseUntil(lost) == 0);
+  harness.clock.Advance(seconds(5));
+  harness.Report(other, 1, {}, {});
+  CHECK(harness.scheduler.Plan().starts.empty());
+  // The harness's earlier owners may have granted leases for eight seconds.
+  harness.clock.Advance(seconds(4));
+  harness.Report(other, 1, {}, {});
+  const auto again = harness.scheduler.Plan().starts;
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].worker == other);
+  CHECK(again[0].order.run == 2);
+}
+
+// Guards against a second run of a task that an earlier owner started on a
+// worker that has not reported to the new owner yet.
+TEST_CASE("tasks of an earlier owner wait for the roster")
+{
+  SchedulerHarness harness;
+  const std::vector<std::string> roster{ "w1", "w2" };
+  harness.scheduler.SetRoster(roster);
+  harness.scheduler.Restore(harness.Job("j", 2), WorkflowProgress{});
+  const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1"),
+                                               SchedulerHarness::Worker("w2") };
+  harness.scheduler.UpdateWorkers(listed);
+  harness.Report("w1", 1, { { "j.0.0.0", 4, "", 10, 0 } }, {});
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.Report("w2", 1, {}, {});
+  const auto starts = harness.scheduler.Plan().starts;
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].order.task == "j.0.0.1");
+}
+
+// Guards against a failure that is counted twice, once by each owner.
+TEST_CASE("a failure that an earlier owner recorded counts once")
+{
+  SchedulerHarness harness;
+  WorkflowProgress progress;
+  progress.id = "j";
+  progress.failures = { { 0, 0, 0, { 1, 2 } } };
+  harness.scheduler.Restore(harness.Job("j"), progress);
+  harness.AddWorkers({ "w1" });
+  harness.Report("w1", 1, {}, { { 1, "j.0.0.0", 2, RunEnd::Failed, "" } });
+  CHECK(harness.scheduler.StateOf("j") != WorkflowState::Failed);
+  harness.Report("w1", 1, {}, { { 2, "j.0.0.0", 3, RunEnd::Failed, "" } });
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Failed);
+}
+
+// Guards against a cancelled job that runs on.
+TEST_CASE("a cancelled job's runs are stopped until their ends are listed")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j"));
+  harness.PlanAndConfirm();
+  CHECK(harness.scheduler.Cancel("j"));
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Cancelled);
+  CHECK(harness.scheduler.Plan().stops.size() == 1);
+  harness.clock.Advance(milliseconds(600));
+  CHECK(harness.scheduler.Plan().stops.size() == 1);
+  harness.Report("w1", 1, {}, { { 1, "j.0.0.0", 1, RunEnd::Stopped, "" } });
+  harness.clock.Advance(milliseconds(600));
+  CHECK(harness.scheduler.Plan().stops.empty());
+  CHECK(harness.scheduler.FindWorker("w1")->Committed().cpuMilli == 0);
+}
+
+// Guards against a worker that is committed beyond its processors.
+TEST_CASE("a worker takes no more than it has room for")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j", 40));
+  CHECK(harness.PlanAndConfirm().size() == 32);
+  CHECK(harness.scheduler.FindWorker("w1")->Committed().cpuMilli == 32000);
+}
+
+// Guards against a gang that is started in part and waits for members that find
+// no room.
+TEST_CASE("a gang is started whole or not at all")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission job = harness.Job("j", 33);
+  job.steps[0].gang = true;
+  harness.scheduler.Accept(job);
+  CHECK(harness.PlanAndConfirm().empty());
+  CHECK(harness.scheduler.FindWorker("w1")->Committed().cpuMilli == 0);
+}
+
+// Guards against a second run of a task whose first start order was carried out
+// without an answer: the repeated order is refused as old because the run has
+// ended, and the worker is about to list its end.
+TEST_CASE("a run that is refused as old waits for the worker's word")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2" });
+  harness.scheduler.Accept(harness.Job("j"));
+  const auto starts = harness.scheduler.Plan().starts;
+  REQUIRE(starts.size() == 1);
+  const std::string worker = starts[0].worker;
+  harness.clock.Advance(milliseconds(500));
+  harness.scheduler.HandleStart(
+    worker,
+    "j.0.0.0",
+    1,
+    OrderReply{ OrderResult::OldRun, harness.WorkerMs() },
+    true);
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.clock.Advance(milliseconds(5));
+  harness.Report(worker, 1, {}, { { 1, "j.0.0.0", 1, RunEnd::Done, "" } });
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Completed);
+}
+
+// Guards against tasks that are sent to a worker that has stopped answering.
+TEST_CASE("a silent worker gets no starts")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.HandleSilence("w1");
+  harness.scheduler.Accept(harness.Job("j"));
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.Report("w1", 1, {}, {});
+  CHECK(harness.scheduler.Plan().starts.size() == 1);
+}
