Relay around a store that turns a host away; find dead owners by probes

An owner that lost the store stopped all starts after its lease of 2 s. Workers that had left stayed in the roster, so each takeover waited for their leases.

Change: a submission or cancellation that the store does not take is relayed to the owner; what is surely refused is answered after 0.15 s. The ownership lease is 5 s; candidates probe the owner and remove its key when its process has ended, is silent for 1.8 s or has lost the store. The roster drops workers that are gone.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -216,21 +216,24 @@
       return false;
     }
     Event("worker_dropped").Add("worker", aItem.first);
-    this->roster.erase(aItem.first);
     return true;
   });
 }
 
-std::vector<std::string>
-CellScheduler::WorkersOutsideRoster() const
+bool
+CellScheduler::RosterIsStale() const
 {
-  std::vector<std::string> result;
   for (const auto& [id, worker] : this->workers) {
     if (worker.listed && !this->roster.contains(id)) {
-      result.push_back(id);
+      return true;
     }
   }
-  return result;
+  for (const std::string& id : this->roster) {
+    if (!this->workers.contains(id) && !this->awaitedWorkers.contains(id)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 std::vector<std::string>
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -148,9 +148,10 @@
   /** Takes in the registry's list of workers. */
   void UpdateWorkers(std::span<const WorkerDescription> aWorkers);
 
-  /** Returns the ids of listed workers that are not in the durable roster yet
-   * and so get no task. */
-  std::vector<std::string> WorkersOutsideRoster() const;
+  /** Tells whether the durable roster lacks a listed worker, which gets no task
+   * until it is there, or names one that is gone, for which the next owner
+   * would wait. */
+  bool RosterIsStale() const;
 
   /** Returns all workers that belong into the durable roster. */
   std::vector<std::string> RosterToWrite() const;
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -1,9 +1,12 @@
 #include "CellService.h"
 
 #include "Log.h"
+#include "PeerCodec.h"
 #include "Random.h"
 #include "generated/WorkflowJson.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <exception>
 #include <functional>
 
@@ -24,15 +27,38 @@
  * the winner before they try. */
 constexpr int kClaimSpreadMs = 120;
 
+/** An owner answers a probe within milliseconds. */
+constexpr std::chrono::milliseconds kProbeTimeout{ 400 };
+
+/** A failed probe is repeated after this time. */
+constexpr std::chrono::milliseconds kProbeRepeat{ 150 };
+
+/** Failed probes in a row after which an owner is given up. */
+constexpr int kProbeFailures = 2;
+
+/** An owner that does not answer may only be cut off from this process, so it
+ * is given up later than one whose process has ended. */
+constexpr std::chrono::milliseconds kSilenceLimit{ 1800 };
+
+/** An owner without the store cannot take in jobs, while this process may be
+ * able to. */
+constexpr std::chrono::milliseconds kStoreSilenceLimit{ 2000 };
+
+/** Two processes that reach the store and not each other must not depose one
+ * another all the time. */
+constexpr std::chrono::seconds kDeposeInterval{ 5 };
+
 } // namespace
 
 CellService::CellService(TenureParts aParts,
                          std::uint32_t aCell,
-                         CandidateIdentity aIdentity)
+                         CandidateIdentity aIdentity,
+                         PeerClient& aPeers)
   : parts(std::move(aParts))
   , cell(aCell)
   , keys(aCell)
   , identity(std::move(aIdentity))
+  , peers(aPeers)
 {
 }
 
@@ -45,6 +71,7 @@
       .Add("cell", this->cell)
       .Add("owner", this->owner->node)
       .Add("token", aItem.created);
+    this->ownerRevision = aItem.revision;
   } catch (const std::exception& error) {
     Event("record_unreadable", LogLevel::Error)
       .Add("key", aItem.key)
@@ -134,10 +161,104 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<OwnerHealth>
+CellService::CheckOwner()
+{
+  const CellOwnerRecord checked = *this->owner;
+  const Endpoint endpoint{ checked.address, checked.port };
+  const WorkflowQuery query{ this->cell, "", "" };
+  const TimePoint sentAt = this->parts.clock.Now();
+  const std::optional<std::string> bytes = co_await this->peers.Call(
+    endpoint, PeerMessage::QueryWorkflow, EncodeMessage(query), kProbeTimeout);
+  const auto reply =
+    bytes ? DecodeMessage<WorkflowReply>(*bytes) : std::nullopt;
+  if (!reply) {
+    const bool early = this->parts.clock.Now() - sentAt < kProbeTimeout / 2;
+    co_return early ? OwnerHealth::Dead : OwnerHealth::Silent;
+  }
+  if (reply->boot != checked.boot) {
+    co_return OwnerHealth::Dead;
+  }
+  const std::chrono::milliseconds silence(reply->storeSilenceMs);
+  const bool storeLost = reply->isOwner && silence > kStoreSilenceLimit;
+  co_return storeLost ? OwnerHealth::StoreLost : OwnerHealth::Healthy;
+}
+
+asio::awaitable<void>
+CellService::Depose(std::uint64_t aRevision, const char* aReason)
+{
+  Event("owner_deposed", LogLevel::Warning)
+    .Add("cell", this->cell)
+    .Add("revision", aRevision)
+    .Add("reason", aReason);
+  StoreTransaction change;
+  change.expect.push_back({ this->keys.Owner(), aRevision });
+  change.removes.push_back(this->keys.Owner());
+  const StoreTransactionReply reply =
+    co_await this->parts.store.Commit(change, kStoreTimeout);
+  if (reply.result != StoreResult::Ok) {
+    Event("owner_not_deposed", LogLevel::Warning).Add("cell", this->cell);
+  }
+}
+
+asio::awaitable<void>
+CellService::ProbeOwner()
+{
+  int failures = 0;
+  std::uint64_t suspected = 0;
+  TimePoint silentSince;
+  TimePoint notBefore;
+  while (!this->stopped) {
+    const Duration pause = failures > 0
+                             ? Duration(kProbeRepeat)
+                             : Duration(this->identity.probeInterval);
+    co_await SleepFor(this->parts.strand, pause);
+    if (this->stopped) {
+      co_return;
+    }
+    const bool probes = this->owner && !this->tenure &&
+                        this->owner->boot != this->identity.boot &&
+                        this->parts.clock.Now() >= notBefore;
+    if (!probes) {
+      failures = 0;
+      continue;
+    }
+    const std::uint64_t revision = this->ownerRevision;
+    if (revision != suspected) {
+      failures = 0;
+      suspected = revision;
+    }
+    const OwnerHealth health = co_await this->CheckOwner();
+    if (health == OwnerHealth::Healthy || revision != this->ownerRevision) {
+      failures = 0;
+      continue;
+    }
+    const TimePoint now = this->parts.clock.Now();
+    silentSince = failures == 0 ? now : silentSince;
+    ++failures;
+    const Duration limit = health == OwnerHealth::Silent
+                             ? Duration(kSilenceLimit)
+                             : Duration::zero();
+    if (failures < kProbeFailures || now - silentSince < limit) {
+      continue;
+    }
+    notBefore = now + kDeposeInterval;
+    failures = 0;
+    co_await this->Depose(revision,
+                          health == OwnerHealth::Silent ? "silent"
+                          : health == OwnerHealth::Dead ? "dead"
+                                                        : "store lost");
+  }
+}
+
 asio::awaitable<void>
 CellService::Run()
 {
   Random random(std::hash<std::string>()(this->identity.boot));
+  asio::co_spawn(
+    this->parts.strand,
+    [self = this->shared_from_this()]() { return self->ProbeOwner(); },
+    asio::detached);
   while (!this->stopped) {
     co_await this->AwaitVacancy();
     co_await SleepFor(
@@ -188,10 +309,15 @@
 CellService::Answer(const WorkflowQuery& aQuery) const
 {
   WorkflowReply reply;
+  reply.boot = this->identity.boot;
   if (!this->tenure || !this->tenure->Serving()) {
     return reply;
   }
   reply.isOwner = true;
+  reply.storeSilenceMs = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->tenure->StoreSilence())
+      .count());
   const CellScheduler& scheduler = this->tenure->Scheduler();
   if (aQuery.id.empty()) {
     reply.pending = scheduler.PendingOf(aQuery.queue);
--- a/src/CellService.h
+++ b/src/CellService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CellTenure.h"
+#include "PeerRpc.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -17,9 +18,24 @@
   /** Differs in each start of the process. */
   std::string boot;
   Endpoint peer;
-  /** Time to live of the ownership lease. Takeover after a death takes about
-   * this long. */
-  std::chrono::milliseconds leaseTtl{ 2000 };
+  /** Time to live of the ownership lease. It outlasts short outages of the
+   * store; an owner that has died is found earlier, by probes. */
+  std::chrono::milliseconds leaseTtl{ 5000 };
+  /** Interval at which this process probes the owner. */
+  std::chrono::milliseconds probeInterval{ 1500 };
+};
+
+/** What a probe of the owner showed. */
+enum class OwnerHealth : std::uint8_t
+{
+  Healthy,
+  /** No answer: the owner may be dead, frozen or cut off. */
+  Silent,
+  /** Its process has ended: the connection is refused, or another start of the
+   * process answers. */
+  Dead,
+  /** It answers and has lost the store. */
+  StoreLost,
 };
 
 /**
@@ -27,12 +43,14 @@
  * owner, the candidates race to create the owner's key, and the winner works
  * the cell until it loses the key. Runs on TenureParts::strand.
  */
-class CellService
+class CellService : public std::enable_shared_from_this<CellService>
 {
 public:
+  /** aPeers outlives the service. */
   CellService(TenureParts aParts,
               std::uint32_t aCell,
-              CandidateIdentity aIdentity);
+              CandidateIdentity aIdentity,
+              PeerClient& aPeers);
 
   /** Runs until Stop(). */
   boost::asio::awaitable<void> Run();
@@ -58,12 +76,19 @@
   boost::asio::awaitable<std::uint64_t> AwaitVacancy();
   void NoteOwner(const StoreItem& aItem);
   boost::asio::awaitable<std::optional<OwnershipClaim>> Claim();
+  boost::asio::awaitable<void> ProbeOwner();
+  boost::asio::awaitable<OwnerHealth> CheckOwner();
+  boost::asio::awaitable<void> Depose(std::uint64_t aRevision,
+                                      const char* aReason);
 
   TenureParts parts;
   std::uint32_t cell;
   WorkflowKeys keys;
   CandidateIdentity identity;
+  PeerClient& peers;
   std::optional<CellOwnerRecord> owner;
+  /** Revision of the owner's key. */
+  std::uint64_t ownerRevision = 0;
   std::shared_ptr<CellTenure> tenure;
   bool stopped = false;
 };
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -18,8 +18,8 @@
  * counts from its arrival. */
 constexpr double kLeaseTrust = 0.95;
 
-/** Renewals in one lease time, so that two lost ones are survived. */
-constexpr int kRenewalsPerLease = 4;
+/** Interval of renewals of the ownership; each costs a tenth of a call. */
+constexpr std::chrono::milliseconds kRenewInterval{ 500 };
 
 /** The store answers in a few milliseconds; during its slow spells in up to
  * 300. */
@@ -120,6 +120,7 @@
               parts.clock,
               parts.wallClock,
               OlderLeasesGone(parts, aClaim))
+  , renewedAt(parts.clock.Now())
   , planSignal(parts.strand)
   , writeSignal(parts.strand)
   , endSignal(parts.strand)
@@ -270,21 +271,21 @@
 asio::awaitable<void>
 CellTenure::RenewOwnership()
 {
-  const auto interval = this->claim.leaseTtl / kRenewalsPerLease;
   bool lost = false;
   while (!this->ended) {
-    co_await SleepFor(this->parts.strand, interval);
+    co_await SleepFor(this->parts.strand, kRenewInterval);
     if (this->ended) {
       co_return;
     }
     const TimePoint sentAt = this->parts.clock.Now();
     const StoreLeaseReply reply =
-      co_await this->parts.store.RenewLease(this->claim.lease, interval * 2);
+      co_await this->parts.store.RenewLease(this->claim.lease, kStoreTimeout);
     if (reply.result == StoreResult::Conflict) {
       this->End("store lease ended");
       co_return;
     }
     if (reply.result == StoreResult::Ok) {
+      this->renewedAt = sentAt;
       this->claim.validUntil =
         sentAt + std::chrono::duration_cast<Duration>(reply.ttl * kLeaseTrust);
       if (lost) {
@@ -405,7 +406,7 @@
     this->lastListed = *listed;
     this->scheduler.UpdateWorkers(*listed);
     this->StartWorkerLoops();
-    if (!this->scheduler.WorkersOutsideRoster().empty()) {
+    if (this->scheduler.RosterIsStale()) {
       co_await this->WriteRoster();
     }
     this->planSignal.Notify();
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -79,6 +79,12 @@
 
   const CellScheduler& Scheduler() const { return this->scheduler; }
 
+  /** Returns the time since the store last renewed the ownership. */
+  Duration StoreSilence() const
+  {
+    return this->parts.clock.Now() - this->renewedAt;
+  }
+
 private:
   struct WorkerLoop
   {
@@ -124,6 +130,8 @@
   bool loaded = false;
   bool ended = false;
   bool releasing = false;
+  /** When the last successful renewal was sent. */
+  TimePoint renewedAt;
   std::uint64_t inboxRevision = 0;
   std::uint64_t rosterRevision = 0;
   std::map<std::string, std::uint64_t> progressRevisions;
--- a/src/PeerRpc.h
+++ b/src/PeerRpc.h
@@ -28,6 +28,8 @@
   PlannerStatus = 5,
   ExplainJob = 6,
   QueryWorkflow = 7,
+  RelaySubmission = 8,
+  RelayCancellation = 9,
 };
 
 /** Largest message, in bytes: a configuration document with room to spare. */
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -15,9 +15,15 @@
 
 namespace {
 
-/** Longest wait for one answer of the store, so that a call on a silent
- * connection leaves time for another one. */
-constexpr std::chrono::milliseconds kStoreCallTimeout{ 900 };
+/** Longest wait for one answer of the store. It is above the 0.3 s of the
+ * store's slow spells and leaves time to ask another host. */
+constexpr std::chrono::milliseconds kStoreCallTimeout{ 700 };
+
+/** Longest wait for a peer that stores a change in our place. */
+constexpr std::chrono::milliseconds kRelayTimeout{ 600 };
+
+/** A submission that the store surely refuses is tried for this long. */
+constexpr std::chrono::milliseconds kRefuseAfter{ 150 };
 
 /** An owner answers within a few milliseconds; after this time the store is
  * asked instead. */
@@ -28,6 +34,14 @@
 /** Time before the deadline that is kept for the response. */
 constexpr std::chrono::milliseconds kResponseReserve{ 60 };
 
+std::int64_t
+ElapsedMs(const Clock& aClock, TimePoint aSince)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aClock.Now() -
+                                                               aSince)
+    .count();
+}
+
 asio::awaitable<WorkflowReply>
 AnswerOnStrand(std::shared_ptr<CellService> aCell, WorkflowQuery aQuery)
 {
@@ -68,30 +82,108 @@
 }
 
 asio::awaitable<SubmissionOutcome>
-WorkflowGateway::Submit(WorkflowSubmission aSubmission, TimePoint aDeadline)
+WorkflowGateway::StoreOnce(const WorkflowSubmission& aSubmission,
+                           Duration aTimeout)
 {
   const WorkflowKeys keys(this->CellOf(aSubmission.id));
   StoreTransaction change;
-  change.expect = { { keys.Job(aSubmission.id), kAbsentVersion },
-                    { keys.Progress(aSubmission.id), kAbsentVersion } };
-  change.puts = { { keys.Job(aSubmission.id),
-                    nlohmann::json(aSubmission).dump() } };
+  change.expect.push_back({ keys.Job(aSubmission.id), kAbsentVersion });
+  change.expect.push_back({ keys.Progress(aSubmission.id), kAbsentVersion });
+  change.puts.push_back(
+    { keys.Job(aSubmission.id), nlohmann::json(aSubmission).dump() });
+  const StoreTransactionReply reply =
+    co_await this->store.Commit(change, aTimeout);
+  switch (reply.result) {
+    case StoreResult::Ok:
+    case StoreResult::Conflict:
+      co_return SubmissionOutcome::Accepted;
+    case StoreResult::Unavailable:
+      co_return SubmissionOutcome::NotAccepted;
+    case StoreResult::Unknown:
+      break;
+  }
+  co_return SubmissionOutcome::Unknown;
+}
+
+template<class Message>
+asio::awaitable<RelayOutcome>
+WorkflowGateway::Relay(std::uint32_t aCell,
+                       PeerMessage aKind,
+                       Message aMessage,
+                       TimePoint aDeadline)
+{
+  const std::shared_ptr<CellService> cell = this->cells[aCell];
+  const std::optional<CellOwnerRecord> owner = co_await asio::co_spawn(
+    cell->Strand(), OwnerOnStrand(cell), asio::use_awaitable);
+  if (!owner || this->Left(aDeadline) <= Duration::zero()) {
+    co_return RelayOutcome::NotStored;
+  }
+  const Endpoint endpoint{ owner->address, owner->port };
+  const Duration timeout =
+    std::min<Duration>(kRelayTimeout, this->Left(aDeadline));
+  const std::optional<std::string> bytes = co_await this->peers.Call(
+    endpoint, aKind, EncodeMessage(aMessage), timeout);
+  const auto reply = bytes ? DecodeMessage<RelayReply>(*bytes) : std::nullopt;
+  co_return reply ? reply->outcome : RelayOutcome::Unknown;
+}
+
+asio::awaitable<RelayOutcome>
+WorkflowGateway::StoreForPeer(WorkflowSubmission aSubmission)
+{
+  const SubmissionOutcome outcome =
+    co_await this->StoreOnce(aSubmission, kRelayTimeout);
+  switch (outcome) {
+    case SubmissionOutcome::Accepted:
+      co_return RelayOutcome::Stored;
+    case SubmissionOutcome::NotAccepted:
+      co_return RelayOutcome::NotStored;
+    case SubmissionOutcome::Unknown:
+      break;
+  }
+  co_return RelayOutcome::Unknown;
+}
+
+asio::awaitable<SubmissionOutcome>
+WorkflowGateway::Submit(WorkflowSubmission aSubmission, TimePoint aDeadline)
+{
+  const TimePoint begun = this->clock.Now();
   bool mayBeStored = false;
-  int calls = 0;
+  int attempts = 0;
+  int relays = 0;
   SubmissionOutcome outcome = SubmissionOutcome::NotAccepted;
+  // Every attempt writes the same key under the same condition, so copies that
+  // are carried out late do no harm.
   while (this->Left(aDeadline) > Duration::zero()) {
-    ++calls;
-    const StoreTransactionReply reply = co_await this->store.Commit(
-      change, std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline)));
-    if (reply.result == StoreResult::Ok ||
-        reply.result == StoreResult::Conflict) {
+    ++attempts;
+    const Duration timeout =
+      std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
+    outcome = co_await this->StoreOnce(aSubmission, timeout);
+    if (outcome == SubmissionOutcome::Accepted) {
+      break;
+    }
+    mayBeStored = mayBeStored || outcome == SubmissionOutcome::Unknown;
+    // The store may serve other hosts while it turns this one away.
+    ++relays;
+    const RelayOutcome relayed =
+      co_await this->Relay(this->CellOf(aSubmission.id),
+                           PeerMessage::RelaySubmission,
+                           aSubmission,
+                           aDeadline);
+    if (relayed == RelayOutcome::Stored) {
       outcome = SubmissionOutcome::Accepted;
       break;
     }
-    mayBeStored = mayBeStored || reply.result == StoreResult::Unknown;
+    mayBeStored = mayBeStored || relayed == RelayOutcome::Unknown;
+    // A refusal that is known to be one helps the caller most when it comes at
+    // once; an unknown outcome is worth settling.
+    if (!mayBeStored && this->clock.Now() - begun > kRefuseAfter) {
+      break;
+    }
+    co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
+  }
+  if (outcome != SubmissionOutcome::Accepted) {
     outcome =
       mayBeStored ? SubmissionOutcome::Unknown : SubmissionOutcome::NotAccepted;
-    co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
   }
   Event("submission")
     .Add("job", aSubmission.id)
@@ -100,7 +192,9 @@
          outcome == SubmissionOutcome::Accepted      ? "accepted"
          : outcome == SubmissionOutcome::NotAccepted ? "not_accepted"
                                                      : "unknown")
-    .Add("store_calls", calls);
+    .Add("attempts", attempts)
+    .Add("relays", relays)
+    .Add("elapsed_ms", ElapsedMs(this->clock, begun));
   co_return outcome;
 }
 
@@ -188,36 +282,74 @@
 }
 
 asio::awaitable<CancelOutcome>
-WorkflowGateway::Cancel(std::string aJob, TimePoint aDeadline)
+WorkflowGateway::CancelOnce(std::string aJob, TimePoint aDeadline)
 {
   const WorkflowKeys keys(this->CellOf(aJob));
-  CancelOutcome outcome = CancelOutcome::Unknown;
-  while (this->Left(aDeadline) > Duration::zero()) {
-    const StoreRangeReply read = co_await this->store.Get(
-      keys.Job(aJob),
-      std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline)));
-    if (read.result != StoreResult::Ok) {
-      co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
-      continue;
+  const Duration timeout =
+    std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
+  const StoreRangeReply read =
+    co_await this->store.Get(keys.Job(aJob), timeout);
+  if (read.result != StoreResult::Ok) {
+    co_return CancelOutcome::Unknown;
+  }
+  if (read.items.empty()) {
+    const auto state = co_await this->StateInStore(aJob, aDeadline);
+    if (!state) {
+      co_return CancelOutcome::Unknown;
     }
-    if (read.items.empty()) {
-      const auto state = co_await this->StateInStore(aJob, aDeadline);
-      if (state) {
-        // A job that has ended cannot be cancelled any more; its end stands.
-        outcome = *state == WorkflowState::Unknown ? CancelOutcome::NoSuchJob
-                                                   : CancelOutcome::Cancelled;
-      }
+    // A job that has ended cannot be cancelled any more; its end stands.
+    co_return *state == WorkflowState::Unknown ? CancelOutcome::NoSuchJob
+                                               : CancelOutcome::Cancelled;
+  }
+  StoreTransaction change;
+  change.expect.push_back({ keys.Job(aJob), read.items.front().revision });
+  change.puts.push_back({ keys.Cancellation(aJob), "{}" });
+  const StoreTransactionReply reply =
+    co_await this->store.Commit(change, timeout);
+  co_return reply.result == StoreResult::Ok ? CancelOutcome::Cancelled
+                                            : CancelOutcome::Unknown;
+}
+
+asio::awaitable<RelayOutcome>
+WorkflowGateway::CancelForPeer(std::string aJob)
+{
+  const TimePoint deadline =
+    this->clock.Now() + kRelayTimeout + kResponseReserve;
+  const CancelOutcome outcome =
+    co_await this->CancelOnce(std::move(aJob), deadline);
+  switch (outcome) {
+    case CancelOutcome::Cancelled:
+      co_return RelayOutcome::Stored;
+    case CancelOutcome::NoSuchJob:
+      co_return RelayOutcome::NoSuchJob;
+    case CancelOutcome::Unknown:
+      break;
+  }
+  co_return RelayOutcome::Unknown;
+}
+
+asio::awaitable<CancelOutcome>
+WorkflowGateway::Cancel(std::string aJob, TimePoint aDeadline)
+{
+  const TimePoint begun = this->clock.Now();
+  CancelOutcome outcome = CancelOutcome::Unknown;
+  while (outcome == CancelOutcome::Unknown &&
+         this->Left(aDeadline) > Duration::zero()) {
+    outcome = co_await this->CancelOnce(aJob, aDeadline);
+    if (outcome != CancelOutcome::Unknown) {
       break;
     }
-    StoreTransaction change;
-    change.expect = { { keys.Job(aJob), read.items.front().revision } };
-    change.puts = { { keys.Cancellation(aJob), "{}" } };
-    const StoreTransactionReply reply = co_await this->store.Commit(
-      change, std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline)));
-    if (reply.result == StoreResult::Ok) {
+    const RelayCancel message{ aJob };
+    const RelayOutcome relayed = co_await this->Relay(
+      this->CellOf(aJob), PeerMessage::RelayCancellation, message, aDeadline);
+    if (relayed == RelayOutcome::Stored) {
       outcome = CancelOutcome::Cancelled;
       break;
     }
+    if (relayed == RelayOutcome::NoSuchJob) {
+      outcome = CancelOutcome::NoSuchJob;
+      break;
+    }
     co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
   }
   Event("cancellation")
@@ -225,7 +357,8 @@
     .Add("outcome",
          outcome == CancelOutcome::Cancelled   ? "cancelled"
          : outcome == CancelOutcome::NoSuchJob ? "no_such_job"
-                                               : "unknown");
+                                               : "unknown")
+    .Add("elapsed_ms", ElapsedMs(this->clock, begun));
   co_return outcome;
 }
 
@@ -251,8 +384,9 @@
 }
 
 void
-ServeWorkflowQueries(PeerServer& aServer,
-                     std::vector<std::shared_ptr<CellService>> aCells)
+ServeWorkflowPeers(PeerServer& aServer,
+                   WorkflowGateway& aGateway,
+                   std::vector<std::shared_ptr<CellService>> aCells)
 {
   aServer.Handle(
     PeerMessage::QueryWorkflow,
@@ -267,6 +401,26 @@
       }
       co_return EncodeMessage(reply);
     });
+  aServer.Handle(
+    PeerMessage::RelaySubmission,
+    [&aGateway](std::string aBytes) -> asio::awaitable<std::string> {
+      auto submission = DecodeMessage<WorkflowSubmission>(aBytes);
+      RelayReply reply{ RelayOutcome::NotStored };
+      if (submission && CheckSubmission(*submission).empty()) {
+        reply.outcome = co_await aGateway.StoreForPeer(std::move(*submission));
+      }
+      co_return EncodeMessage(reply);
+    });
+  aServer.Handle(
+    PeerMessage::RelayCancellation,
+    [&aGateway](std::string aBytes) -> asio::awaitable<std::string> {
+      const auto message = DecodeMessage<RelayCancel>(aBytes);
+      RelayReply reply{ RelayOutcome::NotStored };
+      if (message) {
+        reply.outcome = co_await aGateway.CancelForPeer(message->id);
+      }
+      co_return EncodeMessage(reply);
+    });
 }
 
 } // namespace sequoiakeel
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -49,6 +49,11 @@
                   std::vector<std::shared_ptr<CellService>> aCells,
                   const Clock& aClock);
 
+  /** Stores a change that a peer without the store asked for. */
+  boost::asio::awaitable<RelayOutcome> StoreForPeer(
+    WorkflowSubmission aSubmission);
+  boost::asio::awaitable<RelayOutcome> CancelForPeer(std::string aJob);
+
   /** Stores a job unless its id is known. Precondition: CheckSubmission()
    * found no fault. */
   boost::asio::awaitable<SubmissionOutcome> Submit(
@@ -78,6 +83,16 @@
   boost::asio::awaitable<std::optional<WorkflowState>> StateInStore(
     std::string aJob,
     TimePoint aDeadline);
+  boost::asio::awaitable<SubmissionOutcome> StoreOnce(
+    const WorkflowSubmission& aSubmission,
+    Duration aTimeout);
+  boost::asio::awaitable<CancelOutcome> CancelOnce(std::string aJob,
+                                                   TimePoint aDeadline);
+  template<class Message>
+  boost::asio::awaitable<RelayOutcome> Relay(std::uint32_t aCell,
+                                             PeerMessage aKind,
+                                             Message aMessage,
+                                             TimePoint aDeadline);
   Duration Left(TimePoint aDeadline) const;
 
   TransactionalStore& store;
@@ -86,10 +101,11 @@
   const Clock& clock;
 };
 
-/** Answers WorkflowQuery messages of peers from the cells of this process.
- * Precondition: the server was not started. */
+/** Answers peers' queries from the cells of this process and stores what they
+ * relay. Precondition: the server was not started. aGateway outlives it. */
 void
-ServeWorkflowQueries(PeerServer& aServer,
-                     std::vector<std::shared_ptr<CellService>> aCells);
+ServeWorkflowPeers(PeerServer& aServer,
+                   WorkflowGateway& aGateway,
+                   std::vector<std::shared_ptr<CellService>> aCells);
 
 } // namespace sequoiakeel
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -252,3 +252,19 @@
   harness.Report("w1", 1, {}, {});
   CHECK(harness.scheduler.Plan().starts.size() == 1);
 }
+
+// Guards against a takeover that waits for workers which left long ago.
+TEST_CASE("a worker that is gone leaves the roster")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2" });
+  CHECK(!harness.scheduler.RosterIsStale());
+  const std::vector<WorkerDescription> left{ SchedulerHarness::Worker("w1") };
+  harness.scheduler.UpdateWorkers(left);
+  CHECK(harness.scheduler.RosterToWrite().size() == 2);
+  // Leases of the harness's earlier owners last for eight seconds.
+  harness.clock.Advance(seconds(9));
+  harness.scheduler.UpdateWorkers(left);
+  CHECK(harness.scheduler.RosterIsStale());
+  CHECK(harness.scheduler.RosterToWrite() == std::vector<std::string>{ "w1" });
+}
