Relay changes to any peer and give final answers earlier

Change: processes write their address to the store at start, relays go to any of them; an outcome that stays unknown is answered after 1.5 s; an owner without the store is deposed after 1.3 s; the first probe comes at once; slower retries.

--- a/src/AsyncSignal.h
+++ b/src/AsyncSignal.h
@@ -15,8 +15,8 @@
 class AsyncSignal
 {
 public:
-  explicit AsyncSignal(boost::asio::any_io_executor aExecutor)
-    : timer(std::move(aExecutor))
+  explicit AsyncSignal(const boost::asio::any_io_executor& aExecutor)
+    : timer(aExecutor)
   {
   }
 
@@ -49,7 +49,7 @@
 inline boost::asio::awaitable<void>
 SleepFor(boost::asio::any_io_executor aExecutor, Duration aTime)
 {
-  boost::asio::steady_timer timer(std::move(aExecutor), aTime);
+  boost::asio::steady_timer timer(aExecutor, aTime);
   boost::system::error_code ignored;
   co_await timer.async_wait(
     boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
-constexpr std::chrono::milliseconds kStoreRetry{ 150 };
+constexpr std::chrono::milliseconds kStoreRetry{ 250 };
 
 /** Longest wait of the watch of the owner. A watch that was waiting when the
  * store failed hears nothing more; each one that ends counts as a call. */
@@ -42,7 +42,7 @@
 
 /** An owner without the store cannot take in jobs, while this process may be
  * able to. */
-constexpr std::chrono::milliseconds kStoreSilenceLimit{ 2000 };
+constexpr std::chrono::milliseconds kStoreSilenceLimit{ 1300 };
 
 /** Two processes that reach the store and not each other must not depose one
  * another all the time. */
@@ -204,7 +204,9 @@
 asio::awaitable<void>
 CellService::ProbeOwner()
 {
-  int failures = 0;
+  // The first probe comes soon: after a failure of the whole system the owner's
+  // key outlives its process.
+  int failures = 1;
   std::uint64_t suspected = 0;
   TimePoint silentSince;
   TimePoint notBefore;
@@ -220,13 +222,14 @@
                         this->owner->boot != this->identity.boot &&
                         this->parts.clock.Now() >= notBefore;
     if (!probes) {
-      failures = 0;
+      failures = this->owner ? 0 : failures;
       continue;
     }
     const std::uint64_t revision = this->ownerRevision;
     if (revision != suspected) {
       failures = 0;
       suspected = revision;
+      silentSince = this->parts.clock.Now();
     }
     const OwnerHealth health = co_await this->CheckOwner();
     if (health == OwnerHealth::Healthy || revision != this->ownerRevision) {
--- a/src/CellService.h
+++ b/src/CellService.h
@@ -22,7 +22,7 @@
    * store; an owner that has died is found earlier, by probes. */
   std::chrono::milliseconds leaseTtl{ 5000 };
   /** Interval at which this process probes the owner. */
-  std::chrono::milliseconds probeInterval{ 1500 };
+  std::chrono::milliseconds probeInterval{ 1000 };
 };
 
 /** What a probe of the owner showed. */
--- /dev/null
+++ b/src/NodeDirectory.cpp
@@ -0,0 +1,89 @@
+#include "NodeDirectory.h"
+
+#include "AsyncSignal.h"
+#include "Log.h"
+#include "WorkflowKeys.h"
+#include "generated/WorkflowJson.h"
+
+#include <exception>
+#include <functional>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
+constexpr std::chrono::milliseconds kStoreRetry{ 500 };
+
+/** Hosts come and go rarely, and a stale read costs a tenth of a call. */
+constexpr std::chrono::seconds kReadInterval{ 10 };
+
+} // namespace
+
+NodeDirectory::NodeDirectory(asio::any_io_executor aExecutor,
+                             TransactionalStore& aStore,
+                             NodeRecord aOwn)
+  : executor(std::move(aExecutor))
+  , store(aStore)
+  , own(std::move(aOwn))
+  , next(std::hash<std::string>()(own.node))
+{
+}
+
+asio::awaitable<void>
+NodeDirectory::Register()
+{
+  while (true) {
+    StoreTransaction change;
+    change.puts.push_back(
+      { NodesPrefix() + this->own.node, nlohmann::json(this->own).dump() });
+    const StoreTransactionReply reply =
+      co_await this->store.Commit(change, kStoreTimeout);
+    if (reply.result == StoreResult::Ok) {
+      co_return;
+    }
+    co_await SleepFor(this->executor, kStoreRetry);
+  }
+}
+
+asio::awaitable<void>
+NodeDirectory::Run()
+{
+  co_await this->Register();
+  while (true) {
+    const StoreRangeReply reply = co_await this->store.Range(
+      NodesPrefix(), ReadFreshness::Stale, kStoreTimeout);
+    std::vector<NodeRecord> read;
+    for (const StoreItem& item : reply.items) {
+      try {
+        auto node = nlohmann::json::parse(item.value).get<NodeRecord>();
+        if (node.node != this->own.node) {
+          read.push_back(std::move(node));
+        }
+      } catch (const std::exception& error) {
+        Event("record_unreadable", LogLevel::Error)
+          .Add("key", item.key)
+          .Add("error", error.what());
+      }
+    }
+    if (reply.result == StoreResult::Ok) {
+      const std::lock_guard lock(this->mutex);
+      this->others = std::move(read);
+    }
+    co_await SleepFor(this->executor, kReadInterval);
+  }
+}
+
+std::optional<NodeRecord>
+NodeDirectory::AnyOther()
+{
+  const std::lock_guard lock(this->mutex);
+  if (this->others.empty()) {
+    return std::nullopt;
+  }
+  return this->others[this->next++ % this->others.size()];
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/NodeDirectory.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Clock.h"
+#include "Random.h"
+#include "TransactionalStore.h"
+#include "generated/Workflow.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** Knows the other processes of the system, from records that each of them
+ * writes at its start. Thread safe. */
+class NodeDirectory
+{
+public:
+  /** aStore outlives the directory. */
+  NodeDirectory(boost::asio::any_io_executor aExecutor,
+                TransactionalStore& aStore,
+                NodeRecord aOwn);
+
+  /** Writes the own record and reads those of others for good. */
+  boost::asio::awaitable<void> Run();
+
+  /** Returns one of the other processes, a different one each time if there are
+   * several; nothing if none is known. */
+  std::optional<NodeRecord> AnyOther();
+
+private:
+  boost::asio::awaitable<void> Register();
+
+  boost::asio::any_io_executor executor;
+  TransactionalStore& store;
+  NodeRecord own;
+  std::mutex mutex;
+  std::vector<NodeRecord> others;
+  std::size_t next = 0;
+};
+
+} // namespace sequoiakeel
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -23,13 +23,18 @@
 constexpr std::chrono::milliseconds kRelayTimeout{ 600 };
 
 /** A submission that the store surely refuses is tried for this long. */
-constexpr std::chrono::milliseconds kRefuseAfter{ 150 };
+constexpr std::chrono::milliseconds kRefuseAfter{ 300 };
+
+/** A submission that may have been stored is tried for this long, so that the
+ * caller learns the outcome or can still turn to another host. */
+constexpr std::chrono::milliseconds kSettleTime{ 1500 };
 
 /** An owner answers within a few milliseconds; after this time the store is
  * asked instead. */
 constexpr std::chrono::milliseconds kOwnerTimeout{ 250 };
 
-constexpr std::chrono::milliseconds kStoreRetry{ 60 };
+/** Pause between attempts; calls that the store refuses are paid for too. */
+constexpr std::chrono::milliseconds kStoreRetry{ 200 };
 
 /** Time before the deadline that is kept for the response. */
 constexpr std::chrono::milliseconds kResponseReserve{ 60 };
@@ -59,10 +64,12 @@
 WorkflowGateway::WorkflowGateway(
   TransactionalStore& aStore,
   PeerClient& aPeers,
+  NodeDirectory& aNodes,
   std::vector<std::shared_ptr<CellService>> aCells,
   const Clock& aClock)
   : store(aStore)
   , peers(aPeers)
+  , nodes(aNodes)
   , cells(std::move(aCells))
   , clock(aClock)
 {
@@ -107,18 +114,13 @@
 
 template<class Message>
 asio::awaitable<RelayOutcome>
-WorkflowGateway::Relay(std::uint32_t aCell,
-                       PeerMessage aKind,
-                       Message aMessage,
-                       TimePoint aDeadline)
+WorkflowGateway::Relay(PeerMessage aKind, Message aMessage, TimePoint aDeadline)
 {
-  const std::shared_ptr<CellService> cell = this->cells[aCell];
-  const std::optional<CellOwnerRecord> owner = co_await asio::co_spawn(
-    cell->Strand(), OwnerOnStrand(cell), asio::use_awaitable);
-  if (!owner || this->Left(aDeadline) <= Duration::zero()) {
+  const std::optional<NodeRecord> peer = this->nodes.AnyOther();
+  if (!peer || this->Left(aDeadline) <= Duration::zero()) {
     co_return RelayOutcome::NotStored;
   }
-  const Endpoint endpoint{ owner->address, owner->port };
+  const Endpoint endpoint{ peer->address, peer->port };
   const Duration timeout =
     std::min<Duration>(kRelayTimeout, this->Left(aDeadline));
   const std::optional<std::string> bytes = co_await this->peers.Call(
@@ -164,11 +166,8 @@
     mayBeStored = mayBeStored || outcome == SubmissionOutcome::Unknown;
     // The store may serve other hosts while it turns this one away.
     ++relays;
-    const RelayOutcome relayed =
-      co_await this->Relay(this->CellOf(aSubmission.id),
-                           PeerMessage::RelaySubmission,
-                           aSubmission,
-                           aDeadline);
+    const RelayOutcome relayed = co_await this->Relay(
+      PeerMessage::RelaySubmission, aSubmission, aDeadline);
     if (relayed == RelayOutcome::Stored) {
       outcome = SubmissionOutcome::Accepted;
       break;
@@ -176,7 +175,8 @@
     mayBeStored = mayBeStored || relayed == RelayOutcome::Unknown;
     // A refusal that is known to be one helps the caller most when it comes at
     // once; an unknown outcome is worth settling.
-    if (!mayBeStored && this->clock.Now() - begun > kRefuseAfter) {
+    const Duration limit = mayBeStored ? kSettleTime : kRefuseAfter;
+    if (this->clock.Now() - begun > limit) {
       break;
     }
     co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
@@ -340,8 +340,8 @@
       break;
     }
     const RelayCancel message{ aJob };
-    const RelayOutcome relayed = co_await this->Relay(
-      this->CellOf(aJob), PeerMessage::RelayCancellation, message, aDeadline);
+    const RelayOutcome relayed =
+      co_await this->Relay(PeerMessage::RelayCancellation, message, aDeadline);
     if (relayed == RelayOutcome::Stored) {
       outcome = CancelOutcome::Cancelled;
       break;
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CellService.h"
+#include "NodeDirectory.h"
 #include "PeerRpc.h"
 #include "TransactionalStore.h"
 #include "generated/Workflow.h"
@@ -46,6 +47,7 @@
    * the gateway. */
   WorkflowGateway(TransactionalStore& aStore,
                   PeerClient& aPeers,
+                  NodeDirectory& aNodes,
                   std::vector<std::shared_ptr<CellService>> aCells,
                   const Clock& aClock);
 
@@ -89,14 +91,14 @@
   boost::asio::awaitable<CancelOutcome> CancelOnce(std::string aJob,
                                                    TimePoint aDeadline);
   template<class Message>
-  boost::asio::awaitable<RelayOutcome> Relay(std::uint32_t aCell,
-                                             PeerMessage aKind,
+  boost::asio::awaitable<RelayOutcome> Relay(PeerMessage aKind,
                                              Message aMessage,
                                              TimePoint aDeadline);
   Duration Left(TimePoint aDeadline) const;
 
   TransactionalStore& store;
   PeerClient& peers;
+  NodeDirectory& nodes;
   std::vector<std::shared_ptr<CellService>> cells;
   const Clock& clock;
 };
--- a/src/WorkflowKeys.h
+++ b/src/WorkflowKeys.h
@@ -13,6 +13,13 @@
   return "sequoiakeel/layout";
 }
 
+/** Prefix of the NodeRecord of every process. */
+inline std::string
+NodesPrefix()
+{
+  return "sequoiakeel/nodes/";
+}
+
 /**
  * Keys of one cell. The owner's key and the submissions share a prefix, so that
  * one watch delivers both in the order of their revisions: an owner learns that
