--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -54,6 +54,10 @@
  * latencies are seen; targets may be missed for four seconds at most. */
 constexpr std::chrono::milliseconds kReportWait{ 1000 };
 
+/** Shortest time between two looks at one worker: each is paid for, and ends
+ * that come close together are seen with one. */
+constexpr std::chrono::milliseconds kMinReportInterval{ 60 };
+
 /** Time for a worker's answer beyond the wait that it was asked for. */
 constexpr std::chrono::milliseconds kWorkerTimeout{ 600 };
 
@@ -671,17 +675,30 @@
     if (this->scheduler.HasProgress()) {
       this->writeSignal.Notify();
     }
-    worker = this->scheduler.FindWorker(aWorker);
-    if (worker != nullptr && worker->seenEnds > worker->durableEnds) {
-      if (!this->scheduler.HasProgress()) {
-        this->writeSignal.Notify();
-      }
-      co_await aLoop->wake.Wait(kAcknowledgeWait);
+    co_await this->AwaitAcknowledgement(aWorker, *aLoop);
+    const Duration sinceLook = this->parts.clock.Now() - sentAt;
+    if (sinceLook < kMinReportInterval) {
+      co_await SleepFor(this->parts.strand, kMinReportInterval - sinceLook);
     }
   }
   this->workerLoops.erase(aWorker);
 }
 
+asio::awaitable<void>
+CellTenure::AwaitAcknowledgement(const std::string& aWorker, WorkerLoop& aLoop)
+{
+  const TimePoint deadline = this->parts.clock.Now() + kAcknowledgeWait;
+  while (!this->ended) {
+    const ScheduledWorker* const worker = this->scheduler.FindWorker(aWorker);
+    const Duration left = deadline - this->parts.clock.Now();
+    if (worker == nullptr || worker->seenEnds <= worker->durableEnds ||
+        left <= Duration::zero()) {
+      co_return;
+    }
+    co_await aLoop.wake.Wait(left);
+  }
+}
+
 asio::awaitable<void>
 CellTenure::SendStart(PlannedStart aStart)
 {
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -114,6 +114,9 @@
   boost::asio::awaitable<void> PlanLoop();
   boost::asio::awaitable<void> RenewWorker(std::string aWorker,
                                            std::shared_ptr<WorkerLoop> aLoop);
+  /** Waits until the ends that a worker listed are durable. */
+  boost::asio::awaitable<void> AwaitAcknowledgement(const std::string& aWorker,
+                                                    WorkerLoop& aLoop);
   void StartWorkerLoops();
   boost::asio::awaitable<void> SendStart(PlannedStart aStart);
   boost::asio::awaitable<void> SendStop(PlannedStop aStop);
