Bound how long an owner orders after a renewal; reload on SIGHUP

Tasks of long-running jobs waited for 5 s of the old owner's belief and 10.3 s of worker leases, so they counted as lost (LOST 9). SIGHUP ended the process.

--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -142,7 +142,7 @@
   claim.cell = this->cell;
   claim.lease = lease.lease;
   claim.leaseTtl = lease.ttl;
-  claim.validUntil = sentAt + lease.ttl * 95 / 100;
+  claim.validUntil = sentAt + lease.ttl / 2;
   claim.fencingToken = reply.revision;
   if (reply.result == StoreResult::Ok) {
     co_return claim;
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -14,9 +14,11 @@
 
 namespace {
 
-/** The store's clock and ours may differ in rate by up to 2%, and a renewal
- * counts from its arrival. */
-constexpr double kLeaseTrust = 0.95;
+/** An owner gives orders for this long after it sent its last successful
+ * renewal, well within the store lease. A successor has to wait for it, and for
+ * the workers' leases, before it restarts tasks on workers that stay silent:
+ * together at most 9 s, after which a long-running task counts as lost. */
+constexpr std::chrono::milliseconds kOrderValidity{ 2500 };
 
 /** Interval of renewals of the ownership; each costs a tenth of a call. */
 constexpr std::chrono::milliseconds kRenewInterval{ 500 };
@@ -84,11 +86,11 @@
 constexpr std::chrono::seconds kExpiryInterval{ 5 };
 
 TimePoint
-OlderLeasesGone(const TenureParts& aParts, const OwnershipClaim& aClaim)
+OlderLeasesGone(const TenureParts& aParts)
 {
-  // An owner whose key was revoked may believe in its lease for a whole lease
-  // time and grant a worker lease at its end.
-  return aParts.clock.Now() + aClaim.leaseTtl +
+  // An owner whose key was removed may not know it yet and grant a worker lease
+  // at the end of its validity.
+  return aParts.clock.Now() + kOrderValidity +
          aParts.bounds.workerLease * 103 / 100 + std::chrono::milliseconds(200);
 }
 
@@ -123,7 +125,7 @@
               parts.policies,
               parts.clock,
               parts.wallClock,
-              OlderLeasesGone(parts, aClaim))
+              OlderLeasesGone(parts))
   , renewedAt(parts.clock.Now())
   , planSignal(parts.strand)
   , writeSignal(parts.strand)
@@ -291,7 +293,7 @@
     if (reply.result == StoreResult::Ok) {
       this->renewedAt = sentAt;
       this->claim.validUntil =
-        sentAt + std::chrono::duration_cast<Duration>(reply.ttl * kLeaseTrust);
+        sentAt + std::min<Duration>(kOrderValidity, reply.ttl);
       if (lost) {
         Event("store_regained").Add("cell", this->claim.cell);
         this->planSignal.Notify();
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -68,6 +68,12 @@
   el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
 }
 
+void
+SetLogLevel(LogLevel aLevel)
+{
+  gLevel = aLevel;
+}
+
 LogLevel
 ParseLogLevel(std::string_view aText)
 {
--- a/src/Log.h
+++ b/src/Log.h
@@ -19,6 +19,10 @@
 void
 StartLogging(std::string_view aProcess, LogLevel aLevel);
 
+/** Sets the lowest level that is written. Thread safe. */
+void
+SetLogLevel(LogLevel aLevel);
+
 /** Reads a level's name as the settings have it ("debug", "info", "warning",
  * "error"); other text gives Info. */
 LogLevel
--- a/src/Runtime.cpp
+++ b/src/Runtime.cpp
@@ -15,7 +15,7 @@
 Runtime::Runtime(unsigned aThreads)
   : threads(aThreads)
   , context(static_cast<int>(aThreads))
-  , signals(context, SIGTERM, SIGINT)
+  , signals(context, SIGTERM, SIGINT, SIGHUP)
 {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -54,6 +54,14 @@
       if (aError) {
         return;
       }
+      if (aSignal == SIGHUP) {
+        Event("reload_requested").Add("signal", aSignal);
+        this->AwaitSignal();
+        if (this->onReload) {
+          this->onReload();
+        }
+        return;
+      }
       if (this->stopping) {
         Event("stop_forced", LogLevel::Warning).Add("signal", aSignal);
         this->End(kExitForced);
--- a/src/Runtime.h
+++ b/src/Runtime.h
@@ -30,6 +30,13 @@
    * one of the threads. */
   int Run(std::function<void()> aOnStop);
 
+  /** Sets what SIGHUP does; without it the signal is logged and ignored.
+   * Precondition: Run() was not called. Not thread safe. */
+  void SetOnReload(std::function<void()> aOnReload)
+  {
+    this->onReload = std::move(aOnReload);
+  }
+
   /** Ends Run(). Thread safe; the first exit code counts. */
   void End(int aExitCode);
 
@@ -40,6 +47,7 @@
   boost::asio::io_context context;
   boost::asio::signal_set signals;
   std::function<void()> onStop;
+  std::function<void()> onReload;
   bool stopping = false;
   std::atomic<int> exitCode{ -1 };
 };
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -9,7 +9,7 @@
 /** Pressure that serving tasks may have after a filler was added, against the
  * pressure at their target. The rest is for the swings of their own load, by up
  * to a half. */
-constexpr double kFillerPressureShare = 0.78;
+constexpr double kFillerPressureShare = 0.65;
 
 /** A filler with a smaller effect counts as harmless. */
 constexpr double kHarmlessEffect = 0.2;
