--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -122,6 +122,7 @@
     .Add("objective_ms",
          found->second.job.ObjectiveUnixMs() -
            static_cast<double>(found->second.job.Submission().acceptedUnixMs));
+  this->policies.observer.JobEnded(aState, std::chrono::milliseconds(age));
   switch (aState) {
     case WorkflowState::Completed:
       ++this->counts.completed;
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -5,6 +5,7 @@
 #include "FillerThrottle.h"
 #include "Quarantine.h"
 #include "ScheduledWorker.h"
+#include "SchedulerObserver.h"
 #include "StepOrder.h"
 #include "WorkerChoice.h"
 #include "WorkflowJob.h"
@@ -36,6 +37,7 @@
   const StepOrder& order;
   const WorkerChoice& choice;
   const FillerThrottle& throttle;
+  SchedulerObserver& observer;
 };
 
 /** A start that was decided on. */
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -267,6 +267,7 @@
   aWorker.Commit(start.order.task, std::move(commitment));
   aEntry.job.Assign(aName, start.worker, aRun);
   ++this->counts.starts;
+  this->policies.observer.TaskStarted(waited);
   return start;
 }
 
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -166,6 +166,7 @@
       continue;
     }
     aWorker.fillerPercents[image] = percent;
+    this->policies.observer.FillersAdjusted();
     Event("filler_speed")
       .Add("worker", aWorker.description.id)
       .Add("image", image)
@@ -184,6 +185,7 @@
   if (commitment != nullptr && commitment->run <= aRow.run) {
     aWorker.Release(aRow.task);
   }
+  this->policies.observer.RunEnded(aRow.end);
   const std::optional<TaskName> name = ParseTaskName(aRow.task);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
   Event("task_ended", LogLevel::Debug)
@@ -384,6 +386,7 @@
     .Add("worker", aWorker.description.id)
     .Add("reason", aReason);
   ++this->counts.runsLost;
+  this->policies.observer.RunLost();
   aWorker.Release(aTask);
   const std::optional<TaskName> name = ParseTaskName(aTask);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
@@ -461,6 +464,7 @@
     .Add("result", ToString(aReply.result))
     .Add("in_flight", aMayBeInFlight);
   ++this->counts.startsTurnedAway;
+  this->policies.observer.StartTurnedAway(aReply.result);
   worker->backoffUntil = now + kTurnedAwayBackoff;
   if (aReply.result == OrderResult::OldRun) {
     // An earlier copy of the order was carried out and its run has ended. The
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -187,6 +187,7 @@
 asio::awaitable<void>
 CellService::Depose(std::uint64_t aRevision, const char* aReason)
 {
+  this->parts.metrics.OwnershipChanged("deposed_other");
   Event("owner_deposed", LogLevel::Warning)
     .Add("cell", this->cell)
     .Add("revision", aRevision)
@@ -280,6 +281,7 @@
     if (!claim) {
       continue;
     }
+    this->parts.metrics.OwnershipChanged("won");
     Event("ownership_won")
       .Add("cell", this->cell)
       .Add("token", claim->fencingToken)
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -162,6 +162,7 @@
     return;
   }
   this->ended = true;
+  this->parts.metrics.OwnershipChanged(this->releasing ? "released" : "lost");
   Event("ownership_lost", LogLevel::Warning)
     .Add("cell", this->claim.cell)
     .Add("token", this->claim.fencingToken)
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -2,6 +2,7 @@
 
 #include "AsyncSignal.h"
 #include "CellScheduler.h"
+#include "SchedulerMetrics.h"
 #include "TaskRunner.h"
 #include "TransactionalStore.h"
 #include "WorkflowKeys.h"
@@ -39,6 +40,7 @@
   const WallClock& wallClock;
   SchedulerBounds bounds;
   SchedulerPolicies policies;
+  SchedulerMetrics& metrics;
   /** Tells which registered workers belong to the cell. */
   std::function<bool(const WorkerDescription&)> isOwnWorker;
 };
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -1,8 +1,15 @@
 #include "Log.h"
 
 #include <atomic>
+#include <chrono>
+#include <climits>
 #include <cstdio>
 #include <easylogging++.h>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -12,6 +19,61 @@
 
 std::atomic<LogLevel> gLevel{ LogLevel::Info };
 
+std::atomic<std::uint64_t> gDropped{ 0 };
+
+/** Lines of one event in the present second. */
+struct EventBudget
+{
+  std::chrono::steady_clock::time_point second;
+  std::uint64_t lines = 0;
+  std::uint64_t dropped = 0;
+};
+
+std::mutex gBudgetMutex;
+std::map<std::string, EventBudget, std::less<>> gBudgets;
+
+/** Counts a line of an event. Returns whether it may be written, and in
+ * aDropped how many were left out in the event's last full second. */
+bool
+TakeBudget(const std::string& aEvent, std::uint64_t& aDropped)
+{
+  const auto now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(gBudgetMutex);
+  EventBudget& budget = gBudgets[aEvent];
+  if (now - budget.second >= std::chrono::seconds(1)) {
+    aDropped = budget.dropped;
+    budget = EventBudget{ now, 0, 0 };
+  }
+  if (++budget.lines <= kMaxLinesPerSecond) {
+    return true;
+  }
+  ++budget.dropped;
+  ++gDropped;
+  return false;
+}
+
+/** Writes lines to standard output unless that would block. A write of up to
+ * PIPE_BUF bytes does not block on a pipe that is ready. */
+class NonBlockingOutput : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    std::string line = aData->logMessage()->logger()->logBuilder()->build(
+      aData->logMessage(), true);
+    if (line.size() > PIPE_BUF) {
+      line.resize(PIPE_BUF - 1);
+      line += '\n';
+    }
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    const bool ready =
+      poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    if (!ready || write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+      ++gDropped;
+    }
+  }
+};
+
 bool
 NeedsQuotes(std::string_view aValue)
 {
@@ -65,7 +127,10 @@
     "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level process=" +
       std::string(aProcess) + " %msg");
   el::Loggers::reconfigureAllLoggers(configuration);
-  el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+  el::Helpers::uninstallLogDispatchCallback<
+    el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<NonBlockingOutput>(
+    "NonBlockingOutput");
 }
 
 void
@@ -89,8 +154,15 @@
   return LogLevel::Info;
 }
 
+std::uint64_t
+DroppedLogLines()
+{
+  return gDropped;
+}
+
 Event::Event(std::string_view aName, LogLevel aLevel)
-  : level(aLevel)
+  : name(aName)
+  , level(aLevel)
 {
   this->line = "event=";
   this->line += aName;
@@ -101,6 +173,14 @@
   if (this->level < gLevel.load(std::memory_order_relaxed)) {
     return;
   }
+  std::uint64_t dropped = 0;
+  if (!TakeBudget(this->name, dropped)) {
+    return;
+  }
+  if (dropped > 0) {
+    LOG(WARNING) << "event=log_lines_dropped of=" << this->name
+                 << " lines=" << dropped;
+  }
   switch (this->level) {
     case LogLevel::Debug:
       LOG(DEBUG) << this->line;
--- a/src/Log.h
+++ b/src/Log.h
@@ -15,7 +15,17 @@
   Error,
 };
 
-/** Sets up logging to standard output. Call once, before any thread starts. */
+/** Most lines of one event in a second; further ones are counted, and the count
+ * is logged. A play of the heaviest day of the users' sites writes 300. */
+inline constexpr std::uint64_t kMaxLinesPerSecond = 500;
+
+/** Returns how many lines were left out since the start: over the limit of
+ * their event, or because the output was full. Thread safe. */
+std::uint64_t
+DroppedLogLines();
+
+/** Sets up logging to standard output. A line is left out rather than waited
+ * for while the output is full. Call once, before any thread starts. */
 void
 StartLogging(std::string_view aProcess, LogLevel aLevel);
 
@@ -70,6 +80,7 @@
   }
 
 private:
+  std::string name;
   std::string line;
   LogLevel level;
 };
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -39,6 +39,34 @@
 /** Time before the deadline that is kept for the response. */
 constexpr std::chrono::milliseconds kResponseReserve{ 60 };
 
+const char*
+OutcomeName(SubmissionOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case SubmissionOutcome::Accepted:
+      return "accepted";
+    case SubmissionOutcome::NotAccepted:
+      return "not_accepted";
+    case SubmissionOutcome::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+const char*
+OutcomeName(CancelOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case CancelOutcome::Cancelled:
+      return "cancelled";
+    case CancelOutcome::NoSuchJob:
+      return "no_such_job";
+    case CancelOutcome::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
 std::int64_t
 ElapsedMs(const Clock& aClock, TimePoint aSince)
 {
@@ -66,11 +94,13 @@
   PeerClient& aPeers,
   NodeDirectory& aNodes,
   std::vector<std::shared_ptr<CellService>> aCells,
+  SchedulerMetrics& aMetrics,
   const Clock& aClock)
   : store(aStore)
   , peers(aPeers)
   , nodes(aNodes)
   , cells(std::move(aCells))
+  , metrics(aMetrics)
   , clock(aClock)
 {
 }
@@ -185,13 +215,12 @@
     outcome =
       mayBeStored ? SubmissionOutcome::Unknown : SubmissionOutcome::NotAccepted;
   }
+  const char* const name = OutcomeName(outcome);
+  this->metrics.CallerAnswered("submit", name, this->clock.Now() - begun);
   Event("submission")
     .Add("job", aSubmission.id)
     .Add("queue", aSubmission.queue)
-    .Add("outcome",
-         outcome == SubmissionOutcome::Accepted      ? "accepted"
-         : outcome == SubmissionOutcome::NotAccepted ? "not_accepted"
-                                                     : "unknown")
+    .Add("outcome", name)
     .Add("attempts", attempts)
     .Add("relays", relays)
     .Add("elapsed_ms", ElapsedMs(this->clock, begun));
@@ -271,14 +300,28 @@
 asio::awaitable<std::optional<WorkflowState>>
 WorkflowGateway::State(std::string aJob, TimePoint aDeadline)
 {
+  const TimePoint begun = this->clock.Now();
   const WorkflowQuery query{ this->CellOf(aJob), aJob, "" };
   const std::optional<WorkflowReply> reply =
     co_await this->AskOwner(query, aDeadline);
+  std::optional<WorkflowState> state;
   if (reply && reply->state != WorkflowState::Unknown) {
-    co_return reply->state;
+    state = reply->state;
+  } else {
+    // The owner may not have seen a job that was just accepted.
+    state = co_await this->StateInStore(aJob, aDeadline);
+  }
+  this->metrics.CallerAnswered("state",
+                               state ? std::string_view(ToString(*state))
+                                     : std::string_view("unreadable"),
+                               this->clock.Now() - begun);
+  if (!state || *state == WorkflowState::Unknown) {
+    Event("state_not_found")
+      .Add("job", aJob)
+      .Add("owner_answered", reply.has_value())
+      .Add("store_answered", state.has_value());
   }
-  // The owner may not have seen a job that was just accepted.
-  co_return co_await this->StateInStore(aJob, aDeadline);
+  co_return state;
 }
 
 asio::awaitable<CancelOutcome>
@@ -352,12 +395,11 @@
     }
     co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
   }
+  const char* const name = OutcomeName(outcome);
+  this->metrics.CallerAnswered("cancel", name, this->clock.Now() - begun);
   Event("cancellation")
     .Add("job", aJob)
-    .Add("outcome",
-         outcome == CancelOutcome::Cancelled   ? "cancelled"
-         : outcome == CancelOutcome::NoSuchJob ? "no_such_job"
-                                               : "unknown")
+    .Add("outcome", name)
     .Add("elapsed_ms", ElapsedMs(this->clock, begun));
   co_return outcome;
 }
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -49,6 +49,7 @@
                   PeerClient& aPeers,
                   NodeDirectory& aNodes,
                   std::vector<std::shared_ptr<CellService>> aCells,
+                  SchedulerMetrics& aMetrics,
                   const Clock& aClock);
 
   /** Stores a change that a peer without the store asked for. */
@@ -100,6 +101,7 @@
   PeerClient& peers;
   NodeDirectory& nodes;
   std::vector<std::shared_ptr<CellService>> cells;
+  SchedulerMetrics& metrics;
   const Clock& clock;
 };
 
--- /dev/null
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -0,0 +1,293 @@
+#include "CellService.h"
+#include "NodeDirectory.h"
+#include "WorkflowGateway.h"
+#include "support/FakePlatform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+#include <optional>
+#include <thread>
+
+using namespace sequoiakeel;
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Longest wait for a stated condition. */
+constexpr seconds kLimit{ 30 };
+
+/** One process of the system, without its sockets towards callers. */
+struct Node
+{
+  Node(asio::io_context& aContext,
+       const std::string& aName,
+       FakeTransactionalStore& aStore,
+       FakeWorkers& aWorkers)
+    : server(aContext, Endpoint{ "127.0.0.1", 0 })
+    , peers(aContext.get_executor())
+    , nodes(aContext.get_executor(),
+            aStore,
+            NodeRecord{ aName, "z", "127.0.0.1", server.Port() })
+    , cell(std::make_shared<CellService>(
+        TenureParts{ asio::make_strand(aContext),
+                     aStore,
+                     aWorkers,
+                     aWorkers,
+                     clock,
+                     wallClock,
+                     SchedulerBounds{},
+                     { order, choice, throttle, metrics },
+                     metrics,
+                     [](const WorkerDescription&) { return true; } },
+        0,
+        CandidateIdentity{ aName,
+                           aName + "-boot",
+                           Endpoint{ "127.0.0.1", server.Port() } },
+        peers))
+    , gateway(aStore, peers, nodes, { cell }, metrics, clock)
+  {
+    ServeWorkflowPeers(this->server, this->gateway, { this->cell });
+    this->server.Start();
+    asio::co_spawn(
+      this->cell->Strand(),
+      [service = this->cell]() { return service->Run(); },
+      asio::detached);
+  }
+
+  BootClock clock;
+  WallClock wallClock;
+  SlackOrder order;
+  ColocationChoice choice;
+  MultiplicativeThrottle throttle;
+  SchedulerMetrics metrics;
+  PeerServer server;
+  PeerClient peers;
+  NodeDirectory nodes;
+  std::shared_ptr<CellService> cell;
+  WorkflowGateway gateway;
+};
+
+/** Runs an io_context and offers blocking calls to a test. */
+struct World
+{
+  World()
+    : store(context.get_executor())
+    , workers(context.get_executor(), { "w1", "w2" })
+    , work(asio::make_work_guard(context))
+  {
+    for (int i = 0; i < 2; ++i) {
+      this->threads.emplace_back([this] { this->context.run(); });
+    }
+  }
+
+  ~World()
+  {
+    this->context.stop();
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+  }
+
+  Node& AddNode(const std::string& aName)
+  {
+    this->nodes.push_back(
+      std::make_unique<Node>(this->context, aName, this->store, this->workers));
+    return *this->nodes.back();
+  }
+
+  template<class Result>
+  Result Await(asio::awaitable<Result> aCall)
+  {
+    return asio::co_spawn(this->context, std::move(aCall), asio::use_future)
+      .get();
+  }
+
+  template<class Condition>
+  bool Until(Condition aCondition)
+  {
+    const auto deadline = std::chrono::steady_clock::now() + kLimit;
+    while (std::chrono::steady_clock::now() < deadline) {
+      if (aCondition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+  }
+
+  std::optional<WorkflowState> StateAt(Node& aNode, const std::string& aJob)
+  {
+    return this->Await(
+      aNode.gateway.State(aJob, aNode.clock.Now() + seconds(5)));
+  }
+
+  asio::io_context context;
+  FakeTransactionalStore store;
+  FakeWorkers workers;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::vector<std::thread> threads;
+  std::vector<std::unique_ptr<Node>> nodes;
+};
+
+WorkflowSubmission
+Job(const std::string& aId)
+{
+  WorkflowSubmission job;
+  job.id = aId;
+  job.queue = "quotes";
+  job.service = "desk";
+  job.maxAttempts = 3;
+  WorkflowStep step;
+  step.count = 2;
+  step.cpuMilli = 1000;
+  step.memoryMb = 100;
+  step.estimateMs = 100;
+  job.steps.push_back(step);
+  return job;
+}
+
+} // namespace
+
+// Guards against a submission that is repeated at other entries and becomes
+// several jobs.
+TEST_CASE("one id at three entries at once is one job")
+{
+  World world;
+  Node& first = world.AddNode("a");
+  Node& second = world.AddNode("b");
+  Node& third = world.AddNode("c");
+  std::vector<std::future<SubmissionOutcome>> outcomes;
+  for (Node* const node : { &first, &second, &third, &first }) {
+    outcomes.push_back(asio::co_spawn(
+      world.context,
+      node->gateway.Submit(Job("j"), node->clock.Now() + seconds(5)),
+      asio::use_future));
+  }
+  for (std::future<SubmissionOutcome>& outcome : outcomes) {
+    CHECK(outcome.get() == SubmissionOutcome::Accepted);
+  }
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.workers.FinishAll();
+  REQUIRE(world.Until(
+    [&] { return world.StateAt(second, "j") == WorkflowState::Completed; }));
+  CHECK(world.workers.StartsOf("j.0.0.0") == 1);
+  const SubmissionOutcome late =
+    world.Await(third.gateway.Submit(Job("j"), third.clock.Now() + seconds(5)));
+  CHECK(late == SubmissionOutcome::Accepted);
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(world.workers.StartsOf("j.0.0.0") == 1);
+  CHECK(!world.workers.RanTwice());
+}
+
+// Guards against an accepted job that is lost with its owner, and against a
+// second run of the tasks that the old owner started: the owner's key goes
+// without notice while its tasks run.
+TEST_CASE("an owner that loses its key loses no job and runs none twice")
+{
+  World world;
+  Node& first = world.AddNode("a");
+  Node& second = world.AddNode("b");
+  const auto submit = [&](const std::string& aId) {
+    return world.Await(
+      second.gateway.Submit(Job(aId), second.clock.Now() + seconds(5)));
+  };
+  REQUIRE(submit("j") == SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  const std::string ownerKey = WorkflowKeys(0).Owner();
+  for (int i = 0; i < 3; ++i) {
+    world.store.Remove(ownerKey);
+    REQUIRE(world.Until([&] { return world.store.Count(ownerKey) == 1; }));
+    REQUIRE(submit("k" + std::to_string(i)) == SubmissionOutcome::Accepted);
+  }
+  REQUIRE(world.Until([&] { return world.workers.Running() == 8; }));
+  world.workers.FinishAll();
+  for (const char* const job : { "j", "k0", "k1", "k2" }) {
+    REQUIRE(world.Until(
+      [&] { return world.StateAt(first, job) == WorkflowState::Completed; }));
+  }
+  CHECK(world.workers.StartsOf("j.0.0.0") == 1);
+  CHECK(!world.workers.RanTwice());
+}
+
+// Guards against a second run of a task whose start was carried out without an
+// answer.
+TEST_CASE("a start whose answer is lost is no second run")
+{
+  World world;
+  Node& node = world.AddNode("a");
+  world.workers.LoseStartAnswers(2);
+  const SubmissionOutcome outcome =
+    world.Await(node.gateway.Submit(Job("j"), node.clock.Now() + seconds(5)));
+  REQUIRE(outcome == SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.workers.FinishAll();
+  REQUIRE(world.Until(
+    [&] { return world.StateAt(node, "j") == WorkflowState::Completed; }));
+  CHECK(world.workers.StartsOf("j.0.0.0") == 1);
+  CHECK(world.workers.StartsOf("j.0.0.1") == 1);
+  CHECK(!world.workers.RanTwice());
+}
+
+// Guards against an end that is lost, or acknowledged to the worker too early,
+// because the answer of the store was lost.
+TEST_CASE("lost answers of the store lose no end")
+{
+  World world;
+  Node& node = world.AddNode("a");
+  REQUIRE(
+    world.Await(node.gateway.Submit(Job("j"), node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.store.LoseAnswers(3);
+  world.workers.FinishAll();
+  REQUIRE(world.Until(
+    [&] { return world.StateAt(node, "j") == WorkflowState::Completed; }));
+  CHECK(!world.workers.RanTwice());
+}
+
+// Guards against a job that is said to be refused and runs all the same.
+TEST_CASE("a submission refused while the store is down never runs")
+{
+  World world;
+  Node& node = world.AddNode("a");
+  REQUIRE(world.Until(
+    [&] { return world.store.Count(WorkflowKeys(0).Owner()) == 1; }));
+  world.store.SetDown(true);
+  const SubmissionOutcome outcome =
+    world.Await(node.gateway.Submit(Job("j"), node.clock.Now() + seconds(5)));
+  CHECK(outcome == SubmissionOutcome::NotAccepted);
+  world.store.SetDown(false);
+  REQUIRE(
+    world.Await(node.gateway.Submit(Job("k"), node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  CHECK(world.workers.StartsOf("j.0.0.0") == 0);
+}
+
+// Guards against a cancellation that is acknowledged and not carried out.
+TEST_CASE("a cancelled job's runs are stopped")
+{
+  World world;
+  Node& first = world.AddNode("a");
+  Node& second = world.AddNode("b");
+  REQUIRE(world.Await(
+            first.gateway.Submit(Job("j"), first.clock.Now() + seconds(5))) ==
+          SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  const CancelOutcome outcome =
+    world.Await(second.gateway.Cancel("j", second.clock.Now() + seconds(5)));
+  CHECK(outcome == CancelOutcome::Cancelled);
+  CHECK(world.Until([&] { return world.workers.Running() == 0; }));
+  CHECK(world.StateAt(first, "j") == WorkflowState::Cancelled);
+  const CancelOutcome unknown =
+    world.Await(second.gateway.Cancel("none", second.clock.Now() + seconds(5)));
+  CHECK(unknown == CancelOutcome::NoSuchJob);
+}
--- /dev/null
+++ b/test/support/FakePlatform.cpp
@@ -0,0 +1,476 @@
+#include "FakePlatform.h"
+
+#include "AsyncSignal.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Steps in which a fake's waits look for changes. */
+constexpr std::chrono::milliseconds kStep{ 2 };
+
+/** Delay of a call, so that concurrent calls overlap. */
+constexpr std::chrono::milliseconds kCallDelay{ 1 };
+
+} // namespace
+
+FakeTransactionalStore::FakeTransactionalStore(asio::any_io_executor aExecutor)
+  : executor(std::move(aExecutor))
+{
+}
+
+void
+FakeTransactionalStore::ExpireLeases()
+{
+  std::vector<std::uint64_t> over;
+  for (const auto& [lease, state] : this->leases) {
+    if (this->clock.Now() > state.second) {
+      over.push_back(lease);
+    }
+  }
+  for (const std::uint64_t lease : over) {
+    this->leases.erase(lease);
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : this->items) {
+      if (item.lease == lease) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      this->Delete(key);
+    }
+  }
+}
+
+void
+FakeTransactionalStore::Put(const StorePut& aPut)
+{
+  StoreItem& item = this->items[aPut.key];
+  item.key = aPut.key;
+  item.value = aPut.value;
+  item.lease = aPut.lease;
+  item.revision = this->revision;
+  item.created = item.created == 0 ? this->revision : item.created;
+  this->history.push_back(Change{ this->revision, item });
+}
+
+void
+FakeTransactionalStore::Delete(const std::string& aKey)
+{
+  if (this->items.erase(aKey) == 0) {
+    return;
+  }
+  ++this->revision;
+  StoreItem item;
+  item.key = aKey;
+  item.revision = this->revision;
+  item.deleted = true;
+  this->history.push_back(Change{ this->revision, item });
+}
+
+bool
+FakeTransactionalStore::Holds(const StoreExpectation& aExpectation) const
+{
+  const auto found = this->items.find(aExpectation.key);
+  const std::uint64_t present =
+    found == this->items.end() ? kAbsentVersion : found->second.revision;
+  return present == aExpectation.revision;
+}
+
+asio::awaitable<StoreRangeReply>
+FakeTransactionalStore::Get(std::string aKey, Duration /*aTimeout*/)
+{
+  co_await SleepFor(this->executor, kCallDelay);
+  const std::lock_guard lock(this->mutex);
+  this->ExpireLeases();
+  StoreRangeReply reply;
+  if (this->down) {
+    co_return reply;
+  }
+  reply.result = StoreResult::Ok;
+  reply.revision = this->revision;
+  const auto found = this->items.find(aKey);
+  if (found != this->items.end()) {
+    reply.items.push_back(found->second);
+  }
+  co_return reply;
+}
+
+asio::awaitable<StoreRangeReply>
+FakeTransactionalStore::Range(std::string aPrefix,
+                              ReadFreshness /*aFreshness*/,
+                              Duration /*aTimeout*/)
+{
+  co_await SleepFor(this->executor, kCallDelay);
+  const std::lock_guard lock(this->mutex);
+  this->ExpireLeases();
+  StoreRangeReply reply;
+  if (this->down) {
+    co_return reply;
+  }
+  reply.result = StoreResult::Ok;
+  reply.revision = this->revision;
+  for (const auto& [key, item] : this->items) {
+    if (key.starts_with(aPrefix)) {
+      reply.items.push_back(item);
+    }
+  }
+  co_return reply;
+}
+
+asio::awaitable<StoreWatchReply>
+FakeTransactionalStore::Watch(std::string aPrefix,
+                              std::uint64_t aAfter,
+                              Duration aWait)
+{
+  const TimePoint deadline = this->clock.Now() + aWait;
+  while (true) {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->ExpireLeases();
+      StoreWatchReply reply;
+      if (this->down) {
+        co_return reply;
+      }
+      reply.result = StoreResult::Ok;
+      reply.revision = this->revision;
+      for (const Change& change : this->history) {
+        if (change.revision > aAfter && change.item.key.starts_with(aPrefix)) {
+          reply.events.push_back(change.item);
+        }
+      }
+      if (!reply.events.empty() || this->clock.Now() >= deadline) {
+        co_return reply;
+      }
+    }
+    co_await SleepFor(this->executor, kStep);
+  }
+}
+
+asio::awaitable<StoreTransactionReply>
+FakeTransactionalStore::Commit(StoreTransaction aTransaction,
+                               Duration /*aTimeout*/)
+{
+  co_await SleepFor(this->executor, kCallDelay);
+  const std::lock_guard lock(this->mutex);
+  this->ExpireLeases();
+  StoreTransactionReply reply;
+  if (this->down || aTransaction.Size() > kMaxTransactionEntries) {
+    co_return reply;
+  }
+  const bool holds = std::all_of(
+    aTransaction.expect.begin(),
+    aTransaction.expect.end(),
+    [this](const StoreExpectation& aOne) { return this->Holds(aOne); });
+  if (!holds) {
+    reply.result = StoreResult::Conflict;
+    for (const StoreExpectation& expectation : aTransaction.expect) {
+      const auto found = this->items.find(expectation.key);
+      if (found != this->items.end()) {
+        reply.current.push_back(found->second);
+      }
+    }
+    co_return reply;
+  }
+  ++this->revision;
+  const std::uint64_t committed = this->revision;
+  for (const StorePut& put : aTransaction.puts) {
+    this->Put(put);
+  }
+  for (const std::string& key : aTransaction.removes) {
+    this->Delete(key);
+  }
+  reply.result = StoreResult::Ok;
+  reply.revision = committed;
+  if (this->answersToLose > 0) {
+    --this->answersToLose;
+    reply = StoreTransactionReply{};
+    reply.result = StoreResult::Unknown;
+  }
+  co_return reply;
+}
+
+asio::awaitable<StoreLeaseReply>
+FakeTransactionalStore::GrantLease(std::chrono::milliseconds aTtl,
+                                   Duration /*aTimeout*/)
+{
+  const std::lock_guard lock(this->mutex);
+  StoreLeaseReply reply;
+  if (this->down) {
+    co_return reply;
+  }
+  reply.result = StoreResult::Ok;
+  reply.lease = this->nextLease++;
+  reply.ttl = aTtl;
+  this->leases[reply.lease] = { aTtl, this->clock.Now() + aTtl };
+  co_return reply;
+}
+
+asio::awaitable<StoreLeaseReply>
+FakeTransactionalStore::RenewLease(std::uint64_t aLease, Duration /*aTimeout*/)
+{
+  const std::lock_guard lock(this->mutex);
+  this->ExpireLeases();
+  StoreLeaseReply reply;
+  if (this->down) {
+    co_return reply;
+  }
+  const auto found = this->leases.find(aLease);
+  reply.result = StoreResult::Conflict;
+  if (found != this->leases.end()) {
+    found->second.second = this->clock.Now() + found->second.first;
+    reply.result = StoreResult::Ok;
+    reply.lease = aLease;
+    reply.ttl = found->second.first;
+  }
+  co_return reply;
+}
+
+asio::awaitable<StoreLeaseReply>
+FakeTransactionalStore::EndLease(std::uint64_t aLease, Duration /*aTimeout*/)
+{
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->leases.find(aLease);
+  if (found != this->leases.end()) {
+    found->second.second = TimePoint();
+  }
+  this->ExpireLeases();
+  StoreLeaseReply reply;
+  reply.result = StoreResult::Ok;
+  co_return reply;
+}
+
+void
+FakeTransactionalStore::LoseAnswers(int aCount)
+{
+  const std::lock_guard lock(this->mutex);
+  this->answersToLose = aCount;
+}
+
+void
+FakeTransactionalStore::SetDown(bool aDown)
+{
+  const std::lock_guard lock(this->mutex);
+  this->down = aDown;
+}
+
+void
+FakeTransactionalStore::Remove(const std::string& aKey)
+{
+  const std::lock_guard lock(this->mutex);
+  this->Delete(aKey);
+}
+
+std::size_t
+FakeTransactionalStore::Count(const std::string& aPrefix)
+{
+  const std::lock_guard lock(this->mutex);
+  std::size_t count = 0;
+  for (const auto& [key, item] : this->items) {
+    count += key.starts_with(aPrefix) ? 1 : 0;
+  }
+  return count;
+}
+
+FakeWorkers::FakeWorkers(asio::any_io_executor aExecutor,
+                         std::vector<std::string> aIds)
+  : executor(std::move(aExecutor))
+{
+  for (const std::string& id : aIds) {
+    this->workers[id];
+  }
+}
+
+std::uint64_t
+FakeWorkers::NowMs() const
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->clock.Now().time_since_epoch())
+      .count());
+}
+
+asio::awaitable<std::optional<std::vector<WorkerDescription>>>
+FakeWorkers::List()
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<WorkerDescription> result;
+  for (const auto& [id, worker] : this->workers) {
+    WorkerDescription description;
+    description.id = id;
+    description.incarnation = 1;
+    description.service = "desk";
+    description.endpoint = Endpoint{ "127.0.0.1", 1 };
+    description.rack = "r1";
+    description.room = WorkerRoom{ 32000, 128000, 0 };
+    result.push_back(std::move(description));
+  }
+  co_return result;
+}
+
+asio::awaitable<OrderReply>
+FakeWorkers::Start(OrderTarget aTarget, StartOrder aOrder, Duration aTimeout)
+{
+  bool lost = false;
+  OrderReply reply;
+  {
+    const std::lock_guard lock(this->mutex);
+    Worker& worker = this->workers.at(aTarget.worker);
+    reply.workerMs = this->NowMs();
+    if (aTarget.fencingToken < worker.token) {
+      reply.result = OrderResult::Fenced;
+      co_return reply;
+    }
+    worker.token = aTarget.fencingToken;
+    const auto running = worker.running.find(aOrder.task);
+    if (running != worker.running.end() && running->second == aOrder.run) {
+      reply.result = OrderResult::Done;
+      co_return reply;
+    }
+    const auto ended = worker.highestEnded.find(aOrder.task);
+    if (ended != worker.highestEnded.end() && aOrder.run <= ended->second) {
+      reply.result = OrderResult::OldRun;
+      co_return reply;
+    }
+    if (aOrder.validUntilWorkerMs < this->NowMs()) {
+      reply.result = OrderResult::Expired;
+      co_return reply;
+    }
+    for (const auto& [id, other] : this->workers) {
+      this->ranTwice = this->ranTwice || other.running.contains(aOrder.task);
+    }
+    this->ranTwice = this->ranTwice || this->doneTasks.contains(aOrder.task);
+    worker.running[aOrder.task] = aOrder.run;
+    ++this->starts[aOrder.task];
+    reply.result = OrderResult::Done;
+    if (this->answersToLose > 0) {
+      --this->answersToLose;
+      lost = true;
+    }
+  }
+  if (lost) {
+    co_await SleepFor(this->executor, aTimeout);
+    reply = OrderReply{ OrderResult::Unknown, 0 };
+  }
+  co_return reply;
+}
+
+asio::awaitable<OrderReply>
+FakeWorkers::Stop(OrderTarget aTarget,
+                  std::string aTask,
+                  std::uint64_t aRun,
+                  Duration /*aTimeout*/)
+{
+  const std::lock_guard lock(this->mutex);
+  Worker& worker = this->workers.at(aTarget.worker);
+  if (worker.running.erase(aTask) > 0) {
+    worker.ended.push_back(
+      EndedRow{ worker.nextEnd++, aTask, aRun, RunEnd::Stopped, "" });
+    worker.highestEnded[aTask] = aRun;
+  }
+  co_return OrderReply{ OrderResult::Done, this->NowMs() };
+}
+
+asio::awaitable<OrderReply>
+FakeWorkers::Throttle(OrderTarget /*aTarget*/,
+                      std::string /*aTask*/,
+                      std::uint64_t /*aRun*/,
+                      int /*aPercent*/,
+                      Duration /*aTimeout*/)
+{
+  co_return OrderReply{ OrderResult::Done, this->NowMs() };
+}
+
+asio::awaitable<RenewReply>
+FakeWorkers::Renew(OrderTarget aTarget,
+                   std::uint64_t /*aUntilWorkerMs*/,
+                   std::uint64_t aAcknowledged,
+                   Duration aWait,
+                   Duration /*aTimeout*/)
+{
+  const TimePoint deadline = this->clock.Now() + aWait;
+  while (true) {
+    {
+      const std::lock_guard lock(this->mutex);
+      Worker& worker = this->workers.at(aTarget.worker);
+      RenewReply reply;
+      reply.order.workerMs = this->NowMs();
+      if (aTarget.fencingToken < worker.token) {
+        reply.order.result = OrderResult::Fenced;
+        co_return reply;
+      }
+      worker.token = aTarget.fencingToken;
+      std::erase_if(worker.ended, [&](const EndedRow& aRow) {
+        if (aRow.sequence > aAcknowledged) {
+          return false;
+        }
+        if (aRow.end == RunEnd::Done) {
+          this->doneTasks.insert(aRow.task);
+        }
+        return true;
+      });
+      if (!worker.ended.empty() || this->clock.Now() >= deadline) {
+        reply.order.result = OrderResult::Done;
+        reply.report.incarnation = 1;
+        reply.report.ended = worker.ended;
+        for (const auto& [task, run] : worker.running) {
+          reply.report.running.push_back(RunningRow{ task, run, "", 10, 0 });
+        }
+        co_return reply;
+      }
+    }
+    co_await SleepFor(this->executor, kStep);
+  }
+}
+
+void
+FakeWorkers::FinishAll()
+{
+  const std::lock_guard lock(this->mutex);
+  for (auto& [id, worker] : this->workers) {
+    for (const auto& [task, run] : worker.running) {
+      worker.ended.push_back(
+        EndedRow{ worker.nextEnd++, task, run, RunEnd::Done, "" });
+      worker.highestEnded[task] = run;
+    }
+    worker.running.clear();
+  }
+}
+
+void
+FakeWorkers::LoseStartAnswers(int aCount)
+{
+  const std::lock_guard lock(this->mutex);
+  this->answersToLose = aCount;
+}
+
+int
+FakeWorkers::StartsOf(const std::string& aTask)
+{
+  const std::lock_guard lock(this->mutex);
+  return this->starts[aTask];
+}
+
+std::size_t
+FakeWorkers::Running()
+{
+  const std::lock_guard lock(this->mutex);
+  std::size_t count = 0;
+  for (const auto& [id, worker] : this->workers) {
+    count += worker.running.size();
+  }
+  return count;
+}
+
+bool
+FakeWorkers::RanTwice()
+{
+  const std::lock_guard lock(this->mutex);
+  return this->ranTwice;
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/test/support/FakePlatform.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "BootClock.h"
+#include "CellTenure.h"
+#include "TaskRunner.h"
+#include "TransactionalStore.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/** An in-memory store with transactions, leases and watches. Thread safe. */
+class FakeTransactionalStore : public TransactionalStore
+{
+public:
+  explicit FakeTransactionalStore(boost::asio::any_io_executor aExecutor);
+
+  boost::asio::awaitable<StoreRangeReply> Get(std::string aKey,
+                                              Duration aTimeout) override;
+  boost::asio::awaitable<StoreRangeReply> Range(std::string aPrefix,
+                                                ReadFreshness aFreshness,
+                                                Duration aTimeout) override;
+  boost::asio::awaitable<StoreWatchReply> Watch(std::string aPrefix,
+                                                std::uint64_t aAfter,
+                                                Duration aWait) override;
+  boost::asio::awaitable<StoreTransactionReply> Commit(
+    StoreTransaction aTransaction,
+    Duration aTimeout) override;
+  boost::asio::awaitable<StoreLeaseReply> GrantLease(
+    std::chrono::milliseconds aTtl,
+    Duration aTimeout) override;
+  boost::asio::awaitable<StoreLeaseReply> RenewLease(
+    std::uint64_t aLease,
+    Duration aTimeout) override;
+  boost::asio::awaitable<StoreLeaseReply> EndLease(std::uint64_t aLease,
+                                                   Duration aTimeout) override;
+
+  /** Result that the next commits get after they were applied. */
+  void LoseAnswers(int aCount);
+
+  /** Refuses every call while set. */
+  void SetDown(bool aDown);
+
+  /** Removes a key as an operator would, without ending its lease. */
+  void Remove(const std::string& aKey);
+
+  /** Returns the number of keys with a prefix. */
+  std::size_t Count(const std::string& aPrefix);
+
+private:
+  struct Change
+  {
+    std::uint64_t revision;
+    StoreItem item;
+  };
+
+  void ExpireLeases();
+  void Put(const StorePut& aPut);
+  void Delete(const std::string& aKey);
+  bool Holds(const StoreExpectation& aExpectation) const;
+
+  boost::asio::any_io_executor executor;
+  std::mutex mutex;
+  BootClock clock;
+  std::map<std::string, StoreItem> items;
+  std::vector<Change> history;
+  std::map<std::uint64_t, std::pair<std::chrono::milliseconds, TimePoint>>
+    leases;
+  std::uint64_t revision = 1;
+  std::uint64_t nextLease = 1;
+  int answersToLose = 0;
+  bool down = false;
+};
+
+/** Workers in memory, which are their own registry. Each task runs until the
+ * test ends it. Thread safe. */
+class FakeWorkers
+  : public TaskRunner
+  , public WorkerRegistry
+{
+public:
+  FakeWorkers(boost::asio::any_io_executor aExecutor,
+              std::vector<std::string> aIds);
+
+  boost::asio::awaitable<std::optional<std::vector<WorkerDescription>>> List()
+    override;
+  boost::asio::awaitable<OrderReply> Start(OrderTarget aTarget,
+                                           StartOrder aOrder,
+                                           Duration aTimeout) override;
+  boost::asio::awaitable<OrderReply> Stop(OrderTarget aTarget,
+                                          std::string aTask,
+                                          std::uint64_t aRun,
+                                          Duration aTimeout) override;
+  boost::asio::awaitable<OrderReply> Throttle(OrderTarget aTarget,
+                                              std::string aTask,
+                                              std::uint64_t aRun,
+                                              int aPercent,
+                                              Duration aTimeout) override;
+  boost::asio::awaitable<RenewReply> Renew(OrderTarget aTarget,
+                                           std::uint64_t aUntilWorkerMs,
+                                           std::uint64_t aAcknowledged,
+                                           Duration aWait,
+                                           Duration aTimeout) override;
+
+  /** Ends all runs of a worker as done. */
+  void FinishAll();
+
+  /** Loses the answers of the next starts, which are carried out. */
+  void LoseStartAnswers(int aCount);
+
+  /** Returns how often a task was started in all. */
+  int StartsOf(const std::string& aTask);
+
+  /** Returns how many runs are in progress. */
+  std::size_t Running();
+
+  /** Returns whether a task ever ran twice at a time, or again after its end
+   * was acknowledged as done. */
+  bool RanTwice();
+
+private:
+  struct Worker
+  {
+    std::uint64_t token = 0;
+    std::map<std::string, std::uint64_t> running;
+    std::map<std::string, std::uint64_t> highestEnded;
+    std::vector<EndedRow> ended;
+    std::uint64_t nextEnd = 1;
+  };
+
+  std::uint64_t NowMs() const;
+
+  boost::asio::any_io_executor executor;
+  std::mutex mutex;
+  BootClock clock;
+  std::map<std::string, Worker> workers;
+  std::map<std::string, int> starts;
+  std::set<std::string> doneTasks;
+  int answersToLose = 0;
+  bool ranTwice = false;
+};
+
+} // namespace sequoiakeel
--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -38,9 +38,10 @@
   SlackOrder order;
   ColocationChoice choice;
   MultiplicativeThrottle throttle;
+  SchedulerObserver observer;
   SchedulerBounds bounds;
   CellScheduler scheduler{ bounds,
-                           { order, choice, throttle },
+                           { order, choice, throttle, observer },
                            clock,
                            wallClock,
                            clock.Now() + std::chrono::seconds(8) };
