--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -66,10 +66,14 @@
 }
 
 void
-CellScheduler::SetRoster(std::span<const std::string> aWorkers)
+CellScheduler::SetRoster(const WorkerRoster& aRoster)
 {
-  this->roster.insert(aWorkers.begin(), aWorkers.end());
-  this->awaitedWorkers.insert(aWorkers.begin(), aWorkers.end());
+  this->RosterWritten(aRoster);
+  this->awaitedWorkers = this->roster;
+  for (const SilentWorker& silent : aRoster.silent) {
+    this->tasksOnSilent[silent.worker] = { silent.tasks.begin(),
+                                           silent.tasks.end() };
+  }
   this->CheckRecovered();
 }
 
@@ -224,33 +228,67 @@
 bool
 CellScheduler::RosterIsStale() const
 {
-  for (const auto& [id, worker] : this->workers) {
-    if (worker.listed && !this->roster.contains(id)) {
-      return true;
-    }
+  const WorkerRoster wanted = this->RosterToWrite();
+  if (wanted.workers.size() != this->roster.size() ||
+      wanted.silent.size() != this->rosterSilent.size()) {
+    return true;
   }
-  for (const std::string& id : this->roster) {
-    if (!this->workers.contains(id) && !this->awaitedWorkers.contains(id)) {
+  for (const std::string& id : wanted.workers) {
+    if (!this->roster.contains(id)) {
       return true;
     }
   }
   return false;
 }
 
-std::vector<std::string>
+WorkerRoster
 CellScheduler::RosterToWrite() const
 {
-  std::set<std::string> result = this->awaitedWorkers;
+  WorkerRoster result;
+  std::set<std::string> ids = this->awaitedWorkers;
   for (const auto& [id, worker] : this->workers) {
-    result.insert(id);
+    const bool awaited = ids.contains(id) || this->AwaitsSilent(id);
+    if (awaited || !worker.silent) {
+      continue;
+    }
+    SilentWorker silent;
+    silent.worker = id;
+    for (const auto& [task, commitment] : worker.Commitments()) {
+      silent.tasks.push_back(task);
+    }
+    result.silent.push_back(std::move(silent));
   }
-  return { result.begin(), result.end() };
+  for (const auto& [id, tasks] : this->tasksOnSilent) {
+    result.silent.push_back(SilentWorker{ id, { tasks.begin(), tasks.end() } });
+  }
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker.silent && !this->AwaitsSilent(id)) {
+      ids.insert(id);
+    }
+  }
+  result.workers = { ids.begin(), ids.end() };
+  return result;
 }
 
 void
-CellScheduler::RosterWritten(std::span<const std::string> aWorkers)
+CellScheduler::RosterWritten(const WorkerRoster& aRoster)
+{
+  this->roster = { aRoster.workers.begin(), aRoster.workers.end() };
+  this->rosterSilent.clear();
+  for (const SilentWorker& silent : aRoster.silent) {
+    this->rosterSilent.insert(silent.worker);
+  }
+}
+
+bool
+CellScheduler::MayRunOnSilent(const std::string& aTask) const
 {
-  this->roster = { aWorkers.begin(), aWorkers.end() };
+  for (const auto& [worker, tasks] : this->tasksOnSilent) {
+    if (tasks.contains(aTask)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 std::vector<std::string>
@@ -320,6 +358,9 @@
 void
 CellScheduler::CheckRecovered()
 {
+  if (this->clock.Now() > this->olderLeasesGone) {
+    this->tasksOnSilent.clear();
+  }
   if (this->recovered) {
     return;
   }
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -138,7 +138,7 @@
   void RestoreEnded(const WorkflowProgress& aProgress);
 
   /** Names the workers on which earlier owners may have started tasks. */
-  void SetRoster(std::span<const std::string> aWorkers);
+  void SetRoster(const WorkerRoster& aRoster);
 
   /** Takes in a job that nobody can have started. Returns false if it is known.
    */
@@ -155,11 +155,11 @@
    * would wait. */
   bool RosterIsStale() const;
 
-  /** Returns all workers that belong into the durable roster. */
-  std::vector<std::string> RosterToWrite() const;
+  /** Returns the roster as it should be. */
+  WorkerRoster RosterToWrite() const;
 
   /** Notes that a roster is durable. */
-  void RosterWritten(std::span<const std::string> aWorkers);
+  void RosterWritten(const WorkerRoster& aRoster);
 
   /** Returns the ids of workers that need a lease or a report. */
   std::vector<std::string> WorkersToRenew() const;
@@ -269,6 +269,10 @@
                   const TaskName& aName,
                   Entry& aEntry,
                   const EndedRow& aRow);
+  void CountFailure(const std::string& aWorker,
+                    const TaskName& aName,
+                    Entry& aEntry,
+                    const EndedRow& aRow);
   void TakeRunning(ScheduledWorker& aWorker, const RunningRow& aRow);
   void Adopt(ScheduledWorker& aWorker,
              const TaskName& aName,
@@ -283,6 +287,11 @@
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
   void ExpireLeases();
   void CheckRecovered();
+  bool MayRunOnSilent(const std::string& aTask) const;
+  bool AwaitsSilent(const std::string& aWorker) const
+  {
+    return this->tasksOnSilent.contains(aWorker);
+  }
   void MarkDirty(const std::string& aJob);
   std::vector<Candidate> Candidates() const;
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
@@ -310,8 +319,15 @@
   const WallClock& wallClock;
   TimePoint olderLeasesGone;
   bool recovered = false;
+  /** Workers of earlier owners that have not reported and may run any task. */
   std::set<std::string> awaitedWorkers;
+  /** Tasks that may run on silent workers of earlier owners, by worker. */
+  std::map<std::string, std::set<std::string>> tasksOnSilent;
+  /** The durable roster: workers that may get tasks, and those listed as
+   * silent.
+   */
   std::set<std::string> roster;
+  std::set<std::string> rosterSilent;
   std::unordered_map<std::string, Entry> jobs;
   std::unordered_map<std::string, Ended> ended;
   std::map<std::string, ScheduledWorker> workers;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -147,6 +147,12 @@
     if (tasks[i].status != TaskStatus::Pending) {
       continue;
     }
+    const TaskName name{
+      aCandidate.job, aCandidate.occurrence, aCandidate.step, i
+    };
+    if (this->MayRunOnSilent(FormatTaskName(name))) {
+      continue;
+    }
     if (aOrders.starts.size() >= kMaxStartsPerRound) {
       return;
     }
@@ -156,9 +162,6 @@
       return;
     }
     rack = worker->description.rack;
-    const TaskName name{
-      aCandidate.job, aCandidate.occurrence, aCandidate.step, i
-    };
     aOrders.starts.push_back(
       this->Start(entry, name, tasks[i].run + 1, *worker, key));
   }
@@ -178,7 +181,12 @@
     StepKey(aCandidate.job, aCandidate.occurrence, aCandidate.step);
   std::uint64_t run = 0;
   std::string checkpoint;
-  for (const WorkflowTask& task : members.tasks) {
+  for (std::uint32_t i = 0; i < members.tasks.size(); ++i) {
+    const WorkflowTask& task = members.tasks[i];
+    if (this->MayRunOnSilent(FormatTaskName(
+          { aCandidate.job, aCandidate.occurrence, aCandidate.step, i }))) {
+      return false;
+    }
     run = std::max(run, task.run);
     if (!task.checkpoint.empty()) {
       checkpoint = task.checkpoint;
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -81,6 +81,7 @@
   this->CheckMissing(*worker, aSentAt, aReport);
   this->AdjustFillers(*worker);
   this->awaitedWorkers.erase(aWorker);
+  this->tasksOnSilent.erase(aWorker);
   this->CheckRecovered();
 }
 
@@ -216,8 +217,11 @@
   const bool elsewhere =
     task.status == TaskStatus::Assigned && task.worker != aWorker;
   if (elsewhere || task.status == TaskStatus::Done) {
-    // The worker's lease had expired, so the task runs elsewhere by now. Its
-    // end is void unless copies are allowed.
+    // The worker's lease had expired, or an earlier owner restarted the task.
+    // Only a failure still counts.
+    if (aRow.end == RunEnd::Failed && elsewhere) {
+      this->CountFailure(aWorker, aName, aEntry, aRow);
+    }
     return;
   }
   if (aRow.end == RunEnd::Done || aRow.end == RunEnd::Failed) {
@@ -247,12 +251,21 @@
   if (task.status == TaskStatus::Assigned) {
     job.Unassign(aName, this->clock.Now());
   }
-  if (aRow.end != RunEnd::Failed) {
-    return;
+  if (aRow.end == RunEnd::Failed) {
+    this->CountFailure(aWorker, aName, aEntry, aRow);
   }
+}
+
+void
+CellScheduler::CountFailure(const std::string& aWorker,
+                            const TaskName& aName,
+                            Entry& aEntry,
+                            const EndedRow& aRow)
+{
+  WorkflowJob& job = aEntry.job;
   ++this->counts.runsFailed;
   TaskName counted = aName;
-  if (step.gang) {
+  if (job.StepOf(aName).gang) {
     counted.index = 0;
   }
   if (!job.MarkFailed(counted, aRow.run)) {
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -261,17 +261,17 @@
     }
   }
   this->inboxRevision = inbox->revision;
-  std::vector<std::string> workers;
+  WorkerRoster older;
   for (const StoreItem& item : roster->items) {
     if (item.key != this->keys.Roster()) {
       continue;
     }
     this->rosterRevision = item.revision;
     if (const auto record = DecodeRecord<WorkerRoster>(item)) {
-      workers = record->workers;
+      older = *record;
     }
   }
-  this->scheduler.SetRoster(workers);
+  this->scheduler.SetRoster(older);
   co_return !this->ended;
 }
 
@@ -424,7 +424,7 @@
 asio::awaitable<void>
 CellTenure::WriteRoster()
 {
-  WorkerRoster roster{ this->scheduler.RosterToWrite() };
+  const WorkerRoster roster = this->scheduler.RosterToWrite();
   StoreTransaction change;
   change.expect = { { this->keys.Owner(), this->claim.fencingToken },
                     { this->keys.Roster(), this->rosterRevision } };
@@ -433,7 +433,7 @@
     co_await this->parts.store.Commit(change, kStoreTimeout);
   if (reply.result == StoreResult::Ok) {
     this->rosterRevision = reply.revision;
-    this->scheduler.RosterWritten(roster.workers);
+    this->scheduler.RosterWritten(roster);
     co_return;
   }
   // The next round of the registry tries again.
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -144,8 +144,7 @@
 TEST_CASE("tasks of an earlier owner wait for the roster")
 {
   SchedulerHarness harness;
-  const std::vector<std::string> roster{ "w1", "w2" };
-  harness.scheduler.SetRoster(roster);
+  harness.scheduler.SetRoster(WorkerRoster{ { "w1", "w2" }, {} });
   harness.scheduler.Restore(harness.Job("j", 2), WorkflowProgress{});
   const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1"),
                                                SchedulerHarness::Worker("w2") };
@@ -261,10 +260,71 @@
   CHECK(!harness.scheduler.RosterIsStale());
   const std::vector<WorkerDescription> left{ SchedulerHarness::Worker("w1") };
   harness.scheduler.UpdateWorkers(left);
-  CHECK(harness.scheduler.RosterToWrite().size() == 2);
+  CHECK(harness.scheduler.RosterToWrite().workers.size() == 2);
   // Leases of the harness's earlier owners last for eight seconds.
   harness.clock.Advance(seconds(9));
   harness.scheduler.UpdateWorkers(left);
   CHECK(harness.scheduler.RosterIsStale());
-  CHECK(harness.scheduler.RosterToWrite() == std::vector<std::string>{ "w1" });
+  CHECK(harness.scheduler.RosterToWrite().workers ==
+        std::vector<std::string>{ "w1" });
+}
+
+// Guards against a takeover in which all tasks wait for one worker that had
+// stopped answering long before, and against a second run of the tasks that may
+// still run there.
+TEST_CASE("only tasks on a worker that was known to be silent wait for it")
+{
+  SchedulerHarness harness;
+  harness.scheduler.SetRoster(
+    WorkerRoster{ { "w1" }, { SilentWorker{ "w2", { "j.0.0.0" } } } });
+  harness.scheduler.Restore(harness.Job("j", 2), WorkflowProgress{});
+  const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1") };
+  harness.scheduler.UpdateWorkers(listed);
+  harness.Report("w1", 1, {}, {});
+  CHECK(StartedTasks(harness.PlanAndConfirm()) ==
+        std::vector<std::string>{ "j.0.0.1" });
+  const WorkerRoster kept = harness.scheduler.RosterToWrite();
+  REQUIRE(kept.silent.size() == 1);
+  CHECK(kept.silent[0].tasks == std::vector<std::string>{ "j.0.0.0" });
+  harness.clock.Advance(seconds(9));
+  harness.Report("w1", 1, { { "j.0.0.1", 1, "", 10, 0 } }, {});
+  harness.scheduler.NoteLease("w1", harness.scheduler.LeaseUntil("w1"));
+  CHECK(StartedTasks(harness.PlanAndConfirm()) ==
+        std::vector<std::string>{ "j.0.0.0" });
+}
+
+// Guards against a start on a worker that the durable roster still lists as
+// silent: the next owner would not look for that task there.
+TEST_CASE("a worker that answers again gets tasks once the roster says so")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.HandleSilence("w1");
+  CHECK(harness.scheduler.RosterIsStale());
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w1", 1, {}, {});
+  harness.scheduler.Accept(harness.Job("j"));
+  CHECK(harness.scheduler.Plan().starts.empty());
+  CHECK(harness.scheduler.RosterIsStale());
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  CHECK(harness.scheduler.Plan().starts.size() == 1);
+}
+
+// Guards against more attempts than a queue allows: the new owner finds a later
+// run of a task before the worker of an earlier one lists its failure.
+TEST_CASE("a failure counts also when the task runs elsewhere by now")
+{
+  SchedulerHarness harness;
+  harness.scheduler.SetRoster(WorkerRoster{ { "w1", "w2" }, {} });
+  harness.scheduler.Restore(harness.Job("j"), WorkflowProgress{});
+  const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1"),
+                                               SchedulerHarness::Worker("w2") };
+  harness.scheduler.UpdateWorkers(listed);
+  harness.Report("w2", 1, { { "j.0.0.0", 2, "", 10, 0 } }, {});
+  harness.Report("w1", 1, {}, { { 1, "j.0.0.0", 1, RunEnd::Failed, "" } });
+  harness.Report("w2", 1, {}, { { 1, "j.0.0.0", 2, RunEnd::Failed, "" } });
+  const ProgressBatch batch = harness.scheduler.TakeProgress();
+  REQUIRE(batch.records.size() == 1);
+  REQUIRE(batch.records[0].progress.failures.size() == 1);
+  CHECK(batch.records[0].progress.failures[0].runs.size() == 2);
 }
