--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -90,7 +90,6 @@
     .Add("steps", static_cast<std::uint64_t>(aSubmission.steps.size()))
     .Add("age_ms", this->wallClock.UnixMs() - aSubmission.acceptedUnixMs);
   this->AddJob(std::move(aSubmission), false);
-  ++this->counts.accepted;
   return true;
 }
 
@@ -127,17 +126,6 @@
          found->second.job.ObjectiveUnixMs() -
            static_cast<double>(found->second.job.Submission().acceptedUnixMs));
   this->policies.observer.JobEnded(aState, std::chrono::milliseconds(age));
-  switch (aState) {
-    case WorkflowState::Completed:
-      ++this->counts.completed;
-      break;
-    case WorkflowState::Failed:
-      ++this->counts.failed;
-      break;
-    default:
-      ++this->counts.cancelled;
-      break;
-  }
   const std::string prefix = aJob + ".";
   for (auto& [id, worker] : this->workers) {
     for (const auto& [task, commitment] : worker.Commitments()) {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -93,21 +93,6 @@
   std::uint64_t change = 0;
 };
 
-/** Counts since the scheduler was made. */
-struct SchedulerCounts
-{
-  std::uint64_t accepted = 0;
-  std::uint64_t completed = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t cancelled = 0;
-  std::uint64_t starts = 0;
-  std::uint64_t startsTurnedAway = 0;
-  std::uint64_t runsLost = 0;
-  std::uint64_t runsFailed = 0;
-  std::uint64_t stops = 0;
-  std::uint64_t throttles = 0;
-};
-
 /**
  * Decides where and when the tasks of one cell run. It keeps the jobs, the
  * workers with what may run on them, and turns reports into orders and durable
@@ -231,7 +216,6 @@
   /** Tells whether it is known where all tasks of earlier owners are. */
   bool Recovered() const { return this->recovered; }
 
-  const SchedulerCounts& Counts() const { return this->counts; }
   std::size_t Jobs() const { return this->jobs.size(); }
   std::size_t Workers() const { return this->workers.size(); }
 
@@ -338,7 +322,6 @@
   Quarantine quarantine;
   FillerInterference interference;
   TimePoint interferenceUpdatedAt;
-  SchedulerCounts counts;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -274,7 +274,6 @@
              .count()));
   aWorker.Commit(start.order.task, std::move(commitment));
   aEntry.job.Assign(aName, start.worker, aRun);
-  ++this->counts.starts;
   this->policies.observer.TaskStarted(waited);
   return start;
 }
@@ -311,7 +310,6 @@
         continue;
       }
       commitment.stopSentAt = now;
-      ++this->counts.stops;
       aOrders.stops.push_back(PlannedStop{
         id, worker.description.endpoint, task, commitment.run, "" });
     }
@@ -331,7 +329,6 @@
         continue;
       }
       commitment.speedPercent = worker.FillerPercent(commitment.step.image);
-      ++this->counts.throttles;
       aOrders.throttles.push_back(PlannedThrottle{ id,
                                                    worker.description.endpoint,
                                                    task,
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -189,7 +189,7 @@
   this->policies.observer.RunEnded(aRow.end);
   const std::optional<TaskName> name = ParseTaskName(aRow.task);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-  Event("task_ended", LogLevel::Debug)
+  Event("task_ended")
     .Add("task", aRow.task)
     .Add("run", aRow.run)
     .Add("worker", aWorker.description.id)
@@ -263,7 +263,6 @@
                             const EndedRow& aRow)
 {
   WorkflowJob& job = aEntry.job;
-  ++this->counts.runsFailed;
   TaskName counted = aName;
   if (job.StepOf(aName).gang) {
     counted.index = 0;
@@ -398,7 +397,6 @@
     .Add("run", commitment->run)
     .Add("worker", aWorker.description.id)
     .Add("reason", aReason);
-  ++this->counts.runsLost;
   this->policies.observer.RunLost();
   aWorker.Release(aTask);
   const std::optional<TaskName> name = ParseTaskName(aTask);
@@ -476,7 +474,6 @@
     .Add("worker", aWorker)
     .Add("result", ToString(aReply.result))
     .Add("in_flight", aMayBeInFlight);
-  ++this->counts.startsTurnedAway;
   this->policies.observer.StartTurnedAway(aReply.result);
   worker->backoffUntil = now + kTurnedAwayBackoff;
   if (aReply.result == OrderResult::OldRun) {
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -102,7 +102,8 @@
         co_await SleepFor(this->parts.strand, kStoreRetry);
         break;
       }
-      revision = watched.revision;
+      // An empty answer proves nothing; see CellTenure::WatchInbox().
+      revision = watched.events.empty() ? revision : watched.revision;
       bool vacant = false;
       for (const StoreItem& event : watched.events) {
         vacant = event.deleted;
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -348,7 +348,11 @@
       for (const StoreItem& event : reply.events) {
         this->TakeInboxItem(event);
       }
-      this->inboxRevision = std::max(this->inboxRevision, reply.revision);
+      // An empty answer proves nothing: a watch may hear nothing while changes
+      // are made. The next one asks from the same revision.
+      if (!reply.events.empty()) {
+        this->inboxRevision = std::max(this->inboxRevision, reply.revision);
+      }
       continue;
     }
     if (!reply.compacted) {
@@ -371,10 +375,28 @@
       this->End("owner key gone");
       co_return;
     }
-    for (const StoreItem& item : inbox->items) {
+    this->TakeWholeInbox(inbox->items);
+    this->inboxRevision = inbox->revision;
+  }
+}
+
+void
+CellTenure::TakeWholeInbox(const std::vector<StoreItem>& aItems)
+{
+  // Items come in the order of their keys, in which cancellations go before
+  // jobs; a job must be known before it can be cancelled.
+  const auto isCancellation = [this](const StoreItem& aItem) {
+    return aItem.key.starts_with(this->keys.Cancellations());
+  };
+  for (const StoreItem& item : aItems) {
+    if (!isCancellation(item)) {
+      this->TakeInboxItem(item);
+    }
+  }
+  for (const StoreItem& item : aItems) {
+    if (isCancellation(item)) {
       this->TakeInboxItem(item);
     }
-    this->inboxRevision = inbox->revision;
   }
 }
 
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -90,8 +90,8 @@
 private:
   struct WorkerLoop
   {
-    explicit WorkerLoop(boost::asio::any_io_executor aExecutor)
-      : wake(std::move(aExecutor))
+    explicit WorkerLoop(const boost::asio::any_io_executor& aExecutor)
+      : wake(aExecutor)
     {
     }
     AsyncSignal wake;
@@ -103,6 +103,7 @@
   boost::asio::awaitable<std::optional<StoreRangeReply>> ReadAll(
     std::string aPrefix);
   void TakeInboxItem(const StoreItem& aItem);
+  void TakeWholeInbox(const std::vector<StoreItem>& aItems);
   boost::asio::awaitable<void> RenewOwnership();
   boost::asio::awaitable<void> WatchInbox();
   boost::asio::awaitable<void> FollowRegistry();
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -291,3 +291,36 @@
     world.Await(second.gateway.Cancel("none", second.clock.Now() + seconds(5)));
   CHECK(unknown == CancelOutcome::NoSuchJob);
 }
+
+// Guards against changes that are missed for good: watches hear nothing for
+// longer than one of them waits, and then the history is dropped.
+TEST_CASE("changes made while watches hear nothing are taken in")
+{
+  World world;
+  Node& node = world.AddNode("a");
+  const auto submit = [&](const std::string& aId) {
+    return world.Await(
+      node.gateway.Submit(Job(aId), node.clock.Now() + seconds(5)));
+  };
+  REQUIRE(submit("j") == SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.store.SetDeaf(true);
+  REQUIRE(submit("k") == SubmissionOutcome::Accepted);
+  REQUIRE(submit("l") == SubmissionOutcome::Accepted);
+  // Keys of cancellations are read before those of jobs, so a job that was both
+  // accepted and cancelled must not be taken for an open one.
+  for (const char* const job : { "j", "l" }) {
+    const CancelOutcome outcome =
+      world.Await(node.gateway.Cancel(job, node.clock.Now() + seconds(5)));
+    REQUIRE(outcome == CancelOutcome::Cancelled);
+  }
+  // Longer than a watch of submissions waits.
+  std::this_thread::sleep_for(milliseconds(1500));
+  world.store.SetDeaf(false);
+  CHECK(world.Until([&] {
+    return world.StateAt(node, "j") == WorkflowState::Cancelled &&
+           world.workers.StartsOf("k.0.0.0") == 1;
+  }));
+  CHECK(world.StateAt(node, "l") == WorkflowState::Cancelled);
+  CHECK(world.workers.StartsOf("l.0.0.0") == 0);
+}
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -138,7 +138,14 @@
       }
       reply.result = StoreResult::Ok;
       reply.revision = this->revision;
+      if (aAfter < this->compacted) {
+        reply.compacted = true;
+        co_return reply;
+      }
       for (const Change& change : this->history) {
+        if (this->deaf) {
+          break;
+        }
         if (change.revision > aAfter && change.item.key.starts_with(aPrefix)) {
           reply.events.push_back(change.item);
         }
@@ -258,6 +265,17 @@
   this->down = aDown;
 }
 
+void
+FakeTransactionalStore::SetDeaf(bool aDeaf)
+{
+  const std::lock_guard lock(this->mutex);
+  if (this->deaf && !aDeaf) {
+    this->history.clear();
+    this->compacted = this->revision;
+  }
+  this->deaf = aDeaf;
+}
+
 void
 FakeTransactionalStore::Remove(const std::string& aKey)
 {
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -47,6 +47,9 @@
   /** Refuses every call while set. */
   void SetDown(bool aDown);
 
+  /** While set, watches hear nothing. Afterwards the history is dropped. */
+  void SetDeaf(bool aDeaf);
+
   /** Removes a key as an operator would, without ending its lease. */
   void Remove(const std::string& aKey);
 
@@ -76,6 +79,9 @@
   std::uint64_t nextLease = 1;
   int answersToLose = 0;
   bool down = false;
+  bool deaf = false;
+  /** Changes up to here are no longer in the history. */
+  std::uint64_t compacted = 0;
 };
 
 /** Workers in memory, which are their own registry. Each task runs until the
