Balance cells and choose between two of them by load

Seven cells were formed by a hash of the rack and got jobs by a hash of the id: sizes and demand differed by a fifth, and the owners were small hosts as often as large ones.

Change: racks are dealt to cells by capacity when the layout is first written; a job has two candidate cells, the entry asks both owners for their load and takes the emptier one, and the store accepts an id only if neither holds it. The number of cells follows the largest hosts, which take turns in claiming cells.

Trial without the condition on the other candidate: 'an id that another cell holds is not accepted anew' fails. A host that claims one cell holds back from others only while it is engaged in a claim; counting cells that it had won alone let one host take all four within 7 ms.

--- /dev/null
+++ b/src/CellBalance.cpp
@@ -0,0 +1,190 @@
+#include "CellBalance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <xxhash.h>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Seed of the hash for the second candidate, so that it does not depend on the
+ * first. */
+constexpr std::uint64_t kSecondSeed = 1;
+
+/** A host with this part of the largest share counts as large. */
+constexpr double kLargeHostPart = 0.75;
+
+/** Lead of large hosts over others. A claim takes two calls to the store, 10 ms
+ * on ordinary days and 0.6 s in its slow spells. */
+constexpr std::chrono::milliseconds kSmallHostHandicap{ 700 };
+
+/** Lead of a host without cells over one that owns some, for each of them. A
+ * cell without an owner starts nothing, so it is kept short. */
+constexpr std::chrono::milliseconds kOwnedCellHandicap{ 400 };
+
+/** Lead of each host over the next one in turn; the store shows a claim after
+ * 10 ms on ordinary days. */
+constexpr std::chrono::milliseconds kTurnHandicap{ 40 };
+constexpr std::chrono::milliseconds kMaxTurnHandicap{ 320 };
+
+struct Group
+{
+  std::string name;
+  std::int64_t cpuMilli = 0;
+};
+
+double
+LargestShare(std::span<const NodeRecord> aNodes)
+{
+  double largest = 0;
+  for (const NodeRecord& node : aNodes) {
+    largest = std::max(largest, node.processorShare);
+  }
+  return largest;
+}
+
+bool
+IsLarge(const NodeRecord& aNode, double aLargestShare)
+{
+  return aNode.processorShare >= kLargeHostPart * aLargestShare;
+}
+
+/** Returns the groups by size, the largest first, so that small ones level out
+ * what large ones leave uneven. */
+std::vector<Group>
+GroupsBySize(std::span<const WorkerDescription> aWorkers)
+{
+  std::map<std::string, std::int64_t> sizes;
+  for (const WorkerDescription& worker : aWorkers) {
+    sizes[GroupOf(worker)] += worker.room.cpuMilli;
+  }
+  std::vector<Group> result;
+  for (const auto& [name, cpuMilli] : sizes) {
+    result.push_back(Group{ name, cpuMilli });
+  }
+  std::stable_sort(
+    result.begin(), result.end(), [](const Group& aLeft, const Group& aRight) {
+      return aLeft.cpuMilli > aRight.cpuMilli;
+    });
+  return result;
+}
+
+/** Returns how full a cell is for the kind of tasks that a job begins with, as
+ * a share of its capacity. */
+double
+Pressure(const CellLoad& aLoad, const WorkflowStep& aFirst)
+{
+  const auto capacity =
+    static_cast<double>(std::max<std::uint64_t>(aLoad.capacityCpuMilli, 1));
+  if (aFirst.longRunning) {
+    return static_cast<double>(aLoad.longRunningCpuMilli) / capacity;
+  }
+  const auto reserved = static_cast<double>(aLoad.reservedCpuMilli) / capacity;
+  if (!aFirst.filler) {
+    return reserved;
+  }
+  return reserved + static_cast<double>(aLoad.fillerCpuMilli) / capacity;
+}
+
+} // namespace
+
+std::vector<std::uint32_t>
+CandidateCells(std::string_view aJob, std::uint32_t aCells)
+{
+  const auto first =
+    static_cast<std::uint32_t>(XXH64(aJob.data(), aJob.size(), 0) % aCells);
+  if (aCells == 1) {
+    return { first };
+  }
+  const auto distance = static_cast<std::uint32_t>(
+    XXH64(aJob.data(), aJob.size(), kSecondSeed) % (aCells - 1));
+  return { first, (first + 1 + distance) % aCells };
+}
+
+std::uint32_t
+CellsFor(std::size_t aWorkers,
+         std::span<const NodeRecord> aNodes,
+         std::uint32_t aWorkersPerCore)
+{
+  const double perCell =
+    std::max(1.0, LargestShare(aNodes) * static_cast<double>(aWorkersPerCore));
+  const double cells = std::ceil(static_cast<double>(aWorkers) / perCell);
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(cells));
+}
+
+std::chrono::milliseconds
+ClaimHandicap(std::span<const NodeRecord> aNodes,
+              const NodeRecord& aOwn,
+              std::uint32_t aCell,
+              std::size_t aOwnedCells)
+{
+  const double largest = LargestShare(aNodes);
+  const bool large = IsLarge(aOwn, largest);
+  std::size_t alike = 0;
+  std::size_t before = 0;
+  for (const NodeRecord& node : aNodes) {
+    if (IsLarge(node, largest) != large) {
+      continue;
+    }
+    ++alike;
+    before += node.node < aOwn.node ? 1 : 0;
+  }
+  const std::size_t turn =
+    (before + alike - aCell % std::max<std::size_t>(alike, 1)) %
+    std::max<std::size_t>(alike, 1);
+  const auto ownTurn =
+    std::min(static_cast<int>(turn) * kTurnHandicap, kMaxTurnHandicap);
+  return ownTurn + (large ? std::chrono::milliseconds(0) : kSmallHostHandicap) +
+         static_cast<int>(aOwnedCells) * kOwnedCellHandicap;
+}
+
+const std::string&
+GroupOf(const WorkerDescription& aWorker)
+{
+  return aWorker.rack.empty() ? aWorker.id : aWorker.rack;
+}
+
+CellLayout
+BalanceCells(std::span<const WorkerDescription> aWorkers, std::uint32_t aCells)
+{
+  CellLayout layout;
+  layout.cells = aCells;
+  std::vector<std::int64_t> capacity(aCells, 0);
+  for (const Group& group : GroupsBySize(aWorkers)) {
+    const auto least = std::min_element(capacity.begin(), capacity.end());
+    *least += group.cpuMilli;
+    layout.groups.push_back(CellGroup{
+      group.name, static_cast<std::uint32_t>(least - capacity.begin()) });
+  }
+  return layout;
+}
+
+std::uint32_t
+CellOfNewGroup(std::string_view aGroup, std::uint32_t aCells)
+{
+  return static_cast<std::uint32_t>(XXH64(aGroup.data(), aGroup.size(), 0) %
+                                    aCells);
+}
+
+std::optional<std::size_t>
+ChooseCandidate(std::span<const std::optional<CellLoad>> aLoads,
+                const WorkflowSubmission& aSubmission)
+{
+  std::optional<std::size_t> best;
+  double bestPressure = 0;
+  for (std::size_t i = 0; i < aLoads.size(); ++i) {
+    if (!aLoads[i] || aSubmission.steps.empty()) {
+      continue;
+    }
+    const double pressure = Pressure(*aLoads[i], aSubmission.steps.front());
+    if (!best || pressure < bestPressure) {
+      best = i;
+      bestPressure = pressure;
+    }
+  }
+  return best;
+}
+
+} // namespace sequoiakeel
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -451,6 +451,22 @@
   return pending;
 }
 
+CellLoad
+CellScheduler::Load() const
+{
+  CellLoad load;
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.listed && worker.reported && !worker.silent &&
+        !worker.description.draining) {
+      load.capacityCpuMilli += worker.description.room.cpuMilli;
+    }
+  }
+  for (const auto& [id, entry] : this->jobs) {
+    entry.job.AddLoad(load);
+  }
+  return load;
+}
+
 std::vector<std::string>
 CellScheduler::TakeExpired(std::size_t aMost)
 {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -210,6 +210,9 @@
   /** Returns how many jobs of a queue have no started task. */
   std::uint64_t PendingOf(const std::string& aQueue) const;
 
+  /** Returns what the cell has and what its jobs want now. */
+  CellLoad Load() const;
+
   /** Returns keys of records whose retention is over, and forgets them. */
   std::vector<std::string> TakeExpired(std::size_t aMost);
 
@@ -322,6 +325,7 @@
   Quarantine quarantine;
   FillerInterference interference;
   TimePoint interferenceUpdatedAt;
+  TimePoint interferenceLoggedAt;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -21,6 +21,9 @@
 
 constexpr std::chrono::milliseconds kInterferenceInterval{ 1000 };
 
+/** The learnt effects change within seconds; the log needs their order only. */
+constexpr std::chrono::seconds kInterferenceLogInterval{ 10 };
+
 /** A filler with a smaller effect on a serving task is not slowed for it. */
 constexpr double kHarmlessEffect = 0.2;
 
@@ -115,6 +118,12 @@
     this->interferenceUpdatedAt = now;
     this->interference.Update();
   }
+  if (now - this->interferenceLoggedAt > kInterferenceLogInterval) {
+    this->interferenceLoggedAt = now;
+    for (const auto& [image, effects] : this->interference.Summary()) {
+      Event("interference").Add("image", image).Add("effects", effects);
+    }
+  }
 }
 
 double
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -23,9 +23,9 @@
  * store failed hears nothing more; each one that ends counts as a call. */
 constexpr std::chrono::milliseconds kWatchWait{ 3000 };
 
-/** Candidates spread their attempts over this time, so that most of them see
- * the winner before they try. */
-constexpr int kClaimSpreadMs = 120;
+/** Candidates of the same rank spread their attempts over this time, so that
+ * most of them see the winner before they try. */
+constexpr int kClaimSpreadMs = 30;
 
 /** An owner answers a probe within milliseconds. */
 constexpr std::chrono::milliseconds kProbeTimeout{ 400 };
@@ -120,6 +120,23 @@
   co_return 0;
 }
 
+asio::awaitable<void>
+CellService::HoldBack(Duration aSpread)
+{
+  const TimePoint begun = this->parts.clock.Now();
+  // The handicap grows while this process wins other cells.
+  while (!this->stopped) {
+    const Duration handicap = this->identity.handicap
+                                ? Duration(this->identity.handicap(this->cell))
+                                : Duration::zero();
+    const Duration left = begun + aSpread + handicap - this->parts.clock.Now();
+    if (left <= Duration::zero()) {
+      co_return;
+    }
+    co_await SleepFor(this->parts.strand, left);
+  }
+}
+
 asio::awaitable<std::optional<OwnershipClaim>>
 CellService::Claim()
 {
@@ -265,13 +282,14 @@
     [self = this->shared_from_this()]() { return self->ProbeOwner(); },
     asio::detached);
   while (!this->stopped) {
+    this->engaged = false;
     co_await this->AwaitVacancy();
-    co_await SleepFor(
-      this->parts.strand,
+    co_await this->HoldBack(
       std::chrono::milliseconds(DrawIndex(random, kClaimSpreadMs)));
     if (this->stopped) {
       co_return;
     }
+    this->engaged = true;
     const StoreRangeReply read =
       co_await this->parts.store.Get(this->keys.Owner(), kStoreTimeout);
     if (this->stopped || read.result != StoreResult::Ok ||
@@ -327,6 +345,7 @@
   const CellScheduler& scheduler = this->tenure->Scheduler();
   if (aQuery.id.empty()) {
     reply.pending = scheduler.PendingOf(aQuery.queue);
+    reply.load = scheduler.Load();
     return reply;
   }
   reply.state = scheduler.StateOf(aQuery.id);
--- a/src/CellService.h
+++ b/src/CellService.h
@@ -3,8 +3,10 @@
 #include "CellTenure.h"
 #include "PeerRpc.h"
 
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +25,9 @@
   std::chrono::milliseconds leaseTtl{ 5000 };
   /** Interval at which this process probes the owner. */
   std::chrono::milliseconds probeInterval{ 1000 };
+  /** Returns how long this process lets others claim a vacant cell first, by
+   * cell; none: not at all. It is called on any strand. */
+  std::function<std::chrono::milliseconds(std::uint32_t)> handicap;
 };
 
 /** What a probe of the owner showed. */
@@ -70,10 +75,15 @@
   /** Returns the tenure in progress, or null. Runs on the strand. */
   const CellTenure* Tenure() const { return this->tenure.get(); }
 
+  /** Tells whether this process owns the cell or is about to claim it. Thread
+   * safe. */
+  bool Engaged() const { return this->engaged; }
+
   boost::asio::any_io_executor Strand() const { return this->parts.strand; }
 
 private:
   boost::asio::awaitable<std::uint64_t> AwaitVacancy();
+  boost::asio::awaitable<void> HoldBack(Duration aSpread);
   void NoteOwner(const StoreItem& aItem);
   boost::asio::awaitable<std::optional<OwnershipClaim>> Claim();
   boost::asio::awaitable<void> ProbeOwner();
@@ -90,6 +100,7 @@
   /** Revision of the owner's key. */
   std::uint64_t ownerRevision = 0;
   std::shared_ptr<CellTenure> tenure;
+  std::atomic<bool> engaged = false;
   bool stopped = false;
 };
 
--- a/src/FillerInterference.cpp
+++ b/src/FillerInterference.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iomanip>
+#include <sstream>
 
 namespace sequoiakeel {
 
@@ -152,4 +154,24 @@
   return model->second.coefficients[column->second];
 }
 
+std::map<std::string, std::string>
+FillerInterference::Summary() const
+{
+  std::map<std::string, std::string> result;
+  for (const auto& [image, model] : this->models) {
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << "base_ms:" << model.baseMs;
+    if (!model.coefficients.empty()) {
+      text << ",load:" << model.coefficients.front();
+    }
+    for (const auto& [filler, column] : model.columns) {
+      if (column < model.coefficients.size()) {
+        text << "," << filler << ":" << model.coefficients[column];
+      }
+    }
+    result[image] = text.str();
+  }
+  return result;
+}
+
 } // namespace sequoiakeel
--- a/src/FillerInterference.h
+++ b/src/FillerInterference.h
@@ -55,6 +55,10 @@
   double Effect(const std::string& aServingImage,
                 const std::string& aFillerImage) const;
 
+  /** Returns the learnt effects on each serving image, as text for a log line.
+   */
+  std::map<std::string, std::string> Summary() const;
+
   /** Effect that is assumed without evidence. */
   static constexpr double kPriorEffect = 0.4;
 
--- a/src/NodeDirectory.cpp
+++ b/src/NodeDirectory.cpp
@@ -53,27 +53,44 @@
 {
   co_await this->Register();
   while (true) {
-    const StoreRangeReply reply = co_await this->store.Range(
-      NodesPrefix(), ReadFreshness::Stale, kStoreTimeout);
-    std::vector<NodeRecord> read;
-    for (const StoreItem& item : reply.items) {
-      try {
-        auto node = nlohmann::json::parse(item.value).get<NodeRecord>();
-        if (node.node != this->own.node) {
-          read.push_back(std::move(node));
-        }
-      } catch (const std::exception& error) {
-        Event("record_unreadable", LogLevel::Error)
-          .Add("key", item.key)
-          .Add("error", error.what());
+    co_await this->Refresh(ReadFreshness::Stale);
+    co_await SleepFor(this->executor, kReadInterval);
+  }
+}
+
+asio::awaitable<bool>
+NodeDirectory::Refresh(ReadFreshness aFreshness)
+{
+  const StoreRangeReply reply =
+    co_await this->store.Range(NodesPrefix(), aFreshness, kStoreTimeout);
+  if (reply.result != StoreResult::Ok) {
+    co_return false;
+  }
+  std::vector<NodeRecord> read;
+  for (const StoreItem& item : reply.items) {
+    try {
+      auto node = nlohmann::json::parse(item.value).get<NodeRecord>();
+      if (node.node != this->own.node) {
+        read.push_back(std::move(node));
       }
+    } catch (const std::exception& error) {
+      Event("record_unreadable", LogLevel::Error)
+        .Add("key", item.key)
+        .Add("error", error.what());
     }
-    if (reply.result == StoreResult::Ok) {
-      const std::lock_guard lock(this->mutex);
-      this->others = std::move(read);
-    }
-    co_await SleepFor(this->executor, kReadInterval);
   }
+  const std::lock_guard lock(this->mutex);
+  this->others = std::move(read);
+  co_return true;
+}
+
+std::vector<NodeRecord>
+NodeDirectory::All() const
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<NodeRecord> result = this->others;
+  result.push_back(this->own);
+  return result;
 }
 
 std::optional<NodeRecord>
--- a/src/NodeDirectory.h
+++ b/src/NodeDirectory.h
@@ -31,13 +31,22 @@
    * several; nothing if none is known. */
   std::optional<NodeRecord> AnyOther();
 
+  /** Reads the records of the other processes now. Returns false if the store
+   * did not answer; the earlier records then stay. */
+  boost::asio::awaitable<bool> Refresh(ReadFreshness aFreshness);
+
+  /** Returns the records of all known processes, this one included. */
+  std::vector<NodeRecord> All() const;
+
+  const NodeRecord& Own() const { return this->own; }
+
 private:
   boost::asio::awaitable<void> Register();
 
   boost::asio::any_io_executor executor;
   TransactionalStore& store;
   NodeRecord own;
-  std::mutex mutex;
+  mutable std::mutex mutex;
   std::vector<NodeRecord> others;
   std::size_t next = 0;
 };
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -1,5 +1,6 @@
 #include "WorkflowGateway.h"
 
+#include "CellBalance.h"
 #include "Log.h"
 #include "PeerCodec.h"
 #include "generated/WorkflowJson.h"
@@ -7,7 +8,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <xxhash.h>
 
 namespace sequoiakeel {
 
@@ -33,6 +33,10 @@
  * asked instead. */
 constexpr std::chrono::milliseconds kOwnerTimeout{ 250 };
 
+/** Longest wait for the load of a candidate cell. An owner without an answer by
+ * then is busy or gone; the other cell gets the job. */
+constexpr std::chrono::milliseconds kLoadTimeout{ 80 };
+
 /** Pause between attempts; calls that the store refuses are paid for too. */
 constexpr std::chrono::milliseconds kStoreRetry{ 200 };
 
@@ -75,6 +79,20 @@
     .count();
 }
 
+/** Returns capacity, reserved, long-running and fillers' cores of a cell. */
+std::string
+LoadText(const std::optional<CellLoad>& aLoad)
+{
+  if (!aLoad) {
+    return "unknown";
+  }
+  constexpr std::uint64_t kMilli = 1000;
+  return std::to_string(aLoad->capacityCpuMilli / kMilli) + "/" +
+         std::to_string(aLoad->reservedCpuMilli / kMilli) + "/" +
+         std::to_string(aLoad->longRunningCpuMilli / kMilli) + "/" +
+         std::to_string(aLoad->fillerCpuMilli / kMilli);
+}
+
 asio::awaitable<WorkflowReply>
 AnswerOnStrand(std::shared_ptr<CellService> aCell, WorkflowQuery aQuery)
 {
@@ -105,11 +123,37 @@
 {
 }
 
-std::uint32_t
-WorkflowGateway::CellOf(const std::string& aJob) const
+std::vector<std::uint32_t>
+WorkflowGateway::CellsOf(const std::string& aJob) const
 {
-  const std::uint64_t hash = XXH64(aJob.data(), aJob.size(), 0);
-  return static_cast<std::uint32_t>(hash % this->cells.size());
+  return CandidateCells(aJob, static_cast<std::uint32_t>(this->cells.size()));
+}
+
+asio::awaitable<std::uint32_t>
+WorkflowGateway::ChooseCell(const WorkflowSubmission& aSubmission,
+                            TimePoint aDeadline)
+{
+  const std::vector<std::uint32_t> candidates = this->CellsOf(aSubmission.id);
+  if (candidates.size() == 1) {
+    co_return candidates.front();
+  }
+  std::vector<std::optional<CellLoad>> loads;
+  for (const std::uint32_t cell : candidates) {
+    const TimePoint limit =
+      std::min(aDeadline, this->clock.Now() + kLoadTimeout + kResponseReserve);
+    const WorkflowQuery query{ cell, "", "" };
+    const std::optional<WorkflowReply> reply =
+      co_await this->AskOwner(query, limit);
+    loads.push_back(reply ? std::optional(reply->load) : std::nullopt);
+  }
+  const std::size_t chosen = ChooseCandidate(loads, aSubmission).value_or(0);
+  Event("cell_chosen")
+    .Add("job", aSubmission.id)
+    .Add("cell", candidates[chosen])
+    .Add("other", candidates[1 - chosen])
+    .Add("load", LoadText(loads[chosen]))
+    .Add("other_load", LoadText(loads[1 - chosen]));
+  co_return candidates[chosen];
 }
 
 Duration
@@ -120,14 +164,19 @@
 
 asio::awaitable<SubmissionOutcome>
 WorkflowGateway::StoreOnce(const WorkflowSubmission& aSubmission,
+                           std::uint32_t aCell,
                            Duration aTimeout)
 {
-  const WorkflowKeys keys(this->CellOf(aSubmission.id));
   StoreTransaction change;
-  change.expect.push_back({ keys.Job(aSubmission.id), kAbsentVersion });
-  change.expect.push_back({ keys.Progress(aSubmission.id), kAbsentVersion });
-  change.puts.push_back(
-    { keys.Job(aSubmission.id), nlohmann::json(aSubmission).dump() });
+  // The id must be new in every cell that may hold it: another entry may have
+  // chosen another one.
+  for (const std::uint32_t cell : this->CellsOf(aSubmission.id)) {
+    const WorkflowKeys keys(cell);
+    change.expect.push_back({ keys.Job(aSubmission.id), kAbsentVersion });
+    change.expect.push_back({ keys.Progress(aSubmission.id), kAbsentVersion });
+  }
+  change.puts.push_back({ WorkflowKeys(aCell).Job(aSubmission.id),
+                          nlohmann::json(aSubmission).dump() });
   const StoreTransactionReply reply =
     co_await this->store.Commit(change, aTimeout);
   switch (reply.result) {
@@ -162,8 +211,11 @@
 asio::awaitable<RelayOutcome>
 WorkflowGateway::StoreForPeer(WorkflowSubmission aSubmission)
 {
+  const TimePoint deadline =
+    this->clock.Now() + kRelayTimeout + kResponseReserve;
+  const std::uint32_t cell = co_await this->ChooseCell(aSubmission, deadline);
   const SubmissionOutcome outcome =
-    co_await this->StoreOnce(aSubmission, kRelayTimeout);
+    co_await this->StoreOnce(aSubmission, cell, this->Left(deadline));
   switch (outcome) {
     case SubmissionOutcome::Accepted:
       co_return RelayOutcome::Stored;
@@ -183,13 +235,14 @@
   int attempts = 0;
   int relays = 0;
   SubmissionOutcome outcome = SubmissionOutcome::NotAccepted;
-  // Every attempt writes the same key under the same condition, so copies that
-  // are carried out late do no harm.
+  const std::uint32_t cell = co_await this->ChooseCell(aSubmission, aDeadline);
+  // Every attempt is made under the same condition, so copies that are carried
+  // out late do no harm.
   while (this->Left(aDeadline) > Duration::zero()) {
     ++attempts;
     const Duration timeout =
       std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
-    outcome = co_await this->StoreOnce(aSubmission, timeout);
+    outcome = co_await this->StoreOnce(aSubmission, cell, timeout);
     if (outcome == SubmissionOutcome::Accepted) {
       break;
     }
@@ -220,6 +273,7 @@
   Event("submission")
     .Add("job", aSubmission.id)
     .Add("queue", aSubmission.queue)
+    .Add("cell", cell)
     .Add("outcome", name)
     .Add("attempts", attempts)
     .Add("relays", relays)
@@ -256,32 +310,42 @@
   co_return reply;
 }
 
+asio::awaitable<StoreRangeReply>
+WorkflowGateway::GetFromStore(std::string aKey, TimePoint aDeadline)
+{
+  StoreRangeReply read;
+  while (this->Left(aDeadline) > Duration::zero()) {
+    read = co_await this->store.Get(
+      aKey, std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline)));
+    if (read.result == StoreResult::Ok) {
+      break;
+    }
+    co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
+  }
+  co_return read;
+}
+
 asio::awaitable<std::optional<WorkflowState>>
 WorkflowGateway::StateInStore(std::string aJob, TimePoint aDeadline)
 {
-  const WorkflowKeys keys(this->CellOf(aJob));
-  bool submitted = false;
-  // The submission is read first: it goes only when the end is written.
-  const std::vector<std::string> order{ keys.Job(aJob), keys.Progress(aJob) };
-  for (const std::string& key : order) {
-    StoreRangeReply read;
-    while (this->Left(aDeadline) > Duration::zero()) {
-      read = co_await this->store.Get(
-        key, std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline)));
-      if (read.result == StoreResult::Ok) {
-        break;
-      }
-      co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
+  for (const std::uint32_t cell : this->CellsOf(aJob)) {
+    const WorkflowKeys keys(cell);
+    // The submission is read first: it goes only when the end is written.
+    const StoreRangeReply submission =
+      co_await this->GetFromStore(keys.Job(aJob), aDeadline);
+    if (submission.result != StoreResult::Ok) {
+      co_return std::nullopt;
     }
+    const StoreRangeReply read =
+      co_await this->GetFromStore(keys.Progress(aJob), aDeadline);
     if (read.result != StoreResult::Ok) {
       co_return std::nullopt;
     }
     if (read.items.empty()) {
-      continue;
-    }
-    if (key == keys.Job(aJob)) {
-      submitted = true;
-      continue;
+      if (submission.items.empty()) {
+        continue;
+      }
+      co_return WorkflowState::Queued;
     }
     try {
       const auto progress =
@@ -289,25 +353,31 @@
       co_return progress.state;
     } catch (const std::exception& error) {
       Event("record_unreadable", LogLevel::Error)
-        .Add("key", key)
+        .Add("key", keys.Progress(aJob))
         .Add("error", error.what());
       co_return std::nullopt;
     }
   }
-  co_return submitted ? WorkflowState::Queued : WorkflowState::Unknown;
+  co_return WorkflowState::Unknown;
 }
 
 asio::awaitable<std::optional<WorkflowState>>
 WorkflowGateway::State(std::string aJob, TimePoint aDeadline)
 {
   const TimePoint begun = this->clock.Now();
-  const WorkflowQuery query{ this->CellOf(aJob), aJob, "" };
-  const std::optional<WorkflowReply> reply =
-    co_await this->AskOwner(query, aDeadline);
   std::optional<WorkflowState> state;
-  if (reply && reply->state != WorkflowState::Unknown) {
-    state = reply->state;
-  } else {
+  int answers = 0;
+  for (const std::uint32_t cell : this->CellsOf(aJob)) {
+    const WorkflowQuery query{ cell, aJob, "" };
+    const std::optional<WorkflowReply> reply =
+      co_await this->AskOwner(query, aDeadline);
+    answers += reply ? 1 : 0;
+    if (reply && reply->state != WorkflowState::Unknown) {
+      state = reply->state;
+      break;
+    }
+  }
+  if (!state) {
     // The owner may not have seen a job that was just accepted.
     state = co_await this->StateInStore(aJob, aDeadline);
   }
@@ -318,7 +388,7 @@
   if (!state || *state == WorkflowState::Unknown) {
     Event("state_not_found")
       .Add("job", aJob)
-      .Add("owner_answered", reply.has_value())
+      .Add("owners_answered", answers)
       .Add("store_answered", state.has_value());
   }
   co_return state;
@@ -327,30 +397,33 @@
 asio::awaitable<CancelOutcome>
 WorkflowGateway::CancelOnce(std::string aJob, TimePoint aDeadline)
 {
-  const WorkflowKeys keys(this->CellOf(aJob));
   const Duration timeout =
     std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
-  const StoreRangeReply read =
-    co_await this->store.Get(keys.Job(aJob), timeout);
-  if (read.result != StoreResult::Ok) {
-    co_return CancelOutcome::Unknown;
-  }
-  if (read.items.empty()) {
-    const auto state = co_await this->StateInStore(aJob, aDeadline);
-    if (!state) {
+  for (const std::uint32_t cell : this->CellsOf(aJob)) {
+    const WorkflowKeys keys(cell);
+    const StoreRangeReply read =
+      co_await this->store.Get(keys.Job(aJob), timeout);
+    if (read.result != StoreResult::Ok) {
       co_return CancelOutcome::Unknown;
     }
-    // A job that has ended cannot be cancelled any more; its end stands.
-    co_return *state == WorkflowState::Unknown ? CancelOutcome::NoSuchJob
-                                               : CancelOutcome::Cancelled;
+    if (read.items.empty()) {
+      continue;
+    }
+    StoreTransaction change;
+    change.expect.push_back({ keys.Job(aJob), read.items.front().revision });
+    change.puts.push_back({ keys.Cancellation(aJob), "{}" });
+    const StoreTransactionReply reply =
+      co_await this->store.Commit(change, timeout);
+    co_return reply.result == StoreResult::Ok ? CancelOutcome::Cancelled
+                                              : CancelOutcome::Unknown;
   }
-  StoreTransaction change;
-  change.expect.push_back({ keys.Job(aJob), read.items.front().revision });
-  change.puts.push_back({ keys.Cancellation(aJob), "{}" });
-  const StoreTransactionReply reply =
-    co_await this->store.Commit(change, timeout);
-  co_return reply.result == StoreResult::Ok ? CancelOutcome::Cancelled
-                                            : CancelOutcome::Unknown;
+  const auto state = co_await this->StateInStore(aJob, aDeadline);
+  if (!state) {
+    co_return CancelOutcome::Unknown;
+  }
+  // A job that has ended cannot be cancelled any more; its end stands.
+  co_return *state == WorkflowState::Unknown ? CancelOutcome::NoSuchJob
+                                             : CancelOutcome::Cancelled;
 }
 
 asio::awaitable<RelayOutcome>
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -79,7 +79,11 @@
     TimePoint aDeadline);
 
 private:
-  std::uint32_t CellOf(const std::string& aJob) const;
+  std::vector<std::uint32_t> CellsOf(const std::string& aJob) const;
+  /** Returns the candidate cell with the most room for the job. */
+  boost::asio::awaitable<std::uint32_t> ChooseCell(
+    const WorkflowSubmission& aSubmission,
+    TimePoint aDeadline);
   boost::asio::awaitable<std::optional<WorkflowReply>> AskOwner(
     WorkflowQuery aQuery,
     TimePoint aDeadline);
@@ -88,7 +92,10 @@
     TimePoint aDeadline);
   boost::asio::awaitable<SubmissionOutcome> StoreOnce(
     const WorkflowSubmission& aSubmission,
+    std::uint32_t aCell,
     Duration aTimeout);
+  boost::asio::awaitable<StoreRangeReply> GetFromStore(std::string aKey,
+                                                       TimePoint aDeadline);
   boost::asio::awaitable<CancelOutcome> CancelOnce(std::string aJob,
                                                    TimePoint aDeadline);
   template<class Message>
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -172,6 +172,28 @@
   return true;
 }
 
+void
+WorkflowJob::AddLoad(CellLoad& aLoad) const
+{
+  for (std::uint32_t k = 0; k < this->occurrences.size(); ++k) {
+    for (std::uint32_t s = 0; s < this->submission.steps.size(); ++s) {
+      const WorkflowStepTasks& tasks = this->occurrences[k].steps[s];
+      if (tasks.AllDone() || !this->DependenciesDone(k, s)) {
+        continue;
+      }
+      const WorkflowStep& step = this->submission.steps[s];
+      const std::uint64_t cpu =
+        (tasks.tasks.size() - tasks.done) * std::uint64_t{ step.cpuMilli };
+      if (step.filler) {
+        aLoad.fillerCpuMilli += cpu;
+        continue;
+      }
+      aLoad.reservedCpuMilli += cpu;
+      aLoad.longRunningCpuMilli += step.longRunning ? cpu : 0;
+    }
+  }
+}
+
 WorkflowProgress
 WorkflowJob::Progress(WorkflowState aState) const
 {
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -115,6 +115,9 @@
   /** Returns the durable progress with a state. */
   WorkflowProgress Progress(WorkflowState aState) const;
 
+  /** Adds what the running tasks and those whose turn has come want. */
+  void AddLoad(CellLoad& aLoad) const;
+
   /** Returns the expected duration of the longest chain of steps in
    * milliseconds, from the steps' estimates. */
   double CriticalPathMs() const { return this->criticalPathMs; }
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -1,6 +1,8 @@
+#include "CellBalance.h"
 #include "CellService.h"
 #include "NodeDirectory.h"
 #include "WorkflowGateway.h"
+#include "generated/WorkflowJson.h"
 #include "support/FakePlatform.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,36 +32,58 @@
   Node(asio::io_context& aContext,
        const std::string& aName,
        FakeTransactionalStore& aStore,
-       FakeWorkers& aWorkers)
+       FakeWorkers& aWorkers,
+       std::uint32_t aCells)
     : server(aContext, Endpoint{ "127.0.0.1", 0 })
     , peers(aContext.get_executor())
     , nodes(aContext.get_executor(),
             aStore,
-            NodeRecord{ aName, "z", "127.0.0.1", server.Port() })
-    , cell(std::make_shared<CellService>(
-        TenureParts{ asio::make_strand(aContext),
-                     aStore,
-                     aWorkers,
-                     aWorkers,
-                     clock,
-                     wallClock,
-                     SchedulerBounds{},
-                     { order, choice, throttle, metrics },
-                     metrics,
-                     [](const WorkerDescription&) { return true; } },
-        0,
-        CandidateIdentity{ aName,
-                           aName + "-boot",
-                           Endpoint{ "127.0.0.1", server.Port() } },
-        peers))
-    , gateway(aStore, peers, nodes, { cell }, metrics, clock)
+            NodeRecord{ aName, "z", "127.0.0.1", server.Port(), 1.0 })
+    , cells(this->MakeCells(aContext, aName, aStore, aWorkers, aCells))
+    , gateway(aStore, peers, nodes, cells, metrics, clock)
   {
-    ServeWorkflowPeers(this->server, this->gateway, { this->cell });
+    ServeWorkflowPeers(this->server, this->gateway, this->cells);
     this->server.Start();
-    asio::co_spawn(
-      this->cell->Strand(),
-      [service = this->cell]() { return service->Run(); },
-      asio::detached);
+    for (const std::shared_ptr<CellService>& cell : this->cells) {
+      asio::co_spawn(
+        cell->Strand(), [cell]() { return cell->Run(); }, asio::detached);
+    }
+  }
+
+  /** The workers are dealt to the cells by the last character of their id. */
+  std::vector<std::shared_ptr<CellService>> MakeCells(
+    asio::io_context& aContext,
+    const std::string& aName,
+    FakeTransactionalStore& aStore,
+    FakeWorkers& aWorkers,
+    std::uint32_t aCells)
+  {
+    CandidateIdentity identity;
+    identity.node = aName;
+    identity.boot = aName + "-boot";
+    identity.peer = Endpoint{ "127.0.0.1", this->server.Port() };
+    std::vector<std::shared_ptr<CellService>> result;
+    for (std::uint32_t cell = 0; cell < aCells; ++cell) {
+      const auto isOwn = [cell, aCells](const WorkerDescription& aWorker) {
+        return static_cast<std::uint32_t>(aWorker.id.back()) % aCells == cell;
+      };
+      result.push_back(std::make_shared<CellService>(
+        TenureParts{
+          asio::make_strand(aContext),
+          aStore,
+          aWorkers,
+          aWorkers,
+          this->clock,
+          this->wallClock,
+          SchedulerBounds{},
+          { this->order, this->choice, this->throttle, this->metrics },
+          this->metrics,
+          isOwn },
+        cell,
+        identity,
+        this->peers));
+    }
+    return result;
   }
 
   BootClock clock;
@@ -71,15 +95,16 @@
   PeerServer server;
   PeerClient peers;
   NodeDirectory nodes;
-  std::shared_ptr<CellService> cell;
+  std::vector<std::shared_ptr<CellService>> cells;
   WorkflowGateway gateway;
 };
 
 /** Runs an io_context and offers blocking calls to a test. */
 struct World
 {
-  World()
-    : store(context.get_executor())
+  explicit World(std::uint32_t aCells = 1)
+    : cellCount(aCells)
+    , store(context.get_executor())
     , workers(context.get_executor(), { "w1", "w2" })
     , work(asio::make_work_guard(context))
   {
@@ -98,8 +123,8 @@
 
   Node& AddNode(const std::string& aName)
   {
-    this->nodes.push_back(
-      std::make_unique<Node>(this->context, aName, this->store, this->workers));
+    this->nodes.push_back(std::make_unique<Node>(
+      this->context, aName, this->store, this->workers, this->cellCount));
     return *this->nodes.back();
   }
 
@@ -129,6 +154,7 @@
       aNode.gateway.State(aJob, aNode.clock.Now() + seconds(5)));
   }
 
+  std::uint32_t cellCount;
   asio::io_context context;
   FakeTransactionalStore store;
   FakeWorkers workers;
@@ -187,6 +213,78 @@
   CHECK(!world.workers.RanTwice());
 }
 
+// Guards against a submission that becomes two jobs because entries prefer
+// different cells for it, as when an owner does not answer one of them.
+TEST_CASE("an id that another cell holds is not accepted anew")
+{
+  World world(2);
+  Node& node = world.AddNode("a");
+  REQUIRE(world.Until([&] {
+    return world.store.Count(WorkflowKeys(0).Owner()) == 1 &&
+           world.store.Count(WorkflowKeys(1).Owner()) == 1;
+  }));
+  const auto submit = [&] {
+    return world.Await(
+      node.gateway.Submit(Job("j"), node.clock.Now() + seconds(5)));
+  };
+  // Both cells are idle, so this entry prefers the first candidate.
+  const std::vector<std::uint32_t> candidates = CandidateCells("j", 2);
+  const WorkflowKeys preferred(candidates[0]);
+  StoreTransaction other;
+  other.puts.push_back(
+    { WorkflowKeys(candidates[1]).Job("j"), nlohmann::json(Job("j")).dump() });
+  REQUIRE(world.Await(world.store.Commit(other, seconds(1))).result ==
+          StoreResult::Ok);
+  CHECK(submit() == SubmissionOutcome::Accepted);
+  CHECK(world.store.Count(preferred.Job("j")) == 0);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.workers.FinishAll();
+  REQUIRE(world.Until(
+    [&] { return world.StateAt(node, "j") == WorkflowState::Completed; }));
+  CHECK(submit() == SubmissionOutcome::Accepted);
+  CHECK(world.store.Count(preferred.Job("j")) == 0);
+  CHECK(world.workers.StartsOf("j.0.0.0") == 1);
+}
+
+// Guards against jobs that are not found, cancelled or completed because they
+// are in the second of their cells.
+TEST_CASE("jobs of two cells are served at every entry")
+{
+  World world(2);
+  Node& first = world.AddNode("a");
+  Node& second = world.AddNode("b");
+  constexpr int kJobs = 12;
+  std::vector<std::future<SubmissionOutcome>> outcomes;
+  for (int i = 0; i < kJobs; ++i) {
+    for (Node* const node : { &first, &second }) {
+      outcomes.push_back(
+        asio::co_spawn(world.context,
+                       node->gateway.Submit(Job("j" + std::to_string(i)),
+                                            node->clock.Now() + seconds(5)),
+                       asio::use_future));
+    }
+  }
+  for (std::future<SubmissionOutcome>& outcome : outcomes) {
+    CHECK(outcome.get() == SubmissionOutcome::Accepted);
+  }
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2 * kJobs; }));
+  CHECK(world.store.Count(WorkflowKeys(0).Jobs()) > 0);
+  CHECK(world.store.Count(WorkflowKeys(1).Jobs()) > 0);
+  CHECK(world.Await(second.gateway.Cancel(
+          "j0", second.clock.Now() + seconds(5))) == CancelOutcome::Cancelled);
+  REQUIRE(
+    world.Until([&] { return world.workers.Running() == 2 * (kJobs - 1); }));
+  world.workers.FinishAll();
+  for (int i = 1; i < kJobs; ++i) {
+    const std::string job = "j" + std::to_string(i);
+    REQUIRE(world.Until(
+      [&] { return world.StateAt(first, job) == WorkflowState::Completed; }));
+    CHECK(world.workers.StartsOf(job + ".0.0.0") == 1);
+  }
+  CHECK(world.StateAt(second, "j0") == WorkflowState::Cancelled);
+  CHECK(!world.workers.RanTwice());
+}
+
 // Guards against an accepted job that is lost with its owner, and against a
 // second run of the tasks that the old owner started: the owner's key goes
 // without notice while its tasks run.
