Learn the effect of fillers from changes of tails, and share it between cells

The load of serving tasks swings by 0.27 over 14 s, more than most fillers add, so a regression of single readings needs minutes to tell images apart. A harmful filler multiplies the tail (log(tail) grows by 2 to 6 for a whole worker's share, near 0 for other pairs); it does not add to the load. And with all processors in use every tail grows, whatever the images: fillers counted on half of what serving tasks reserve, while these use up to 0.72 of it. Ruled out: processor time of the owners (the result is the same when none is charged) and lack of memory or room.

Change: the regression is one of log(tail) on the changes between two readings of a job on a worker; owners write what they have learnt to the store and read that of others and of their predecessor; known harmful pairs are not started together; spare processor time follows the present load of serving tasks, and fillers are slowed to what is unused.

The unit test of the old model's pressure is replaced by one of the new model with the same images and stricter bounds; the naive regression makes mistakes where the new one makes none.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -213,6 +213,19 @@
   /** Returns what the cell has and what its jobs want now. */
   CellLoad Load() const;
 
+  /** What this owner has learnt of interference, for other owners. */
+  InterferenceEvidence Evidence() const
+  {
+    return this->interference.Evidence();
+  }
+
+  /** Takes over what another owner, or an earlier one, has learnt. */
+  void SetOutsideEvidence(const std::string& aSource,
+                          InterferenceEvidence aEvidence)
+  {
+    this->interference.SetOutsideEvidence(aSource, std::move(aEvidence));
+  }
+
   /** Returns keys of records whose retention is over, and forgets them. */
   std::vector<std::string> TakeExpired(std::size_t aMost);
 
@@ -247,8 +260,14 @@
   void StopRun(ScheduledWorker& aWorker,
                const std::string& aTask,
                const char* aReason);
+  void ReadTails(const ScheduledWorker& aWorker);
   void ObserveInterference(const ScheduledWorker& aWorker);
   void AdjustFillers(ScheduledWorker& aWorker);
+  /** Tells whether fillers use more than the others' unused processor time. */
+  bool FillersContend(const ScheduledWorker& aWorker) const;
+  /** Returns the speed at which all fillers of a worker together use no more
+   * than the others leave unused, in percent. */
+  int UncontendedPercent(const ScheduledWorker& aWorker) const;
   double LatencyRatioFor(const ScheduledWorker& aWorker,
                          const std::string& aFillerImage) const;
   void TakeEnd(ScheduledWorker& aWorker, const EndedRow& aRow);
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -24,8 +24,8 @@
 /** The learnt effects change within seconds; the log needs their order only. */
 constexpr std::chrono::seconds kInterferenceLogInterval{ 10 };
 
-/** A filler with a smaller effect on a serving task is not slowed for it. */
-constexpr double kHarmlessEffect = 0.2;
+/** Change of a filler's speed that is worth an order, in percent. */
+constexpr int kSpeedStep = 10;
 
 /** After so many readings in a row over a target all fillers are slowed, since
  * the learnt effects explain the latency no longer. A target may be missed for
@@ -89,7 +89,7 @@
 }
 
 void
-CellScheduler::ObserveInterference(const ScheduledWorker& aWorker)
+CellScheduler::ReadTails(const ScheduledWorker& aWorker)
 {
   const TimePoint now = this->clock.Now();
   const auto isSettled = [now](const Commitment& aCommitment) {
@@ -108,15 +108,41 @@
   for (const auto& [image, share] : shares) {
     fillers.push_back(FillerLoad{ image, share });
   }
+  if (this->FillersContend(aWorker)) {
+    // With all processors in use every tail grows; that tells nothing of
+    // images.
+    return;
+  }
+  struct Tails
+  {
+    std::string_view image;
+    double sumMs = 0;
+    int tasks = 0;
+  };
+  std::map<std::string, Tails> tails;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    if (commitment.Serves() && isSettled(commitment)) {
-      this->interference.Observe(
-        commitment.step.image, static_cast<double>(commitment.usage), fillers);
+    if (commitment.Serves() && isSettled(commitment) && commitment.usage > 0) {
+      // The tasks of one job share its load.
+      Tails& group = tails[aWorker.description.id + "/" + commitment.stepKey];
+      group.image = commitment.step.image;
+      group.sumMs += static_cast<double>(commitment.usage);
+      ++group.tasks;
     }
   }
+  for (const auto& [group, tail] : tails) {
+    this->interference.Observe(
+      { group, tail.image, tail.sumMs / tail.tasks, fillers, now });
+  }
+}
+
+void
+CellScheduler::ObserveInterference(const ScheduledWorker& aWorker)
+{
+  this->ReadTails(aWorker);
+  const TimePoint now = this->clock.Now();
   if (now - this->interferenceUpdatedAt > kInterferenceInterval) {
     this->interferenceUpdatedAt = now;
-    this->interference.Update();
+    this->interference.Update(now);
   }
   if (now - this->interferenceLoggedAt > kInterferenceLogInterval) {
     this->interferenceLoggedAt = now;
@@ -126,6 +152,29 @@
   }
 }
 
+bool
+CellScheduler::FillersContend(const ScheduledWorker& aWorker) const
+{
+  std::int64_t inUse = 0;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    inUse += commitment.step.filler ? commitment.usage : 0;
+  }
+  return static_cast<double>(inUse) >
+         SpareForFillers(aWorker, this->interference, 0);
+}
+
+int
+CellScheduler::UncontendedPercent(const ScheduledWorker& aWorker) const
+{
+  const auto wanted = static_cast<double>(aWorker.Committed().fillerCpuMilli);
+  const double spare = SpareForFillers(aWorker, this->interference, 0);
+  if (wanted <= spare) {
+    return 100;
+  }
+  const int percent = static_cast<int>(100 * std::max(spare, 0.0) / wanted);
+  return percent / kSpeedStep * kSpeedStep;
+}
+
 double
 CellScheduler::LatencyRatioFor(const ScheduledWorker& aWorker,
                                const std::string& aFillerImage) const
@@ -138,7 +187,7 @@
     }
     const double effect =
       this->interference.Effect(commitment.step.image, aFillerImage);
-    if (!suspectAll && effect <= kHarmlessEffect) {
+    if (!suspectAll && effect <= FillerInterference::kHarmlessEffect) {
       continue;
     }
     worst = std::max(worst,
@@ -168,10 +217,12 @@
   std::erase_if(aWorker.fillerPercents, [&images](const auto& aItem) {
     return !images.contains(aItem.first);
   });
+  const int uncontended = this->UncontendedPercent(aWorker);
   for (const std::string& image : images) {
     const int before = aWorker.FillerPercent(image);
     const double own = this->LatencyRatioFor(aWorker, image);
-    const int percent = this->policies.throttle.Next(before, own);
+    const int percent =
+      std::min(this->policies.throttle.Next(before, own), uncontended);
     if (percent == before) {
       continue;
     }
@@ -182,6 +233,7 @@
       .Add("image", image)
       .Add("from_percent", before)
       .Add("percent", percent)
+      .Add("uncontended_percent", uncontended)
       .Add("latency_ratio", own)
       .Add("worst_ratio", ratio)
       .Add("over_target", aWorker.overTarget);
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -85,6 +85,11 @@
 
 constexpr std::chrono::seconds kExpiryInterval{ 5 };
 
+/** Interval at which owners tell each other what they have learnt of
+ * interference. Alone a cell of 120 workers needs 20 s to tell most harmless
+ * pairs of images from harmful ones, four together less than 10 s. */
+constexpr std::chrono::seconds kEvidenceInterval{ 3 };
+
 TimePoint
 OlderLeasesGone(const TenureParts& aParts)
 {
@@ -190,6 +195,7 @@
   this->Spawn([](CellTenure& aSelf) { return aSelf.WatchInbox(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.FollowRegistry(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.WriteProgress(); });
+  this->Spawn([](CellTenure& aSelf) { return aSelf.ExchangeEvidence(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.RemoveExpired(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.PlanLoop(); });
   while (!this->ended) {
@@ -571,6 +577,52 @@
   }
 }
 
+asio::awaitable<void>
+CellTenure::TakeEvidence(ReadFreshness aFreshness)
+{
+  const StoreRangeReply reply = co_await this->parts.store.Range(
+    InterferencePrefix(), aFreshness, kStoreTimeout);
+  if (reply.result != StoreResult::Ok) {
+    Event("evidence_not_read", LogLevel::Warning).Add("cell", this->claim.cell);
+    co_return;
+  }
+  for (const StoreItem& item : reply.items) {
+    // The own record is read only once, as an earlier owner left it.
+    if (item.key == this->keys.Interference() &&
+        aFreshness == ReadFreshness::Stale) {
+      continue;
+    }
+    if (auto evidence = DecodeRecord<InterferenceEvidence>(item)) {
+      this->scheduler.SetOutsideEvidence(item.key, std::move(*evidence));
+    }
+  }
+}
+
+asio::awaitable<void>
+CellTenure::ExchangeEvidence()
+{
+  co_await this->TakeEvidence(ReadFreshness::Linearizable);
+  while (!this->ended) {
+    co_await SleepFor(this->parts.strand, kEvidenceInterval);
+    const InterferenceEvidence evidence = this->scheduler.Evidence();
+    if (this->ended || evidence.effects.empty()) {
+      continue;
+    }
+    StoreTransaction change;
+    change.expect = { { this->keys.Owner(), this->claim.fencingToken } };
+    change.puts = { { this->keys.Interference(),
+                      nlohmann::json(evidence).dump() } };
+    const StoreTransactionReply reply =
+      co_await this->parts.store.Commit(change, kStoreTimeout);
+    if (reply.result != StoreResult::Ok) {
+      // It is written anew in the next round.
+      Event("evidence_not_written", LogLevel::Warning)
+        .Add("cell", this->claim.cell);
+    }
+    co_await this->TakeEvidence(ReadFreshness::Stale);
+  }
+}
+
 asio::awaitable<void>
 CellTenure::RemoveExpired()
 {
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -113,6 +113,8 @@
     const std::vector<ProgressRecord>& aRecords);
   StoreTransaction TransactionFor(
     const std::vector<ProgressRecord>& aRecords) const;
+  boost::asio::awaitable<void> ExchangeEvidence();
+  boost::asio::awaitable<void> TakeEvidence(ReadFreshness aFreshness);
   boost::asio::awaitable<void> RemoveExpired();
   boost::asio::awaitable<void> PlanLoop();
   boost::asio::awaitable<void> RenewWorker(std::string aWorker,
--- a/src/FillerInterference.cpp
+++ b/src/FillerInterference.cpp
@@ -9,19 +9,40 @@
 
 namespace {
 
-/** Weight of the assumption without evidence, in observations of one whole
- * worker's share. Some seconds of readings outweigh it. */
+/** Weight of the assumption without evidence, in readings beside one whole
+ * worker's share. A few readings of a changing load outweigh it. */
 constexpr double kPriorWeight = 0.15;
 
 /** Share of their weight that observations keep at each update. */
-constexpr double kRetained = 0.97;
+constexpr double kRetained = 0.98;
 
 /** Most filler images in one model; it bounds the time of an update. */
 constexpr std::size_t kMaxImages = 40;
 
+/** Time in which the load of serving tasks becomes unlike itself: a swing of 14
+ * to 20 s has moved by a tenth of its range after one second. */
+constexpr double kLoadMemorySeconds = 9.5;
+
+/** Readings further apart are not compared. */
+constexpr std::chrono::seconds kMaxReadingGap{ 3 };
+
+/** Variance of a reading's own noise against that of the load's swings. It
+ * bounds the weight of readings that follow each other closely. */
+constexpr double kReadingNoise = 0.02;
+
+/** Keeps a system solvable before its first reading without fillers. */
+constexpr double kMinWeight = 1e-6;
+
+/** Regularization of what is told to others, who add their own assumption. */
+constexpr double kEvidenceRidge = 0.02;
+
+/** Less evidence is not worth telling. */
+constexpr double kMinEvidence = 0.02;
+
 /** Solves a symmetric positive system by elimination with pivots. */
 std::vector<double>
-Solve(std::vector<std::vector<double>> aMatrix, std::vector<double> aRight)
+SolveSystem(std::vector<std::vector<double>> aMatrix,
+            std::vector<double> aRight)
 {
   const std::size_t size = aRight.size();
   for (std::size_t i = 0; i < size; ++i) {
@@ -54,13 +75,27 @@
 
 } // namespace
 
-std::size_t
+FillerInterference::Model&
+FillerInterference::ModelOf(const std::string& aServingImage)
+{
+  Model& model = this->models[aServingImage];
+  if (model.normal.empty()) {
+    model.normal = { { 0.0 } };
+    model.right = { 0.0 };
+  }
+  return model;
+}
+
+std::optional<std::size_t>
 FillerInterference::ColumnOf(Model& aModel, const std::string& aImage)
 {
   const auto found = aModel.columns.find(aImage);
   if (found != aModel.columns.end()) {
     return found->second;
   }
+  if (aModel.columns.size() >= kMaxImages) {
+    return std::nullopt;
+  }
   const std::size_t column = aModel.columns.size() + 1;
   aModel.columns.emplace(aImage, column);
   for (std::vector<double>& row : aModel.normal) {
@@ -72,52 +107,104 @@
 }
 
 void
-FillerInterference::Observe(const std::string& aServingImage,
-                            double aTailMs,
-                            std::span<const FillerLoad> aFillers)
+FillerInterference::Observe(const InterferenceReading& aReading)
 {
-  if (aTailMs <= 0) {
+  if (aReading.tailMs <= 0) {
     return;
   }
-  Model& model = this->models[aServingImage];
-  if (model.normal.empty()) {
-    model.normal = { { 0.0 } };
-    model.right = { 0.0 };
+  const std::string image(aReading.servingImage);
+  Model& model = this->ModelOf(image);
+  if (model.baseMs == 0 || aReading.tailMs < model.baseMs) {
+    model.baseMs = aReading.tailMs;
   }
-  if (model.baseMs == 0 || aTailMs < model.baseMs) {
-    model.baseMs = aTailMs;
+  const double logTail = std::log(aReading.tailMs);
+  Previous& before = this->previous[std::string(aReading.group)];
+  const Duration gap = aReading.at - before.at;
+  const bool compared = gap > Duration::zero() && gap < kMaxReadingGap;
+  const double likeness =
+    compared ? std::exp(-std::chrono::duration<double>(gap).count() /
+                        kLoadMemorySeconds)
+             : 0;
+  std::map<std::size_t, double> features{ { 0, 1 - likeness } };
+  for (const FillerLoad& filler : aReading.fillers) {
+    if (const auto column = this->ColumnOf(model, filler.image)) {
+      features[*column] += filler.share;
+    }
   }
-  std::vector<std::pair<std::size_t, double>> features{ { 0, 1.0 } };
-  for (const FillerLoad& filler : aFillers) {
-    if (model.columns.size() >= kMaxImages &&
-        !model.columns.contains(filler.image)) {
-      continue;
+  if (compared) {
+    for (const FillerLoad& filler : before.fillers) {
+      if (const auto column = this->ColumnOf(model, filler.image)) {
+        features[*column] -= likeness * filler.share;
+      }
     }
-    features.emplace_back(this->ColumnOf(model, filler.image), filler.share);
   }
-  const double pressure = this->Pressure(aServingImage, aTailMs);
+  const double change = logTail - likeness * before.logTail;
+  const double weight = 1 / (1 - likeness * likeness + kReadingNoise);
   for (const auto& [row, left] : features) {
-    model.right[row] += left * pressure;
+    model.right[row] += weight * left * change;
     for (const auto& [column, right] : features) {
-      model.normal[row][column] += left * right;
+      model.normal[row][column] += weight * left * right;
     }
   }
+  before.at = aReading.at;
+  before.logTail = logTail;
+  before.fillers = { aReading.fillers.begin(), aReading.fillers.end() };
+}
+
+std::map<std::string, std::map<std::string, EffectEvidence>>
+FillerInterference::Outside() const
+{
+  std::map<std::string, std::map<std::string, EffectEvidence>> sum;
+  for (const auto& [source, evidence] : this->outside) {
+    for (const EffectEvidence& one : evidence.effects) {
+      EffectEvidence& total = sum[one.servingImage][one.fillerImage];
+      const double weight = total.weight + one.weight;
+      if (weight <= 0) {
+        continue;
+      }
+      total.effect =
+        (total.effect * total.weight + one.effect * one.weight) / weight;
+      total.weight = weight;
+    }
+  }
+  return sum;
 }
 
 void
-FillerInterference::Update()
+FillerInterference::Solve(Model& aModel,
+                          const std::map<std::string, EffectEvidence>& aMore)
 {
-  for (auto& [image, model] : this->models) {
-    std::vector<std::vector<double>> matrix = model.normal;
-    std::vector<double> right = model.right;
-    // Keeps the system solvable before the first reading without fillers.
-    constexpr double kLoadWeight = 1e-6;
-    matrix[0][0] += kLoadWeight;
-    for (std::size_t i = 1; i < right.size(); ++i) {
-      matrix[i][i] += kPriorWeight;
-      right[i] += kPriorWeight * kPriorEffect;
+  for (const auto& [image, evidence] : aMore) {
+    this->ColumnOf(aModel, image);
+  }
+  std::vector<std::vector<double>> matrix = aModel.normal;
+  std::vector<double> right = aModel.right;
+  matrix[0][0] += kMinWeight;
+  for (std::size_t i = 1; i < right.size(); ++i) {
+    matrix[i][i] += kPriorWeight;
+    right[i] += kPriorWeight * kPriorEffect;
+  }
+  for (const auto& [image, evidence] : aMore) {
+    if (const auto column = this->ColumnOf(aModel, image)) {
+      matrix[*column][*column] += evidence.weight;
+      right[*column] += evidence.weight * evidence.effect;
     }
-    model.coefficients = Solve(std::move(matrix), std::move(right));
+  }
+  aModel.coefficients = SolveSystem(std::move(matrix), std::move(right));
+}
+
+void
+FillerInterference::Update(TimePoint aNow)
+{
+  const auto more = this->Outside();
+  for (const auto& [image, evidence] : more) {
+    this->ModelOf(image);
+  }
+  for (auto& [image, model] : this->models) {
+    const auto known = more.find(image);
+    this->Solve(model,
+                known == more.end() ? std::map<std::string, EffectEvidence>()
+                                    : known->second);
     for (std::size_t i = 0; i < model.right.size(); ++i) {
       model.right[i] *= kRetained;
       for (double& value : model.normal[i]) {
@@ -125,17 +212,57 @@
       }
     }
   }
+  for (auto& [source, evidence] : this->outside) {
+    for (EffectEvidence& one : evidence.effects) {
+      one.weight *= kRetained;
+    }
+  }
+  std::erase_if(this->previous, [aNow](const auto& aItem) {
+    return aNow - aItem.second.at > kMaxReadingGap;
+  });
+}
+
+InterferenceEvidence
+FillerInterference::Evidence() const
+{
+  InterferenceEvidence result;
+  for (const auto& [image, model] : this->models) {
+    std::vector<std::vector<double>> matrix = model.normal;
+    matrix[0][0] += kMinWeight;
+    for (std::size_t i = 1; i < matrix.size(); ++i) {
+      matrix[i][i] += kEvidenceRidge;
+    }
+    const std::vector<double> effects = SolveSystem(matrix, model.right);
+    for (const auto& [filler, column] : model.columns) {
+      std::vector<double> unit(matrix.size(), 0.0);
+      unit[column] = 1;
+      const double variance = SolveSystem(matrix, std::move(unit))[column];
+      const double weight = 1 / variance - kEvidenceRidge;
+      if (weight >= kMinEvidence) {
+        result.effects.push_back(
+          EffectEvidence{ image, filler, effects[column], weight });
+      }
+    }
+  }
+  return result;
+}
+
+void
+FillerInterference::SetOutsideEvidence(const std::string& aSource,
+                                       InterferenceEvidence aEvidence)
+{
+  this->outside[aSource] = std::move(aEvidence);
 }
 
 double
-FillerInterference::Pressure(const std::string& aServingImage,
-                             double aTailMs) const
+FillerInterference::Load(const std::string& aServingImage, double aTailMs) const
 {
   const auto found = this->models.find(aServingImage);
-  if (found == this->models.end() || aTailMs <= found->second.baseMs) {
-    return 0;
+  if (found == this->models.end() || found->second.baseMs == 0) {
+    return 1;
   }
-  return 1 - found->second.baseMs / aTailMs;
+  return aTailMs <= found->second.baseMs ? 0
+                                         : 1 - found->second.baseMs / aTailMs;
 }
 
 double
--- a/src/FillerInterference.h
+++ b/src/FillerInterference.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include "Clock.h"
+#include "generated/Workflow.h"
+
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiakeel {
@@ -16,42 +21,59 @@
   double share = 0;
 };
 
+/** Tail latency of the serving tasks of one job on one worker. */
+struct InterferenceReading
+{
+  /** Names the tasks whose load is the same: those of one job on one worker. */
+  std::string_view group;
+  std::string_view servingImage;
+  /** Mean over the tasks of the group. */
+  double tailMs = 0;
+  /** What works beside them. */
+  std::span<const FillerLoad> fillers;
+  TimePoint at;
+};
+
 /**
  * Learns which fillers disturb which serving tasks from rough and late tail
  * latencies.
  *
- * The tail of a serving task is modelled as base / (1 - pressure), the response
- * time of a queue: pressure is the sum of the task's own load and, for each
- * filler image, its share of the worker times an effect that depends on both
- * images. The effects are a ridge regression of 1 - base / tail for each
- * serving image, with observations that fade, since loads and effects change.
+ * The tail of a serving task is modelled as base / (1 - load), the response
+ * time of a queue, times a factor exp(effect * share) for each filler image
+ * beside it, where the effect depends on both images. The effects are a ridge
+ * regression of log(tail) for each serving image, with observations that fade.
+ *
+ * The tasks' own load swings over several seconds and by more than most fillers
+ * add. So a reading is compared with the one before it on the same worker, as
+ * in a regression with autocorrelated errors (Cochrane and Orcutt, 1949): what
+ * changed along with the fillers counts, what was there before does not.
+ *
  * Not thread safe.
  */
 class FillerInterference
 {
 public:
-  /** Takes in one reading of a serving task. */
-  void Observe(const std::string& aServingImage,
-               double aTailMs,
-               std::span<const FillerLoad> aFillers);
+  /** Takes in one reading. */
+  void Observe(const InterferenceReading& aReading);
 
   /** Works the observations in and lets older ones fade. To be called about
    * once a second. */
-  void Update();
+  void Update(TimePoint aNow);
 
-  /** Returns the pressure on a task of an image whose tail is aTailMs, from 0
-   * to 1. */
-  double Pressure(const std::string& aServingImage, double aTailMs) const;
+  /** Returns what this object has learnt by itself. */
+  InterferenceEvidence Evidence() const;
 
-  /** Returns the pressure at which a task's tail equals its target. */
-  double PressureAtTarget(const std::string& aServingImage,
-                          double aTargetMs) const
-  {
-    return this->Pressure(aServingImage, aTargetMs);
-  }
+  /** Takes over what another one has learnt, named by aSource; replaces what
+   * that source said before. It counts from the next Update() on. */
+  void SetOutsideEvidence(const std::string& aSource,
+                          InterferenceEvidence aEvidence);
+
+  /** Returns the share of their processors that tasks of an image use when
+   * their tail is aTailMs; 1 without any reading of the image. */
+  double Load(const std::string& aServingImage, double aTailMs) const;
 
-  /** Returns the pressure that a filler image adds for a whole worker's share;
-   * kPriorEffect without evidence. */
+  /** Returns by how much log(tail) grows for a whole worker's share of a filler
+   * image; kPriorEffect without evidence. */
   double Effect(const std::string& aServingImage,
                 const std::string& aFillerImage) const;
 
@@ -59,14 +81,18 @@
    */
   std::map<std::string, std::string> Summary() const;
 
-  /** Effect that is assumed without evidence. */
-  static constexpr double kPriorEffect = 0.4;
+  /** Effect that is assumed without evidence. Effects are near zero for most
+   * pairs of images and 2 to 6 for the others. */
+  static constexpr double kPriorEffect = 1.3;
+
+  /** A filler with a smaller effect counts as harmless. */
+  static constexpr double kHarmlessEffect = 0.8;
 
 private:
   struct Model
   {
     double baseMs = 0;
-    /** Filler images in the order of the coefficients, from 1; 0 is the task's
+    /** Filler images in the order of the coefficients, from 1; 0 is the tasks'
      * own load. */
     std::map<std::string, std::size_t> columns;
     std::vector<std::vector<double>> normal;
@@ -74,9 +100,23 @@
     std::vector<double> coefficients;
   };
 
-  std::size_t ColumnOf(Model& aModel, const std::string& aImage);
+  /** The last reading of a group. */
+  struct Previous
+  {
+    TimePoint at;
+    double logTail = 0;
+    std::vector<FillerLoad> fillers;
+  };
+
+  Model& ModelOf(const std::string& aServingImage);
+  std::optional<std::size_t> ColumnOf(Model& aModel, const std::string& aImage);
+  void Solve(Model& aModel, const std::map<std::string, EffectEvidence>& aMore);
+  std::map<std::string, std::map<std::string, EffectEvidence>> Outside() const;
 
   std::map<std::string, Model> models;
+  /** By group. */
+  std::map<std::string, Previous> previous;
+  std::map<std::string, InterferenceEvidence> outside;
 };
 
 } // namespace sequoiakeel
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -6,15 +6,6 @@
 
 namespace sequoiakeel {
 
-namespace {
-
-/** Share of its reservation that a task with a latency target uses on average.
- * Serving tasks are sized for their peaks; the sheets of both deployments give
- * a load of 0.45 with swings of half of that. */
-constexpr double kServingUse = 0.5;
-
-} // namespace
-
 Commitment*
 ScheduledWorker::Find(const std::string& aTask)
 {
@@ -116,15 +107,4 @@
   return worst;
 }
 
-std::int64_t
-ScheduledWorker::SpareForFillers() const
-{
-  const CommittedRoom& used = this->committed;
-  const std::int64_t others = used.cpuMilli - used.servingCpuMilli;
-  const auto serving =
-    static_cast<std::int64_t>(kServingUse * used.servingCpuMilli);
-  return this->description.room.cpuMilli - others - serving -
-         used.fillerCpuMilli;
-}
-
 } // namespace sequoiakeel
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -135,10 +135,6 @@
    * without any. */
   double WorstLatencyRatio() const;
 
-  /** Returns the processor time that is left for fillers, in thousandths of a
-   * core, less what fillers here already want. */
-  std::int64_t SpareForFillers() const;
-
 private:
   void Count(const Commitment& aCommitment, int aSign);
 
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -1,21 +1,40 @@
 #include "WorkerChoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sequoiakeel {
 
 namespace {
 
-/** Pressure that serving tasks may have after a filler was added, against the
- * pressure at their target. The rest is for the swings of their own load, by up
- * to a half. */
-constexpr double kFillerPressureShare = 0.65;
+/** A filler with a larger effect does not start beside the serving task: the
+ * task's own load swings up within the filler's duration, and a target that is
+ * missed for a second costs more than the filler's work of several. */
+constexpr double kHarmfulEffect = 2.0;
 
-/** A filler with a smaller effect counts as harmless. */
-constexpr double kHarmlessEffect = 0.2;
+/** Effect that a filler is assumed to have while it is not known: one of the
+ * larger ones. */
+constexpr double kAssumedEffect = 4.5;
+
+/** Tail against its target that serving tasks may have with a filler of unknown
+ * effect, if that effect is as assumed. */
+constexpr double kTrialRatio = 0.8;
 
 /** Weight of the effect on serving tasks against unused processor time. */
-constexpr double kEffectWeight = 8.0;
+constexpr double kEffectWeight = 4.0;
+
+/** Part of a worker's processors that may be in use. With more, the tails of
+ * serving tasks grow by a multiple, whatever works beside them. */
+constexpr double kMaxUtilization = 0.92;
+
+/** By how much the load of serving tasks can grow while a filler runs: a swing
+ * by 0.27 around the mean, over 14 to 20 s, in two seconds. */
+constexpr double kLoadRise = 0.12;
+
+/** Bounds of the load of serving tasks. Tails of disturbed tasks make it seem
+ * higher than it gets. */
+constexpr double kMinLoad = 0.3;
+constexpr double kMaxLoad = 0.75;
 
 /** Reports show a filler's effect only after this time. */
 constexpr std::chrono::milliseconds kEffectDelay{ 1000 };
@@ -26,7 +45,7 @@
 
 /** A filler starts only where this share of the processor time that it wants is
  * unused; with less it would slow down itself and all others there. */
-constexpr double kFillerMinShare = 0.6;
+constexpr double kFillerMinShare = 0.8;
 
 /** A worker reports at least once a second; one that is late may hang. */
 constexpr std::chrono::milliseconds kReportOverdue{ 1500 };
@@ -43,21 +62,23 @@
   return near ? kDataRackBonus : 0;
 }
 
-/** Returns the pressure that fillers add which started too recently to show in
- * reports. */
+/** Returns the growth of log(tail) by fillers that started too recently to show
+ * in reports. */
 double
-UnseenPressure(const ScheduledWorker& aWorker,
-               const std::string& aServingImage,
-               const FillerInterference& aInterference,
-               TimePoint aNow)
+UnseenEffect(const ScheduledWorker& aWorker,
+             const std::string& aServingImage,
+             const FillerInterference& aInterference,
+             TimePoint aNow)
 {
   double sum = 0;
   for (const auto& [task, filler] : aWorker.Commitments()) {
     if (!filler.step.filler || aNow - filler.startedAt > kEffectDelay) {
       continue;
     }
-    sum += aInterference.Effect(aServingImage, filler.step.image) *
-           filler.step.cpuMilli;
+    const double effect =
+      aInterference.Effect(aServingImage, filler.step.image);
+    const bool harmless = effect <= FillerInterference::kHarmlessEffect;
+    sum += (harmless ? 0 : kAssumedEffect) * filler.step.cpuMilli;
   }
   return sum / static_cast<double>(aWorker.description.room.cpuMilli);
 }
@@ -75,20 +96,24 @@
     if (!serving.Serves()) {
       continue;
     }
+    if (serving.usage == 0) {
+      return std::nullopt;
+    }
     const std::string& image = serving.step.image;
     const double effect = aInterference.Effect(image, aStep.image);
-    if (effect <= kHarmlessEffect) {
+    if (effect <= FillerInterference::kHarmlessEffect) {
       continue;
     }
+    if (effect >= kHarmfulEffect) {
+      return std::nullopt;
+    }
     const double share = static_cast<double>(aStep.cpuMilli) /
                          static_cast<double>(aWorker.description.room.cpuMilli);
-    const double pressure =
-      aInterference.Pressure(image, static_cast<double>(serving.usage)) +
-      UnseenPressure(aWorker, image, aInterference, aNow) + effect * share;
-    const double limit =
-      kFillerPressureShare *
-      aInterference.PressureAtTarget(image, serving.step.latencyTargetMs);
-    if (pressure > limit) {
+    const double growth = UnseenEffect(aWorker, image, aInterference, aNow) +
+                          kAssumedEffect * share;
+    const double ratio = static_cast<double>(serving.usage) /
+                         serving.step.latencyTargetMs * std::exp(growth);
+    if (ratio > kTrialRatio) {
       return std::nullopt;
     }
     worst = std::max(worst, effect);
@@ -102,7 +127,8 @@
            const FillerInterference& aInterference,
            TimePoint aNow)
 {
-  const auto spare = static_cast<double>(aWorker.SpareForFillers());
+  const double spare = SpareForFillers(aWorker, aInterference, kLoadRise) -
+                       static_cast<double>(aWorker.Committed().fillerCpuMilli);
   const auto wanted = static_cast<double>(aStep.cpuMilli);
   if (spare < kFillerMinShare * wanted ||
       aWorker.FillerPercent(aStep.image) < 100) {
@@ -136,6 +162,32 @@
 
 } // namespace
 
+double
+SpareForFillers(const ScheduledWorker& aWorker,
+                const FillerInterference& aInterference,
+                double aLoadRise)
+{
+  const CommittedRoom& used = aWorker.Committed();
+  double inUse = static_cast<double>(used.cpuMilli - used.servingCpuMilli);
+  for (const auto& [task, serving] : aWorker.Commitments()) {
+    if (!serving.Serves()) {
+      continue;
+    }
+    const double load =
+      serving.usage == 0
+        ? kMaxLoad
+        : std::clamp(aInterference.Load(serving.step.image,
+                                        static_cast<double>(serving.usage)) +
+                       aLoadRise,
+                     kMinLoad,
+                     kMaxLoad);
+    inUse += load * serving.step.cpuMilli;
+  }
+  return kMaxUtilization *
+           static_cast<double>(aWorker.description.room.cpuMilli) -
+         inUse;
+}
+
 std::optional<double>
 FirstFitChoice::Rate(const ScheduledWorker& /*aWorker*/,
                      const WorkflowStep& /*aStep*/,
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -54,6 +54,14 @@
                              TimePoint aNow) const override;
 };
 
+/** Returns the processor time that a worker's other tasks leave to all its
+ * fillers together, in thousandths of a core; less than 0 if there is none.
+ * aLoadRise: by how much the load of serving tasks may grow meanwhile. */
+double
+SpareForFillers(const ScheduledWorker& aWorker,
+                const FillerInterference& aInterference,
+                double aLoadRise);
+
 /** Tells whether a worker may run a task of a step by every rule that does not
  * depend on preferences: state, room, labels, limits by step. */
 bool
--- a/src/WorkflowKeys.h
+++ b/src/WorkflowKeys.h
@@ -20,6 +20,13 @@
   return "sequoiakeel/nodes/";
 }
 
+/** Prefix of the InterferenceEvidence of every cell. */
+inline std::string
+InterferencePrefix()
+{
+  return "sequoiakeel/interference/";
+}
+
 /**
  * Keys of one cell. The owner's key and the submissions share a prefix, so that
  * one watch delivers both in the order of their revisions: an owner learns that
@@ -30,6 +37,7 @@
 public:
   explicit WorkflowKeys(std::uint32_t aCell)
     : base("sequoiakeel/cell-" + std::to_string(aCell) + "/")
+    , interference(InterferencePrefix() + std::to_string(aCell))
   {
   }
 
@@ -50,10 +58,12 @@
   {
     return this->ProgressOfAll() + std::string(aId);
   }
+  const std::string& Interference() const { return this->interference; }
   std::string Roster() const { return this->base + "roster"; }
 
 private:
   std::string base;
+  std::string interference;
 };
 
 } // namespace sequoiakeel
--- a/test/unit/PlacementAndThrottle.cpp
+++ b/test/unit/PlacementAndThrottle.cpp
@@ -4,7 +4,9 @@
 #include "WorkerChoice.h"
 #include "support/SchedulerHarness.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace sequoiakeel;
 
@@ -49,27 +51,73 @@
   return worker;
 }
 
+/** Takes in a reading that has no earlier one to compare it with. */
+void
+ObserveAlone(FillerInterference& aInterference,
+             const std::string& aImage,
+             double aTailMs,
+             std::span<const FillerLoad> aFillers)
+{
+  static int worker = 0;
+  aInterference.Observe({ "w" + std::to_string(worker++),
+                          aImage,
+                          aTailMs,
+                          aFillers,
+                          TimePoint(std::chrono::hours(1)) });
+}
+
 /** Teaches that fillers of image "heavy" press tasks of image "web", and those
  * of image "light" do not. */
 FillerInterference
 Taught()
 {
   FillerInterference interference;
-  interference.Observe("web", 10.0, {});
-  interference.Observe("other", 10.0, {});
+  ObserveAlone(interference, "web", 10.0, {});
+  ObserveAlone(interference, "other", 10.0, {});
   for (int i = 0; i < 60; ++i) {
     const double heavy = 0.1 * (i % 4);
     const double light = 0.1 * (i % 3);
-    const double pressure = 0.4 + 1.1 * heavy;
+    const double tail = 10 / (1 - 0.4) * std::exp(4 * heavy + 0.1 * light);
     const FillerLoad loads[] = { { "heavy", heavy }, { "light", light } };
-    interference.Observe("web", 10.0 / (1 - pressure), loads);
-    interference.Observe("web", 10.0 / (1 - 0.4), {});
-    interference.Observe("other", 12.0, {});
+    ObserveAlone(interference, "web", tail, loads);
+    ObserveAlone(interference, "web", 10 / (1 - 0.4), {});
+    ObserveAlone(interference, "other", 12.0, {});
   }
-  interference.Update();
+  interference.Update(TimePoint(std::chrono::hours(1)));
   return interference;
 }
 
+/** Plays six seconds of swings on five workers; returns how many of two filler
+ * images are taken for the other kind. */
+int
+PlaySwings(unsigned aSeed, bool aCompared)
+{
+  std::mt19937_64 random(aSeed);
+  std::normal_distribution<double> noise(0, 0.05);
+  FillerInterference interference;
+  const TimePoint begin{ std::chrono::hours(1) };
+  constexpr int kWorkers = 5;
+  constexpr int kReadings = 6;
+  for (int reading = 0; reading < kReadings; ++reading) {
+    const TimePoint now = begin + std::chrono::seconds(reading);
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      const double load = 0.45 + 0.27 * std::sin(0.45 * reading + worker);
+      const double heavy = 0.1 * static_cast<double>(random() % 2);
+      const double light = 0.1 * static_cast<double>(random() % 3);
+      const double logTail =
+        std::log(10 / (1 - load)) + 3.5 * heavy + 0.1 * light + noise(random);
+      const FillerLoad fillers[] = { { "heavy", heavy }, { "light", light } };
+      const std::string group = "w" + std::to_string(worker) +
+                                (aCompared ? "" : std::to_string(reading));
+      interference.Observe({ group, "web", std::exp(logTail), fillers, now });
+    }
+    interference.Update(now);
+  }
+  const double middle = 1.6;
+  return (interference.Effect("web", "heavy") < middle ? 1 : 0) +
+         (interference.Effect("web", "light") > middle ? 1 : 0);
+}
+
 } // namespace
 
 // Guards against fillers that are kept off, or slowed, for what they do not
@@ -77,12 +125,61 @@
 TEST_CASE("effects of fillers are told apart by image")
 {
   const FillerInterference interference = Taught();
-  CHECK(interference.Effect("web", "heavy") > 0.5);
-  CHECK(interference.Effect("web", "light") < 0.3);
+  CHECK(interference.Effect("web", "heavy") > 2.5);
+  CHECK(interference.Effect("web", "light") <
+        FillerInterference::kHarmlessEffect);
   CHECK(interference.Effect("web", "unknown") ==
         FillerInterference::kPriorEffect);
-  CHECK(interference.Pressure("web", 10.0) == doctest::Approx(0.0));
-  CHECK(interference.Pressure("web", 50.0) == doctest::Approx(0.8));
+  CHECK(interference.Load("web", 10.0) == doctest::Approx(0.0));
+  CHECK(interference.Load("web", 50.0) == doctest::Approx(0.8));
+  CHECK(interference.Load("unread", 50.0) == 1);
+}
+
+// Plays serving tasks whose load swings by more than the fillers beside them
+// add, as on the users' order desk. Guards against fillers that disturb nobody
+// and are kept off because they ran while the load was high, and against
+// harmful ones that are not recognized within six seconds.
+TEST_CASE("effects are learnt within seconds although the load swings")
+{
+  int mistaken = 0;
+  int mistakenAlone = 0;
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    mistaken += PlaySwings(seed, true);
+    mistakenAlone += PlaySwings(seed, false);
+  }
+  CHECK(mistaken == 0);
+  // The naive way, each reading by itself, takes the swings for effects.
+  CHECK(mistakenAlone > 5);
+}
+
+// Guards against a new owner, or one of a small cell, that has to disturb
+// serving tasks to learn what others know.
+TEST_CASE("what one cell has learnt is taken over by another")
+{
+  const InterferenceEvidence evidence = Taught().Evidence();
+  FillerInterference other;
+  other.SetOutsideEvidence("cell", evidence);
+  other.SetOutsideEvidence("cell", evidence);
+  other.Update(TimePoint(std::chrono::hours(1)));
+  CHECK(other.Effect("web", "heavy") > 2.5);
+  CHECK(other.Effect("web", "light") < FillerInterference::kHarmlessEffect);
+  CHECK(other.Effect("web", "unknown") == FillerInterference::kPriorEffect);
+  CHECK(other.Evidence().effects.empty());
+}
+
+// Guards against fillers that use up the processors beside serving tasks: their
+// tails grow by a multiple as soon as nothing is unused, whatever the images.
+TEST_CASE("fillers take what serving tasks leave at their present load")
+{
+  const FillerInterference interference = Taught();
+  ScheduledWorker worker = WorkerWith("w1", Serving("web"), 0);
+  const double unread = SpareForFillers(worker, interference, 0);
+  worker.Find("task")->usage = 15;
+  const double calm = SpareForFillers(worker, interference, 0);
+  CHECK(calm > unread);
+  CHECK(SpareForFillers(worker, interference, 0.2) < calm);
+  worker.Find("task")->usage = 40;
+  CHECK(SpareForFillers(worker, interference, 0) < calm);
 }
 
 // Guards against a filler beside a serving task that is close to its target
