--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -186,7 +186,7 @@
   const Endpoint endpoint{ checked.address, checked.port };
   const WorkflowQuery query{ this->cell, "", "" };
   const TimePoint sentAt = this->parts.clock.Now();
-  const std::optional<std::string> bytes = co_await this->peers.Call(
+  const PeerReply bytes = co_await this->peers.Call(
     endpoint, PeerMessage::QueryWorkflow, EncodeMessage(query), kProbeTimeout);
   const auto reply =
     bytes ? DecodeMessage<WorkflowReply>(*bytes) : std::nullopt;
--- a/src/ConfigurationPeers.cpp
+++ b/src/ConfigurationPeers.cpp
@@ -19,11 +19,10 @@
   Endpoint endpoint;
   endpoint.address = aPeer.address;
   endpoint.port = aPeer.port;
-  const std::optional<std::string> reply =
-    co_await aClient.Call(std::move(endpoint),
-                          PeerMessage::FetchConfiguration,
-                          EncodeMessage(aRequest),
-                          kFetchTimeout);
+  const PeerReply reply = co_await aClient.Call(std::move(endpoint),
+                                                PeerMessage::FetchConfiguration,
+                                                EncodeMessage(aRequest),
+                                                kFetchTimeout);
   if (!reply || !HasShape<ConfigurationReply>(*reply)) {
     co_return std::nullopt;
   }
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -305,7 +305,7 @@
                          aSubmission.spec };
       std::string body = EncodeMessage(message);
       const Duration timeout = std::min<Duration>(left, kCallTimeout);
-      const std::optional<std::string> bytes = co_await this->client->Call(
+      const PeerReply bytes = co_await this->client->Call(
         *owner, PeerMessage::SubmitJob, std::move(body), timeout);
       std::optional<SubmitReply> reply;
       if (bytes) {
@@ -380,7 +380,7 @@
       const Duration timeout =
         std::clamp<Duration>(left, std::chrono::milliseconds(1), kCallTimeout);
       std::string copy = body;
-      const std::optional<std::string> bytes =
+      const PeerReply bytes =
         co_await this->client->Call(*owner, aKind, std::move(copy), timeout);
       if (bytes) {
         reply = DecodeMessage<Reply>(*bytes);
--- a/src/PeerRpc.cpp
+++ b/src/PeerRpc.cpp
@@ -300,7 +300,7 @@
   }
 }
 
-asio::awaitable<std::optional<std::string>>
+asio::awaitable<PeerReply>
 PeerClient::Call(Endpoint aPeer,
                  PeerMessage aKind,
                  std::string aBody,
@@ -308,20 +308,21 @@
 {
   std::shared_ptr<Connection> connection = this->Take(aPeer);
   const asio::any_io_executor strand = connection->strand;
-  asio::awaitable<std::optional<std::string>> call = this->CallOnStrand(
+  asio::awaitable<PeerReply> call = this->CallOnStrand(
     std::move(aPeer), aKind, std::move(aBody), aTimeout, std::move(connection));
-  std::optional<std::string> reply =
+  PeerReply reply =
     co_await asio::co_spawn(strand, std::move(call), use_awaitable);
   co_return reply;
 }
 
-asio::awaitable<std::optional<std::string>>
+asio::awaitable<PeerReply>
 PeerClient::CallOnStrand(Endpoint aPeer,
                          PeerMessage aKind,
                          std::string aBody,
                          Duration aTimeout,
                          std::shared_ptr<Connection> aConnection)
 {
+  PeerReply result;
   error_code error;
   asio::steady_timer timer(aConnection->strand, aTimeout);
   timer.async_wait(
@@ -338,14 +339,14 @@
   if (!aConnection->socket.is_open()) {
     const auto address = asio::ip::make_address(aPeer.address, error);
     if (error) {
-      co_return std::nullopt;
+      co_return result;
     }
     const Tcp::endpoint endpoint(address,
                                  static_cast<std::uint16_t>(aPeer.port));
     co_await aConnection->socket.async_connect(
       endpoint, asio::redirect_error(use_awaitable, error));
     if (error) {
-      co_return std::nullopt;
+      co_return result;
     }
     aConnection->socket.set_option(Tcp::no_delay(true), error);
   }
@@ -356,20 +357,22 @@
     const std::lock_guard lock(this->mutex);
     request.correlation = this->nextCorrelation++;
   }
+  result.mayHaveArrived = true;
   const bool written = co_await WriteFrame(aConnection->socket, request);
   if (!written) {
-    co_return std::nullopt;
+    co_return result;
   }
   std::optional<Frame> reply = co_await ReadFrame(aConnection->socket);
   timer.cancel();
   if (!reply || reply->correlation != request.correlation ||
       reply->kind != request.kind) {
-    co_return std::nullopt;
+    co_return result;
   }
   if (aConnection->socket.is_open()) {
     this->Put(aPeer, std::move(aConnection));
   }
-  co_return std::move(reply->body);
+  result.body = std::move(reply->body);
+  co_return result;
 }
 
 } // namespace sequoiakeel
--- a/src/PeerRpc.h
+++ b/src/PeerRpc.h
@@ -73,6 +73,19 @@
   std::shared_ptr<Shared> shared;
 };
 
+/** What came of a request to a peer. */
+struct PeerReply
+{
+  /** The encoded reply, if one came in time. */
+  std::optional<std::string> body;
+  /** Without a reply: the request may have been carried out. */
+  bool mayHaveArrived = false;
+
+  explicit operator bool() const { return this->body.has_value(); }
+  /** Precondition: there is a reply. */
+  const std::string& operator*() const { return *this->body; }
+};
+
 /** Sends requests to peers, with one request at a time on a connection. Thread
  * safe. */
 class PeerClient
@@ -83,19 +96,18 @@
   PeerClient& operator=(const PeerClient&) = delete;
   ~PeerClient();
 
-  /** Returns the encoded reply, or nothing if none came in time; the request
-   * may then have been carried out. */
-  boost::asio::awaitable<std::optional<std::string>> Call(Endpoint aPeer,
-                                                          PeerMessage aKind,
-                                                          std::string aBody,
-                                                          Duration aTimeout);
+  /** Sends one request, without a retry. */
+  boost::asio::awaitable<PeerReply> Call(Endpoint aPeer,
+                                         PeerMessage aKind,
+                                         std::string aBody,
+                                         Duration aTimeout);
 
 private:
   struct Connection;
 
   std::shared_ptr<Connection> Take(const Endpoint& aPeer);
   void Put(const Endpoint& aPeer, std::shared_ptr<Connection> aConnection);
-  boost::asio::awaitable<std::optional<std::string>> CallOnStrand(
+  boost::asio::awaitable<PeerReply> CallOnStrand(
     Endpoint aPeer,
     PeerMessage aKind,
     std::string aBody,
--- a/src/PlannerDirectory.cpp
+++ b/src/PlannerDirectory.cpp
@@ -54,7 +54,7 @@
 {
   Endpoint endpoint{ aPlanner.address, aPlanner.port };
   std::string body = EncodeMessage(PlannerStatusRequest{});
-  const std::optional<std::string> bytes = co_await this->client->Call(
+  const PeerReply bytes = co_await this->client->Call(
     endpoint, PeerMessage::PlannerStatus, std::move(body), kReportTimeout);
   std::optional<PlannerStatusReply> reply;
   if (bytes) {
--- /dev/null
+++ b/src/StoreReachability.cpp
@@ -0,0 +1,55 @@
+#include "StoreReachability.h"
+
+#include "Log.h"
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Failed calls in a row that count as an outage. Single answers are lost even
+ * by a store that is well. */
+constexpr int kFailures = 3;
+
+/** Shortest outage. A store that refuses a burst of calls takes the next ones
+ * within a fraction of a second. */
+constexpr std::chrono::milliseconds kOutage{ 300 };
+
+} // namespace
+
+StoreReachability::StoreReachability(const Clock& aClock)
+  : clock(aClock)
+{
+}
+
+void
+StoreReachability::Note(StoreResult aResult)
+{
+  const bool answered =
+    aResult == StoreResult::Ok || aResult == StoreResult::Conflict;
+  const TimePoint now = this->clock.Now();
+  const std::lock_guard lock(this->mutex);
+  if (answered) {
+    if (this->failures >= kFailures) {
+      Event("store_answers", LogLevel::Warning).Add("failures", this->failures);
+    }
+    this->failures = 0;
+    return;
+  }
+  if (this->failures == 0) {
+    this->failingSince = now;
+  }
+  ++this->failures;
+  if (this->failures == kFailures) {
+    Event("store_silent", LogLevel::Warning).Add("failures", this->failures);
+  }
+}
+
+bool
+StoreReachability::Lost() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->failures >= kFailures &&
+         this->clock.Now() - this->failingSince >= kOutage;
+}
+
+} // namespace sequoiakeel
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -112,12 +112,14 @@
   PeerClient& aPeers,
   NodeDirectory& aNodes,
   std::vector<std::shared_ptr<CellService>> aCells,
+  const StoreReachability& aReachability,
   SchedulerMetrics& aMetrics,
   const Clock& aClock)
   : store(aStore)
   , peers(aPeers)
   , nodes(aNodes)
   , cells(std::move(aCells))
+  , reachability(aReachability)
   , metrics(aMetrics)
   , clock(aClock)
 {
@@ -202,15 +204,22 @@
   const Endpoint endpoint{ peer->address, peer->port };
   const Duration timeout =
     std::min<Duration>(kRelayTimeout, this->Left(aDeadline));
-  const std::optional<std::string> bytes = co_await this->peers.Call(
+  const PeerReply bytes = co_await this->peers.Call(
     endpoint, aKind, EncodeMessage(aMessage), timeout);
   const auto reply = bytes ? DecodeMessage<RelayReply>(*bytes) : std::nullopt;
-  co_return reply ? reply->outcome : RelayOutcome::Unknown;
+  if (reply) {
+    co_return reply->outcome;
+  }
+  co_return bytes.mayHaveArrived ? RelayOutcome::Unknown
+                                 : RelayOutcome::NotStored;
 }
 
 asio::awaitable<RelayOutcome>
 WorkflowGateway::StoreForPeer(WorkflowSubmission aSubmission)
 {
+  if (this->reachability.Lost()) {
+    co_return RelayOutcome::NotStored;
+  }
   const TimePoint deadline =
     this->clock.Now() + kRelayTimeout + kResponseReserve;
   const std::uint32_t cell = co_await this->ChooseCell(aSubmission, deadline);
@@ -235,18 +244,24 @@
   int attempts = 0;
   int relays = 0;
   SubmissionOutcome outcome = SubmissionOutcome::NotAccepted;
-  const std::uint32_t cell = co_await this->ChooseCell(aSubmission, aDeadline);
+  std::uint32_t cell = this->CellsOf(aSubmission.id).front();
+  if (!this->reachability.Lost()) {
+    cell = co_await this->ChooseCell(aSubmission, aDeadline);
+  }
   // Every attempt is made under the same condition, so copies that are carried
   // out late do no harm.
   while (this->Left(aDeadline) > Duration::zero()) {
-    ++attempts;
-    const Duration timeout =
-      std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
-    outcome = co_await this->StoreOnce(aSubmission, cell, timeout);
-    if (outcome == SubmissionOutcome::Accepted) {
-      break;
+    const bool lost = this->reachability.Lost();
+    if (!lost) {
+      ++attempts;
+      const Duration timeout =
+        std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
+      outcome = co_await this->StoreOnce(aSubmission, cell, timeout);
+      if (outcome == SubmissionOutcome::Accepted) {
+        break;
+      }
+      mayBeStored = mayBeStored || outcome == SubmissionOutcome::Unknown;
     }
-    mayBeStored = mayBeStored || outcome == SubmissionOutcome::Unknown;
     // The store may serve other hosts while it turns this one away.
     ++relays;
     const RelayOutcome relayed = co_await this->Relay(
@@ -258,8 +273,11 @@
     mayBeStored = mayBeStored || relayed == RelayOutcome::Unknown;
     // A refusal that is known to be one helps the caller most when it comes at
     // once; an unknown outcome is worth settling.
-    const Duration limit = mayBeStored ? kSettleTime : kRefuseAfter;
-    if (this->clock.Now() - begun > limit) {
+    Duration limit = mayBeStored ? Duration(kSettleTime) : kRefuseAfter;
+    if (lost && !mayBeStored) {
+      limit = Duration::zero();
+    }
+    if (this->clock.Now() - begun >= limit) {
       break;
     }
     co_await SleepFor(co_await asio::this_coro::executor, kStoreRetry);
@@ -300,7 +318,7 @@
   const Endpoint endpoint{ owner->address, owner->port };
   const Duration timeout =
     std::min<Duration>(kOwnerTimeout, this->Left(aDeadline));
-  const std::optional<std::string> bytes = co_await this->peers.Call(
+  const PeerReply bytes = co_await this->peers.Call(
     endpoint, PeerMessage::QueryWorkflow, EncodeMessage(aQuery), timeout);
   const std::optional<WorkflowReply> reply =
     bytes ? DecodeMessage<WorkflowReply>(*bytes) : std::nullopt;
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -3,6 +3,7 @@
 #include "CellService.h"
 #include "NodeDirectory.h"
 #include "PeerRpc.h"
+#include "StoreReachability.h"
 #include "TransactionalStore.h"
 #include "generated/Workflow.h"
 
@@ -49,6 +50,7 @@
                   PeerClient& aPeers,
                   NodeDirectory& aNodes,
                   std::vector<std::shared_ptr<CellService>> aCells,
+                  const StoreReachability& aReachability,
                   SchedulerMetrics& aMetrics,
                   const Clock& aClock);
 
@@ -108,6 +110,7 @@
   PeerClient& peers;
   NodeDirectory& nodes;
   std::vector<std::shared_ptr<CellService>> cells;
+  const StoreReachability& reachability;
   SchedulerMetrics& metrics;
   const Clock& clock;
 };
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -40,7 +40,7 @@
             aStore,
             NodeRecord{ aName, "z", "127.0.0.1", server.Port(), 1.0 })
     , cells(this->MakeCells(aContext, aName, aStore, aWorkers, aCells))
-    , gateway(aStore, peers, nodes, cells, metrics, clock)
+    , gateway(aStore, peers, nodes, cells, reachability, metrics, clock)
   {
     ServeWorkflowPeers(this->server, this->gateway, this->cells);
     this->server.Start();
@@ -92,6 +92,7 @@
   ColocationChoice choice;
   MultiplicativeThrottle throttle;
   SchedulerMetrics metrics;
+  StoreReachability reachability{ clock };
   PeerServer server;
   PeerClient peers;
   NodeDirectory nodes;
@@ -370,6 +371,38 @@
   CHECK(world.workers.StartsOf("j.0.0.0") == 0);
 }
 
+// Guards against callers that are held while the store surely does not answer,
+// and against a refusal that is not true: a peer that has the store stores the
+// job.
+TEST_CASE("without the store a submission is refused at once or relayed")
+{
+  World world;
+  Node& node = world.AddNode("a");
+  REQUIRE(world.Until(
+    [&] { return world.store.Count(WorkflowKeys(0).Owner()) == 1; }));
+  world.store.SetDown(true);
+  for (int i = 0; i < 3; ++i) {
+    node.reachability.Note(StoreResult::Unavailable);
+  }
+  REQUIRE(world.Until([&] { return node.reachability.Lost(); }));
+  const int before = world.store.Commits();
+  CHECK(
+    world.Await(node.gateway.Submit(Job("j"), node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::NotAccepted);
+  CHECK(world.store.Commits() == before);
+  world.store.SetDown(false);
+  Node& other = world.AddNode("b");
+  asio::co_spawn(
+    world.context, [&other]() { return other.nodes.Run(); }, asio::detached);
+  REQUIRE(world.Until([&] { return world.store.Count(NodesPrefix()) == 1; }));
+  REQUIRE(world.Await(node.nodes.Refresh(ReadFreshness::Linearizable)));
+  CHECK(
+    world.Await(node.gateway.Submit(Job("k"), node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  CHECK(world.workers.StartsOf("j.0.0.0") == 0);
+}
+
 // Guards against a cancellation that is acknowledged and not carried out.
 TEST_CASE("a cancelled job's runs are stopped")
 {
--- /dev/null
+++ b/test/soak/Ledger.cpp
@@ -0,0 +1,138 @@
+#include "Ledger.h"
+
+namespace sequoiakeel::soak {
+
+const StepPlan*
+JobLedger::StepOf(const TaskName& aName) const
+{
+  const auto found = this->jobs.find(aName.job);
+  if (found == this->jobs.end() || aName.step >= found->second.steps.size() ||
+      aName.index >= found->second.steps[aName.step].count) {
+    return nullptr;
+  }
+  return &found->second.steps[aName.step];
+}
+
+bool
+JobLedger::StepDone(const JobPlan& aJob, std::uint32_t aStep) const
+{
+  for (std::uint32_t i = 0; i < aJob.steps[aStep].count; ++i) {
+    if (!this->everDone.contains(FormatTaskName({ aJob.id, 0, aStep, i }))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+JobLedger::Started(const std::string& aWorker,
+                   const std::string& aTask,
+                   std::uint64_t aRun)
+{
+  ++this->starts;
+  const std::string detail =
+    aTask + " run " + std::to_string(aRun) + " on " + aWorker;
+  const auto name = ParseTaskName(aTask);
+  if (!name || this->StepOf(*name) == nullptr) {
+    this->Break("a task runs that nobody submitted", detail);
+    return;
+  }
+  const JobPlan& job = this->jobs.at(name->job);
+  if (job.refused && !job.accepted && !job.uncertain) {
+    this->Break("a refused job runs", detail);
+  }
+  if (name->step > 0 && !this->StepDone(job, name->step - 1)) {
+    this->Break("a step starts before the one that it waits for", detail);
+  }
+  auto& runs = this->running[aTask];
+  if (!runs.empty()) {
+    this->Break("a task runs twice at a time",
+                detail + ", also on " + runs.begin()->first);
+  }
+  runs.insert({ aWorker, aRun });
+  if (this->acknowledged.contains(aTask)) {
+    this->Break("a task starts after its end was acknowledged", detail);
+  }
+  if (this->kept[aTask] > 0) {
+    this->startedAfterDone.insert(aTask);
+  }
+}
+
+void
+JobLedger::Gone(const std::string& aWorker,
+                const std::string& aTask,
+                std::uint64_t aRun)
+{
+  this->running[aTask].erase({ aWorker, aRun });
+}
+
+void
+JobLedger::Done(const std::string& aTask)
+{
+  ++this->kept[aTask];
+  this->everDone.insert(aTask);
+}
+
+void
+JobLedger::Acknowledged(const std::string& aTask, bool aLeaseLapsed)
+{
+  --this->kept[aTask];
+  if (this->startedAfterDone.contains(aTask) && !aLeaseLapsed) {
+    this->Break("a task started again although its end was taken in", aTask);
+  }
+  if (!aLeaseLapsed) {
+    this->acknowledged.insert(aTask);
+  }
+}
+
+void
+JobLedger::DoneLost(const std::string& aTask)
+{
+  --this->kept[aTask];
+}
+
+void
+JobLedger::Shown(const std::string& aJob, const std::string& aState)
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end()) {
+    this->Break("a job is shown that nobody submitted", aJob);
+    return;
+  }
+  const JobPlan& job = found->second;
+  if (aState == "completed") {
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+      if (!this->StepDone(job, step)) {
+        this->Break("a job is shown as completed with open tasks", aJob);
+        return;
+      }
+    }
+  }
+  if (aState == "cancelled" && !job.cancelSent) {
+    this->Break("a job is shown as cancelled that nobody cancelled", aJob);
+  }
+  if (aState == "failed") {
+    this->Break("a job is shown as failed without a failed run", aJob);
+  }
+}
+
+std::size_t
+JobLedger::Running(const std::string& aJob) const
+{
+  const std::string prefix = aJob + ".";
+  std::size_t count = 0;
+  for (auto it = this->running.lower_bound(prefix);
+       it != this->running.end() && it->first.starts_with(prefix);
+       ++it) {
+    count += it->second.size();
+  }
+  return count;
+}
+
+void
+JobLedger::Break(const std::string& aPromise, const std::string& aDetail)
+{
+  this->broken.push_back(aPromise + ": " + aDetail);
+}
+
+} // namespace sequoiakeel::soak
--- /dev/null
+++ b/test/soak/SoakRun.cpp
@@ -0,0 +1,658 @@
+#include "SoakRun.h"
+
+#include "AsyncSignal.h"
+#include "BootClock.h"
+#include "FaultProxy.h"
+#include "HttpClient.h"
+#include "Ledger.h"
+#include "SoakStore.h"
+#include "SoakWorker.h"
+#include "support/ChildProcess.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace sequoiakeel::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Everything has to be settled this long after the last fault: the users give
+ * 15 s to recover and 14 s to finish. */
+constexpr seconds kSettleLimit{ 29 };
+
+/** Cancelled tasks have to be gone after 3 s and 0.2 s to stop, once the
+ * system has settled. The rest is for a busy test machine. */
+constexpr seconds kCancelLimit{ 10 };
+
+constexpr seconds kCallTimeout{ 3 };
+constexpr milliseconds kPollInterval{ 120 };
+constexpr std::uint32_t kCells = 2;
+
+/** HttpClient names the host by its address. */
+constexpr const char* kHostName = "127.0.0.1";
+
+/** Workers for each core of a host, so that the fleet has kCells cells. */
+constexpr int kWorkersPerCore = 4;
+
+Endpoint
+FreeEndpoint()
+{
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  return Endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+std::string
+Text(const Endpoint& aEndpoint)
+{
+  return aEndpoint.address + ":" + std::to_string(aEndpoint.port);
+}
+
+/** A scheduler process with its path to the store. */
+struct Node
+{
+  std::string name;
+  Endpoint front;
+  std::string settings;
+  std::string log;
+  std::unique_ptr<FaultProxy> storePath;
+  std::unique_ptr<ChildProcess> process;
+  /** Signals after which the process is still to be started again. */
+  int downs = 0;
+  bool killed = false;
+};
+
+class Soak
+{
+public:
+  explicit Soak(const SoakPlan& aPlan)
+    : plan(aPlan)
+    , random(aPlan.seed)
+    , store(context, random)
+  {
+    for (int i = 0; i < aPlan.workers; ++i) {
+      this->workers.push_back(std::make_unique<SoakWorker>(
+        this->context, "w" + std::to_string(i), this->ledger, this->random));
+    }
+    for (int i = 0; i < aPlan.nodes; ++i) {
+      this->AddNode(i);
+    }
+  }
+
+  SoakResult Run()
+  {
+    this->Spawn(this->Tick());
+    this->Spawn(this->Play());
+    this->context.run();
+    for (const std::unique_ptr<Node>& node : this->nodes) {
+      node->process.reset();
+    }
+    SoakResult result;
+    result.broken = this->ledger.Broken();
+    result.faults = this->faults;
+    result.jobs = this->ledger.jobs.size();
+    result.starts = this->ledger.Starts();
+    return result;
+  }
+
+private:
+  void AddNode(int aIndex)
+  {
+    auto node = std::make_unique<Node>();
+    node->name = "n" + std::to_string(aIndex);
+    node->front = FreeEndpoint();
+    node->storePath = std::make_unique<FaultProxy>(this->context.get_executor(),
+                                                   this->store.Address());
+    node->settings = this->plan.folder + "/" + node->name + ".json";
+    node->log = this->plan.folder + "/" + node->name + ".log";
+    const Endpoint peer = FreeEndpoint();
+    const nlohmann::json settings{ { "name", node->name },
+                                   { "zone", "z" + std::to_string(aIndex % 3) },
+                                   { "front", Text(node->front) },
+                                   { "health", Text(FreeEndpoint()) },
+                                   { "peer_ip", peer.address },
+                                   { "peer_port", peer.port },
+                                   { "store",
+                                     Text(node->storePath->Address()) },
+                                   { "stop_grace_ms", 4000 },
+                                   { "workers_per_core", kWorkersPerCore } };
+    std::ofstream(node->settings) << settings.dump(2);
+    this->nodes.push_back(std::move(node));
+  }
+
+  void StartNode(Node& aNode)
+  {
+    aNode.process = std::make_unique<ChildProcess>(
+      "sequoiakeel-scheduler",
+      std::vector<std::string>{ "--settings", aNode.settings },
+      aNode.log);
+  }
+
+  int Draw(int aLimit)
+  {
+    return static_cast<int>(
+      DrawIndex(this->random, static_cast<std::size_t>(aLimit)));
+  }
+
+  Node& AnyNode() { return *this->nodes[Draw(this->plan.nodes)]; }
+
+  asio::awaitable<void> Sleep(Duration aTime)
+  {
+    co_await SleepFor(this->context.get_executor(), aTime);
+  }
+
+  asio::awaitable<void> Tick()
+  {
+    while (true) {
+      co_await this->Sleep(milliseconds(10));
+      for (const std::unique_ptr<SoakWorker>& worker : this->workers) {
+        worker->Tick();
+      }
+    }
+  }
+
+  asio::awaitable<void> Publish()
+  {
+    for (const std::unique_ptr<SoakWorker>& worker : this->workers) {
+      co_await this->store.Put("servers/" + worker->Id(),
+                               worker->RegistryEntry());
+    }
+  }
+
+  asio::awaitable<void> Play()
+  {
+    co_await this->Publish();
+    // An entry of somebody else that names no worker.
+    co_await this->store.Put("servers/other", R"({"service":7})");
+    const nlohmann::json route{
+      { "name", "jobs" },          { "hostname", kHostName },
+      { "prefix", "/jobs/" },      { "service", "desk" },
+      { "attempts", 3 },           { "stretch", 2.0 },
+      { "targetDurationMs", 1000 }
+    };
+    const nlohmann::json document{ { "version", 3 }, { "routes", { route } } };
+    co_await this->store.Put("op/config", document.dump());
+    for (const std::unique_ptr<Node>& node : this->nodes) {
+      this->StartNode(*node);
+    }
+    co_await this->Sleep(seconds(3));
+    for (int i = 0; i < this->plan.callers; ++i) {
+      this->Spawn(this->Caller(i));
+    }
+    co_await this->InjectFaults();
+    co_await this->Settle();
+    this->context.stop();
+  }
+
+  asio::awaitable<void> Caller(int aIndex)
+  {
+    ++this->busyCallers;
+    int submitted = 0;
+    while (!this->stopping) {
+      co_await this->Sleep(milliseconds(100 + this->Draw(500)));
+      char id[17];
+      std::snprintf(id, sizeof(id), "%08x%08x", aIndex + 1, submitted++);
+      co_await this->PlayJob(id);
+    }
+    --this->busyCallers;
+  }
+
+  JobPlan DrawJob(const std::string& aId)
+  {
+    JobPlan job;
+    job.id = aId;
+    StepPlan step;
+    step.count = 1 + this->Draw(4);
+    step.cpuMilli = 500 + this->Draw(2500);
+    step.memoryMb = 100;
+    step.durationMs = 50 + this->Draw(500);
+    // One job in six lasts; they stay until the end, so they must fit together.
+    step.longRunning = this->lasting.size() < 8 && this->Draw(6) == 0;
+    if (step.longRunning) {
+      step.cpuMilli = 800;
+      this->lasting.push_back(aId);
+    }
+    job.steps.push_back(step);
+    if (!step.longRunning && this->Draw(2) == 0) {
+      job.steps.push_back(step);
+    }
+    return job;
+  }
+
+  static std::string BodyOf(const JobPlan& aJob)
+  {
+    nlohmann::json steps = nlohmann::json::array();
+    for (const StepPlan& step : aJob.steps) {
+      nlohmann::json row{ { "count", step.count },
+                          { "cpu", step.cpuMilli },
+                          { "memMb", step.memoryMb },
+                          { "estimateMs", step.durationMs } };
+      if (step.longRunning) {
+        row["longRunning"] = true;
+      }
+      if (!steps.empty()) {
+        row["after"] = { steps.size() - 1 };
+      }
+      steps.push_back(std::move(row));
+    }
+    return nlohmann::json{ { "spec", "work" }, { "steps", steps } }.dump();
+  }
+
+  asio::awaitable<ExchangeResult> Call(Node& aNode,
+                                       std::string aMethod,
+                                       std::string aJob,
+                                       std::string aBody)
+  {
+    std::shared_ptr<HttpClient>& client = this->clients[aNode.name];
+    if (!client) {
+      client =
+        std::make_shared<HttpClient>(this->context.get_executor(), aNode.front);
+    }
+    const std::shared_ptr<HttpClient> kept = client;
+    HttpRequest request;
+    request.method = std::move(aMethod);
+    request.target = "/jobs/" + aJob;
+    request.headers.Set("Deadline-Ms", std::to_string(2500));
+    request.headers.Set("Content-Type", "application/json");
+    request.body = std::move(aBody);
+    co_return co_await kept->Call(std::move(request), kCallTimeout);
+  }
+
+  asio::awaitable<void> Submit(std::string aId)
+  {
+    const std::string body = BodyOf(this->ledger.jobs.at(aId));
+    while (!this->ledger.jobs.at(aId).accepted) {
+      this->ledger.jobs.at(aId).refused = false;
+      const ExchangeResult result =
+        co_await this->Call(this->AnyNode(), "POST", aId, body);
+      JobPlan& job = this->ledger.jobs.at(aId);
+      const unsigned status = result.response.status;
+      if (result.Complete() && status == 200) {
+        job.accepted = true;
+        co_return;
+      }
+      if (result.Complete() && status == 404) {
+        this->ledger.Break("a queue is unknown", aId);
+        co_return;
+      }
+      const bool rejected =
+        (result.Complete() && (status == 429 || status == 503)) ||
+        result.progress == ExchangeProgress::NotSent;
+      if (!rejected) {
+        job.uncertain = true;
+      }
+      job.refused = rejected && !job.uncertain;
+      // A caller gives a refused job up now and then; it must never run.
+      if (job.refused && this->Draw(4) == 0) {
+        co_return;
+      }
+      co_await this->Sleep(milliseconds(100 + this->Draw(300)));
+    }
+  }
+
+  asio::awaitable<void> PlayJob(std::string aId)
+  {
+    this->ledger.jobs[aId] = this->DrawJob(aId);
+    co_await this->Submit(aId);
+    if (!this->ledger.jobs.at(aId).accepted) {
+      co_return;
+    }
+    if (this->ledger.jobs.at(aId).steps.front().longRunning) {
+      co_return;
+    }
+    if (this->Draw(8) == 0) {
+      co_await this->Sleep(milliseconds(this->Draw(400)));
+      co_await this->Cancel(aId);
+      co_return;
+    }
+    if (this->Draw(6) == 0) {
+      // A late copy of the submission, through any node.
+      co_await this->Call(
+        this->AnyNode(), "POST", aId, BodyOf(this->ledger.jobs.at(aId)));
+    }
+    co_await this->AwaitEnd(aId);
+  }
+
+  asio::awaitable<void> Cancel(std::string aId)
+  {
+    this->ledger.jobs.at(aId).cancelSent = true;
+    while (!this->ledger.jobs.at(aId).cancelled) {
+      const ExchangeResult result =
+        co_await this->Call(this->AnyNode(), "DELETE", aId, "");
+      const unsigned status = result.response.status;
+      if (result.Complete() && status == 200) {
+        this->ledger.jobs.at(aId).cancelled = true;
+        co_return;
+      }
+      if (result.Complete() && status == 410) {
+        this->ledger.Break("an accepted job is unknown to DELETE", aId);
+        co_return;
+      }
+      co_await this->Sleep(milliseconds(200));
+    }
+  }
+
+  /** Returns the state that a node shows, or an empty text. */
+  asio::awaitable<std::string> Show(std::string aId)
+  {
+    Node& node = this->AnyNode();
+    const ExchangeResult result = co_await this->Call(node, "GET", aId, "");
+    if (!result.Complete()) {
+      co_return "";
+    }
+    if (result.response.status == 410) {
+      this->ledger.Break("an accepted job is unknown to GET",
+                         aId + " at " + node.name);
+      co_return "";
+    }
+    if (result.response.status != 200) {
+      co_return "";
+    }
+    const std::string state =
+      nlohmann::json::parse(result.response.body).at("state");
+    this->ledger.Shown(aId, state);
+    co_return state;
+  }
+
+  asio::awaitable<void> AwaitEnd(std::string aId)
+  {
+    while (true) {
+      const std::string state = co_await this->Show(aId);
+      if (state == "completed") {
+        this->finished.insert(aId);
+        co_return;
+      }
+      co_await this->Sleep(kPollInterval);
+    }
+  }
+
+  void Note(const std::string& aFault)
+  {
+    const std::chrono::duration<double> at =
+      std::chrono::steady_clock::now() - this->begun;
+    char time[16];
+    std::snprintf(time, sizeof(time), "%.2f ", at.count());
+    this->faults.push_back(time + aFault);
+  }
+
+  /** Starts a coroutine; an error in it ends the soak. */
+  void Spawn(asio::awaitable<void> aWork)
+  {
+    asio::co_spawn(
+      this->context, std::move(aWork), [](std::exception_ptr aError) {
+        if (aError) {
+          std::rethrow_exception(aError);
+        }
+      });
+  }
+
+  asio::awaitable<void> Undo(Duration aTime, std::function<void()> aUndo)
+  {
+    co_await this->Sleep(aTime);
+    aUndo();
+    --this->open;
+  }
+
+  /** Undoes a fault after a time; several faults may overlap. */
+  void Later(Duration aTime, std::function<void()> aUndo)
+  {
+    ++this->open;
+    this->Spawn(this->Undo(aTime, std::move(aUndo)));
+  }
+
+  void KillNode(Node& aNode, int aSignal, Duration aDown)
+  {
+    aNode.process->Signal(aSignal);
+    aNode.killed = aNode.killed || aSignal == SIGKILL;
+    ++aNode.downs;
+    this->Later(aDown, [this, &aNode] {
+      // Faults of one process overlap; the last one to end starts it again.
+      if (--aNode.downs > 0) {
+        return;
+      }
+      const bool ended = !aNode.process->Running();
+      if (ended && !aNode.killed && aNode.process->Wait() != 0) {
+        this->ledger.Break("a process fails at its stop",
+                           aNode.name + " code " +
+                             std::to_string(aNode.process->Wait()));
+      }
+      aNode.killed = false;
+      aNode.process.reset();
+      this->StartNode(aNode);
+    });
+  }
+
+  void PauseNode(Node& aNode, Duration aTime)
+  {
+    aNode.process->Signal(SIGSTOP);
+    this->Later(aTime, [&aNode] { aNode.process->Signal(SIGCONT); });
+  }
+
+  void CutStore(Node& aNode, PathFault aFault, bool aOpenOnly, Duration aTime)
+  {
+    aNode.storePath->SetFault(aFault, aOpenOnly);
+    this->Later(aTime,
+                [&aNode] { aNode.storePath->SetFault(PathFault::None); });
+  }
+
+  void CutWorker(SoakWorker& aWorker, PathFault aFault, Duration aTime)
+  {
+    aWorker.Proxy().SetFault(aFault);
+    this->Later(aTime, [&aWorker] {
+      if (aWorker.Up()) {
+        aWorker.Proxy().SetFault(PathFault::None);
+      }
+    });
+  }
+
+  void CrashWorker(SoakWorker& aWorker, Duration aTime)
+  {
+    if (!aWorker.Up()) {
+      return;
+    }
+    aWorker.Crash();
+    this->Later(aTime, [this, &aWorker] {
+      aWorker.Restart();
+      this->Spawn(this->Publish());
+    });
+  }
+
+  void SetStoreFault(StoreFault aFault, Duration aTime)
+  {
+    this->store.SetFault(aFault);
+    this->Later(aTime, [this] { this->store.SetFault(StoreFault::None); });
+  }
+
+  void InjectOne()
+  {
+    Node& node = this->AnyNode();
+    SoakWorker& worker = *this->workers[Draw(this->plan.workers)];
+    const milliseconds time(200 + this->Draw(3800));
+    const std::string length = " for " + std::to_string(time.count()) + " ms";
+    const auto path = static_cast<PathFault>(1 + this->Draw(3));
+    const std::string kind = std::to_string(static_cast<int>(path));
+    struct Fault
+    {
+      std::string name;
+      std::function<void()> inject;
+    };
+    const std::array<Fault, 15> table{ {
+      { "kill " + node.name, [&] { this->KillNode(node, SIGKILL, time / 4); } },
+      { "terminate " + node.name,
+        [&] { this->KillNode(node, SIGTERM, seconds(5)); } },
+      { "pause " + node.name + length, [&] { this->PauseNode(node, time); } },
+      { "reload " + node.name, [&] { node.process->Signal(SIGHUP); } },
+      { "kill all",
+        [&] {
+          for (const std::unique_ptr<Node>& one : this->nodes) {
+            this->KillNode(*one, SIGKILL, milliseconds(300));
+          }
+        } },
+      { "store path " + kind + " of " + node.name + length,
+        [&] { this->CutStore(node, path, false, time); } },
+      { "open store connections " + kind + " of " + node.name + length,
+        [&] { this->CutStore(node, path, true, time); } },
+      { "reset store connections of " + node.name,
+        [&] { node.storePath->Reset(); } },
+      { "crash " + worker.Id() + length,
+        [&] { this->CrashWorker(worker, time); } },
+      { "worker path " + kind + " of " + worker.Id() + length,
+        [&] { this->CutWorker(worker, path, 2 * time); } },
+      { "reset connections of " + worker.Id(),
+        [&] { worker.Proxy().Reset(); } },
+      { "late orders at " + worker.Id() + length,
+        [&] {
+          worker.SetLateOrders(true);
+          this->Later(time, [&worker] { worker.SetLateOrders(false); });
+        } },
+      { "revoke owner",
+        [&] {
+          this->store.RevokeOwner(
+            static_cast<std::uint32_t>(this->Draw(kCells)));
+        } },
+      { "deaf watches" + length,
+        [&] {
+          this->store.SetDeaf(true);
+          this->Later(time, [this] { this->store.SetDeaf(false); });
+        } },
+      { "",
+        [&] {
+          const auto fault = static_cast<StoreFault>(1 + this->Draw(5));
+          this->Note("store fault " + std::to_string(static_cast<int>(fault)) +
+                     length);
+          this->SetStoreFault(fault, time);
+        } },
+    } };
+    const Fault& chosen = table[this->Draw(static_cast<int>(table.size()))];
+    if (!chosen.name.empty()) {
+      this->Note(chosen.name);
+    }
+    chosen.inject();
+  }
+
+  asio::awaitable<void> InjectFaults()
+  {
+    this->begun = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - this->begun < this->plan.faults) {
+      co_await this->Sleep(milliseconds(100 + this->Draw(1200)));
+      this->InjectOne();
+    }
+    while (this->open > 0) {
+      co_await this->Sleep(milliseconds(50));
+    }
+  }
+
+  asio::awaitable<bool> Until(std::function<bool()> aCondition, seconds aLimit)
+  {
+    const TimePoint deadline = std::chrono::steady_clock::now() + aLimit;
+    while (!aCondition()) {
+      if (std::chrono::steady_clock::now() > deadline) {
+        co_return false;
+      }
+      co_await this->Sleep(milliseconds(50));
+    }
+    co_return true;
+  }
+
+  bool LastingRun() const
+  {
+    for (const std::string& id : this->lasting) {
+      const JobPlan& job = this->ledger.jobs.at(id);
+      if (job.accepted && this->ledger.Running(id) != job.steps.front().count) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** After the faults: everything accepted is finished, what lasts runs, and
+   * what is cancelled goes. */
+  asio::awaitable<void> Settle()
+  {
+    this->stopping = true;
+    if (!co_await this->Until([this] { return this->busyCallers == 0; },
+                              kSettleLimit)) {
+      for (const auto& [id, job] : this->ledger.jobs) {
+        if (!job.accepted && (job.uncertain || !job.refused)) {
+          this->ledger.Break("a submission gets no answer", id);
+        }
+        const bool waits = job.accepted && !job.cancelSent &&
+                           !job.steps.front().longRunning &&
+                           !this->finished.contains(id);
+        if (waits) {
+          this->ledger.Break("an accepted job is not finished", id);
+        }
+        if (job.cancelSent && !job.cancelled) {
+          this->ledger.Break("a cancellation gets no answer", id);
+        }
+      }
+    }
+    if (!co_await this->Until([this] { return this->LastingRun(); },
+                              kSettleLimit)) {
+      this->ledger.Break("a long-running job does not run", "");
+    }
+    for (const std::string& id : this->lasting) {
+      if (this->ledger.jobs.at(id).accepted) {
+        co_await this->Cancel(id);
+      }
+    }
+    const auto stopped = [this] {
+      for (const auto& [id, job] : this->ledger.jobs) {
+        if (job.cancelled && this->ledger.Running(id) > 0) {
+          return false;
+        }
+      }
+      return true;
+    };
+    if (!co_await this->Until(stopped, kCancelLimit)) {
+      this->ledger.Break("a cancelled job's tasks run on", "");
+    }
+    for (const auto& [id, job] : this->ledger.jobs) {
+      if (job.refused && !job.accepted && !job.uncertain &&
+          this->ledger.Running(id) > 0) {
+        this->ledger.Break("a refused job runs", id);
+      }
+    }
+  }
+
+  SoakPlan plan;
+  Random random;
+  asio::io_context context;
+  JobLedger ledger;
+  SoakStore store;
+  std::vector<std::unique_ptr<SoakWorker>> workers;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<std::string, std::shared_ptr<HttpClient>> clients;
+  std::vector<std::string> lasting;
+  std::set<std::string> finished;
+  std::vector<std::string> faults;
+  TimePoint begun;
+  int busyCallers = 0;
+  int open = 0;
+  bool stopping = false;
+};
+
+} // namespace
+
+SoakResult
+RunSoak(const SoakPlan& aPlan)
+{
+  Soak soak(aPlan);
+  return soak.Run();
+}
+
+} // namespace sequoiakeel::soak
--- /dev/null
+++ b/test/soak/SoakWorker.cpp
@@ -0,0 +1,325 @@
+#include "SoakWorker.h"
+
+#include "AsyncSignal.h"
+#include "BootClock.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace sequoiakeel::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** The pages allow a worker's clock to be 2% slow. */
+constexpr double kClockRate = 0.98;
+
+constexpr std::uint64_t kLongestLeaseMs = 6000;
+
+constexpr std::uint32_t kRoomCpuMilli = 16000;
+
+/** Late orders are carried out 2 to 5 s after they were sent. */
+constexpr int kLateMinMs = 2000;
+constexpr int kLateSpreadMs = 3000;
+
+/** Silence after an order whose answer is lost; the caller gives up before. */
+constexpr std::chrono::seconds kSilence{ 3 };
+
+constexpr std::chrono::milliseconds kHoldStep{ 10 };
+
+std::uint64_t
+UnixMs()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+SoakWorker::SoakWorker(asio::io_context& aContext,
+                       std::string aId,
+                       JobLedger& aLedger,
+                       Random& aRandom)
+  : context(aContext)
+  , id(std::move(aId))
+  , ledger(aLedger)
+  , random(aRandom)
+  , server(aContext,
+           Endpoint{ "127.0.0.1", 0 },
+           HttpServerLimits{},
+           [this](HttpRequest aRequest) {
+             return this->Answer(std::move(aRequest));
+           })
+  , proxy(aContext.get_executor(), Endpoint{ "127.0.0.1", server.Port() })
+  , bornAt(std::chrono::steady_clock::now())
+  , bornUnixMs(UnixMs())
+{
+  this->server.Start();
+}
+
+std::uint64_t
+SoakWorker::ClockMs() const
+{
+  const std::chrono::duration<double, std::milli> age =
+    std::chrono::steady_clock::now() - this->bornAt;
+  return 1 + static_cast<std::uint64_t>(age.count() * kClockRate);
+}
+
+std::string
+SoakWorker::RegistryEntry() const
+{
+  const Endpoint address = this->proxy.Address();
+  return nlohmann::json{
+    { "service", "desk" },
+    { "address", address.address + ":" + std::to_string(address.port) },
+    { "zone", "z1" },
+    { "version", 1 },
+    { "slots", 8 },
+    { "state", "ready" },
+    { "coldRemainingMs", 0 },
+    { "seq", 1 },
+    { "born", this->bornUnixMs },
+    { "room", { { "cpu", kRoomCpuMilli }, { "memMb", 64000 }, { "gpu", 0 } } },
+    { "labels", { "a", "r-" + this->id } }
+  }.dump();
+}
+
+void
+SoakWorker::Crash()
+{
+  this->up = false;
+  ++this->life;
+  this->proxy.SetFault(PathFault::Silent);
+  for (const auto& [task, run] : this->runs) {
+    this->ledger.Gone(this->id, task, run.run);
+  }
+  for (const End& end : this->ends) {
+    if (std::string_view(end.how) == "done") {
+      this->ledger.DoneLost(end.task);
+    }
+  }
+  this->runs.clear();
+  this->ends.clear();
+  this->highestRun.clear();
+}
+
+void
+SoakWorker::Restart()
+{
+  this->up = true;
+  this->bornAt = std::chrono::steady_clock::now();
+  this->bornUnixMs = UnixMs();
+  this->fence = 0;
+  this->leaseUntilMs = 0;
+  this->leased = false;
+  this->nextEnd = 1;
+  this->proxy.SetFault(PathFault::None);
+  this->proxy.Reset();
+}
+
+HttpResponse
+SoakWorker::Reply(unsigned aStatus, nlohmann::json aBody) const
+{
+  aBody["clockMs"] = this->ClockMs();
+  return JsonResponse(aStatus, aBody.dump());
+}
+
+bool
+SoakWorker::Fenced(const nlohmann::json& aBody)
+{
+  const auto token = aBody.value<std::uint64_t>("fence", 0);
+  if (token < this->fence) {
+    return true;
+  }
+  this->fence = token;
+  return false;
+}
+
+void
+SoakWorker::ExtendLease(std::uint64_t aUntilMs)
+{
+  const std::uint64_t longest = this->ClockMs() + kLongestLeaseMs;
+  this->leaseUntilMs =
+    std::max(this->leaseUntilMs, std::min(aUntilMs, longest));
+  this->leased = this->leaseUntilMs > this->ClockMs();
+}
+
+asio::awaitable<HttpResponse>
+SoakWorker::Answer(HttpRequest aRequest)
+{
+  const int present = this->life;
+  const nlohmann::json body =
+    nlohmann::json::parse(aRequest.body, nullptr, false);
+  if (body.is_discarded()) {
+    co_return this->Reply(400, {});
+  }
+  if (aRequest.headers.Get("Expect-Instance") != this->id) {
+    co_return this->Reply(421, {});
+  }
+  const bool order = aRequest.target != "/-/hold";
+  const bool late =
+    order && this->lateOrders && DrawIndex(this->random, 2) == 0;
+  if (late) {
+    co_await SleepFor(this->context.get_executor(),
+                      std::chrono::milliseconds(
+                        kLateMinMs + DrawIndex(this->random, kLateSpreadMs)));
+  }
+  if (!this->up || this->life != present) {
+    co_await SleepFor(this->context.get_executor(), kSilence);
+    co_return this->Reply(503, {});
+  }
+  if (this->Fenced(body)) {
+    co_return this->Reply(409, { { "reason", "fence" } });
+  }
+  if (aRequest.target == "/-/run-start") {
+    co_return this->Start(body);
+  }
+  if (aRequest.target == "/-/run-stop") {
+    co_return this->Stop(body);
+  }
+  if (aRequest.target == "/-/hold") {
+    co_return co_await this->Hold(body);
+  }
+  co_return this->Reply(aRequest.target == "/-/pace" ? 200 : 404, {});
+}
+
+HttpResponse
+SoakWorker::Start(const nlohmann::json& aBody)
+{
+  const std::string task = aBody.at("task");
+  const std::uint64_t run = aBody.at("run");
+  const std::uint64_t until = aBody.at("untilMs");
+  if (until <= this->ClockMs()) {
+    return this->Reply(409, { { "reason", "late" } });
+  }
+  this->ExtendLease(until);
+  const auto present = this->runs.find(task);
+  if (present != this->runs.end() && present->second.run == run) {
+    return this->Reply(200, {});
+  }
+  if (run <= this->highestRun[task] || present != this->runs.end()) {
+    return this->Reply(409, { { "reason", "old" } });
+  }
+  this->highestRun[task] = run;
+  const auto name = ParseTaskName(task);
+  const StepPlan* const step = name ? this->ledger.StepOf(*name) : nullptr;
+  Run started;
+  started.run = run;
+  started.lasts = step != nullptr && step->longRunning;
+  started.endsAt = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(step ? step->durationMs : 100);
+  this->runs[task] = started;
+  this->ledger.Started(this->id, task, run);
+  this->CheckRoom();
+  return this->Reply(200, {});
+}
+
+void
+SoakWorker::CheckRoom()
+{
+  std::uint64_t cpu = 0;
+  for (const auto& [task, run] : this->runs) {
+    const auto name = ParseTaskName(task);
+    const StepPlan* const step = name ? this->ledger.StepOf(*name) : nullptr;
+    cpu += step != nullptr ? step->cpuMilli : 0;
+  }
+  if (cpu > kRoomCpuMilli) {
+    this->ledger.Break("a worker runs more than it has room for", this->id);
+  }
+}
+
+HttpResponse
+SoakWorker::Stop(const nlohmann::json& aBody)
+{
+  const std::string task = aBody.at("task");
+  const std::uint64_t run = aBody.at("run");
+  std::uint64_t& highest = this->highestRun[task];
+  highest = std::max(highest, run);
+  const auto present = this->runs.find(task);
+  if (present != this->runs.end() && present->second.run <= run) {
+    this->Finish(task, "stopped");
+  }
+  return this->Reply(200, {});
+}
+
+asio::awaitable<HttpResponse>
+SoakWorker::Hold(nlohmann::json aBody)
+{
+  const int present = this->life;
+  const std::uint64_t seen = aBody.at("lastSeen");
+  if (aBody.contains("untilMs")) {
+    this->ExtendLease(aBody.at("untilMs"));
+  }
+  while (!this->ends.empty() && this->ends.front().number <= seen) {
+    const End end = this->ends.front();
+    this->ends.pop_front();
+    if (std::string_view(end.how) == "done") {
+      this->ledger.Acknowledged(end.task, this->lapses != end.lapses);
+    }
+  }
+  const TimePoint deadline =
+    std::chrono::steady_clock::now() +
+    std::chrono::milliseconds(aBody.value<std::uint64_t>("waitMs", 0));
+  while (this->ends.empty() && this->life == present &&
+         std::chrono::steady_clock::now() < deadline) {
+    co_await SleepFor(this->context.get_executor(), kHoldStep);
+  }
+  if (this->life != present) {
+    co_await SleepFor(this->context.get_executor(), kSilence);
+    co_return this->Reply(503, {});
+  }
+  nlohmann::json running = nlohmann::json::array();
+  for (const auto& [task, run] : this->runs) {
+    running.push_back({ task, run.run, "", run.lasts ? 100 : 50, 10 });
+  }
+  nlohmann::json finished = nlohmann::json::array();
+  for (const End& end : this->ends) {
+    finished.push_back({ end.number, end.task, end.run, end.how, "" });
+  }
+  co_return this->Reply(200,
+                        { { "running", running },
+                          { "finished", finished },
+                          { "born", this->bornUnixMs } });
+}
+
+void
+SoakWorker::Finish(const std::string& aTask, const char* aHow)
+{
+  const Run run = this->runs.at(aTask);
+  this->runs.erase(aTask);
+  this->ledger.Gone(this->id, aTask, run.run);
+  if (std::string_view(aHow) == "done") {
+    this->ledger.Done(aTask);
+  }
+  this->ends.push_back(
+    End{ this->nextEnd++, aTask, run.run, aHow, this->lapses });
+}
+
+void
+SoakWorker::Tick()
+{
+  if (!this->up) {
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  const bool lapsed = this->leased && this->ClockMs() >= this->leaseUntilMs;
+  std::vector<std::string> over;
+  for (const auto& [task, run] : this->runs) {
+    if (lapsed || (!run.lasts && now >= run.endsAt)) {
+      over.push_back(task);
+    }
+  }
+  if (lapsed) {
+    this->leased = false;
+    ++this->lapses;
+  }
+  for (const std::string& task : over) {
+    this->Finish(task, lapsed ? "lapsed" : "done");
+  }
+}
+
+} // namespace sequoiakeel::soak
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -166,6 +166,7 @@
   const std::lock_guard lock(this->mutex);
   this->ExpireLeases();
   StoreTransactionReply reply;
+  ++this->commits;
   if (this->down || aTransaction.Size() > kMaxTransactionEntries) {
     co_return reply;
   }
@@ -283,6 +284,13 @@
   this->Delete(aKey);
 }
 
+int
+FakeTransactionalStore::Commits()
+{
+  const std::lock_guard lock(this->mutex);
+  return this->commits;
+}
+
 std::size_t
 FakeTransactionalStore::Count(const std::string& aPrefix)
 {
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -53,6 +53,9 @@
   /** Removes a key as an operator would, without ending its lease. */
   void Remove(const std::string& aKey);
 
+  /** Returns how many transactions were tried so far. */
+  int Commits();
+
   /** Returns the number of keys with a prefix. */
   std::size_t Count(const std::string& aPrefix);
 
@@ -78,6 +81,7 @@
   std::uint64_t revision = 1;
   std::uint64_t nextLease = 1;
   int answersToLose = 0;
+  int commits = 0;
   bool down = false;
   bool deaf = false;
   /** Changes up to here are no longer in the history. */
--- a/test/support/PlannerClient.h
+++ b/test/support/PlannerClient.h
@@ -24,7 +24,7 @@
       aPlanner, aKind, EncodeMessage(aRequest), std::chrono::seconds(30)),
     boost::asio::use_future);
   context.run();
-  const std::optional<std::string> bytes = future.get();
+  const PeerReply bytes = future.get();
   if (!bytes) {
     throw std::runtime_error("the planner did not answer");
   }
