Stop a start in flight at the next incarnation of its worker

In each trace a worker came back under its id while a start order had no answer. The new incarnation knows no run numbers and its clock begins anew, so it carried out the repeated or late order, while the scheduler took the restart for the end of everything there and started the task elsewhere. Ruled out: leases (both runs were leased) and a change of the owner (only one owner in three of the traces).

Change: a run whose start may be in flight at a restart keeps its room until the new incarnation has confirmed a stop, which makes it reject the run, or until no copy can run any more; the repetition of the order ends at once.

Without it both new unit cases fail.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -179,6 +179,17 @@
                    const OrderReply& aReply,
                    bool aMayBeInFlight);
 
+  /** Tells whether a start order may still be repeated. */
+  bool AwaitsStart(const std::string& aWorker,
+                   const std::string& aTask,
+                   std::uint64_t aRun) const;
+
+  /** Takes in the outcome of a stop. */
+  void HandleStop(const std::string& aWorker,
+                  const std::string& aTask,
+                  std::uint64_t aRun,
+                  const OrderReply& aReply);
+
   /** Takes in that the worker's address belongs to another worker. */
   void HandleWrongWorker(const std::string& aWorker);
 
@@ -290,6 +301,7 @@
                const std::string& aTask,
                const char* aReason);
   void LoseAll(ScheduledWorker& aWorker, const char* aReason);
+  TimePoint NoCopyRunsAfter(const Commitment& aCommitment) const;
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
   void ExpireLeases();
   void CheckRecovered();
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/** Orders without an answer are carried out up to 12 s after they were sent; a
+ * start is sent for up to 1.5 s. */
+constexpr std::chrono::milliseconds kLatestOrder{ 13500 };
+
 /** A worker that turned a start away gets none for this long; its room or
  * health rarely changes faster than it reports. */
 constexpr std::chrono::milliseconds kTurnedAwayBackoff{ 300 };
@@ -430,6 +434,9 @@
     if (present.contains(task)) {
       continue;
     }
+    if (commitment.awaitsStop) {
+      continue;
+    }
     // A report shows that a run is not there only if it was requested after the
     // start was confirmed or could no longer take effect.
     const bool settled = commitment.confirmedAt != TimePoint()
@@ -469,11 +476,22 @@
   }
 }
 
+TimePoint
+CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
+{
+  return aCommitment.startedAt + kLatestOrder +
+         this->bounds.workerLease * 103 / 100;
+}
+
 void
 CellScheduler::LoseAll(ScheduledWorker& aWorker, const char* aReason)
 {
+  const TimePoint now = this->clock.Now();
   std::vector<std::string> tasks;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (commitment.awaitsStop && now <= this->NoCopyRunsAfter(commitment)) {
+      continue;
+    }
     tasks.push_back(task);
   }
   for (const std::string& task : tasks) {
@@ -489,6 +507,20 @@
     .Add("worker", aWorker.description.id)
     .Add("from_incarnation", aWorker.reportedIncarnation)
     .Add("incarnation", aIncarnation);
+  std::vector<std::string> inFlight;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (commitment.mayBeInFlight || commitment.confirmedAt == TimePoint()) {
+      inFlight.push_back(task);
+    }
+  }
+  for (const std::string& task : inFlight) {
+    // The new incarnation knows no run numbers, and the order's time limit
+    // means nothing on its clock, so it would carry out a copy that arrives
+    // late. A stop makes it reject the run.
+    this->StopRun(aWorker, task, "worker restarted with the start in flight");
+    aWorker.Find(task)->awaitsStop = true;
+    aWorker.Find(task)->stopSentAt = TimePoint();
+  }
   this->LoseAll(aWorker, "worker restarted");
   aWorker.reportedIncarnation = aIncarnation;
   aWorker.seenEnds = 0;
@@ -521,6 +553,10 @@
   if (commitment == nullptr || commitment->run != aRun) {
     return;
   }
+  if (commitment->awaitsStop) {
+    return;
+  }
+  commitment->mayBeInFlight = commitment->mayBeInFlight || aMayBeInFlight;
   const TimePoint now = this->clock.Now();
   if (aReply.result == OrderResult::Done) {
     if (commitment->phase == CommitmentPhase::Starting) {
@@ -551,6 +587,38 @@
   this->LoseRun(*worker, aTask, "start turned away");
 }
 
+bool
+CellScheduler::AwaitsStart(const std::string& aWorker,
+                           const std::string& aTask,
+                           std::uint64_t aRun) const
+{
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  if (worker == nullptr) {
+    return false;
+  }
+  const auto found = worker->Commitments().find(aTask);
+  return found != worker->Commitments().end() && found->second.run == aRun &&
+         found->second.phase == CommitmentPhase::Starting;
+}
+
+void
+CellScheduler::HandleStop(const std::string& aWorker,
+                          const std::string& aTask,
+                          std::uint64_t aRun,
+                          const OrderReply& aReply)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  Commitment* const commitment = worker ? worker->Find(aTask) : nullptr;
+  if (commitment == nullptr || commitment->run != aRun ||
+      !commitment->awaitsStop || aReply.result != OrderResult::Done) {
+    return;
+  }
+  // From here on a copy of the start is rejected. If one was carried out
+  // before, the next report lists its end.
+  commitment->awaitsStop = false;
+  commitment->confirmedAt = this->clock.Now();
+}
+
 void
 CellScheduler::HandleSilence(const std::string& aWorker)
 {
--- a/src/CellTenureOrders.cpp
+++ b/src/CellTenureOrders.cpp
@@ -179,6 +179,10 @@
       break;
     }
     mayBeInFlight = true;
+    if (!this->scheduler.AwaitsStart(
+          aStart.worker, aStart.order.task, aStart.order.run)) {
+      break;
+    }
   }
   if (this->ended) {
     co_return;
@@ -205,9 +209,14 @@
                                      aStop.task,
                                      aStop.run,
                                      kStartTimeout);
+  if (this->ended) {
+    co_return;
+  }
   if (reply.result == OrderResult::Fenced) {
     this->End("a worker knows a newer owner");
+    co_return;
   }
+  this->scheduler.HandleStop(aStop.worker, aStop.task, aStop.run, reply);
 }
 
 asio::awaitable<void>
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -35,6 +35,12 @@
   TimePoint startedAt;
   /** Starting: from here on the start order can no longer take effect. */
   TimePoint voidAt;
+  /** A copy of the start order had no answer and may still be carried out. */
+  bool mayBeInFlight = false;
+  /** The worker was restarted while a copy was in flight, which its new
+   * incarnation would carry out. The run counts until that one has confirmed a
+   * stop. */
+  bool awaitsStop = false;
   /** Running: when the start was confirmed. */
   TimePoint confirmedAt;
   /** Stopping: when the last stop order was sent. */
--- a/test/soak/SoakRun.cpp
+++ b/test/soak/SoakRun.cpp
@@ -417,7 +417,8 @@
   void KillNode(Node& aNode, int aSignal, Duration aDown)
   {
     aNode.process->Signal(aSignal);
-    aNode.killed = aNode.killed || aSignal == SIGKILL;
+    // A second SIGTERM forces the process to stop, which its exit code tells.
+    aNode.killed = aNode.killed || aSignal == SIGKILL || aNode.downs > 0;
     ++aNode.downs;
     this->Later(aDown, [this, &aNode] {
       // Faults of one process overlap; the last one to end starts it again.
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -113,6 +113,69 @@
   CHECK(harness.scheduler.StateOf("b") == WorkflowState::Completed);
 }
 
+// Guards against a second run of a task whose start order reaches the next
+// incarnation of its worker: that one knows no run numbers and its clock begins
+// anew, so it carries out what the earlier one would have rejected. Found by
+// the soak, seeds 110 and 117.
+TEST_CASE("a start in flight is stopped at the worker's next incarnation")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2" });
+  harness.scheduler.Accept(harness.Job("j"));
+  const auto starts = harness.scheduler.Plan().starts;
+  REQUIRE(starts.size() == 1);
+  const std::string first = starts[0].worker;
+  harness.scheduler.HandleStart(
+    first, "j.0.0.0", 1, OrderReply{ OrderResult::Unknown, 0 }, true);
+  CHECK(harness.scheduler.AwaitsStart(first, "j.0.0.0", 1));
+  const std::vector<WorkerDescription> reborn{
+    SchedulerHarness::Worker("w1", first == "w1" ? 2 : 1),
+    SchedulerHarness::Worker("w2", first == "w2" ? 2 : 1)
+  };
+  harness.scheduler.UpdateWorkers(reborn);
+  CHECK(!harness.scheduler.AwaitsStart(first, "j.0.0.0", 1));
+  harness.Report(first, 2, {}, {});
+  const PlannedOrders orders = harness.scheduler.Plan();
+  CHECK(orders.starts.empty());
+  REQUIRE(orders.stops.size() == 1);
+  CHECK(orders.stops[0].task == "j.0.0.0");
+  CHECK(orders.stops[0].run == 1);
+  // Without an answer the stop may not have arrived.
+  harness.scheduler.HandleStop(
+    first, "j.0.0.0", 1, OrderReply{ OrderResult::Unknown, 0 });
+  harness.Report(first, 2, {}, {});
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.scheduler.HandleStop(
+    first, "j.0.0.0", 1, OrderReply{ OrderResult::Done, harness.WorkerMs() });
+  harness.clock.Advance(milliseconds(1));
+  harness.Report(first, 2, {}, {});
+  const auto again = harness.scheduler.Plan().starts;
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].order.run == 2);
+}
+
+// Guards against a task that waits for good for a worker that crashed while its
+// start was in flight, came back and went again.
+TEST_CASE("a start in flight is given up when no copy can run any more")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j"));
+  REQUIRE(harness.scheduler.Plan().starts.size() == 1);
+  harness.scheduler.HandleStart(
+    "w1", "j.0.0.0", 1, OrderReply{ OrderResult::Unknown, 0 }, true);
+  harness.scheduler.UpdateWorkers(std::vector<WorkerDescription>{
+    SchedulerHarness::Worker("w1", 2), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.clock.Advance(seconds(10));
+  harness.Report("w2", 1, {}, {});
+  CHECK(harness.scheduler.Plan().starts.empty());
+  harness.clock.Advance(seconds(12));
+  harness.Report("w2", 1, {}, {});
+  CHECK(StartedTasks(harness.scheduler.Plan().starts) ==
+        std::vector<std::string>{ "j.0.0.0" });
+}
+
 // Guards against tasks that are never restarted: a worker that is lost for good
 // must not count as leased because of renewals that never reach it.
 TEST_CASE("a silent worker gets no further lease")
