Tell the ends of a task's runs apart in the soak

The trace: a worker with a one-way path kept the end of run 1 until its lease had lapsed, the task ran again elsewhere, and the acknowledged end was that of run 2. Ruled out: a lease that was extended meanwhile (the last renewal left before the silence). The ledger kept ends by task; it keeps them by run now, which is stricter for tasks with several kept ends.

--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -53,8 +53,8 @@
   if (this->acknowledged.contains(aTask)) {
     this->Break("a task starts after its end was acknowledged", detail);
   }
-  if (this->kept[aTask] > 0) {
-    this->startedAfterDone.insert(aTask);
+  for (const std::uint64_t done : this->kept[aTask]) {
+    this->startedAfterDone.insert({ aTask, done });
   }
 }
 
@@ -67,28 +67,32 @@
 }
 
 void
-JobLedger::Done(const std::string& aTask)
+JobLedger::Done(const std::string& aTask, std::uint64_t aRun)
 {
-  ++this->kept[aTask];
+  this->kept[aTask].insert(aRun);
   this->everDone.insert(aTask);
 }
 
 void
-JobLedger::Acknowledged(const std::string& aTask, bool aLeaseLapsed)
+JobLedger::Acknowledged(const std::string& aTask,
+                        std::uint64_t aRun,
+                        bool aLeaseLapsed)
 {
-  --this->kept[aTask];
-  if (this->startedAfterDone.contains(aTask) && !aLeaseLapsed) {
-    this->Break("a task started again although its end was taken in", aTask);
+  this->kept[aTask].erase(aRun);
+  if (aLeaseLapsed) {
+    return;
   }
-  if (!aLeaseLapsed) {
-    this->acknowledged.insert(aTask);
+  if (this->startedAfterDone.contains({ aTask, aRun })) {
+    this->Break("a task started again although its end was taken in",
+                aTask + " run " + std::to_string(aRun));
   }
+  this->acknowledged.insert(aTask);
 }
 
 void
-JobLedger::DoneLost(const std::string& aTask)
+JobLedger::DoneLost(const std::string& aTask, std::uint64_t aRun)
 {
-  --this->kept[aTask];
+  this->kept[aTask].erase(aRun);
 }
 
 void
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -59,14 +59,17 @@
 
   /** A run ended as done on a worker that keeps the end until it is
    * acknowledged. */
-  void Done(const std::string& aTask);
+  void Done(const std::string& aTask, std::uint64_t aRun);
 
   /** The end of a run that was done was acknowledged. aLeaseLapsed: the worker
-   * was left alone for longer than its lease since. */
-  void Acknowledged(const std::string& aTask, bool aLeaseLapsed);
+   * was left alone for longer than its lease since, so that the task may have
+   * been given to another one meanwhile. */
+  void Acknowledged(const std::string& aTask,
+                    std::uint64_t aRun,
+                    bool aLeaseLapsed);
 
-  /** A worker that had kept ends went down, so they are lost. */
-  void DoneLost(const std::string& aTask);
+  /** A worker that had kept an end went down, so it is lost. */
+  void DoneLost(const std::string& aTask, std::uint64_t aRun);
 
   /** A job's state was shown to a caller. */
   void Shown(const std::string& aJob, const std::string& aState);
@@ -85,13 +88,14 @@
   /** Worker and run of each task that runs. */
   std::map<std::string, std::set<std::pair<std::string, std::uint64_t>>>
     running;
-  /** Ends as done that workers keep or that were acknowledged, by task. */
-  std::map<std::string, int> kept;
+  /** Runs that are done and whose ends workers keep, by task. */
+  std::map<std::string, std::set<std::uint64_t>> kept;
   std::set<std::string> acknowledged;
   /** Every task that was ever done; it may have been lost with its worker. */
   std::set<std::string> everDone;
-  /** Tasks that were started again while a worker kept their end. */
-  std::set<std::string> startedAfterDone;
+  /** Runs that are done and whose task was started again while a worker kept
+   * their end. */
+  std::set<std::pair<std::string, std::uint64_t>> startedAfterDone;
   std::vector<std::string> broken;
   std::uint64_t starts = 0;
 };
--- a/test/soak/SoakWorker.cpp
+++ b/test/soak/SoakWorker.cpp
@@ -99,7 +99,7 @@
   }
   for (const End& end : this->ends) {
     if (std::string_view(end.how) == "done") {
-      this->ledger.DoneLost(end.task);
+      this->ledger.DoneLost(end.task, end.run);
     }
   }
   this->runs.clear();
@@ -258,7 +258,7 @@
     const End end = this->ends.front();
     this->ends.pop_front();
     if (std::string_view(end.how) == "done") {
-      this->ledger.Acknowledged(end.task, this->lapses != end.lapses);
+      this->ledger.Acknowledged(end.task, end.run, this->lapses != end.lapses);
     }
   }
   const TimePoint deadline =
@@ -293,7 +293,7 @@
   this->runs.erase(aTask);
   this->ledger.Gone(this->id, aTask, run.run);
   if (std::string_view(aHow) == "done") {
-    this->ledger.Done(aTask);
+    this->ledger.Done(aTask, run.run);
   }
   this->ends.push_back(
     End{ this->nextEnd++, aTask, run.run, aHow, this->lapses });
