--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -173,6 +173,7 @@
       ScheduledWorker worker;
       worker.description = description;
       worker.leaseGoneAt = this->olderLeasesGone;
+      worker.drainingSince = this->clock.Now();
       this->workers.emplace(description.id, std::move(worker));
       Event("worker_listed")
         .Add("worker", description.id)
@@ -187,6 +188,7 @@
       Event("worker_draining")
         .Add("worker", description.id)
         .Add("draining", description.draining);
+      worker.drainingSince = this->clock.Now();
     }
     worker.description = description;
     if (worker.reported &&
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -4,6 +4,7 @@
 #include "Clock.h"
 #include "FillerThrottle.h"
 #include "Quarantine.h"
+#include "RoomForecast.h"
 #include "ScheduledWorker.h"
 #include "SchedulerObserver.h"
 #include "StepOrder.h"
@@ -25,6 +26,8 @@
 {
   /** Longest lease that a worker gives. */
   std::chrono::milliseconds workerLease{ 6000 };
+  /** Shortest time that a draining worker goes on. */
+  std::chrono::milliseconds drain{ 2000 };
   /** How long before its due time an occurrence may start. */
   std::chrono::milliseconds earlyStart{ 250 };
   /** How long the state of an ended job can be asked for. */
@@ -258,6 +261,24 @@
     WorkflowProgress progress;
     bool durable = false;
   };
+  /** Worker on which room is kept for a long-running task that found none. */
+  struct RoomHold
+  {
+    std::string worker;
+    std::string stepKey;
+    TimePoint chosenAt;
+  };
+  /** A task with what decides where it may go. */
+  struct PlacedTask
+  {
+    const WorkflowSubmission& submission;
+    const WorkflowStep& step;
+    const std::string& stepKey;
+    /** Rack that its step uses already. */
+    std::string rack;
+    /** Time since its turn came. */
+    Duration waited{};
+  };
   struct Candidate
   {
     std::string job;
@@ -313,12 +334,29 @@
   void MarkDirty(const std::string& aJob);
   std::vector<Candidate> Candidates() const;
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
+  void PlanSteps(std::span<const Candidate> aCandidates,
+                 PlannedOrders& aOrders);
   void PlanStep(const Candidate& aCandidate, PlannedOrders& aOrders);
   bool PlanGang(const Candidate& aCandidate, PlannedOrders& aOrders);
-  ScheduledWorker* Choose(const WorkflowSubmission& aSubmission,
-                          const WorkflowStep& aStep,
-                          const std::string& aStepKey,
-                          const std::string& aRack);
+  void OpenRound();
+  ScheduledWorker* Choose(const PlacedTask& aTask);
+  ScheduledWorker* ChooseAmong(std::span<ScheduledWorker* const> aWorkers,
+                               const PlacedTask& aTask);
+  /** Tells whether a step that asked for no more found no worker in this round.
+   */
+  bool IsHopeless(const PlacedTask& aTask) const;
+  void NoteUnplaced(const PlacedTask& aTask);
+  /** Keeps room for a long-running task that found none. Returns the worker, or
+   * null if none can hold it. */
+  ScheduledWorker* HoldRoom(const std::string& aTaskName,
+                            const PlacedTask& aTask);
+  ScheduledWorker* WorkerToHold(const std::string& aTaskName,
+                                const PlacedTask& aTask);
+  bool MayHold(const ScheduledWorker& aWorker, const PlacedTask& aTask) const;
+  void Preempt(ScheduledWorker& aWorker,
+               const std::string& aTaskName,
+               const PlacedTask& aTask);
+  void PlanLeaving(ScheduledWorker& aWorker, const std::string& aTaskName);
   PlannedStart Start(Entry& aEntry,
                      const TaskName& aName,
                      std::uint64_t aRun,
@@ -353,6 +391,19 @@
   std::size_t finalDirty = 0;
   /** Number of the last change of durable progress. */
   std::uint64_t change = 0;
+  /** Workers that take starts in the present round of planning, and those that
+   * only their quarantine keeps from it. */
+  std::vector<ScheduledWorker*> openWorkers;
+  std::vector<ScheduledWorker*> quarantinedWorkers;
+  /** Smallest steps that found no worker in the present round, by what makes
+   * them alike. */
+  std::map<std::string, WorkflowStep> unplaced;
+  /** By task: those of the last round, and those of the present one. */
+  std::map<std::string, RoomHold> lastHolds;
+  std::map<std::string, RoomHold> holds;
+  /** Searches for workers to hold that are left in the present round. */
+  int holdSearches = 0;
+  PreemptionBudget preemptionBudget;
   Quarantine quarantine;
   FillerInterference interference;
   TimePoint interferenceUpdatedAt;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -19,15 +19,6 @@
 /** A stop without a listed end is sent again after this time. */
 constexpr std::chrono::milliseconds kStopRepeat{ 500 };
 
-/** Weight of a worker in the rack that a step already uses. */
-constexpr double kSameRackBonus = 1e5;
-
-std::string
-StepKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
-{
-  return aJob + "." + std::to_string(aOccurrence) + "." + std::to_string(aStep);
-}
-
 } // namespace
 
 PlannedOrders
@@ -35,9 +26,7 @@
 {
   PlannedOrders orders;
   this->ExpireLeases();
-  this->PlanDrains();
-  this->PlanStops(orders);
-  this->PlanThrottles(orders);
+  this->OpenRound();
   const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
   std::vector<Candidate> candidates = this->Candidates();
   std::stable_sort(candidates.begin(),
@@ -46,13 +35,30 @@
                      return this->policies.order.Before(
                        aLeft.order, aRight.order, nowUnixMs);
                    });
-  for (const Candidate& candidate : candidates) {
-    if (orders.starts.size() >= kMaxStartsPerRound) {
-      break;
+  // Interrupted tasks, and then those that are about to be, have the first
+  // choice of room.
+  const auto others = std::stable_partition(
+    candidates.begin(), candidates.end(), [](const Candidate& aCandidate) {
+      return aCandidate.order.interrupted;
+    });
+  this->PlanSteps({ candidates.begin(), others }, orders);
+  this->PlanDrains();
+  this->PlanSteps({ others, candidates.end() }, orders);
+  this->PlanStops(orders);
+  this->PlanThrottles(orders);
+  return orders;
+}
+
+void
+CellScheduler::PlanSteps(std::span<const Candidate> aCandidates,
+                         PlannedOrders& aOrders)
+{
+  for (const Candidate& candidate : aCandidates) {
+    if (aOrders.starts.size() >= kMaxStartsPerRound) {
+      return;
     }
-    this->PlanStep(candidate, orders);
+    this->PlanStep(candidate, aOrders);
   }
-  return orders;
 }
 
 bool
@@ -85,6 +91,7 @@
         WaitingStep order;
         order.priority = submission.priority;
         order.longRunning = step.longRunning;
+        order.interrupted = step.longRunning && entry.job.Started();
         order.filler = step.filler;
         order.objectiveUnixMs = entry.job.ObjectiveUnixMs();
         order.remainingMs = step.estimateMs;
@@ -96,39 +103,6 @@
   return result;
 }
 
-ScheduledWorker*
-CellScheduler::Choose(const WorkflowSubmission& aSubmission,
-                      const WorkflowStep& aStep,
-                      const std::string& aStepKey,
-                      const std::string& aRack)
-{
-  const TimePoint now = this->clock.Now();
-  ScheduledWorker* best = nullptr;
-  double bestRate = 0;
-  for (auto& [id, worker] : this->workers) {
-    if (!this->roster.contains(id) ||
-        !MayRun(worker, aSubmission.service, aStep, aStepKey, now)) {
-      continue;
-    }
-    if (this->quarantine.StateOf(now, id) == QuarantineState::Quarantined) {
-      continue;
-    }
-    std::optional<double> rate =
-      this->policies.choice.Rate(worker, aStep, this->interference, now);
-    if (!rate) {
-      continue;
-    }
-    if (aStep.sameRack && worker.description.rack == aRack) {
-      *rate += kSameRackBonus;
-    }
-    if (best == nullptr || *rate > bestRate) {
-      best = &worker;
-      bestRate = *rate;
-    }
-  }
-  return best;
-}
-
 void
 CellScheduler::PlanStep(const Candidate& aCandidate, PlannedOrders& aOrders)
 {
@@ -139,10 +113,12 @@
     return;
   }
   const std::string key =
-    StepKey(aCandidate.job, aCandidate.occurrence, aCandidate.step);
+    FormatStepKey({ aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
   const std::vector<WorkflowTask>& tasks =
     entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step].tasks;
-  std::string rack;
+  PlacedTask placed{ entry.job.Submission(), step, key, "" };
+  const TimePoint now = this->clock.Now();
+  bool full = false;
   for (std::uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].status != TaskStatus::Pending) {
       continue;
@@ -150,18 +126,24 @@
     const TaskName name{
       aCandidate.job, aCandidate.occurrence, aCandidate.step, i
     };
-    if (this->MayRunOnSilent(FormatTaskName(name))) {
+    if (!this->tasksOnSilent.empty() &&
+        this->MayRunOnSilent(FormatTaskName(name))) {
       continue;
     }
     if (aOrders.starts.size() >= kMaxStartsPerRound) {
       return;
     }
-    ScheduledWorker* const worker =
-      this->Choose(entry.job.Submission(), step, key, rack);
+    placed.waited = now - tasks[i].pendingSince;
+    ScheduledWorker* const worker = full ? nullptr : this->Choose(placed);
     if (worker == nullptr) {
-      return;
+      full = true;
+      if (!step.longRunning ||
+          this->HoldRoom(FormatTaskName(name), placed) == nullptr) {
+        return;
+      }
+      continue;
     }
-    rack = worker->description.rack;
+    placed.rack = worker->description.rack;
     aOrders.starts.push_back(
       this->Start(entry, name, tasks[i].run + 1, *worker, key));
   }
@@ -178,7 +160,7 @@
     return false;
   }
   const std::string key =
-    StepKey(aCandidate.job, aCandidate.occurrence, aCandidate.step);
+    FormatStepKey({ aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
   std::uint64_t run = 0;
   std::string checkpoint;
   for (std::uint32_t i = 0; i < members.tasks.size(); ++i) {
@@ -195,14 +177,13 @@
   // Room is reserved for all members before the first order goes out, since a
   // gang without one of its members only wastes the others' time.
   std::vector<ScheduledWorker*> chosen;
-  std::string rack;
+  PlacedTask placed{ entry.job.Submission(), step, key, "" };
   for (std::uint32_t i = 0; i < step.count; ++i) {
-    ScheduledWorker* const worker =
-      this->Choose(entry.job.Submission(), step, key, rack);
+    ScheduledWorker* const worker = this->Choose(placed);
     if (worker == nullptr) {
       break;
     }
-    rack = worker->description.rack;
+    placed.rack = worker->description.rack;
     Commitment reserved;
     reserved.step = step;
     reserved.stepKey = key;
@@ -278,26 +259,6 @@
   return start;
 }
 
-void
-CellScheduler::PlanDrains()
-{
-  for (auto& [id, worker] : this->workers) {
-    if (!worker.description.draining) {
-      continue;
-    }
-    std::vector<std::string> leaving;
-    for (const auto& [task, commitment] : worker.Commitments()) {
-      if (commitment.step.longRunning &&
-          commitment.phase == CommitmentPhase::Running) {
-        leaving.push_back(task);
-      }
-    }
-    for (const std::string& task : leaving) {
-      this->StopRun(worker, task, "worker drains");
-    }
-  }
-}
-
 void
 CellScheduler::PlanStops(PlannedOrders& aOrders)
 {
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -36,13 +36,6 @@
  * four seconds because of fillers. */
 constexpr int kSuspectAllAfter = 3;
 
-std::string
-StepKeyOf(const TaskName& aName)
-{
-  return aName.job + "." + std::to_string(aName.occurrence) + "." +
-         std::to_string(aName.step);
-}
-
 } // namespace
 
 void
@@ -69,6 +62,7 @@
   } else if (aReport.incarnation > worker->reportedIncarnation) {
     this->BeginIncarnation(*worker, aReport.incarnation);
   }
+  worker->fillerSpare.reset();
   worker->silent = false;
   worker->reported = true;
   worker->lastReportAt = now;
@@ -391,7 +385,7 @@
   commitment.phase = CommitmentPhase::Running;
   commitment.confirmedAt = this->clock.Now();
   commitment.startedAt = this->clock.Now();
-  commitment.stepKey = StepKeyOf(aName);
+  commitment.stepKey = FormatStepKey(aName);
   commitment.usage = aRow.usage;
   commitment.progressPercent = aRow.percent;
   if (task == nullptr) {
--- /dev/null
+++ b/src/CellSchedulerRoom.cpp
@@ -0,0 +1,313 @@
+#include "CellScheduler.h"
+
+#include "Log.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** A hold stays on its worker for this long before another one is looked for;
+ * short tasks end within it. */
+constexpr std::chrono::milliseconds kHoldReview{ 500 };
+
+/** Searches for workers to hold in one round of planning; each looks at all
+ * runs of all workers. */
+constexpr int kHoldSearchesPerRound = 8;
+
+/** Tasks for which room is held at a time. */
+constexpr std::size_t kMaxHolds = 64;
+
+/** Short tasks end within a second or two; an interrupted long-running task
+ * that has waited for longer may have some of them stopped. It has to be at
+ * work again within six seconds. */
+constexpr std::chrono::milliseconds kPreemptAfter{ 1500 };
+
+/** An interrupted long-running task without any other worker goes to one in
+ * quarantine after this time: to fail there is no worse than to wait. */
+constexpr std::chrono::milliseconds kQuarantinedAfter{ 2500 };
+
+/** Part of the time of draining that is kept for the stop itself: the registry
+ * is read every 0.7 s, and a stop takes up to 0.5 s with its report. */
+constexpr std::chrono::milliseconds kDrainReserve{ 1200 };
+
+/** Weight of a worker in the rack that a step already uses. */
+constexpr double kSameRackBonus = 1e5;
+
+/** Returns what makes steps alike for the search of a worker. */
+std::string
+KindOf(const std::string& aService, const WorkflowStep& aStep)
+{
+  return aStep.filler ? aService + "/filler/" + aStep.image : aService;
+}
+
+bool
+AsksForNoMore(const WorkflowStep& aStep, const WorkflowStep& aThan)
+{
+  return aStep.cpuMilli <= aThan.cpuMilli && aStep.memoryMb <= aThan.memoryMb &&
+         aStep.accelerators <= aThan.accelerators;
+}
+
+} // namespace
+
+void
+CellScheduler::OpenRound()
+{
+  const TimePoint now = this->clock.Now();
+  this->openWorkers.clear();
+  this->quarantinedWorkers.clear();
+  this->unplaced.clear();
+  this->lastHolds = std::move(this->holds);
+  this->holds.clear();
+  this->holdSearches = kHoldSearchesPerRound;
+  for (auto& [id, worker] : this->workers) {
+    worker.DropHolds();
+    if (!TakesStarts(worker, now) || !this->roster.contains(id)) {
+      continue;
+    }
+    const bool quarantined =
+      this->quarantine.StateOf(now, id) == QuarantineState::Quarantined;
+    (quarantined ? this->quarantinedWorkers : this->openWorkers)
+      .push_back(&worker);
+  }
+}
+
+bool
+CellScheduler::IsHopeless(const PlacedTask& aTask) const
+{
+  const auto found =
+    this->unplaced.find(KindOf(aTask.submission.service, aTask.step));
+  return found != this->unplaced.end() && !aTask.step.longRunning &&
+         AsksForNoMore(found->second, aTask.step);
+}
+
+void
+CellScheduler::NoteUnplaced(const PlacedTask& aTask)
+{
+  const WorkflowStep& step = aTask.step;
+  if (step.longRunning || step.maxPerWorker > 0 ||
+      !step.requiredLabel.empty()) {
+    return;
+  }
+  WorkflowStep& smallest =
+    this->unplaced.try_emplace(KindOf(aTask.submission.service, step), step)
+      .first->second;
+  if (AsksForNoMore(step, smallest)) {
+    smallest = step;
+  }
+}
+
+ScheduledWorker*
+CellScheduler::ChooseAmong(std::span<ScheduledWorker* const> aWorkers,
+                           const PlacedTask& aTask)
+{
+  const TimePoint now = this->clock.Now();
+  const WorkflowStep& step = aTask.step;
+  ScheduledWorker* best = nullptr;
+  double bestRate = -std::numeric_limits<double>::infinity();
+  for (ScheduledWorker* const worker : aWorkers) {
+    if (!worker->Fits(step) ||
+        !Suits(*worker, aTask.submission.service, step, aTask.stepKey)) {
+      continue;
+    }
+    const bool sameRack =
+      step.sameRack && worker->description.rack == aTask.rack;
+    const double bonus = sameRack ? kSameRackBonus : 0;
+    const std::optional<double> rate = this->policies.choice.Rate(
+      *worker, step, this->interference, now, bestRate - bonus);
+    if (rate && *rate + bonus > bestRate) {
+      best = worker;
+      bestRate = *rate + bonus;
+    }
+  }
+  return best;
+}
+
+ScheduledWorker*
+CellScheduler::Choose(const PlacedTask& aTask)
+{
+  if (this->IsHopeless(aTask)) {
+    return nullptr;
+  }
+  ScheduledWorker* const best = this->ChooseAmong(this->openWorkers, aTask);
+  if (best != nullptr) {
+    return best;
+  }
+  this->NoteUnplaced(aTask);
+  if (aTask.step.longRunning && aTask.waited > kQuarantinedAfter) {
+    return this->ChooseAmong(this->quarantinedWorkers, aTask);
+  }
+  return nullptr;
+}
+
+bool
+CellScheduler::MayHold(const ScheduledWorker& aWorker,
+                       const PlacedTask& aTask) const
+{
+  std::uint32_t heldOfStep = 0;
+  for (const auto& [task, hold] : this->holds) {
+    const bool alike = hold.stepKey == aTask.stepKey &&
+                       hold.worker == aWorker.description.id;
+    heldOfStep += alike ? 1 : 0;
+  }
+  return Suits(aWorker,
+               aTask.submission.service,
+               aTask.step,
+               aTask.stepKey,
+               heldOfStep);
+}
+
+ScheduledWorker*
+CellScheduler::WorkerToHold(const std::string& aTaskName,
+                            const PlacedTask& aTask)
+{
+  const TimePoint now = this->clock.Now();
+  const auto last = this->lastHolds.find(aTaskName);
+  if (last != this->lastHolds.end() &&
+      now - last->second.chosenAt < kHoldReview) {
+    const auto kept =
+      std::find_if(this->openWorkers.begin(),
+                   this->openWorkers.end(),
+                   [&](const ScheduledWorker* aWorker) {
+                     return aWorker->description.id == last->second.worker;
+                   });
+    if (kept != this->openWorkers.end() && this->MayHold(**kept, aTask)) {
+      this->holds[aTaskName] = last->second;
+      return *kept;
+    }
+  }
+  if (this->holdSearches == 0) {
+    return nullptr;
+  }
+  --this->holdSearches;
+  ScheduledWorker* best = nullptr;
+  Duration bestWait = Duration::max();
+  for (ScheduledWorker* const worker : this->openWorkers) {
+    if (!this->MayHold(*worker, aTask)) {
+      continue;
+    }
+    const auto wait = ExpectedWait(*worker, aTask.step, now);
+    if (wait && *wait < bestWait) {
+      best = worker;
+      bestWait = *wait;
+    }
+  }
+  if (best == nullptr) {
+    return nullptr;
+  }
+  this->holds[aTaskName] = RoomHold{ best->description.id, aTask.stepKey, now };
+  Event("room_held")
+    .Add("task", aTaskName)
+    .Add("worker", best->description.id)
+    .Add("expected_wait_ms",
+         static_cast<std::int64_t>(
+           std::chrono::duration_cast<std::chrono::milliseconds>(bestWait)
+             .count()))
+    .Add("waited_ms",
+         static_cast<std::int64_t>(
+           std::chrono::duration_cast<std::chrono::milliseconds>(aTask.waited)
+             .count()));
+  return best;
+}
+
+ScheduledWorker*
+CellScheduler::HoldRoom(const std::string& aTaskName, const PlacedTask& aTask)
+{
+  if (this->holds.size() >= kMaxHolds) {
+    return nullptr;
+  }
+  ScheduledWorker* const worker = this->WorkerToHold(aTaskName, aTask);
+  if (worker == nullptr) {
+    return nullptr;
+  }
+  this->Preempt(*worker, aTaskName, aTask);
+  worker->Hold(aTask.step);
+  return worker;
+}
+
+void
+CellScheduler::Preempt(ScheduledWorker& aWorker,
+                       const std::string& aTaskName,
+                       const PlacedTask& aTask)
+{
+  const TimePoint now = this->clock.Now();
+  const std::optional<TaskName> name = ParseTaskName(aTaskName);
+  const Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  const bool interrupted = entry != nullptr && entry->job.Started();
+  if (!interrupted || aTask.waited < kPreemptAfter) {
+    return;
+  }
+  const auto preemption = ChoosePreemption(aWorker, aTask.step, now);
+  if (!preemption || preemption->tasks.empty()) {
+    return;
+  }
+  const double cores =
+    static_cast<double>(this->Load().capacityCpuMilli) / 1000;
+  if (!this->preemptionBudget.Take(preemption->lostCoreSeconds, cores, now)) {
+    Event("preemption_over_budget", LogLevel::Warning)
+      .Add("task", aTaskName)
+      .Add("worker", aWorker.description.id)
+      .Add("lost_core_s", preemption->lostCoreSeconds);
+    return;
+  }
+  Event("preemption")
+    .Add("task", aTaskName)
+    .Add("worker", aWorker.description.id)
+    .Add("runs", static_cast<std::uint64_t>(preemption->tasks.size()))
+    .Add("lost_core_s", preemption->lostCoreSeconds);
+  for (const std::string& task : preemption->tasks) {
+    this->policies.observer.RunPreempted();
+    this->StopRun(aWorker, task, "gives way to a long-running task");
+  }
+}
+
+void
+CellScheduler::PlanDrains()
+{
+  for (auto& [id, worker] : this->workers) {
+    if (!worker.description.draining) {
+      continue;
+    }
+    std::vector<std::string> leaving;
+    for (const auto& [task, commitment] : worker.Commitments()) {
+      if (commitment.step.longRunning &&
+          commitment.phase != CommitmentPhase::Starting) {
+        leaving.push_back(task);
+      }
+    }
+    for (const std::string& task : leaving) {
+      this->PlanLeaving(worker, task);
+    }
+  }
+}
+
+void
+CellScheduler::PlanLeaving(ScheduledWorker& aWorker,
+                           const std::string& aTaskName)
+{
+  const std::optional<TaskName> name = ParseTaskName(aTaskName);
+  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  if (entry == nullptr || entry->job.Find(*name) == nullptr) {
+    return;
+  }
+  const WorkflowStep& step = entry->job.StepOf(*name);
+  const std::string key = FormatStepKey(*name);
+  const PlacedTask placed{ entry->job.Submission(), step, key, "" };
+  ScheduledWorker* const place = this->Choose(placed);
+  if (place != nullptr) {
+    place->Hold(step);
+  } else {
+    this->HoldRoom(aTaskName, placed);
+  }
+  // A task without another place serves on for as long as its worker surely
+  // does.
+  const bool due = this->clock.Now() - aWorker.drainingSince >
+                   this->bounds.drain - kDrainReserve;
+  if (place != nullptr || due) {
+    this->StopRun(aWorker, aTaskName, "worker drains");
+  }
+}
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/src/RoomForecast.cpp
@@ -0,0 +1,218 @@
+#include "RoomForecast.h"
+
+#include <algorithm>
+#include <span>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** A stop takes effect within this time in all of the users' deployments but
+ * one, where it takes 0.9 s. */
+constexpr std::chrono::milliseconds kStopTime{ 400 };
+
+/** Progress from which on a run's own speed tells more than the estimate, which
+ * is off by up to a factor of two. */
+constexpr int kTellingPercent = 10;
+
+/** Time that a run with a checkpoint loses when it is started again. */
+constexpr std::chrono::milliseconds kRestoreTime{ 600 };
+
+/** Part of all processors whose work may be thrown away. */
+constexpr double kBudgetShare = 0.005;
+
+/** Time over which unused budget is kept. */
+constexpr std::chrono::seconds kBudgetWindow{ 10 };
+
+/** Least budget that can be saved up. In a pool of a few workers it lets two
+ * large tasks take the place of short runs that are some seconds old. */
+constexpr double kMinBudgetCoreSeconds = 100;
+
+/** What a task needs beyond what is free. */
+class Shortfall
+{
+public:
+  Shortfall(const ScheduledWorker& aWorker, const WorkflowStep& aStep)
+  {
+    const WorkerRoom& room = aWorker.description.room;
+    const CommittedRoom& used = aWorker.Committed();
+    const HeldRoom& held = aWorker.Held();
+    this->cpuMilli =
+      used.cpuMilli + held.cpuMilli + aStep.cpuMilli - room.cpuMilli;
+    this->memoryMb =
+      used.memoryMb + held.memoryMb + aStep.memoryMb - room.memoryMb;
+    this->accelerators = used.accelerators + held.accelerators +
+                         aStep.accelerators - room.accelerators;
+  }
+
+  /** Changes it by a run that ends (aSign -1) or stays (+1). */
+  void Add(const WorkflowStep& aRun, int aSign)
+  {
+    this->cpuMilli +=
+      aSign * (aRun.filler ? 0 : static_cast<std::int64_t>(aRun.cpuMilli));
+    this->memoryMb += aSign * static_cast<std::int64_t>(aRun.memoryMb);
+    this->accelerators += aSign * static_cast<std::int64_t>(aRun.accelerators);
+  }
+
+  bool None() const
+  {
+    return this->cpuMilli <= 0 && this->memoryMb <= 0 &&
+           this->accelerators <= 0;
+  }
+
+private:
+  std::int64_t cpuMilli = 0;
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+};
+
+double
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+double
+RemainingMs(const Commitment& aRun, TimePoint aNow)
+{
+  if (aRun.phase == CommitmentPhase::Stopping) {
+    return Milliseconds(kStopTime);
+  }
+  const double left = 100.0 - aRun.progressPercent;
+  const double byEstimate = aRun.step.estimateMs * left / 100;
+  const double remaining = aRun.progressPercent >= kTellingPercent
+                             ? Milliseconds(aNow - aRun.startedAt) * left /
+                                 aRun.progressPercent
+                             : byEstimate;
+  return remaining * 100 / std::max(1, aRun.speedPercent);
+}
+
+double
+LostCoreSeconds(const Commitment& aRun, TimePoint aNow)
+{
+  const double elapsedMs = Milliseconds(aNow - aRun.startedAt);
+  const double lostMs =
+    aRun.step.checkpointing ? std::min(elapsedMs, Milliseconds(kRestoreTime))
+                            : elapsedMs;
+  return lostMs / 1000 * aRun.step.cpuMilli / 1000;
+}
+
+/** A short run with the figure by which it is ordered. */
+struct ShortRun
+{
+  const std::string* task = nullptr;
+  const Commitment* commitment = nullptr;
+  double figure = 0;
+};
+
+/** Returns the short runs of a worker with the least figure first. */
+template<typename Figure>
+std::vector<ShortRun>
+ShortRuns(const ScheduledWorker& aWorker, Figure aFigure)
+{
+  std::vector<ShortRun> runs;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    const bool stays = commitment.step.longRunning &&
+                       commitment.phase != CommitmentPhase::Stopping;
+    if (stays || !commitment.sizeKnown) {
+      continue;
+    }
+    runs.push_back(ShortRun{ &task, &commitment, aFigure(commitment) });
+  }
+  std::stable_sort(runs.begin(),
+                   runs.end(),
+                   [](const ShortRun& aLeft, const ShortRun& aRight) {
+                     return aLeft.figure < aRight.figure;
+                   });
+  return runs;
+}
+
+} // namespace
+
+std::optional<Duration>
+ExpectedWait(const ScheduledWorker& aWorker,
+             const WorkflowStep& aStep,
+             TimePoint aNow)
+{
+  Shortfall shortfall(aWorker, aStep);
+  if (shortfall.None()) {
+    return Duration::zero();
+  }
+  const std::vector<ShortRun> runs =
+    ShortRuns(aWorker, [aNow](const Commitment& aRun) {
+      return RemainingMs(aRun, aNow);
+    });
+  for (const ShortRun& run : runs) {
+    shortfall.Add(run.commitment->step, -1);
+    if (shortfall.None()) {
+      return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(run.figure));
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Preemption>
+ChoosePreemption(const ScheduledWorker& aWorker,
+                 const WorkflowStep& aStep,
+                 TimePoint aNow)
+{
+  Shortfall shortfall(aWorker, aStep);
+  const std::vector<ShortRun> runs =
+    ShortRuns(aWorker, [aNow](const Commitment& aRun) {
+      const bool ending = aRun.phase == CommitmentPhase::Stopping;
+      return ending ? 0 : LostCoreSeconds(aRun, aNow);
+    });
+  std::vector<const ShortRun*> chosen;
+  for (const ShortRun& run : runs) {
+    if (shortfall.None()) {
+      break;
+    }
+    if (run.commitment->phase == CommitmentPhase::Stopping) {
+      shortfall.Add(run.commitment->step, -1);
+      continue;
+    }
+    if (run.commitment->step.gang ||
+        run.commitment->phase != CommitmentPhase::Running) {
+      continue;
+    }
+    shortfall.Add(run.commitment->step, -1);
+    chosen.push_back(&run);
+  }
+  if (!shortfall.None()) {
+    return std::nullopt;
+  }
+  Preemption result;
+  // The costliest come last; whatever is not needed beside them stays.
+  for (auto run = chosen.rbegin(); run != chosen.rend(); ++run) {
+    Shortfall without = shortfall;
+    without.Add((*run)->commitment->step, 1);
+    if (without.None()) {
+      shortfall = without;
+      continue;
+    }
+    result.tasks.push_back(*(*run)->task);
+    result.lostCoreSeconds += (*run)->figure;
+  }
+  return result;
+}
+
+bool
+PreemptionBudget::Take(double aCoreSeconds, double aCores, TimePoint aNow)
+{
+  const double perSecond = kBudgetShare * aCores;
+  const double elapsed =
+    std::chrono::duration<double>(aNow - this->updatedAt).count();
+  this->spent = std::max(0.0, this->spent - elapsed * perSecond);
+  this->updatedAt = aNow;
+  const double most =
+    std::max(kMinBudgetCoreSeconds,
+             perSecond * static_cast<double>(kBudgetWindow.count()));
+  if (this->spent + aCoreSeconds > most) {
+    return false;
+  }
+  this->spent += aCoreSeconds;
+  return true;
+}
+
+} // namespace sequoiakeel
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -41,6 +41,7 @@
 void
 ScheduledWorker::Count(const Commitment& aCommitment, int aSign)
 {
+  this->fillerSpare.reset();
   CommittedRoom& sum = this->committed;
   const WorkflowStep& step = aCommitment.step;
   sum.unknownSizes += aCommitment.sizeKnown ? 0 : aSign;
@@ -62,11 +63,21 @@
 {
   const WorkerRoom& room = this->description.room;
   const CommittedRoom& used = this->committed;
-  if (used.memoryMb + aStep.memoryMb > room.memoryMb ||
-      used.accelerators + aStep.accelerators > room.accelerators) {
+  if (used.memoryMb + this->held.memoryMb + aStep.memoryMb > room.memoryMb ||
+      used.accelerators + this->held.accelerators + aStep.accelerators >
+        room.accelerators) {
     return false;
   }
-  return aStep.filler || used.cpuMilli + aStep.cpuMilli <= room.cpuMilli;
+  return aStep.filler || used.cpuMilli + this->held.cpuMilli + aStep.cpuMilli <=
+                           room.cpuMilli;
+}
+
+void
+ScheduledWorker::Hold(const WorkflowStep& aStep)
+{
+  this->held.cpuMilli += aStep.filler ? 0 : aStep.cpuMilli;
+  this->held.memoryMb += aStep.memoryMb;
+  this->held.accelerators += aStep.accelerators;
 }
 
 std::uint32_t
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace sequoiakeel {
@@ -70,6 +71,14 @@
   int unknownSizes = 0;
 };
 
+/** Room that is kept free on a worker for tasks that are about to start. */
+struct HeldRoom
+{
+  std::int64_t cpuMilli = 0;
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+};
+
 /** A worker with everything that may run on it. Not thread safe. */
 class ScheduledWorker
 {
@@ -106,6 +115,11 @@
   TimePoint fillersAdjustedAt;
   /** Considerations in a row that found a serving task over its target. */
   int overTarget = 0;
+  /** When the registry first showed the present state of draining. */
+  TimePoint drainingSince;
+  /** Processor time that is left for one more filler, in thousandths of a core,
+   * as it was last computed; unset after a change of what it depends on. */
+  mutable std::optional<double> fillerSpare;
 
   const std::map<std::string, Commitment>& Commitments() const
   {
@@ -123,10 +137,15 @@
   /** Removes a commitment; does nothing if there is none. */
   void Release(const std::string& aTask);
 
-  /** Tells whether a task of aStep fits beside everything else. A filler's
-   * processor share is not counted. */
+  /** Tells whether a task of aStep fits beside everything else and what is
+   * held. A filler's processor share is not counted. */
   bool Fits(const WorkflowStep& aStep) const;
 
+  /** Keeps room for one task of aStep from others until DropHolds(). */
+  void Hold(const WorkflowStep& aStep);
+  void DropHolds() { this->held = HeldRoom(); }
+  const HeldRoom& Held() const { return this->held; }
+
   /** Returns the number of commitments of one step. */
   std::uint32_t CountOfStep(const std::string& aStepKey) const;
 
@@ -147,6 +166,7 @@
   std::map<std::string, Commitment> commitments;
   std::map<std::string, std::uint32_t> byStep;
   CommittedRoom committed;
+  HeldRoom held;
 };
 
 } // namespace sequoiakeel
--- a/src/SchedulerMetrics.cpp
+++ b/src/SchedulerMetrics.cpp
@@ -70,6 +70,9 @@
     Counters("sequoiakeel_runs_ended_total", "Ends of runs, by kind");
   Family<Counter>& runsLost = Counters("sequoiakeel_runs_lost_total",
                                        "Runs given up without a worker's word");
+  Family<Counter>& runsPreempted =
+    Counters("sequoiakeel_runs_preempted_total",
+             "Short runs stopped to make room for long-running tasks");
   Family<Histogram>& jobAge =
     Histograms("sequoiakeel_job_seconds",
                "Time from acceptance to the end of a job, by state");
@@ -122,6 +125,12 @@
   this->implementation->runsLost.Add({}).Increment();
 }
 
+void
+SchedulerMetrics::RunPreempted()
+{
+  this->implementation->runsPreempted.Add({}).Increment();
+}
+
 void
 SchedulerMetrics::JobEnded(WorkflowState aState, Duration aAge)
 {
--- a/src/SchedulerMetrics.h
+++ b/src/SchedulerMetrics.h
@@ -25,6 +25,7 @@
   void StartTurnedAway(OrderResult aResult) override;
   void RunEnded(RunEnd aEnd) override;
   void RunLost() override;
+  void RunPreempted() override;
   void JobEnded(WorkflowState aState, Duration aAge) override;
   void FillersAdjusted() override;
 
--- a/src/SchedulerObserver.h
+++ b/src/SchedulerObserver.h
@@ -25,6 +25,9 @@
   /** A run was given up without a worker's word. */
   virtual void RunLost() {}
 
+  /** A short run was stopped to make room for a long-running task. */
+  virtual void RunPreempted() {}
+
   /** A job ended, aAge after it was accepted. */
   virtual void JobEnded(WorkflowState /*aState*/, Duration /*aAge*/) {}
 
--- a/src/StepOrder.cpp
+++ b/src/StepOrder.cpp
@@ -28,13 +28,19 @@
                    const WaitingStep& aRight,
                    double aNowUnixMs) const
 {
+  if (aLeft.interrupted != aRight.interrupted) {
+    return aLeft.interrupted;
+  }
   if (aLeft.priority != aRight.priority) {
     return aLeft.priority < aRight.priority;
   }
+  if (aLeft.longRunning != aRight.longRunning) {
+    return aLeft.longRunning;
+  }
   const double left = LatestStartUnixMs(aLeft);
   const double right = LatestStartUnixMs(aRight);
-  const bool leftLate = left < aNowUnixMs;
-  const bool rightLate = right < aNowUnixMs;
+  const bool leftLate = aLeft.longRunning || left < aNowUnixMs;
+  const bool rightLate = aRight.longRunning || right < aNowUnixMs;
   if (leftLate != rightLate) {
     return rightLate;
   }
--- a/src/StepOrder.h
+++ b/src/StepOrder.h
@@ -11,6 +11,8 @@
   /** 0 is the most urgent. */
   std::uint32_t priority = 0;
   bool longRunning = false;
+  /** It was at work before: its callers miss it now. */
+  bool interrupted = false;
   bool filler = false;
   /** By when the job should be completed, in milliseconds since 1970. */
   double objectiveUnixMs = 0;
@@ -42,10 +44,14 @@
 };
 
 /**
- * Answers an overload in which not all jobs can be in time: within a priority,
- * jobs that can still meet their objective go first, by the latest time at
- * which they must start; those that are late already follow in order of
- * arrival.
+ * Answers an overload in which not all jobs can be in time, on workers that are
+ * mostly full of long-running tasks:
+ * - long-running tasks that were interrupted go first, whatever their priority,
+ *   since each second without them is a second without service;
+ * - within a priority, long-running tasks go before others, in order of
+ *   arrival: being late makes them no less useful;
+ * - then jobs that can still meet their objective, by the latest time at which
+ *   they must start; those that are late already follow in order of arrival.
  */
 class SlackOrder : public StepOrder
 {
--- a/src/TaskName.cpp
+++ b/src/TaskName.cpp
@@ -27,9 +27,15 @@
 
 std::string
 FormatTaskName(const TaskName& aName)
+{
+  return FormatStepKey(aName) + "." + std::to_string(aName.index);
+}
+
+std::string
+FormatStepKey(const TaskName& aName)
 {
   return aName.job + "." + std::to_string(aName.occurrence) + "." +
-         std::to_string(aName.step) + "." + std::to_string(aName.index);
+         std::to_string(aName.step);
 }
 
 std::optional<TaskName>
--- a/src/TaskName.h
+++ b/src/TaskName.h
@@ -23,6 +23,11 @@
 std::string
 FormatTaskName(const TaskName& aName);
 
+/** Writes the step that a task belongs to, as JOB.OCCURRENCE.STEP. Thread safe.
+ */
+std::string
+FormatStepKey(const TaskName& aName);
+
 /** Reads a name in the form of FormatTaskName; empty if it is malformed. Thread
  * safe. */
 std::optional<TaskName>
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -125,12 +125,18 @@
 RateFiller(const ScheduledWorker& aWorker,
            const WorkflowStep& aStep,
            const FillerInterference& aInterference,
-           TimePoint aNow)
+           TimePoint aNow,
+           double aAtLeast)
 {
-  const double spare = SpareForFillers(aWorker, aInterference, kLoadRise) -
-                       static_cast<double>(aWorker.Committed().fillerCpuMilli);
+  if (!aWorker.fillerSpare) {
+    aWorker.fillerSpare =
+      SpareForFillers(aWorker, aInterference, kLoadRise) -
+      static_cast<double>(aWorker.Committed().fillerCpuMilli);
+  }
+  const double spare = *aWorker.fillerSpare;
   const auto wanted = static_cast<double>(aStep.cpuMilli);
-  if (spare < kFillerMinShare * wanted ||
+  // Effects on serving tasks only lower the rate.
+  if (spare < kFillerMinShare * wanted || spare <= aAtLeast ||
       aWorker.FillerPercent(aStep.image) < 100) {
     return std::nullopt;
   }
@@ -192,7 +198,8 @@
 FirstFitChoice::Rate(const ScheduledWorker& /*aWorker*/,
                      const WorkflowStep& /*aStep*/,
                      const FillerInterference& /*aInterference*/,
-                     TimePoint /*aNow*/) const
+                     TimePoint /*aNow*/,
+                     double /*aAtLeast*/) const
 {
   return 0.0;
 }
@@ -201,12 +208,13 @@
 ColocationChoice::Rate(const ScheduledWorker& aWorker,
                        const WorkflowStep& aStep,
                        const FillerInterference& aInterference,
-                       TimePoint aNow) const
+                       TimePoint aNow,
+                       double aAtLeast) const
 {
   double rate = RackBonus(aWorker, aStep);
   if (aStep.filler) {
     const std::optional<double> filler =
-      RateFiller(aWorker, aStep, aInterference, aNow);
+      RateFiller(aWorker, aStep, aInterference, aNow, aAtLeast - rate);
     return filler ? std::optional(*filler + rate) : std::nullopt;
   }
   if (aStep.latencyTargetMs > 0) {
@@ -217,21 +225,25 @@
 }
 
 bool
-MayRun(const ScheduledWorker& aWorker,
-       const std::string& aService,
-       const WorkflowStep& aStep,
-       const std::string& aStepKey,
-       TimePoint aNow)
+TakesStarts(const ScheduledWorker& aWorker, TimePoint aNow)
 {
-  const WorkerDescription& worker = aWorker.description;
   const bool silent =
     aWorker.silent || aNow - aWorker.lastReportAt > kReportOverdue;
-  if (!aWorker.listed || !aWorker.reported || silent || aWorker.foreignRuns ||
-      aWorker.Committed().unknownSizes > 0 || worker.draining ||
-      aNow < aWorker.backoffUntil || aWorker.clockReadingMs == 0) {
-    return false;
-  }
-  if (worker.service != aService || !aWorker.Fits(aStep)) {
+  return aWorker.listed && aWorker.reported && !silent &&
+         !aWorker.foreignRuns && aWorker.Committed().unknownSizes == 0 &&
+         !aWorker.description.draining && aNow >= aWorker.backoffUntil &&
+         aWorker.clockReadingMs != 0;
+}
+
+bool
+Suits(const ScheduledWorker& aWorker,
+      const std::string& aService,
+      const WorkflowStep& aStep,
+      const std::string& aStepKey,
+      std::uint32_t aMoreOfStep)
+{
+  const WorkerDescription& worker = aWorker.description;
+  if (worker.service != aService) {
     return false;
   }
   if (!aStep.requiredLabel.empty() &&
@@ -239,7 +251,7 @@
     return false;
   }
   return aStep.maxPerWorker == 0 ||
-         aWorker.CountOfStep(aStepKey) < aStep.maxPerWorker;
+         aWorker.CountOfStep(aStepKey) + aMoreOfStep < aStep.maxPerWorker;
 }
 
 } // namespace sequoiakeel
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -17,11 +17,12 @@
   virtual ~WorkerChoice() = default;
 
   /** Returns how well a worker suits a task, higher is better; empty: the task
-   * should rather wait. */
+   * should rather wait, or the worker suits it no better than aAtLeast. */
   virtual std::optional<double> Rate(const ScheduledWorker& aWorker,
                                      const WorkflowStep& aStep,
                                      const FillerInterference& aInterference,
-                                     TimePoint aNow) const = 0;
+                                     TimePoint aNow,
+                                     double aAtLeast) const = 0;
 };
 
 /** Takes any worker with room. The baseline for differential tests. */
@@ -31,7 +32,8 @@
   std::optional<double> Rate(const ScheduledWorker& aWorker,
                              const WorkflowStep& aStep,
                              const FillerInterference& aInterference,
-                             TimePoint aNow) const override;
+                             TimePoint aNow,
+                             double aAtLeast) const override;
 };
 
 /**
@@ -51,7 +53,8 @@
   std::optional<double> Rate(const ScheduledWorker& aWorker,
                              const WorkflowStep& aStep,
                              const FillerInterference& aInterference,
-                             TimePoint aNow) const override;
+                             TimePoint aNow,
+                             double aAtLeast) const override;
 };
 
 /** Returns the processor time that a worker's other tasks leave to all its
@@ -62,13 +65,19 @@
                 const FillerInterference& aInterference,
                 double aLoadRise);
 
-/** Tells whether a worker may run a task of a step by every rule that does not
- * depend on preferences: state, room, labels, limits by step. */
+/** Tells whether a worker takes starts at all now, whatever its room. */
 bool
-MayRun(const ScheduledWorker& aWorker,
-       const std::string& aService,
-       const WorkflowStep& aStep,
-       const std::string& aStepKey,
-       TimePoint aNow);
+TakesStarts(const ScheduledWorker& aWorker, TimePoint aNow);
+
+/** Tells whether a worker may run a task of a step by every rule that depends
+ * neither on preferences nor on room: service, labels, limits by step.
+ * aMoreOfStep: tasks of the step that are about to come beside those that run
+ * there. */
+bool
+Suits(const ScheduledWorker& aWorker,
+      const std::string& aService,
+      const WorkflowStep& aStep,
+      const std::string& aStepKey,
+      std::uint32_t aMoreOfStep = 0);
 
 } // namespace sequoiakeel
--- /dev/null
+++ b/test/support/LoadPlayer.h
@@ -0,0 +1,300 @@
+#pragma once
+
+#include "SchedulerHarness.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sequoiakeel {
+
+/**
+ * Plays a load on one cell: workers that carry out the scheduler's orders, end
+ * runs after a drawn time and report. Everything follows from the seed.
+ */
+class LoadPlayer
+{
+public:
+  static constexpr std::chrono::milliseconds kStep{ 20 };
+  static constexpr std::chrono::milliseconds kReportInterval{ 200 };
+  static constexpr std::chrono::milliseconds kStopTime{ 100 };
+
+  LoadPlayer(int aWorkers, std::uint64_t aSeed)
+    : random(aSeed)
+  {
+    for (int i = 0; i < aWorkers; ++i) {
+      const std::string id = "w" + std::to_string(i);
+      WorkerDescription worker = SchedulerHarness::Worker(id);
+      worker.rack = "r" + std::to_string(i / 4);
+      worker.labels = { "a", worker.rack };
+      this->descriptions[id] = worker;
+      this->workers[id];
+    }
+    this->harness.scheduler.SetRoster({});
+    this->ListWorkers();
+    this->harness.scheduler.RosterWritten(
+      this->harness.scheduler.RosterToWrite());
+    for (auto& [id, worker] : this->workers) {
+      this->Report(id);
+    }
+  }
+
+  /** Submits a long-running job. */
+  void SubmitService(const std::string& aId,
+                     std::uint32_t aTasks,
+                     std::uint32_t aCpuMilli)
+  {
+    WorkflowSubmission job = this->harness.Job(aId, aTasks);
+    job.steps[0].cpuMilli = aCpuMilli;
+    job.steps[0].memoryMb = 1000;
+    job.steps[0].longRunning = true;
+    this->harness.scheduler.Accept(job);
+  }
+
+  /** Submits a short job of one step. Its objective is aObjective after now. */
+  void SubmitShort(const std::string& aId,
+                   std::uint32_t aTasks,
+                   std::uint32_t aCpuMilli,
+                   std::chrono::milliseconds aEstimate,
+                   std::chrono::milliseconds aObjective)
+  {
+    WorkflowSubmission job = this->harness.Job(aId, aTasks);
+    job.steps[0].cpuMilli = aCpuMilli;
+    job.steps[0].memoryMb = 1000;
+    job.steps[0].estimateMs = static_cast<std::uint32_t>(aEstimate.count());
+    job.objectiveStretch = 0;
+    job.objectiveMs = static_cast<std::uint32_t>(aObjective.count());
+    this->harness.scheduler.Accept(job);
+  }
+
+  /** The registry shows from now on that a worker drains. */
+  void Drain(const std::string& aWorker)
+  {
+    this->descriptions[aWorker].draining = true;
+    this->ListWorkers();
+  }
+
+  /** A worker's tasks end as failed from now on, or no longer. */
+  void SetFailing(const std::string& aWorker, bool aFails)
+  {
+    this->workers[aWorker].fails = aFails;
+  }
+
+  /** Restarts a worker: all that ran there is gone. */
+  void Restart(const std::string& aWorker)
+  {
+    Worker& worker = this->workers[aWorker];
+    worker.runs.clear();
+    worker.ended.clear();
+    worker.nextEnd = 1;
+    ++this->descriptions[aWorker].incarnation;
+    this->ListWorkers();
+  }
+
+  /** Advances by one step. */
+  void Step()
+  {
+    this->harness.clock.Advance(kStep);
+    const TimePoint now = this->harness.clock.Now();
+    for (auto& [id, worker] : this->workers) {
+      const bool ended = this->EndRuns(worker);
+      if (ended || now - worker.reportedAt >= kReportInterval) {
+        this->Report(id);
+      }
+    }
+    this->CarryOut(this->harness.scheduler.Plan());
+    this->harness.WriteProgress();
+  }
+
+  void Play(std::chrono::milliseconds aTime)
+  {
+    const TimePoint end = this->harness.clock.Now() + aTime;
+    while (this->harness.clock.Now() < end) {
+      this->Step();
+    }
+  }
+
+  /** Returns how many tasks of a job run, wherever. */
+  int Running(const std::string& aJob) const
+  {
+    int count = 0;
+    for (const auto& [id, worker] : this->workers) {
+      for (const auto& [task, run] : worker.runs) {
+        count += task.starts_with(aJob + ".") ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  /** Returns the longest time for which any long-running task was away after it
+   * had been at work. */
+  std::chrono::milliseconds LongestAbsence() const
+  {
+    std::chrono::milliseconds longest = this->longestAbsence;
+    for (const auto& [task, since] : this->awaySince) {
+      longest = std::max(longest,
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                           this->harness.clock.Now() - since));
+    }
+    return longest;
+  }
+
+  /** Jobs that were completed within their objective. */
+  int CompletedInTime(std::span<const std::string> aJobs) const
+  {
+    int count = 0;
+    for (const std::string& job : aJobs) {
+      count += this->harness.scheduler.StateOf(job) == WorkflowState::Completed;
+    }
+    return count;
+  }
+
+  int stops = 0;
+  SchedulerHarness harness;
+
+private:
+  struct Run
+  {
+    std::uint64_t run = 0;
+    bool longRunning = false;
+    TimePoint begun;
+    TimePoint endsAt;
+    RunEnd end = RunEnd::Done;
+  };
+  struct Worker
+  {
+    std::map<std::string, Run> runs;
+    std::vector<EndedRow> ended;
+    std::uint64_t nextEnd = 1;
+    TimePoint reportedAt;
+    bool fails = false;
+  };
+
+  void ListWorkers()
+  {
+    std::vector<WorkerDescription> listed;
+    for (const auto& [id, description] : this->descriptions) {
+      listed.push_back(description);
+    }
+    this->harness.scheduler.UpdateWorkers(listed);
+  }
+
+  bool EndRuns(Worker& aWorker)
+  {
+    const TimePoint now = this->harness.clock.Now();
+    bool any = false;
+    for (auto run = aWorker.runs.begin(); run != aWorker.runs.end();) {
+      if (now < run->second.endsAt) {
+        ++run;
+        continue;
+      }
+      any = true;
+      aWorker.ended.push_back(EndedRow{
+        aWorker.nextEnd++, run->first, run->second.run, run->second.end, "" });
+      run = aWorker.runs.erase(run);
+    }
+    return any;
+  }
+
+  void Report(const std::string& aId)
+  {
+    Worker& worker = this->workers[aId];
+    const TimePoint now = this->harness.clock.Now();
+    worker.reportedAt = now;
+    WorkerReport report;
+    report.incarnation = this->descriptions[aId].incarnation;
+    report.ended = worker.ended;
+    worker.ended.clear();
+    for (const auto& [task, run] : worker.runs) {
+      const double span =
+        std::chrono::duration<double>(run.endsAt - run.begun).count();
+      const double done = std::chrono::duration<double>(now - run.begun).count();
+      const int percent =
+        run.longRunning ? 100 : static_cast<int>(100 * done / span);
+      report.running.push_back(RunningRow{ task, run.run, "", percent, 0 });
+    }
+    CellScheduler& scheduler = this->harness.scheduler;
+    scheduler.NoteLease(aId, scheduler.LeaseUntil(aId));
+    scheduler.HandleReport(aId, now, this->harness.WorkerMs(), report);
+    this->NoteAbsences();
+  }
+
+  void NoteAbsences()
+  {
+    std::set<std::string> present;
+    for (const auto& [id, worker] : this->workers) {
+      for (const auto& [task, run] : worker.runs) {
+        if (run.longRunning) {
+          present.insert(task);
+        }
+      }
+    }
+    const TimePoint now = this->harness.clock.Now();
+    for (const std::string& task : this->seenServices) {
+      if (!present.contains(task)) {
+        this->awaySince.try_emplace(task, now);
+        continue;
+      }
+      const auto away = this->awaySince.find(task);
+      if (away == this->awaySince.end()) {
+        continue;
+      }
+      this->longestAbsence =
+        std::max(this->longestAbsence,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                   now - away->second));
+      this->awaySince.erase(away);
+    }
+    this->seenServices.merge(present);
+  }
+
+  void CarryOut(const PlannedOrders& aOrders)
+  {
+    const TimePoint now = this->harness.clock.Now();
+    CellScheduler& scheduler = this->harness.scheduler;
+    for (const PlannedStart& start : aOrders.starts) {
+      Worker& worker = this->workers[start.worker];
+      const Commitment& commitment =
+        scheduler.FindWorker(start.worker)->Commitments().at(start.order.task);
+      std::uniform_real_distribution<double> spread(0.5, 1.5);
+      const auto span = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(
+          commitment.step.estimateMs * spread(this->random)));
+      Run run{ start.order.run, commitment.step.longRunning, now, now + span };
+      if (run.longRunning) {
+        run.endsAt = now + std::chrono::hours(1);
+      }
+      if (worker.fails) {
+        run.end = RunEnd::Failed;
+        run.endsAt = now + std::chrono::milliseconds(200);
+      }
+      worker.runs[start.order.task] = run;
+      scheduler.HandleStart(start.worker,
+                            start.order.task,
+                            start.order.run,
+                            OrderReply{ OrderResult::Done,
+                                        this->harness.WorkerMs() },
+                            false);
+    }
+    for (const PlannedStop& stop : aOrders.stops) {
+      const auto run = this->workers[stop.worker].runs.find(stop.task);
+      if (run == this->workers[stop.worker].runs.end()) {
+        continue;
+      }
+      ++this->stops;
+      run->second.end = RunEnd::Stopped;
+      run->second.endsAt = now + kStopTime;
+    }
+  }
+
+  std::mt19937_64 random;
+  std::map<std::string, WorkerDescription> descriptions;
+  std::map<std::string, Worker> workers;
+  std::set<std::string> seenServices;
+  std::map<std::string, TimePoint> awaySince;
+  std::chrono::milliseconds longestAbsence{ 0 };
+};
+
+} // namespace sequoiakeel
--- /dev/null
+++ b/test/unit/RoomForServices.cpp
@@ -0,0 +1,111 @@
+#include "support/LoadPlayer.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Time within which a long-running task must be at work again wherever one
+ * worker could hold it. */
+constexpr seconds kMaxAbsence{ 2 };
+
+/** Keeps a pool full of short tasks: whatever room becomes free is wanted. */
+void
+PlayOverload(LoadPlayer& aPlayer, seconds aTime, int& aNextJob)
+{
+  const TimePoint end = aPlayer.harness.clock.Now() + aTime;
+  while (aPlayer.harness.clock.Now() < end) {
+    if (aPlayer.harness.scheduler.PendingOf("quotes") < 20) {
+      aPlayer.SubmitShort("short" + std::to_string(aNextJob++),
+                          4,
+                          3000,
+                          milliseconds(700),
+                          milliseconds(1200));
+    }
+    aPlayer.Step();
+  }
+}
+
+/** Puts a service of four tasks of 6.4 cores on each of ten workers. */
+void
+FillWithServices(LoadPlayer& aPlayer)
+{
+  for (int i = 0; i < 10; ++i) {
+    aPlayer.SubmitService("service" + std::to_string(i), 4, 6400);
+  }
+  aPlayer.Play(seconds(1));
+}
+
+} // namespace
+
+// Guards against a long-running task that is stopped on a draining worker and
+// then stays away while short tasks take each piece of room that becomes free.
+TEST_CASE("tasks of a draining worker find a place on a full pool")
+{
+  LoadPlayer player(12, 1);
+  FillWithServices(player);
+  int nextJob = 0;
+  PlayOverload(player, seconds(3), nextJob);
+  player.Drain("w3");
+  PlayOverload(player, seconds(4), nextJob);
+  CHECK(player.LongestAbsence() <= kMaxAbsence);
+  int running = 0;
+  for (int i = 0; i < 10; ++i) {
+    running += player.Running("service" + std::to_string(i));
+  }
+  CHECK(running == 40);
+}
+
+// Guards against the same after a crash of a worker with its tasks, and of
+// several workers one after the other.
+TEST_CASE("tasks of restarted workers find a place on a full pool")
+{
+  for (const std::uint64_t seed : { 1, 2, 3, 4, 5 }) {
+    LoadPlayer player(12, seed);
+    FillWithServices(player);
+    int nextJob = 0;
+    PlayOverload(player, seconds(3), nextJob);
+    for (const char* worker : { "w0", "w5", "w9" }) {
+      player.Restart(worker);
+      PlayOverload(player, seconds(3), nextJob);
+    }
+    CHECK(player.LongestAbsence() <= kMaxAbsence);
+  }
+}
+
+// Guards against work thrown away for room that becomes free by itself.
+TEST_CASE("short tasks that end in time are not preempted")
+{
+  LoadPlayer player(12, 1);
+  FillWithServices(player);
+  int nextJob = 0;
+  PlayOverload(player, seconds(3), nextJob);
+  player.Restart("w2");
+  PlayOverload(player, seconds(4), nextJob);
+  CHECK(player.stops == 0);
+}
+
+// Guards against an interrupted task that waits behind long short tasks: after
+// a while they give way.
+TEST_CASE("short tasks that do not end give way to an interrupted task")
+{
+  LoadPlayer player(4, 1);
+  player.SubmitService("service", 4, 12000);
+  player.Play(seconds(1));
+  for (int i = 0; i < 40; ++i) {
+    player.SubmitShort("long" + std::to_string(i),
+                       1,
+                       4000,
+                       seconds(100),
+                       seconds(300));
+  }
+  player.Play(seconds(1));
+  player.Drain("w1");
+  player.Play(seconds(4));
+  CHECK(player.LongestAbsence() <= kMaxAbsence + seconds(1));
+  CHECK(player.stops > 1);
+}
