--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -81,6 +81,11 @@
 CellScheduler::Accept(WorkflowSubmission aSubmission)
 {
   const std::string id = aSubmission.id;
+  if (Entry* const known = this->FindJob(id);
+      known != nullptr && known->job.IsPart()) {
+    known->job.AddPart(aSubmission.part, this->clock.Now());
+    return false;
+  }
   if (this->jobs.contains(id) || this->ended.contains(id)) {
     return false;
   }
@@ -88,6 +93,7 @@
     .Add("job", id)
     .Add("queue", aSubmission.queue)
     .Add("steps", static_cast<std::uint64_t>(aSubmission.steps.size()))
+    .Add("handed_over", static_cast<std::uint64_t>(aSubmission.part.size()))
     .Add("age_ms", this->wallClock.UnixMs() - aSubmission.acceptedUnixMs);
   this->AddJob(std::move(aSubmission), false);
   return true;
@@ -114,6 +120,7 @@
   // Callers ask for the state only; the finished tasks are of no more use.
   end.progress.steps.clear();
   end.progress.failures.clear();
+  end.progress.handedOver.clear();
   end.progress.endedUnixMs = this->wallClock.UnixMs();
   const std::uint64_t age =
     end.progress.endedUnixMs - found->second.job.Submission().acceptedUnixMs;
@@ -425,11 +432,14 @@
 CellScheduler::StateOf(const std::string& aJob) const
 {
   if (const auto job = this->jobs.find(aJob); job != this->jobs.end()) {
+    if (job->second.job.IsPart()) {
+      return WorkflowState::Unknown;
+    }
     return job->second.job.Started() ? WorkflowState::Running
                                      : WorkflowState::Queued;
   }
   const auto end = this->ended.find(aJob);
-  if (end == this->ended.end()) {
+  if (end == this->ended.end() || end->second.progress.partial) {
     return WorkflowState::Unknown;
   }
   const WorkflowState state = end->second.progress.state;
@@ -446,7 +456,8 @@
 {
   std::uint64_t pending = 0;
   for (const auto& [id, entry] : this->jobs) {
-    if (entry.job.Submission().queue == aQueue && !entry.job.Started()) {
+    if (entry.job.Submission().queue == aQueue && !entry.job.Started() &&
+        !entry.job.IsPart()) {
       ++pending;
     }
   }
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -96,6 +97,16 @@
   std::uint64_t change = 0;
 };
 
+/** Tasks of one job that no worker of the cell can take and another cell may
+ * have room for. */
+struct HandOver
+{
+  WorkflowSubmission submission;
+  std::vector<TaskRun> tasks;
+  /** What one of the tasks needs at most. */
+  CellRoom size;
+};
+
 /**
  * Decides where and when the tasks of one cell run. It keeps the jobs, the
  * workers with what may run on them, and turns reports into orders and durable
@@ -129,9 +140,26 @@
   void SetRoster(const WorkerRoster& aRoster);
 
   /** Takes in a job that nobody can have started. Returns false if it is known.
-   */
+   * The part of a job that another cell hands over may grow. */
   bool Accept(WorkflowSubmission aSubmission);
 
+  /** Returns the long-running tasks that wait and that no worker of the cell
+   * could take, even without all short tasks. */
+  std::vector<HandOver> HandOvers() const;
+
+  bool HasHandOvers() const { return !this->homeless.empty(); }
+
+  /** Notes that tasks are being handed over: they are not started here. Returns
+   * the job's progress with them; empty if one of them is no longer pending. */
+  std::optional<WorkflowProgress> BeginHandOver(const HandOver& aHandOver);
+
+  /** Takes tasks back whose hand-over surely did not take place. */
+  void CancelHandOver(const HandOver& aHandOver);
+
+  /** Returns the largest task that a worker could take if all short tasks
+   * ended. */
+  CellRoom LargestRoom() const;
+
   /** Cancels a job; returns false if it is unknown or has ended. */
   bool Cancel(const std::string& aJob);
 
@@ -268,6 +296,14 @@
     std::string stepKey;
     TimePoint chosenAt;
   };
+  enum class HoldOutcome : std::uint8_t
+  {
+    Held,
+    /** Not even without all short tasks could a worker take the task. */
+    NoWorker,
+    /** Too many others were looked at in this round. */
+    NotTried,
+  };
   /** A task with what decides where it may go. */
   struct PlacedTask
   {
@@ -346,16 +382,17 @@
    */
   bool IsHopeless(const PlacedTask& aTask) const;
   void NoteUnplaced(const PlacedTask& aTask);
-  /** Keeps room for a long-running task that found none. Returns the worker, or
-   * null if none can hold it. */
-  ScheduledWorker* HoldRoom(const std::string& aTaskName,
-                            const PlacedTask& aTask);
+  /** Keeps room for a long-running task that found none. */
+  HoldOutcome HoldRoom(const std::string& aTaskName, const PlacedTask& aTask);
+  ScheduledWorker* HeldBefore(const std::string& aTaskName,
+                              const PlacedTask& aTask);
   ScheduledWorker* WorkerToHold(const std::string& aTaskName,
                                 const PlacedTask& aTask);
   bool MayHold(const ScheduledWorker& aWorker, const PlacedTask& aTask) const;
   void Preempt(ScheduledWorker& aWorker,
                const std::string& aTaskName,
                const PlacedTask& aTask);
+  void NoteHomeless(const TaskName& aName, const PlacedTask& aTask);
   void PlanLeaving(ScheduledWorker& aWorker, const std::string& aTaskName);
   PlannedStart Start(Entry& aEntry,
                      const TaskName& aName,
@@ -401,6 +438,8 @@
   /** By task: those of the last round, and those of the present one. */
   std::map<std::string, RoomHold> lastHolds;
   std::map<std::string, RoomHold> holds;
+  /** Long-running tasks that no worker could hold in the present round. */
+  std::vector<TaskName> homeless;
   /** Searches for workers to hold that are left in the present round. */
   int holdSearches = 0;
   PreemptionBudget preemptionBudget;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -94,7 +94,8 @@
         order.interrupted = step.longRunning && entry.job.Started();
         order.filler = step.filler;
         order.objectiveUnixMs = entry.job.ObjectiveUnixMs();
-        order.remainingMs = step.estimateMs;
+        order.remainingMs = entry.job.RemainingPathMs(s);
+        order.remainingWork = entry.job.RemainingWork();
         order.acceptedUnixMs = submission.acceptedUnixMs;
         result.push_back(Candidate{ id, k, s, order });
       }
@@ -112,13 +113,14 @@
     this->PlanGang(aCandidate, aOrders);
     return;
   }
-  const std::string key =
-    FormatStepKey({ aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
+  const std::string key = FormatStepKey(
+    { aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
   const std::vector<WorkflowTask>& tasks =
     entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step].tasks;
   PlacedTask placed{ entry.job.Submission(), step, key, "" };
   const TimePoint now = this->clock.Now();
   bool full = false;
+  bool noWorker = false;
   for (std::uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].status != TaskStatus::Pending) {
       continue;
@@ -137,10 +139,14 @@
     ScheduledWorker* const worker = full ? nullptr : this->Choose(placed);
     if (worker == nullptr) {
       full = true;
-      if (!step.longRunning ||
-          this->HoldRoom(FormatTaskName(name), placed) == nullptr) {
+      if (!step.longRunning) {
         return;
       }
+      noWorker = noWorker || this->HoldRoom(FormatTaskName(name), placed) ==
+                               HoldOutcome::NoWorker;
+      if (noWorker) {
+        this->NoteHomeless(name, placed);
+      }
       continue;
     }
     placed.rack = worker->description.rack;
@@ -159,8 +165,8 @@
   if (members.pending != members.tasks.size()) {
     return false;
   }
-  const std::string key =
-    FormatStepKey({ aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
+  const std::string key = FormatStepKey(
+    { aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
   std::uint64_t run = 0;
   std::string checkpoint;
   for (std::uint32_t i = 0; i < members.tasks.size(); ++i) {
@@ -245,6 +251,7 @@
     .Add("run", aRun)
     .Add("worker", start.worker)
     .Add("rack", aWorker.description.rack)
+    .Add("image", aEntry.job.StepOf(aName).image)
     .Add("waited_ms", static_cast<std::int64_t>(waited.count()))
     .Add("free_cpu_milli",
          aWorker.description.room.cpuMilli - aWorker.Committed().cpuMilli)
--- a/src/CellSchedulerRoom.cpp
+++ b/src/CellSchedulerRoom.cpp
@@ -3,7 +3,6 @@
 #include "Log.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace sequoiakeel {
 
@@ -29,6 +28,10 @@
  * quarantine after this time: to fail there is no worse than to wait. */
 constexpr std::chrono::milliseconds kQuarantinedAfter{ 2500 };
 
+/** A task that no worker of its cell could take is offered to another cell
+ * after this time; a worker that was away for a moment is back by then. */
+constexpr std::chrono::milliseconds kHandOverAfter{ 1000 };
+
 /** Part of the time of draining that is kept for the stop itself: the registry
  * is read every 0.7 s, and a stop takes up to 0.5 s with its report. */
 constexpr std::chrono::milliseconds kDrainReserve{ 1200 };
@@ -59,6 +62,7 @@
   this->openWorkers.clear();
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
+  this->homeless.clear();
   this->lastHolds = std::move(this->holds);
   this->holds.clear();
   this->holdSearches = kHoldSearchesPerRound;
@@ -106,7 +110,7 @@
   const TimePoint now = this->clock.Now();
   const WorkflowStep& step = aTask.step;
   ScheduledWorker* best = nullptr;
-  double bestRate = -std::numeric_limits<double>::infinity();
+  double bestRate = WorkerChoice::kAnyRate;
   for (ScheduledWorker* const worker : aWorkers) {
     if (!worker->Fits(step) ||
         !Suits(*worker, aTask.submission.service, step, aTask.stepKey)) {
@@ -148,40 +152,40 @@
 {
   std::uint32_t heldOfStep = 0;
   for (const auto& [task, hold] : this->holds) {
-    const bool alike = hold.stepKey == aTask.stepKey &&
-                       hold.worker == aWorker.description.id;
+    const bool alike =
+      hold.stepKey == aTask.stepKey && hold.worker == aWorker.description.id;
     heldOfStep += alike ? 1 : 0;
   }
-  return Suits(aWorker,
-               aTask.submission.service,
-               aTask.step,
-               aTask.stepKey,
-               heldOfStep);
+  return Suits(
+    aWorker, aTask.submission.service, aTask.step, aTask.stepKey, heldOfStep);
 }
 
 ScheduledWorker*
-CellScheduler::WorkerToHold(const std::string& aTaskName,
-                            const PlacedTask& aTask)
+CellScheduler::HeldBefore(const std::string& aTaskName, const PlacedTask& aTask)
 {
-  const TimePoint now = this->clock.Now();
   const auto last = this->lastHolds.find(aTaskName);
-  if (last != this->lastHolds.end() &&
-      now - last->second.chosenAt < kHoldReview) {
-    const auto kept =
-      std::find_if(this->openWorkers.begin(),
-                   this->openWorkers.end(),
-                   [&](const ScheduledWorker* aWorker) {
-                     return aWorker->description.id == last->second.worker;
-                   });
-    if (kept != this->openWorkers.end() && this->MayHold(**kept, aTask)) {
-      this->holds[aTaskName] = last->second;
-      return *kept;
-    }
+  if (last == this->lastHolds.end() ||
+      this->clock.Now() - last->second.chosenAt >= kHoldReview) {
+    return nullptr;
   }
-  if (this->holdSearches == 0) {
+  const auto kept =
+    std::find_if(this->openWorkers.begin(),
+                 this->openWorkers.end(),
+                 [&](const ScheduledWorker* aWorker) {
+                   return aWorker->description.id == last->second.worker;
+                 });
+  if (kept == this->openWorkers.end() || !this->MayHold(**kept, aTask)) {
     return nullptr;
   }
-  --this->holdSearches;
+  this->holds[aTaskName] = last->second;
+  return *kept;
+}
+
+ScheduledWorker*
+CellScheduler::WorkerToHold(const std::string& aTaskName,
+                            const PlacedTask& aTask)
+{
+  const TimePoint now = this->clock.Now();
   ScheduledWorker* best = nullptr;
   Duration bestWait = Duration::max();
   for (ScheduledWorker* const worker : this->openWorkers) {
@@ -212,19 +216,26 @@
   return best;
 }
 
-ScheduledWorker*
+CellScheduler::HoldOutcome
 CellScheduler::HoldRoom(const std::string& aTaskName, const PlacedTask& aTask)
 {
   if (this->holds.size() >= kMaxHolds) {
-    return nullptr;
+    return HoldOutcome::NotTried;
   }
-  ScheduledWorker* const worker = this->WorkerToHold(aTaskName, aTask);
+  ScheduledWorker* worker = this->HeldBefore(aTaskName, aTask);
   if (worker == nullptr) {
-    return nullptr;
+    if (this->holdSearches == 0) {
+      return HoldOutcome::NotTried;
+    }
+    --this->holdSearches;
+    worker = this->WorkerToHold(aTaskName, aTask);
+  }
+  if (worker == nullptr) {
+    return HoldOutcome::NoWorker;
   }
   this->Preempt(*worker, aTaskName, aTask);
   worker->Hold(aTask.step);
-  return worker;
+  return HoldOutcome::Held;
 }
 
 void
@@ -310,4 +321,112 @@
   }
 }
 
+void
+CellScheduler::NoteHomeless(const TaskName& aName, const PlacedTask& aTask)
+{
+  const WorkflowStep& step = aTask.step;
+  const bool simple = aName.occurrence == 0 && !step.gang &&
+                      step.requiredLabel.empty() && step.after.empty();
+  if (simple && aTask.waited > kHandOverAfter) {
+    this->homeless.push_back(aName);
+  }
+}
+
+std::vector<HandOver>
+CellScheduler::HandOvers() const
+{
+  std::map<std::string, HandOver> byJob;
+  for (const TaskName& name : this->homeless) {
+    const auto found = this->jobs.find(name.job);
+    // Tasks that came from another cell stay, so that none goes to and fro.
+    if (found == this->jobs.end() || found->second.job.IsPart()) {
+      continue;
+    }
+    const WorkflowJob& job = found->second.job;
+    const WorkflowStep& step = job.StepOf(name);
+    HandOver& entry = byJob[name.job];
+    entry.submission = job.Submission();
+    entry.tasks.push_back(
+      TaskRun{ name.step,
+               name.index,
+               job.Occurrences()[0].steps[name.step].tasks[name.index].run });
+    entry.size.cpuMilli =
+      std::max<std::uint64_t>(entry.size.cpuMilli, step.cpuMilli);
+    entry.size.memoryMb =
+      std::max<std::uint64_t>(entry.size.memoryMb, step.memoryMb);
+  }
+  std::vector<HandOver> result;
+  for (auto& [job, entry] : byJob) {
+    result.push_back(std::move(entry));
+  }
+  return result;
+}
+
+std::optional<WorkflowProgress>
+CellScheduler::BeginHandOver(const HandOver& aHandOver)
+{
+  const std::string& id = aHandOver.submission.id;
+  Entry* const entry = this->FindJob(id);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  const auto nameOf = [&id](const TaskRun& aTask) {
+    return TaskName{ id, 0, aTask.step, aTask.index };
+  };
+  const bool allPending = std::all_of(
+    aHandOver.tasks.begin(), aHandOver.tasks.end(), [&](const TaskRun& aTask) {
+      const WorkflowTask* const task = entry->job.Find(nameOf(aTask));
+      return task != nullptr && task->status == TaskStatus::Pending;
+    });
+  if (!allPending) {
+    return std::nullopt;
+  }
+  for (const TaskRun& task : aHandOver.tasks) {
+    entry->job.HandOver(nameOf(task));
+  }
+  return entry->job.Progress(WorkflowState::Running);
+}
+
+void
+CellScheduler::CancelHandOver(const HandOver& aHandOver)
+{
+  Entry* const entry = this->FindJob(aHandOver.submission.id);
+  if (entry == nullptr) {
+    return;
+  }
+  for (const TaskRun& task : aHandOver.tasks) {
+    const TaskName name{ aHandOver.submission.id, 0, task.step, task.index };
+    if (entry->job.Find(name)->status == TaskStatus::Elsewhere) {
+      entry->job.TakeBack(name, this->clock.Now());
+    }
+  }
+}
+
+CellRoom
+CellScheduler::LargestRoom() const
+{
+  CellRoom largest;
+  const TimePoint now = this->clock.Now();
+  for (const auto& [id, worker] : this->workers) {
+    if (!TakesStarts(worker, now)) {
+      continue;
+    }
+    WorkerRoom left = worker.description.room;
+    for (const auto& [task, commitment] : worker.Commitments()) {
+      if (commitment.step.longRunning) {
+        left.cpuMilli -= commitment.step.cpuMilli;
+        left.memoryMb -= commitment.step.memoryMb;
+      }
+    }
+    largest.freeCpuMilli +=
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, left.cpuMilli));
+    if (left.cpuMilli > static_cast<std::int64_t>(largest.cpuMilli) &&
+        left.memoryMb > 0) {
+      largest.cpuMilli = static_cast<std::uint64_t>(left.cpuMilli);
+      largest.memoryMb = static_cast<std::uint64_t>(left.memoryMb);
+    }
+  }
+  return largest;
+}
+
 } // namespace sequoiakeel
--- a/src/CellService.cpp
+++ b/src/CellService.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <exception>
 #include <functional>
 
@@ -17,11 +18,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
-constexpr std::chrono::milliseconds kStoreRetry{ 250 };
-
-/** Longest wait of the watch of the owner. A watch that was waiting when the
- * store failed hears nothing more; each one that ends counts as a call. */
-constexpr std::chrono::milliseconds kWatchWait{ 3000 };
 
 /** Candidates of the same rank spread their attempts over this time, so that
  * most of them see the winner before they try. */
@@ -53,71 +49,56 @@
 CellService::CellService(TenureParts aParts,
                          std::uint32_t aCell,
                          CandidateIdentity aIdentity,
-                         PeerClient& aPeers)
+                         PeerClient& aPeers,
+                         OwnerDirectory& aOwners)
   : parts(std::move(aParts))
   , cell(aCell)
   , keys(aCell)
   , identity(std::move(aIdentity))
   , peers(aPeers)
+  , owners(aOwners)
+  , ownerSignal(parts.strand)
+{
+}
+
+void
+CellService::FollowOwner()
 {
+  this->owners.Subscribe(
+    this->cell, [weak = this->weak_from_this()](const OwnerView& aView) {
+      const std::shared_ptr<CellService> self = weak.lock();
+      if (!self) {
+        return;
+      }
+      asio::post(self->parts.strand,
+                 [self, aView]() { self->TakeOwner(aView); });
+    });
 }
 
 void
-CellService::NoteOwner(const StoreItem& aItem)
+CellService::TakeOwner(const OwnerView& aView)
 {
-  try {
-    this->owner = nlohmann::json::parse(aItem.value).get<CellOwnerRecord>();
+  // The directory may lag behind what this process has read or done itself.
+  if (aView.revision < this->ownerRevision) {
+    return;
+  }
+  if (aView.owner && aView.revision > this->ownerRevision) {
     Event("owner_seen")
       .Add("cell", this->cell)
-      .Add("owner", this->owner->node)
-      .Add("token", aItem.created);
-    this->ownerRevision = aItem.revision;
-  } catch (const std::exception& error) {
-    Event("record_unreadable", LogLevel::Error)
-      .Add("key", aItem.key)
-      .Add("error", error.what());
+      .Add("owner", aView.owner->node)
+      .Add("token", aView.revision);
   }
+  this->owner = aView.owner;
+  this->ownerRevision = aView.revision;
+  this->ownerSignal.Notify();
 }
 
-asio::awaitable<std::uint64_t>
+asio::awaitable<void>
 CellService::AwaitVacancy()
 {
-  while (!this->stopped) {
-    const StoreRangeReply read =
-      co_await this->parts.store.Get(this->keys.Owner(), kStoreTimeout);
-    if (read.result != StoreResult::Ok) {
-      co_await SleepFor(this->parts.strand, kStoreRetry);
-      continue;
-    }
-    if (read.items.empty()) {
-      this->owner.reset();
-      co_return read.revision;
-    }
-    this->NoteOwner(read.items.front());
-    std::uint64_t revision = read.revision;
-    while (!this->stopped) {
-      const StoreWatchReply watched = co_await this->parts.store.Watch(
-        this->keys.Owner(), revision, kWatchWait);
-      if (watched.result != StoreResult::Ok || watched.compacted) {
-        co_await SleepFor(this->parts.strand, kStoreRetry);
-        break;
-      }
-      // An empty answer proves nothing; see CellTenure::WatchInbox().
-      revision = watched.events.empty() ? revision : watched.revision;
-      bool vacant = false;
-      for (const StoreItem& event : watched.events) {
-        vacant = event.deleted;
-        if (!event.deleted) {
-          this->NoteOwner(event);
-        }
-      }
-      if (vacant) {
-        this->owner.reset();
-        co_return revision;
-      }
-    }
+  while (!this->stopped && (this->owner || this->ownerRevision == 0)) {
+    co_await this->ownerSignal.Wait(std::chrono::seconds(1));
   }
-  co_return 0;
 }
 
 asio::awaitable<void>
@@ -153,7 +134,8 @@
   const std::string value = nlohmann::json(record).dump();
   StoreTransaction change;
   change.expect = { { this->keys.Owner(), kAbsentVersion } };
-  change.puts = { { this->keys.Owner(), value, lease.lease } };
+  change.puts = { { this->keys.Owner(), value, lease.lease },
+                  { this->keys.OwnerNotice(), value, lease.lease } };
   const StoreTransactionReply reply =
     co_await this->parts.store.Commit(change, kStoreTimeout);
   OwnershipClaim claim;
@@ -212,7 +194,7 @@
     .Add("reason", aReason);
   StoreTransaction change;
   change.expect.push_back({ this->keys.Owner(), aRevision });
-  change.removes.push_back(this->keys.Owner());
+  change.removes = { this->keys.Owner(), this->keys.OwnerNotice() };
   const StoreTransactionReply reply =
     co_await this->parts.store.Commit(change, kStoreTimeout);
   if (reply.result != StoreResult::Ok) {
@@ -281,6 +263,7 @@
     this->parts.strand,
     [self = this->shared_from_this()]() { return self->ProbeOwner(); },
     asio::detached);
+  this->FollowOwner();
   while (!this->stopped) {
     this->engaged = false;
     co_await this->AwaitVacancy();
@@ -289,11 +272,19 @@
     if (this->stopped) {
       co_return;
     }
+    if (this->owner) {
+      continue;
+    }
     this->engaged = true;
     const StoreRangeReply read =
       co_await this->parts.store.Get(this->keys.Owner(), kStoreTimeout);
-    if (this->stopped || read.result != StoreResult::Ok ||
-        !read.items.empty()) {
+    if (this->stopped || read.result != StoreResult::Ok) {
+      continue;
+    }
+    if (!read.items.empty()) {
+      if (const auto seen = DecodeOwner(read.items.front())) {
+        this->TakeOwner(*seen);
+      }
       continue;
     }
     const std::optional<OwnershipClaim> claim = co_await this->Claim();
@@ -309,6 +300,7 @@
                                    this->identity.boot,
                                    this->identity.peer.address,
                                    this->identity.peer.port };
+    this->ownerRevision = claim->fencingToken;
     this->tenure = std::make_shared<CellTenure>(this->parts, *claim);
     if (this->stopped) {
       co_await this->tenure->Release(kStoreTimeout);
@@ -316,6 +308,14 @@
     }
     co_await this->tenure->Run();
     this->tenure.reset();
+    // A key that was removed from outside leaves the copy for other processes
+    // behind, which goes with the lease.
+    const StoreLeaseReply gone =
+      co_await this->parts.store.EndLease(claim->lease, kStoreTimeout);
+    if (gone.result != StoreResult::Ok &&
+        gone.result != StoreResult::Conflict) {
+      Event("lease_left_to_expire").Add("cell", this->cell);
+    }
   }
 }
 
@@ -323,6 +323,7 @@
 CellService::Stop(Duration aTimeout)
 {
   this->stopped = true;
+  this->ownerSignal.Notify();
   const std::shared_ptr<CellTenure> present = this->tenure;
   if (present) {
     co_await present->Release(aTimeout);
--- a/src/CellService.h
+++ b/src/CellService.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "AsyncSignal.h"
 #include "CellTenure.h"
+#include "OwnerDirectory.h"
 #include "PeerRpc.h"
 
 #include <atomic>
@@ -51,11 +53,12 @@
 class CellService : public std::enable_shared_from_this<CellService>
 {
 public:
-  /** aPeers outlives the service. */
+  /** aPeers and aOwners outlive the service. */
   CellService(TenureParts aParts,
               std::uint32_t aCell,
               CandidateIdentity aIdentity,
-              PeerClient& aPeers);
+              PeerClient& aPeers,
+              OwnerDirectory& aOwners);
 
   /** Runs until Stop(). */
   boost::asio::awaitable<void> Run();
@@ -82,9 +85,10 @@
   boost::asio::any_io_executor Strand() const { return this->parts.strand; }
 
 private:
-  boost::asio::awaitable<std::uint64_t> AwaitVacancy();
+  void FollowOwner();
+  void TakeOwner(const OwnerView& aView);
+  boost::asio::awaitable<void> AwaitVacancy();
   boost::asio::awaitable<void> HoldBack(Duration aSpread);
-  void NoteOwner(const StoreItem& aItem);
   boost::asio::awaitable<std::optional<OwnershipClaim>> Claim();
   boost::asio::awaitable<void> ProbeOwner();
   boost::asio::awaitable<OwnerHealth> CheckOwner();
@@ -96,9 +100,12 @@
   WorkflowKeys keys;
   CandidateIdentity identity;
   PeerClient& peers;
+  OwnerDirectory& owners;
   std::optional<CellOwnerRecord> owner;
-  /** Revision of the owner's key. */
+  /** Revision of the owner's key, or one at which there was none; 0: nothing is
+   * known yet. */
   std::uint64_t ownerRevision = 0;
+  AsyncSignal ownerSignal;
   std::shared_ptr<CellTenure> tenure;
   std::atomic<bool> engaged = false;
   bool stopped = false;
--- a/src/CellTenure.cpp
+++ b/src/CellTenure.cpp
@@ -87,6 +87,7 @@
   this->Spawn([](CellTenure& aSelf) { return aSelf.FollowRegistry(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.WriteProgress(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.ExchangeEvidence(); });
+  this->Spawn([](CellTenure& aSelf) { return aSelf.ClearInbox(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.RemoveExpired(); });
   this->Spawn([](CellTenure& aSelf) { return aSelf.PlanLoop(); });
   while (!this->ended) {
@@ -144,7 +145,7 @@
   const TimePoint deadline = this->parts.clock.Now() + aTimeout;
   StoreTransaction change;
   change.expect = { { this->keys.Owner(), this->claim.fencingToken } };
-  change.removes = { this->keys.Owner() };
+  change.removes = { this->keys.Owner(), this->keys.OwnerNotice() };
   while (!this->ended && this->parts.clock.Now() < deadline) {
     const StoreTransactionReply reply =
       co_await this->parts.store.Commit(change, std::chrono::milliseconds(500));
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -43,6 +43,8 @@
   SchedulerBounds bounds;
   SchedulerPolicies policies;
   SchedulerMetrics& metrics;
+  /** Number of cells. */
+  std::uint32_t cells = 1;
   /** Tells which registered workers belong to the cell. */
   std::function<bool(const WorkerDescription&)> isOwnWorker;
 };
@@ -111,12 +113,23 @@
   boost::asio::awaitable<void> FollowRegistry();
   boost::asio::awaitable<void> WriteRoster();
   boost::asio::awaitable<void> WriteProgress();
+  /** Waits for more ends to write together. */
+  boost::asio::awaitable<void> GatherProgress();
   boost::asio::awaitable<bool> WriteRecords(
     const std::vector<ProgressRecord>& aRecords);
   StoreTransaction TransactionFor(
     const std::vector<ProgressRecord>& aRecords) const;
   boost::asio::awaitable<void> ExchangeEvidence();
   boost::asio::awaitable<void> TakeEvidence(ReadFreshness aFreshness);
+  boost::asio::awaitable<void> TakeRooms();
+  /** Hands tasks that no worker here can take over to another cell. */
+  boost::asio::awaitable<void> WriteHandOvers();
+  boost::asio::awaitable<void> WriteHandOver(HandOver aHandOver,
+                                             std::uint32_t aCell);
+  /** Returns the other cell that may have the job, if it has room. */
+  std::optional<std::uint32_t> CellWithRoom(const HandOver& aHandOver) const;
+  /** Removes submissions and cancellations of jobs whose end is durable. */
+  boost::asio::awaitable<void> ClearInbox();
   boost::asio::awaitable<void> RemoveExpired();
   boost::asio::awaitable<void> PlanLoop();
   boost::asio::awaitable<void> RenewWorker(std::string aWorker,
@@ -157,6 +170,10 @@
   std::uint64_t inboxRevision = 0;
   std::uint64_t rosterRevision = 0;
   std::map<std::string, std::uint64_t> progressRevisions;
+  /** What other cells had room for when they last told, by cell. */
+  std::map<std::uint32_t, CellRoom> rooms;
+  /** Ended jobs whose submissions still stand in the store. */
+  std::vector<std::string> toClear;
   std::map<std::string, std::shared_ptr<WorkerLoop>> workerLoops;
   std::vector<WorkerDescription> lastListed;
   /** Until then workers that vanished from the registry count as listed, since
--- /dev/null
+++ b/src/CellTenureHandOver.cpp
@@ -0,0 +1,169 @@
+#include "CellTenure.h"
+
+#include "CellBalance.h"
+#include "TenureRecords.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace sequoiakeel {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Room that another cell must have for each task that is handed over, in
+ * multiples of the task: it lies in pieces, and the cell's own tasks want some
+ * of it. */
+constexpr std::uint64_t kRoomPerTask = 2;
+
+} // namespace
+
+asio::awaitable<void>
+CellTenure::TakeRooms()
+{
+  const StoreRangeReply reply = co_await this->parts.store.Range(
+    RoomsPrefix(), ReadFreshness::Stale, kTenureStoreTimeout);
+  if (reply.result != StoreResult::Ok) {
+    // What is known ages; without it no task is handed over.
+    this->rooms.clear();
+    Event("rooms_not_read", LogLevel::Warning).Add("cell", this->claim.cell);
+    co_return;
+  }
+  for (const StoreItem& item : reply.items) {
+    const std::string text = IdOfKey(item.key, RoomsPrefix());
+    std::uint32_t cell = 0;
+    const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), cell);
+    const auto room = DecodeRecord<CellRoom>(item);
+    if (parsed.ec == std::errc() && room && cell != this->claim.cell) {
+      this->rooms[cell] = *room;
+    }
+  }
+}
+
+std::optional<std::uint32_t>
+CellTenure::CellWithRoom(const HandOver& aHandOver) const
+{
+  for (const std::uint32_t cell :
+       CandidateCells(aHandOver.submission.id, this->parts.cells)) {
+    const auto room = this->rooms.find(cell);
+    if (cell == this->claim.cell || room == this->rooms.end()) {
+      continue;
+    }
+    const CellRoom& size = aHandOver.size;
+    const bool fits = room->second.cpuMilli >= size.cpuMilli &&
+                      room->second.memoryMb >= size.memoryMb;
+    const std::uint64_t wanted =
+      kRoomPerTask * aHandOver.tasks.size() * size.cpuMilli;
+    if (fits && room->second.freeCpuMilli >= wanted) {
+      return cell;
+    }
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<void>
+CellTenure::WriteHandOvers()
+{
+  if (this->parts.cells == 1 || !this->MayOrder()) {
+    co_return;
+  }
+  for (const HandOver& handOver : this->scheduler.HandOvers()) {
+    const std::optional<std::uint32_t> cell = this->CellWithRoom(handOver);
+    if (!cell) {
+      continue;
+    }
+    CellRoom& room = this->rooms[*cell];
+    room.freeCpuMilli -= handOver.tasks.size() * handOver.size.cpuMilli;
+    co_await this->WriteHandOver(handOver, *cell);
+    if (this->ended) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void>
+CellTenure::WriteHandOver(HandOver aHandOver, std::uint32_t aCell)
+{
+  const std::string id = aHandOver.submission.id;
+  const WorkflowKeys other(aCell);
+  const StoreRangeReply read =
+    co_await this->parts.store.Get(other.Job(id), kTenureStoreTimeout);
+  if (read.result != StoreResult::Ok || this->ended) {
+    co_return;
+  }
+  WorkflowSubmission part = aHandOver.submission;
+  part.part.clear();
+  std::uint64_t revision = kAbsentVersion;
+  if (!read.items.empty()) {
+    const auto earlier = DecodeRecord<WorkflowSubmission>(read.items.front());
+    if (!earlier) {
+      co_return;
+    }
+    part.part = earlier->part;
+    revision = read.items.front().revision;
+  }
+  part.part.insert(
+    part.part.end(), aHandOver.tasks.begin(), aHandOver.tasks.end());
+  const auto progress = this->scheduler.BeginHandOver(aHandOver);
+  if (!progress) {
+    co_return;
+  }
+  const std::string value = nlohmann::json(part).dump();
+  const auto known = this->progressRevisions.find(id);
+  StoreTransaction change;
+  change.expect = {
+    { this->keys.Owner(), this->claim.fencingToken },
+    { this->keys.Progress(id),
+      known == this->progressRevisions.end() ? kAbsentVersion : known->second },
+    { this->keys.Cancellation(id), kAbsentVersion },
+    { other.Job(id), revision },
+    { other.Progress(id), kAbsentVersion },
+  };
+  change.puts = { { this->keys.Progress(id), nlohmann::json(*progress).dump() },
+                  { other.Job(id), value } };
+  bool mayBeDone = false;
+  while (!this->ended) {
+    const StoreTransactionReply reply =
+      co_await this->parts.store.Commit(change, kTenureStoreTimeout);
+    std::optional<std::uint64_t> written;
+    if (reply.result == StoreResult::Ok) {
+      written = reply.revision;
+    }
+    for (const StoreItem& item : reply.current) {
+      // After an unknown outcome, the conflict may be with the own write.
+      if (mayBeDone && item.key == other.Job(id) && item.value == value) {
+        written = item.revision;
+      }
+    }
+    if (written) {
+      this->progressRevisions[id] = *written;
+      Event("tasks_handed_over")
+        .Add("job", id)
+        .Add("tasks", static_cast<std::uint64_t>(aHandOver.tasks.size()))
+        .Add("from_cell", this->claim.cell)
+        .Add("to_cell", aCell)
+        .Add("cpu_milli", aHandOver.size.cpuMilli);
+      co_return;
+    }
+    mayBeDone = mayBeDone || reply.result == StoreResult::Unknown;
+    const bool settled =
+      reply.result == StoreResult::Conflict ||
+      (reply.result == StoreResult::Unavailable && !mayBeDone);
+    if (settled) {
+      break;
+    }
+    co_await SleepFor(this->parts.strand, kTenureStoreRetry);
+  }
+  if (this->ended) {
+    // The next owner reads from the store what became of it.
+    co_return;
+  }
+  Event("tasks_not_handed_over", LogLevel::Warning)
+    .Add("job", id)
+    .Add("to_cell", aCell);
+  this->scheduler.CancelHandOver(aHandOver);
+}
+
+} // namespace sequoiakeel
--- a/src/CellTenureInbox.cpp
+++ b/src/CellTenureInbox.cpp
@@ -3,6 +3,7 @@
 #include "TenureRecords.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sequoiakeel {
 
@@ -57,6 +58,7 @@
     co_return false;
   }
   std::map<std::string, WorkflowProgress> known;
+  std::set<std::string> endedJobs;
   for (const StoreItem& item : progress->items) {
     const auto record = DecodeRecord<WorkflowProgress>(item);
     if (!record) {
@@ -65,6 +67,7 @@
     this->progressRevisions[record->id] = item.revision;
     if (record->endedUnixMs > 0) {
       this->scheduler.RestoreEnded(*record);
+      endedJobs.insert(record->id);
       continue;
     }
     known[record->id] = *record;
@@ -77,6 +80,10 @@
     if (!submission) {
       continue;
     }
+    if (endedJobs.contains(submission->id)) {
+      this->toClear.push_back(submission->id);
+      continue;
+    }
     if (item.created > this->claim.fencingToken) {
       this->scheduler.Accept(*submission);
       continue;
--- a/src/CellTenureOrders.cpp
+++ b/src/CellTenureOrders.cpp
@@ -65,7 +65,7 @@
         return aSelf.SendThrottle(std::move(throttle));
       });
     }
-    if (this->scheduler.HasProgress()) {
+    if (this->scheduler.HasProgress() || this->scheduler.HasHandOvers()) {
       this->writeSignal.Notify();
     }
   }
--- a/src/CellTenureWrites.cpp
+++ b/src/CellTenureWrites.cpp
@@ -3,6 +3,7 @@
 #include "TenureRecords.h"
 
 #include <algorithm>
+#include <span>
 
 namespace sequoiakeel {
 
@@ -11,12 +12,22 @@
 namespace {
 
 /** Ends of runs are written together in this window: a call to the store for
- * each would cost more than the delay. A job's end is written at once. */
-constexpr std::chrono::milliseconds kWriteWindow{ 40 };
+ * each would cost more than the delay, and workers keep ends until they are
+ * acknowledged. A job's end is written at once. */
+constexpr std::chrono::milliseconds kWriteWindow{ 100 };
 
 /** Records of one transaction: the owner's key, and for each record an
- * expectation, a write and up to two removals. */
-constexpr std::size_t kRecordsPerTransaction = (kMaxTransactionEntries - 1) / 4;
+ * expectation and a write. */
+constexpr std::size_t kRecordsPerTransaction = (kMaxTransactionEntries - 1) / 2;
+
+/** Interval at which submissions of ended jobs are removed together. Each
+ * removal on its own would cost a call, and another one for the own watch that
+ * sees it. */
+constexpr std::chrono::seconds kClearInterval{ 1 };
+
+/** Ended jobs of one transaction: the owner's key, and for each job the
+ * submission and the cancellation. */
+constexpr std::size_t kClearedPerTransaction = (kMaxTransactionEntries - 1) / 2;
 
 /** Records that are removed in one transaction after their retention. */
 constexpr std::size_t kExpiredPerTransaction = kMaxTransactionEntries - 1;
@@ -82,11 +93,6 @@
                                 : revision->second });
     change.puts.push_back(
       { this->keys.Progress(id), nlohmann::json(record.progress).dump() });
-    if (!record.final) {
-      continue;
-    }
-    change.removes.push_back(this->keys.Job(id));
-    change.removes.push_back(this->keys.Cancellation(id));
   }
   return change;
 }
@@ -101,6 +107,9 @@
       for (const ProgressRecord& record : aRecords) {
         this->progressRevisions[record.progress.id] = reply.revision;
         this->scheduler.ProgressWritten(record);
+        if (record.final) {
+          this->toClear.push_back(record.progress.id);
+        }
       }
       co_return true;
     }
@@ -129,6 +138,17 @@
   co_return false;
 }
 
+asio::awaitable<void>
+CellTenure::GatherProgress()
+{
+  const TimePoint until = this->parts.clock.Now() + kWriteWindow;
+  // Each report with progress ends a wait, so one wait is not the window.
+  while (!this->scheduler.HasFinalProgress() && !this->releasing &&
+         !this->ended && this->parts.clock.Now() < until) {
+    co_await this->writeSignal.Wait(until - this->parts.clock.Now());
+  }
+}
+
 asio::awaitable<void>
 CellTenure::WriteProgress()
 {
@@ -136,9 +156,15 @@
     if (!this->scheduler.HasProgress()) {
       co_await this->writeSignal.Wait(std::chrono::seconds(1));
     }
-    if (!this->scheduler.HasFinalProgress() && !this->releasing) {
-      co_await this->writeSignal.Wait(kWriteWindow);
+    // Both write records of progress, so one after the other.
+    co_await this->WriteHandOvers();
+    if (this->ended) {
+      co_return;
+    }
+    if (!this->scheduler.HasProgress()) {
+      continue;
     }
+    co_await this->GatherProgress();
     const ProgressBatch batch = this->scheduler.TakeProgress();
     for (std::size_t i = 0; i < batch.records.size();
          i += kRecordsPerTransaction) {
@@ -186,13 +212,20 @@
   while (!this->ended) {
     co_await SleepFor(this->parts.strand, kEvidenceInterval);
     const InterferenceEvidence evidence = this->scheduler.Evidence();
-    if (this->ended || evidence.effects.empty()) {
-      continue;
-    }
     StoreTransaction change;
     change.expect = { { this->keys.Owner(), this->claim.fencingToken } };
-    change.puts = { { this->keys.Interference(),
-                      nlohmann::json(evidence).dump() } };
+    if (!evidence.effects.empty()) {
+      change.puts.push_back(
+        { this->keys.Interference(), nlohmann::json(evidence).dump() });
+    }
+    if (this->parts.cells > 1) {
+      change.puts.push_back(
+        { this->keys.Room(),
+          nlohmann::json(this->scheduler.LargestRoom()).dump() });
+    }
+    if (this->ended || change.puts.empty()) {
+      continue;
+    }
     const StoreTransactionReply reply =
       co_await this->parts.store.Commit(change, kTenureStoreTimeout);
     if (reply.result != StoreResult::Ok) {
@@ -201,6 +234,38 @@
         .Add("cell", this->claim.cell);
     }
     co_await this->TakeEvidence(ReadFreshness::Stale);
+    if (this->parts.cells > 1) {
+      co_await this->TakeRooms();
+    }
+  }
+}
+
+asio::awaitable<void>
+CellTenure::ClearInbox()
+{
+  while (!this->ended) {
+    co_await SleepFor(this->parts.strand, kClearInterval);
+    while (!this->toClear.empty() && !this->ended) {
+      const std::size_t count =
+        std::min(this->toClear.size(), kClearedPerTransaction);
+      StoreTransaction change;
+      change.expect.push_back({ this->keys.Owner(), this->claim.fencingToken });
+      for (const std::string& id : std::span(this->toClear).first(count)) {
+        change.removes.push_back(this->keys.Job(id));
+        change.removes.push_back(this->keys.Cancellation(id));
+      }
+      const StoreTransactionReply reply =
+        co_await this->parts.store.Commit(change, kTenureStoreTimeout);
+      if (reply.result != StoreResult::Ok) {
+        Event("inbox_not_cleared", LogLevel::Warning)
+          .Add("cell", this->claim.cell)
+          .Add("jobs", static_cast<std::uint64_t>(this->toClear.size()));
+        break;
+      }
+      this->toClear.erase(this->toClear.begin(),
+                          this->toClear.begin() +
+                            static_cast<std::ptrdiff_t>(count));
+    }
   }
 }
 
@@ -209,6 +274,11 @@
 {
   while (!this->ended) {
     co_await SleepFor(this->parts.strand, kExpiryInterval);
+    // Without its record, a job whose submission still stands would be taken
+    // for a new one.
+    if (!this->toClear.empty()) {
+      continue;
+    }
     const std::vector<std::string> expired =
       this->scheduler.TakeExpired(kExpiredPerTransaction);
     if (expired.empty() || this->ended) {
--- a/src/RoomForecast.cpp
+++ b/src/RoomForecast.cpp
@@ -80,10 +80,10 @@
   }
   const double left = 100.0 - aRun.progressPercent;
   const double byEstimate = aRun.step.estimateMs * left / 100;
-  const double remaining = aRun.progressPercent >= kTellingPercent
-                             ? Milliseconds(aNow - aRun.startedAt) * left /
-                                 aRun.progressPercent
-                             : byEstimate;
+  const double remaining =
+    aRun.progressPercent >= kTellingPercent
+      ? Milliseconds(aNow - aRun.startedAt) * left / aRun.progressPercent
+      : byEstimate;
   return remaining * 100 / std::max(1, aRun.speedPercent);
 }
 
@@ -91,9 +91,9 @@
 LostCoreSeconds(const Commitment& aRun, TimePoint aNow)
 {
   const double elapsedMs = Milliseconds(aNow - aRun.startedAt);
-  const double lostMs =
-    aRun.step.checkpointing ? std::min(elapsedMs, Milliseconds(kRestoreTime))
-                            : elapsedMs;
+  const double lostMs = aRun.step.checkpointing
+                          ? std::min(elapsedMs, Milliseconds(kRestoreTime))
+                          : elapsedMs;
   return lostMs / 1000 * aRun.step.cpuMilli / 1000;
 }
 
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -68,8 +68,8 @@
         room.accelerators) {
     return false;
   }
-  return aStep.filler || used.cpuMilli + this->held.cpuMilli + aStep.cpuMilli <=
-                           room.cpuMilli;
+  return aStep.filler ||
+         used.cpuMilli + this->held.cpuMilli + aStep.cpuMilli <= room.cpuMilli;
 }
 
 void
--- a/src/StepOrder.cpp
+++ b/src/StepOrder.cpp
@@ -4,10 +4,28 @@
 
 namespace {
 
-double
-LatestStartUnixMs(const WaitingStep& aStep)
+/** A result is still of use to callers until this multiple of its objective. */
+constexpr double kUsefulFactor = 3;
+
+/** What a job that is started now can still be, the best first. */
+enum class Prospect : std::uint8_t
+{
+  InTime,
+  Late,
+  Useless,
+};
+
+Prospect
+ProspectOf(const WaitingStep& aStep, double aNowUnixMs)
 {
-  return aStep.objectiveUnixMs - aStep.remainingMs;
+  const double end = aNowUnixMs + aStep.remainingMs;
+  if (end <= aStep.objectiveUnixMs) {
+    return Prospect::InTime;
+  }
+  const auto accepted = static_cast<double>(aStep.acceptedUnixMs);
+  const double useful =
+    accepted + kUsefulFactor * (aStep.objectiveUnixMs - accepted);
+  return end <= useful ? Prospect::Late : Prospect::Useless;
 }
 
 } // namespace
@@ -24,9 +42,9 @@
 }
 
 bool
-SlackOrder::Before(const WaitingStep& aLeft,
-                   const WaitingStep& aRight,
-                   double aNowUnixMs) const
+LeastWorkOrder::Before(const WaitingStep& aLeft,
+                       const WaitingStep& aRight,
+                       double aNowUnixMs) const
 {
   if (aLeft.interrupted != aRight.interrupted) {
     return aLeft.interrupted;
@@ -37,17 +55,18 @@
   if (aLeft.longRunning != aRight.longRunning) {
     return aLeft.longRunning;
   }
-  const double left = LatestStartUnixMs(aLeft);
-  const double right = LatestStartUnixMs(aRight);
-  const bool leftLate = aLeft.longRunning || left < aNowUnixMs;
-  const bool rightLate = aRight.longRunning || right < aNowUnixMs;
-  if (leftLate != rightLate) {
-    return rightLate;
+  if (aLeft.longRunning) {
+    return aLeft.acceptedUnixMs < aRight.acceptedUnixMs;
+  }
+  const Prospect left = ProspectOf(aLeft, aNowUnixMs);
+  const Prospect right = ProspectOf(aRight, aNowUnixMs);
+  if (left != right) {
+    return left < right;
   }
-  if (leftLate) {
+  if (left == Prospect::Useless) {
     return aLeft.acceptedUnixMs < aRight.acceptedUnixMs;
   }
-  return left < right;
+  return aLeft.remainingWork < aRight.remainingWork;
 }
 
 } // namespace sequoiakeel
--- a/src/StepOrder.h
+++ b/src/StepOrder.h
@@ -18,6 +18,8 @@
   double objectiveUnixMs = 0;
   /** Time that the job needs at least from here. */
   double remainingMs = 0;
+  /** Work of the job's tasks that have not begun, in core-milliseconds. */
+  double remainingWork = 0;
   std::uint64_t acceptedUnixMs = 0;
 };
 
@@ -50,10 +52,12 @@
  *   since each second without them is a second without service;
  * - within a priority, long-running tasks go before others, in order of
  *   arrival: being late makes them no less useful;
- * - then jobs that can still meet their objective, by the latest time at which
- *   they must start; those that are late already follow in order of arrival.
+ * - then jobs that can still meet their objective, then those that are late and
+ *   still of use; of each the one with the least work that is left, so that
+ *   most jobs are completed in time and what was begun is finished;
+ * - jobs that nobody waits for any more come last, in order of arrival.
  */
-class SlackOrder : public StepOrder
+class LeastWorkOrder : public StepOrder
 {
 public:
   bool Before(const WaitingStep& aLeft,
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -3,6 +3,7 @@
 #include "FillerInterference.h"
 #include "ScheduledWorker.h"
 
+#include <limits>
 #include <optional>
 
 namespace sequoiakeel {
@@ -16,6 +17,9 @@
 public:
   virtual ~WorkerChoice() = default;
 
+  /** Bound that every rate is above. */
+  static constexpr double kAnyRate = -std::numeric_limits<double>::infinity();
+
   /** Returns how well a worker suits a task, higher is better; empty: the task
    * should rather wait, or the worker suits it no better than aAtLeast. */
   virtual std::optional<double> Rate(const ScheduledWorker& aWorker,
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -3,6 +3,7 @@
 #include "CellBalance.h"
 #include "Log.h"
 #include "PeerCodec.h"
+#include "TenureRecords.h"
 #include "generated/WorkflowJson.h"
 
 #include <algorithm>
@@ -359,22 +360,25 @@
     if (read.result != StoreResult::Ok) {
       co_return std::nullopt;
     }
+    if (read.items.empty() && submission.items.empty()) {
+      continue;
+    }
     if (read.items.empty()) {
-      if (submission.items.empty()) {
+      const auto job =
+        DecodeRecord<WorkflowSubmission>(submission.items.front());
+      if (job && !job->part.empty()) {
         continue;
       }
       co_return WorkflowState::Queued;
     }
-    try {
-      const auto progress =
-        nlohmann::json::parse(read.items.front().value).get<WorkflowProgress>();
-      co_return progress.state;
-    } catch (const std::exception& error) {
-      Event("record_unreadable", LogLevel::Error)
-        .Add("key", keys.Progress(aJob))
-        .Add("error", error.what());
+    const auto progress = DecodeRecord<WorkflowProgress>(read.items.front());
+    if (!progress) {
       co_return std::nullopt;
     }
+    if (progress->partial) {
+      continue;
+    }
+    co_return progress->state;
   }
   co_return WorkflowState::Unknown;
 }
@@ -417,6 +421,8 @@
 {
   const Duration timeout =
     std::min<Duration>(kStoreCallTimeout, this->Left(aDeadline));
+  // A second cell may have a part of the job; both must learn of it at once.
+  StoreTransaction change;
   for (const std::uint32_t cell : this->CellsOf(aJob)) {
     const WorkflowKeys keys(cell);
     const StoreRangeReply read =
@@ -425,11 +431,13 @@
       co_return CancelOutcome::Unknown;
     }
     if (read.items.empty()) {
+      change.expect.push_back({ keys.Job(aJob), kAbsentVersion });
       continue;
     }
-    StoreTransaction change;
     change.expect.push_back({ keys.Job(aJob), read.items.front().revision });
     change.puts.push_back({ keys.Cancellation(aJob), "{}" });
+  }
+  if (!change.puts.empty()) {
     const StoreTransactionReply reply =
       co_await this->store.Commit(change, timeout);
     co_return reply.result == StoreResult::Ok ? CancelOutcome::Cancelled
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -3,35 +3,49 @@
 #include "Error.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sequoiakeel {
 
 namespace {
 
-/** Returns for each step the duration of the longest chain that ends with it.
- */
+/** Spread of the durations of the tasks of one step around their mean. */
+constexpr double kTaskSpread = 0.3;
+
+/** Returns the expected duration of the longest task of a step, from the
+ * expectation of the largest of n normal variables. */
 double
-LongestChainMs(const std::vector<WorkflowStep>& aSteps)
+LongestTaskMs(const WorkflowStep& aStep)
+{
+  const double most = std::sqrt(2 * std::log(std::max(1U, aStep.count)));
+  return aStep.estimateMs * (1 + kTaskSpread * most);
+}
+
+/** Returns for each step the duration of the longest chain that begins with it.
+ */
+std::vector<double>
+LongestChainsMs(const std::vector<WorkflowStep>& aSteps)
 {
-  std::vector<double> until(aSteps.size(), 0.0);
-  double longest = 0;
-  for (std::size_t i = 0; i < aSteps.size(); ++i) {
-    double before = 0;
+  std::vector<double> from(aSteps.size(), 0.0);
+  for (std::size_t i = aSteps.size(); i-- > 0;) {
+    // Later steps have added what follows this one by now.
+    from[i] += LongestTaskMs(aSteps[i]);
     for (const std::uint32_t earlier : aSteps[i].after) {
-      before = std::max(before, until[earlier]);
+      from[earlier] = std::max(from[earlier], from[i]);
     }
-    until[i] = before + aSteps[i].estimateMs;
-    longest = std::max(longest, until[i]);
   }
-  return longest;
+  return from;
 }
 
 } // namespace
 
 WorkflowJob::WorkflowJob(WorkflowSubmission aSubmission, TimePoint aNow)
   : submission(std::move(aSubmission))
-  , criticalPathMs(LongestChainMs(submission.steps))
+  , remainingPathMs(LongestChainsMs(submission.steps))
 {
+  for (const double chain : this->remainingPathMs) {
+    this->criticalPathMs = std::max(this->criticalPathMs, chain);
+  }
   const Recurrence& recurrence = this->submission.recurrence;
   const std::uint32_t count = std::max<std::uint32_t>(1, recurrence.count);
   this->occurrences.resize(count);
@@ -51,6 +65,17 @@
       occurrence.steps.push_back(std::move(tasks));
     }
   }
+  if (!this->IsPart()) {
+    return;
+  }
+  for (std::uint32_t s = 0; s < this->submission.steps.size(); ++s) {
+    for (std::uint32_t i = 0; i < this->submission.steps[s].count; ++i) {
+      this->HandOver(TaskName{ this->submission.id, 0, s, i });
+    }
+  }
+  const std::vector<TaskRun> part = std::move(this->submission.part);
+  this->submission.part.clear();
+  this->AddPart(part, aNow);
 }
 
 void
@@ -67,6 +92,15 @@
     }
     this->started = true;
   }
+  for (const TaskRun& task : aProgress.handedOver) {
+    const TaskName name{ this->submission.id, 0, task.step, task.index };
+    WorkflowTask* const found = this->Find(name);
+    if (found != nullptr && found->status == TaskStatus::Pending) {
+      found->run = std::max(found->run, task.run);
+      this->HandOver(name);
+    }
+    this->started = true;
+  }
   for (const TaskFailures& failures : aProgress.failures) {
     const TaskName name{
       this->submission.id, failures.occurrence, failures.step, failures.index
@@ -133,6 +167,45 @@
   ++this->TasksOf(aName).pending;
 }
 
+void
+WorkflowJob::HandOver(const TaskName& aName)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr && task->status == TaskStatus::Pending,
+                 "only a pending task can be handed over");
+  task->status = TaskStatus::Elsewhere;
+  --this->TasksOf(aName).pending;
+  ++this->TasksOf(aName).elsewhere;
+}
+
+void
+WorkflowJob::TakeBack(const TaskName& aName, TimePoint aNow)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr && task->status == TaskStatus::Elsewhere,
+                 "only a task that was handed over can be taken back");
+  task->status = TaskStatus::Pending;
+  task->pendingSince = aNow;
+  ++this->TasksOf(aName).pending;
+  --this->TasksOf(aName).elsewhere;
+}
+
+void
+WorkflowJob::AddPart(std::span<const TaskRun> aTasks, TimePoint aNow)
+{
+  for (const TaskRun& task : aTasks) {
+    const TaskName name{ this->submission.id, 0, task.step, task.index };
+    WorkflowTask* const found = this->Find(name);
+    if (found == nullptr || found->status != TaskStatus::Elsewhere) {
+      continue;
+    }
+    found->run = std::max(found->run, task.run);
+    this->TakeBack(name, aNow);
+    this->submission.part.push_back(task);
+  }
+  this->started = true;
+}
+
 bool
 WorkflowJob::MarkDone(const TaskName& aName)
 {
@@ -183,7 +256,8 @@
       }
       const WorkflowStep& step = this->submission.steps[s];
       const std::uint64_t cpu =
-        (tasks.tasks.size() - tasks.done) * std::uint64_t{ step.cpuMilli };
+        (tasks.tasks.size() - tasks.done - tasks.elsewhere) *
+        std::uint64_t{ step.cpuMilli };
       if (step.filler) {
         aLoad.fillerCpuMilli += cpu;
         continue;
@@ -201,6 +275,7 @@
   progress.id = this->submission.id;
   progress.queue = this->submission.queue;
   progress.state = aState;
+  progress.partial = this->IsPart();
   for (std::uint32_t k = 0; k < this->occurrences.size(); ++k) {
     for (std::uint32_t s = 0; s < this->occurrences[k].steps.size(); ++s) {
       const WorkflowStepTasks& step = this->occurrences[k].steps[s];
@@ -211,6 +286,9 @@
           done.done.push_back(i);
           continue;
         }
+        if (task.status == TaskStatus::Elsewhere && !progress.partial) {
+          progress.handedOver.push_back(TaskRun{ s, i, task.run });
+        }
         if (!task.failedRuns.empty()) {
           progress.failures.push_back(TaskFailures{ k, s, i, task.failedRuns });
         }
@@ -223,6 +301,20 @@
   return progress;
 }
 
+double
+WorkflowJob::RemainingWork() const
+{
+  double work = 0;
+  for (const WorkflowOccurrence& occurrence : this->occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      const WorkflowStep& step = this->submission.steps[s];
+      work += static_cast<double>(occurrence.steps[s].pending) *
+              step.estimateMs * step.cpuMilli / 1000;
+    }
+  }
+  return work;
+}
+
 double
 WorkflowJob::ObjectiveUnixMs() const
 {
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -6,6 +6,7 @@
 #include "generated/Workflow.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   /** It has a run on a worker, confirmed or not. */
   Assigned,
   Done,
+  /** Another cell has it. */
+  Elsewhere,
 };
 
 /** One task of a workflow. */
@@ -43,6 +46,7 @@
   std::vector<WorkflowTask> tasks;
   std::uint32_t done = 0;
   std::uint32_t pending = 0;
+  std::uint32_t elsewhere = 0;
 
   bool AllDone() const { return this->done == this->tasks.size(); }
 };
@@ -93,6 +97,16 @@
   /** Takes an assigned task back to pending. */
   void Unassign(const TaskName& aName, TimePoint aNow);
 
+  /** Hands a pending task over to another cell, or takes it back. */
+  void HandOver(const TaskName& aName);
+  void TakeBack(const TaskName& aName, TimePoint aNow);
+
+  /** Adds tasks that another cell hands over. */
+  void AddPart(std::span<const TaskRun> aTasks, TimePoint aNow);
+
+  /** Tells whether the job's own cell is another one. */
+  bool IsPart() const { return !this->submission.part.empty(); }
+
   /** Marks a task as done; returns false if it was already. */
   bool MarkDone(const TaskName& aName);
 
@@ -119,9 +133,20 @@
   void AddLoad(CellLoad& aLoad) const;
 
   /** Returns the expected duration of the longest chain of steps in
-   * milliseconds, from the steps' estimates. */
+   * milliseconds. */
   double CriticalPathMs() const { return this->criticalPathMs; }
 
+  /** Returns the expected duration of the longest chain that begins with a step
+   * in milliseconds, for tasks that have not begun. */
+  double RemainingPathMs(std::uint32_t aStep) const
+  {
+    return this->remainingPathMs[aStep];
+  }
+
+  /** Returns the work of the tasks that have not begun, in core-milliseconds.
+   */
+  double RemainingWork() const;
+
   /** Returns the time by which the job should be completed, in milliseconds
    * since 1970. */
   double ObjectiveUnixMs() const;
@@ -135,6 +160,8 @@
   WorkflowSubmission submission;
   std::vector<WorkflowOccurrence> occurrences;
   std::uint64_t openTasks = 0;
+  /** By step. */
+  std::vector<double> remainingPathMs;
   double criticalPathMs = 0;
   bool exhausted = false;
   bool started = false;
--- /dev/null
+++ b/test/differential/StepOrder.cpp
@@ -0,0 +1,138 @@
+#include "StepOrder.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace sequoiakeel;
+
+namespace {
+
+/** One job of a single step on a pool that is counted in cores. */
+struct PlayedJob
+{
+  WaitingStep step;
+  double cores = 0;
+  double lengthMs = 0;
+  double startedMs = -1;
+
+  bool InTime() const
+  {
+    return this->startedMs >= 0 &&
+           this->startedMs + this->lengthMs <= this->step.objectiveUnixMs;
+  }
+};
+
+/** Jobs of an overload: 2.6 times as many for a while, as in a burst of the
+ * users' heaviest days, on a pool that ordinary days use by four fifths. */
+std::vector<PlayedJob>
+BurstOfJobs(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::uniform_real_distribution<double> lengths(300, 1000);
+  std::uniform_real_distribution<double> widths(1, 12);
+  std::vector<PlayedJob> jobs;
+  double at = 0;
+  while (at < 30000) {
+    const bool burst = at > 8000 && at < 14000;
+    std::exponential_distribution<double> gaps(burst ? 2.6 / 100 : 1.0 / 100);
+    at += gaps(random);
+    PlayedJob job;
+    job.lengthMs = lengths(random);
+    job.cores = widths(random);
+    job.step.acceptedUnixMs = static_cast<std::uint64_t>(at);
+    job.step.remainingMs = job.lengthMs;
+    job.step.remainingWork = job.lengthMs * job.cores;
+    job.step.objectiveUnixMs = at + 1.5 * job.lengthMs + 250;
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+/** Plays the jobs on a pool; returns how many are completed in time. */
+std::ptrdiff_t
+PlayInTime(std::vector<PlayedJob> aJobs, const StepOrder& aOrder)
+{
+  constexpr double kCores = 52;
+  constexpr double kStepMs = 10;
+  for (double now = 0; now < 60000; now += kStepMs) {
+    double used = 0;
+    std::vector<PlayedJob*> waiting;
+    for (PlayedJob& job : aJobs) {
+      if (job.startedMs >= 0) {
+        used += now < job.startedMs + job.lengthMs ? job.cores : 0;
+      } else if (static_cast<double>(job.step.acceptedUnixMs) <= now) {
+        waiting.push_back(&job);
+      }
+    }
+    std::stable_sort(waiting.begin(),
+                     waiting.end(),
+                     [&](const PlayedJob* aLeft, const PlayedJob* aRight) {
+                       return aOrder.Before(aLeft->step, aRight->step, now);
+                     });
+    for (PlayedJob* const job : waiting) {
+      if (used + job->cores > kCores) {
+        break;
+      }
+      job->startedMs = now;
+      used += job->cores;
+    }
+  }
+  return std::count_if(aJobs.begin(), aJobs.end(), [](const PlayedJob& aJob) {
+    return aJob.InTime();
+  });
+}
+
+} // namespace
+
+// Guards against a burst after which every job is a little late: first come,
+// first served keeps the whole queue behind until the burst has been worked
+// off.
+TEST_CASE("more jobs of a burst are in time than in order of arrival")
+{
+  for (const std::uint64_t seed : { 1, 2, 3, 4, 5 }) {
+    const std::vector<PlayedJob> jobs = BurstOfJobs(seed);
+    const std::ptrdiff_t naive = PlayInTime(jobs, ArrivalOrder());
+    const std::ptrdiff_t current = PlayInTime(jobs, LeastWorkOrder());
+    INFO("seed ", seed, " naive ", naive, " current ", current);
+    CHECK(current > naive);
+    CHECK(current > static_cast<std::ptrdiff_t>(jobs.size()) * 7 / 10);
+  }
+}
+
+// Guards against a long-running task that waits behind short ones because it
+// is late by its estimate, and against an interrupted one that waits behind
+// jobs of a better priority.
+TEST_CASE("long-running tasks go before short ones, interrupted ones first")
+{
+  const LeastWorkOrder order;
+  WaitingStep shortStep;
+  shortStep.objectiveUnixMs = 5000;
+  shortStep.remainingMs = 500;
+  WaitingStep lasting;
+  lasting.longRunning = true;
+  lasting.acceptedUnixMs = 10;
+  CHECK(order.Before(lasting, shortStep, 1000));
+  CHECK(!order.Before(shortStep, lasting, 1000));
+  lasting.priority = 1;
+  CHECK(order.Before(shortStep, lasting, 1000));
+  lasting.interrupted = true;
+  CHECK(order.Before(lasting, shortStep, 1000));
+}
+
+// Guards against a job that takes room although nobody waits for it any more
+// while others can still be of use.
+TEST_CASE("jobs beyond any use come last")
+{
+  const LeastWorkOrder order;
+  WaitingStep useless;
+  useless.objectiveUnixMs = 1000;
+  useless.remainingMs = 100;
+  useless.remainingWork = 1;
+  WaitingStep late = useless;
+  late.objectiveUnixMs = 2000;
+  late.remainingWork = 100;
+  CHECK(order.Before(late, useless, 4000));
+  CHECK(!order.Before(useless, late, 4000));
+}
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -39,11 +39,14 @@
     , nodes(aContext.get_executor(),
             aStore,
             NodeRecord{ aName, "z", "127.0.0.1", server.Port(), 1.0 })
+    , owners(aContext.get_executor(), aStore)
     , cells(this->MakeCells(aContext, aName, aStore, aWorkers, aCells))
     , gateway(aStore, peers, nodes, cells, reachability, metrics, clock)
   {
     ServeWorkflowPeers(this->server, this->gateway, this->cells);
     this->server.Start();
+    asio::co_spawn(
+      aContext, [this]() { return this->owners.Run(); }, asio::detached);
     for (const std::shared_ptr<CellService>& cell : this->cells) {
       asio::co_spawn(
         cell->Strand(), [cell]() { return cell->Run(); }, asio::detached);
@@ -78,17 +81,19 @@
           SchedulerBounds{},
           { this->order, this->choice, this->throttle, this->metrics },
           this->metrics,
+          aCells,
           isOwn },
         cell,
         identity,
-        this->peers));
+        this->peers,
+        this->owners));
     }
     return result;
   }
 
   BootClock clock;
   WallClock wallClock;
-  SlackOrder order;
+  LeastWorkOrder order;
   ColocationChoice choice;
   MultiplicativeThrottle throttle;
   SchedulerMetrics metrics;
@@ -96,6 +101,7 @@
   PeerServer server;
   PeerClient peers;
   NodeDirectory nodes;
+  OwnerDirectory owners;
   std::vector<std::shared_ptr<CellService>> cells;
   WorkflowGateway gateway;
 };
@@ -455,3 +461,45 @@
   CHECK(world.StateAt(node, "l") == WorkflowState::Cancelled);
   CHECK(world.workers.StartsOf("l.0.0.0") == 0);
 }
+
+// Guards against a long-running task that stays away in a full cell while
+// another one has room, against a second run of it after a lost answer of the
+// store or a change of its cell's owner, and against a part of the job that a
+// cancellation misses.
+TEST_CASE("a task without room in its cell runs once in another one")
+{
+  World world(2);
+  Node& node = world.AddNode("a");
+  REQUIRE(world.Until([&] {
+    return world.store.Count(WorkflowKeys(0).Owner()) == 1 &&
+           world.store.Count(WorkflowKeys(1).Owner()) == 1;
+  }));
+  // Each cell has one worker of 32 cores.
+  WorkflowSubmission job = Job("s");
+  job.steps[0].count = 3;
+  job.steps[0].cpuMilli = 15000;
+  job.steps[0].longRunning = true;
+  REQUIRE(
+    world.Await(node.gateway.Submit(job, node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.store.LoseAnswers(2);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 3; }));
+  CHECK(world.store.Count(WorkflowKeys(0).Job("s")) == 1);
+  CHECK(world.store.Count(WorkflowKeys(1).Job("s")) == 1);
+  for (const std::uint32_t cell : { 0, 1 }) {
+    const std::string owner = WorkflowKeys(cell).Owner();
+    world.store.Remove(owner);
+    REQUIRE(world.Until([&] { return world.store.Count(owner) == 1; }));
+  }
+  CHECK(world.StateAt(node, "s") == WorkflowState::Running);
+  std::this_thread::sleep_for(milliseconds(500));
+  for (const char* const task : { "s.0.0.0", "s.0.0.1", "s.0.0.2" }) {
+    CHECK(world.workers.StartsOf(task) == 1);
+  }
+  CHECK(world.Await(node.gateway.Cancel("s", node.clock.Now() + seconds(5))) ==
+        CancelOutcome::Cancelled);
+  CHECK(world.Until([&] { return world.workers.Running() == 0; }));
+  CHECK(world.StateAt(node, "s") == WorkflowState::Cancelled);
+  CHECK(!world.workers.RanTwice());
+}
--- a/test/support/LoadPlayer.h
+++ b/test/support/LoadPlayer.h
@@ -210,7 +210,8 @@
     for (const auto& [task, run] : worker.runs) {
       const double span =
         std::chrono::duration<double>(run.endsAt - run.begun).count();
-      const double done = std::chrono::duration<double>(now - run.begun).count();
+      const double done =
+        std::chrono::duration<double>(now - run.begun).count();
       const int percent =
         run.longRunning ? 100 : static_cast<int>(100 * done / span);
       report.running.push_back(RunningRow{ task, run.run, "", percent, 0 });
@@ -260,8 +261,8 @@
         scheduler.FindWorker(start.worker)->Commitments().at(start.order.task);
       std::uniform_real_distribution<double> spread(0.5, 1.5);
       const auto span = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(
-          commitment.step.estimateMs * spread(this->random)));
+        std::chrono::duration<double, std::milli>(commitment.step.estimateMs *
+                                                  spread(this->random)));
       Run run{ start.order.run, commitment.step.longRunning, now, now + span };
       if (run.longRunning) {
         run.endsAt = now + std::chrono::hours(1);
@@ -271,12 +272,12 @@
         run.endsAt = now + std::chrono::milliseconds(200);
       }
       worker.runs[start.order.task] = run;
-      scheduler.HandleStart(start.worker,
-                            start.order.task,
-                            start.order.run,
-                            OrderReply{ OrderResult::Done,
-                                        this->harness.WorkerMs() },
-                            false);
+      scheduler.HandleStart(
+        start.worker,
+        start.order.task,
+        start.order.run,
+        OrderReply{ OrderResult::Done, this->harness.WorkerMs() },
+        false);
     }
     for (const PlannedStop& stop : aOrders.stops) {
       const auto run = this->workers[stop.worker].runs.find(stop.task);
--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -35,7 +35,7 @@
 {
   ManualClock clock;
   ManualWallClock wallClock{ clock };
-  SlackOrder order;
+  LeastWorkOrder order;
   ColocationChoice choice;
   MultiplicativeThrottle throttle;
   SchedulerObserver observer;
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -391,3 +391,111 @@
   REQUIRE(batch.records[0].progress.failures.size() == 1);
   CHECK(batch.records[0].progress.failures[0].runs.size() == 2);
 }
+
+namespace {
+
+/** A service of aTasks tasks that each need most of a worker. */
+WorkflowSubmission
+LargeService(const SchedulerHarness& aHarness,
+             const std::string& aId,
+             std::uint32_t aTasks)
+{
+  WorkflowSubmission job = aHarness.Job(aId, aTasks);
+  job.steps[0].cpuMilli = 20000;
+  job.steps[0].longRunning = true;
+  return job;
+}
+
+} // namespace
+
+// Guards against a long-running task that waits for good in a cell without room
+// for it while another cell has some.
+TEST_CASE("a task that no worker can take is offered to another cell")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LargeService(harness, "s", 2));
+  CHECK(harness.PlanAndConfirm().size() == 1);
+  CHECK(!harness.scheduler.HasHandOvers());
+  harness.clock.Advance(milliseconds(1100));
+  harness.Report("w1", 1, { { "s.0.0.0", 1, "", 100, 0 } }, {});
+  harness.scheduler.Plan();
+  const std::vector<HandOver> offers = harness.scheduler.HandOvers();
+  REQUIRE(offers.size() == 1);
+  REQUIRE(offers[0].tasks.size() == 1);
+  CHECK(offers[0].tasks[0].index == 1);
+  CHECK(offers[0].size.cpuMilli == 20000);
+}
+
+// Guards against a second run of a task that was handed over: its own cell must
+// not start it any more, nor may that cell's next owner.
+TEST_CASE("a task that was handed over is not started by its own cell")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LargeService(harness, "s", 2));
+  harness.PlanAndConfirm();
+  harness.clock.Advance(milliseconds(1100));
+  harness.Report("w1", 1, { { "s.0.0.0", 1, "", 100, 0 } }, {});
+  harness.scheduler.Plan();
+  const HandOver offer = harness.scheduler.HandOvers().at(0);
+  const auto progress = harness.scheduler.BeginHandOver(offer);
+  REQUIRE(progress);
+  CHECK(!harness.scheduler.BeginHandOver(offer));
+  harness.scheduler.UpdateWorkers(std::vector<WorkerDescription>{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  CHECK(harness.scheduler.Plan().starts.empty());
+
+  SchedulerHarness next;
+  next.AddWorkers({ "w1" });
+  next.scheduler.Restore(LargeService(next, "s", 2), *progress);
+  CHECK(StartedTasks(next.PlanAndConfirm()) ==
+        std::vector<std::string>{ "s.0.0.0" });
+  next.clock.Advance(milliseconds(1100));
+  next.Report("w1", 1, { { "s.0.0.0", 1, "", 100, 0 } }, {});
+  next.scheduler.Plan();
+  CHECK(next.scheduler.HandOvers().empty());
+}
+
+// Guards against a task that nobody runs because its hand-over failed.
+TEST_CASE("a task whose hand-over failed is started by its own cell")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LargeService(harness, "s", 2));
+  harness.PlanAndConfirm();
+  harness.clock.Advance(milliseconds(1100));
+  harness.Report("w1", 1, { { "s.0.0.0", 1, "", 100, 0 } }, {});
+  harness.scheduler.Plan();
+  const HandOver offer = harness.scheduler.HandOvers().at(0);
+  REQUIRE(harness.scheduler.BeginHandOver(offer));
+  harness.scheduler.CancelHandOver(offer);
+  harness.Report("w1", 1, {}, { { 1, "s.0.0.0", 1, RunEnd::Failed, "" } });
+  CHECK(harness.scheduler.Plan().starts.size() == 1);
+}
+
+// Guards against run numbers that begin anew in the other cell, against the
+// tasks that stayed being started there too, and against two cells that answer
+// for one job.
+TEST_CASE("a part of a job holds only the tasks that were handed over")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2", "w3" });
+  WorkflowSubmission part = LargeService(harness, "s", 4);
+  part.part = { TaskRun{ 0, 2, 5 } };
+  harness.scheduler.Accept(part);
+  CHECK(harness.scheduler.StateOf("s") == WorkflowState::Unknown);
+  CHECK(harness.scheduler.PendingOf("quotes") == 0);
+  const auto starts = harness.PlanAndConfirm();
+  REQUIRE(StartedTasks(starts) == std::vector<std::string>{ "s.0.0.2" });
+  CHECK(starts[0].order.run == 6);
+  part.part.push_back(TaskRun{ 0, 3, 1 });
+  harness.scheduler.Accept(part);
+  CHECK(StartedTasks(harness.PlanAndConfirm()) ==
+        std::vector<std::string>{ "s.0.0.3" });
+  CHECK(harness.scheduler.Cancel("s"));
+  CHECK(harness.scheduler.Plan().stops.size() == 2);
+  CHECK(harness.scheduler.StateOf("s") == WorkflowState::Unknown);
+}
--- a/test/unit/PlacementAndThrottle.cpp
+++ b/test/unit/PlacementAndThrottle.cpp
@@ -191,10 +191,13 @@
   const TimePoint now{ std::chrono::hours(1) };
   const ScheduledWorker busy = WorkerWith("w1", Serving("web"), 30);
   const ScheduledWorker calm = WorkerWith("w2", Serving("other"), 12);
-  CHECK(!choice.Rate(busy, Filler("heavy"), interference, now));
-  CHECK(choice.Rate(calm, Filler("heavy"), interference, now));
+  CHECK(!choice.Rate(
+    busy, Filler("heavy"), interference, now, WorkerChoice::kAnyRate));
+  CHECK(choice.Rate(
+    calm, Filler("heavy"), interference, now, WorkerChoice::kAnyRate));
   const FirstFitChoice naive;
-  CHECK(naive.Rate(busy, Filler("heavy"), interference, now));
+  CHECK(naive.Rate(
+    busy, Filler("heavy"), interference, now, WorkerChoice::kAnyRate));
 }
 
 // Guards against fillers beside serving tasks of which no latency is known yet.
@@ -204,7 +207,8 @@
   const ColocationChoice choice;
   const TimePoint now{ std::chrono::hours(1) };
   const ScheduledWorker unread = WorkerWith("w1", Serving("web"), 0);
-  CHECK(!choice.Rate(unread, Filler("heavy"), interference, now));
+  CHECK(!choice.Rate(
+    unread, Filler("heavy"), interference, now, WorkerChoice::kAnyRate));
 }
 
 // Guards against serving tasks of all images on all workers, where each filler
@@ -220,7 +224,8 @@
   empty.description = SchedulerHarness::Worker("w3");
   const WorkflowStep step = Serving("web");
   const auto rate = [&](const ScheduledWorker& aWorker) {
-    return *choice.Rate(aWorker, step, interference, now);
+    return *choice.Rate(
+      aWorker, step, interference, now, WorkerChoice::kAnyRate);
   };
   CHECK(rate(same) > rate(empty));
   CHECK(rate(empty) > rate(other));
@@ -240,7 +245,7 @@
 // that could still be in time.
 TEST_CASE("jobs that can be in time go before late ones")
 {
-  const SlackOrder order;
+  const LeastWorkOrder order;
   const ArrivalOrder naive;
   WaitingStep late;
   late.objectiveUnixMs = 900;
--- a/test/unit/RoomForServices.cpp
+++ b/test/unit/RoomForServices.cpp
@@ -97,11 +97,8 @@
   player.SubmitService("service", 4, 12000);
   player.Play(seconds(1));
   for (int i = 0; i < 40; ++i) {
-    player.SubmitShort("long" + std::to_string(i),
-                       1,
-                       4000,
-                       seconds(100),
-                       seconds(300));
+    player.SubmitShort(
+      "long" + std::to_string(i), 1, 4000, seconds(100), seconds(300));
   }
   player.Play(seconds(1));
   player.Drain("w1");
