--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -4,6 +4,7 @@
 #include "Clock.h"
 #include "FillerThrottle.h"
 #include "Quarantine.h"
+#include "RoomForecast.h"
 #include "ScheduledWorker.h"
 #include "SchedulerObserver.h"
 #include "StepOrder.h"
@@ -12,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -25,6 +27,8 @@
 {
   /** Longest lease that a worker gives. */
   std::chrono::milliseconds workerLease{ 6000 };
+  /** Shortest time that a draining worker goes on. */
+  std::chrono::milliseconds drain{ 2000 };
   /** How long before its due time an occurrence may start. */
   std::chrono::milliseconds earlyStart{ 250 };
   /** How long the state of an ended job can be asked for. */
@@ -93,6 +97,16 @@
   std::uint64_t change = 0;
 };
 
+/** Tasks of one job that no worker of the cell can take and another cell may
+ * have room for. */
+struct HandOver
+{
+  WorkflowSubmission submission;
+  std::vector<TaskRun> tasks;
+  /** What one of the tasks needs at most. */
+  CellRoom size;
+};
+
 /**
  * Decides where and when the tasks of one cell run. It keeps the jobs, the
  * workers with what may run on them, and turns reports into orders and durable
@@ -126,9 +140,26 @@
   void SetRoster(const WorkerRoster& aRoster);
 
   /** Takes in a job that nobody can have started. Returns false if it is known.
-   */
+   * The part of a job that another cell hands over may grow. */
   bool Accept(WorkflowSubmission aSubmission);
 
+  /** Returns the long-running tasks that wait and that no worker of the cell
+   * could take, even without all short tasks. */
+  std::vector<HandOver> HandOvers() const;
+
+  bool HasHandOvers() const { return !this->homeless.empty(); }
+
+  /** Notes that tasks are being handed over: they are not started here. Returns
+   * the job's progress with them; empty if one of them is no longer pending. */
+  std::optional<WorkflowProgress> BeginHandOver(const HandOver& aHandOver);
+
+  /** Takes tasks back whose hand-over surely did not take place. */
+  void CancelHandOver(const HandOver& aHandOver);
+
+  /** Returns the largest task that a worker could take if all short tasks
+   * ended. */
+  CellRoom LargestRoom() const;
+
   /** Cancels a job; returns false if it is unknown or has ended. */
   bool Cancel(const std::string& aJob);
 
@@ -258,6 +289,32 @@
     WorkflowProgress progress;
     bool durable = false;
   };
+  /** Worker on which room is kept for a long-running task that found none. */
+  struct RoomHold
+  {
+    std::string worker;
+    std::string stepKey;
+    TimePoint chosenAt;
+  };
+  enum class HoldOutcome : std::uint8_t
+  {
+    Held,
+    /** Not even without all short tasks could a worker take the task. */
+    NoWorker,
+    /** Too many others were looked at in this round. */
+    NotTried,
+  };
+  /** A task with what decides where it may go. */
+  struct PlacedTask
+  {
+    const WorkflowSubmission& submission;
+    const WorkflowStep& step;
+    const std::string& stepKey;
+    /** Rack that its step uses already. */
+    std::string rack;
+    /** Time since its turn came. */
+    Duration waited{};
+  };
   struct Candidate
   {
     std::string job;
@@ -313,12 +370,30 @@
   void MarkDirty(const std::string& aJob);
   std::vector<Candidate> Candidates() const;
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
+  void PlanSteps(std::span<const Candidate> aCandidates,
+                 PlannedOrders& aOrders);
   void PlanStep(const Candidate& aCandidate, PlannedOrders& aOrders);
   bool PlanGang(const Candidate& aCandidate, PlannedOrders& aOrders);
-  ScheduledWorker* Choose(const WorkflowSubmission& aSubmission,
-                          const WorkflowStep& aStep,
-                          const std::string& aStepKey,
-                          const std::string& aRack);
+  void OpenRound();
+  ScheduledWorker* Choose(const PlacedTask& aTask);
+  ScheduledWorker* ChooseAmong(std::span<ScheduledWorker* const> aWorkers,
+                               const PlacedTask& aTask);
+  /** Tells whether a step that asked for no more found no worker in this round.
+   */
+  bool IsHopeless(const PlacedTask& aTask) const;
+  void NoteUnplaced(const PlacedTask& aTask);
+  /** Keeps room for a long-running task that found none. */
+  HoldOutcome HoldRoom(const std::string& aTaskName, const PlacedTask& aTask);
+  ScheduledWorker* HeldBefore(const std::string& aTaskName,
+                              const PlacedTask& aTask);
+  ScheduledWorker* WorkerToHold(const std::string& aTaskName,
+                                const PlacedTask& aTask);
+  bool MayHold(const ScheduledWorker& aWorker, const PlacedTask& aTask) const;
+  void Preempt(ScheduledWorker& aWorker,
+               const std::string& aTaskName,
+               const PlacedTask& aTask);
+  void NoteHomeless(const TaskName& aName, const PlacedTask& aTask);
+  void PlanLeaving(ScheduledWorker& aWorker, const std::string& aTaskName);
   PlannedStart Start(Entry& aEntry,
                      const TaskName& aName,
                      std::uint64_t aRun,
@@ -353,6 +428,21 @@
   std::size_t finalDirty = 0;
   /** Number of the last change of durable progress. */
   std::uint64_t change = 0;
+  /** Workers that take starts in the present round of planning, and those that
+   * only their quarantine keeps from it. */
+  std::vector<ScheduledWorker*> openWorkers;
+  std::vector<ScheduledWorker*> quarantinedWorkers;
+  /** Smallest steps that found no worker in the present round, by what makes
+   * them alike. */
+  std::map<std::string, WorkflowStep> unplaced;
+  /** By task: those of the last round, and those of the present one. */
+  std::map<std::string, RoomHold> lastHolds;
+  std::map<std::string, RoomHold> holds;
+  /** Long-running tasks that no worker could hold in the present round. */
+  std::vector<TaskName> homeless;
+  /** Searches for workers to hold that are left in the present round. */
+  int holdSearches = 0;
+  PreemptionBudget preemptionBudget;
   Quarantine quarantine;
   FillerInterference interference;
   TimePoint interferenceUpdatedAt;
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -3,6 +3,7 @@
 #include "FillerInterference.h"
 #include "ScheduledWorker.h"
 
+#include <limits>
 #include <optional>
 
 namespace sequoiakeel {
@@ -16,12 +17,16 @@
 public:
   virtual ~WorkerChoice() = default;
 
+  /** Bound that every rate is above. */
+  static constexpr double kAnyRate = -std::numeric_limits<double>::infinity();
+
   /** Returns how well a worker suits a task, higher is better; empty: the task
-   * should rather wait. */
+   * should rather wait, or the worker suits it no better than aAtLeast. */
   virtual std::optional<double> Rate(const ScheduledWorker& aWorker,
                                      const WorkflowStep& aStep,
                                      const FillerInterference& aInterference,
-                                     TimePoint aNow) const = 0;
+                                     TimePoint aNow,
+                                     double aAtLeast) const = 0;
 };
 
 /** Takes any worker with room. The baseline for differential tests. */
@@ -31,7 +36,8 @@
   std::optional<double> Rate(const ScheduledWorker& aWorker,
                              const WorkflowStep& aStep,
                              const FillerInterference& aInterference,
-                             TimePoint aNow) const override;
+                             TimePoint aNow,
+                             double aAtLeast) const override;
 };
 
 /**
@@ -51,7 +57,8 @@
   std::optional<double> Rate(const ScheduledWorker& aWorker,
                              const WorkflowStep& aStep,
                              const FillerInterference& aInterference,
-                             TimePoint aNow) const override;
+                             TimePoint aNow,
+                             double aAtLeast) const override;
 };
 
 /** Returns the processor time that a worker's other tasks leave to all its
@@ -62,13 +69,19 @@
                 const FillerInterference& aInterference,
                 double aLoadRise);
 
-/** Tells whether a worker may run a task of a step by every rule that does not
- * depend on preferences: state, room, labels, limits by step. */
+/** Tells whether a worker takes starts at all now, whatever its room. */
+bool
+TakesStarts(const ScheduledWorker& aWorker, TimePoint aNow);
+
+/** Tells whether a worker may run a task of a step by every rule that depends
+ * neither on preferences nor on room: service, labels, limits by step.
+ * aMoreOfStep: tasks of the step that are about to come beside those that run
+ * there. */
 bool
-MayRun(const ScheduledWorker& aWorker,
-       const std::string& aService,
-       const WorkflowStep& aStep,
-       const std::string& aStepKey,
-       TimePoint aNow);
+Suits(const ScheduledWorker& aWorker,
+      const std::string& aService,
+      const WorkflowStep& aStep,
+      const std::string& aStepKey,
+      std::uint32_t aMoreOfStep = 0);
 
 } // namespace sequoiakeel
