Stop the periodic work of an entry under test with the entry

Found by reading; the destructor now waits for the loop. The new case of the test keeps the threads busy for 45 ms after each entry's end. The product code is not concerned.

--- a/test/guarantee/NotRunIsTrue.cpp
+++ b/test/guarantee/NotRunIsTrue.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <doctest/doctest.h>
 #include <set>
+#include <thread>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -133,6 +134,19 @@
 
 } // namespace
 
+// Guards against a crash of these tests: the periodic work of an entry under
+// test went on for a moment after the entry had ended. AddressSanitizer reports
+// it without the wait in ~TestEntry().
+TEST_CASE("an entry under test ends before its threads")
+{
+  Bench bench;
+  for (int i = 0; i < 3; ++i) {
+    bench.MakeEntry(bench.Options());
+    std::this_thread::sleep_for(milliseconds(45));
+  }
+  CHECK(bench.backend.Executions() == 0);
+}
+
 // Guards against a new refusal that no test brings about.
 TEST_CASE("each refusal of the table is brought about by a test")
 {
--- a/test/support/RequestHarness.cpp
+++ b/test/support/RequestHarness.cpp
@@ -78,7 +78,17 @@
     },
     aOptions.path);
   this->SetPorts(aOptions.ports);
-  asio::co_spawn(aContext, this->Loop(), asio::detached);
+  this->loopEnd = asio::co_spawn(aContext, this->Loop(), asio::use_future);
+}
+
+TestEntry::~TestEntry()
+{
+  constexpr std::chrono::milliseconds kPoll{ 5 };
+  this->stopping = true;
+  // Without threads the loop never ends, and touches nothing any more.
+  while (!this->context.stopped() &&
+         this->loopEnd.wait_for(kPoll) != std::future_status::ready) {
+  }
 }
 
 void
@@ -101,7 +111,7 @@
 {
   constexpr std::chrono::milliseconds kInterval{ 20 };
   asio::steady_timer timer(this->context);
-  while (true) {
+  while (!this->stopping) {
     timer.expires_after(kInterval);
     co_await timer.async_wait(use_awaitable);
     this->catalog.Tick([](std::string_view) { return false; });
--- a/test/support/RequestHarness.h
+++ b/test/support/RequestHarness.h
@@ -7,6 +7,7 @@
 #include "RequestPath.h"
 #include "ServiceCatalog.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -67,6 +68,9 @@
             TestEntryOptions aOptions);
   TestEntry(const TestEntry&) = delete;
   TestEntry& operator=(const TestEntry&) = delete;
+  /** Waits until the periodic work has ended, so the entry may end before the
+   * threads that run it. */
+  ~TestEntry();
 
   /** Starts a request to the service "quote". */
   std::future<HttpResponse> Send(const std::string& aBody,
@@ -100,6 +104,8 @@
   std::uint64_t hostRevision = 0;
   std::mutex mutex;
   std::vector<std::string> leaving;
+  std::atomic<bool> stopping = false;
+  std::future<void> loopEnd;
 };
 
 /** Returns headers from pairs of name and value. */
