--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -481,7 +481,8 @@
 }
 
 std::vector<std::string>
-CellScheduler::TakeExpired(std::size_t aMost)
+CellScheduler::TakeExpired(std::size_t aMost,
+                           const std::set<std::string>& aKept)
 {
   const std::uint64_t now = this->wallClock.UnixMs();
   const auto retention =
@@ -489,7 +490,7 @@
   std::vector<std::string> result;
   for (const auto& [id, end] : this->ended) {
     const bool over = end.progress.endedUnixMs + retention < now;
-    if (over && end.durable && result.size() < aMost) {
+    if (over && end.durable && result.size() < aMost && !aKept.contains(id)) {
       result.push_back(id);
     }
   }
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -279,8 +279,10 @@
     this->interference.SetOutsideEvidence(aSource, std::move(aEvidence));
   }
 
-  /** Returns keys of records whose retention is over, and forgets them. */
-  std::vector<std::string> TakeExpired(std::size_t aMost);
+  /** Returns the ids of ended jobs whose retention is over, and forgets them;
+   * those in aKept stay. */
+  std::vector<std::string> TakeExpired(std::size_t aMost,
+                                       const std::set<std::string>& aKept);
 
   /** Tells whether it is known where all tasks of earlier owners are. */
   bool Recovered() const { return this->recovered; }
--- a/src/CellSchedulerRoom.cpp
+++ b/src/CellSchedulerRoom.cpp
@@ -331,7 +331,7 @@
     return;
   }
   const WorkflowStep& step = aTask.step;
-  const bool simple = aName.occurrence == 0 && !step.gang &&
+  const bool simple = aTask.submission.recurrence.count == 0 && !step.gang &&
                       step.requiredLabel.empty() && step.after.empty();
   if (simple && aTask.waited > kHandOverAfter) {
     this->homeless.push_back(aName);
--- a/src/CellTenure.h
+++ b/src/CellTenure.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -172,8 +173,9 @@
   std::map<std::string, std::uint64_t> progressRevisions;
   /** What other cells had room for when they last told, by cell. */
   std::map<std::uint32_t, CellRoom> rooms;
-  /** Ended jobs whose submissions still stand in the store. */
-  std::vector<std::string> toClear;
+  /** Ended jobs whose submissions still stand in the store. Without its record,
+   * such a job would be taken for a new one. */
+  std::set<std::string> toClear;
   std::map<std::string, std::shared_ptr<WorkerLoop>> workerLoops;
   std::vector<WorkerDescription> lastListed;
   /** Until then workers that vanished from the registry count as listed, since
--- a/src/CellTenureInbox.cpp
+++ b/src/CellTenureInbox.cpp
@@ -77,7 +77,7 @@
       continue;
     }
     if (endedJobs.contains(submission->id)) {
-      this->toClear.push_back(submission->id);
+      this->toClear.insert(submission->id);
       continue;
     }
     if (item.created > this->claim.fencingToken) {
--- a/src/CellTenureWrites.cpp
+++ b/src/CellTenureWrites.cpp
@@ -3,7 +3,7 @@
 #include "TenureRecords.h"
 
 #include <algorithm>
-#include <span>
+#include <iterator>
 
 namespace sequoiakeel {
 
@@ -108,7 +108,7 @@
         this->progressRevisions[record.progress.id] = reply.revision;
         this->scheduler.ProgressWritten(record);
         if (record.final) {
-          this->toClear.push_back(record.progress.id);
+          this->toClear.insert(record.progress.id);
         }
       }
       co_return true;
@@ -248,9 +248,12 @@
     while (!this->toClear.empty() && !this->ended) {
       const std::size_t count =
         std::min(this->toClear.size(), kClearedPerTransaction);
+      const std::vector<std::string> cleared(
+        this->toClear.begin(),
+        std::next(this->toClear.begin(), static_cast<std::ptrdiff_t>(count)));
       StoreTransaction change;
       change.expect.push_back({ this->keys.Owner(), this->claim.fencingToken });
-      for (const std::string& id : std::span(this->toClear).first(count)) {
+      for (const std::string& id : cleared) {
         change.removes.push_back(this->keys.Job(id));
         change.removes.push_back(this->keys.Cancellation(id));
       }
@@ -262,9 +265,9 @@
           .Add("jobs", static_cast<std::uint64_t>(this->toClear.size()));
         break;
       }
-      this->toClear.erase(this->toClear.begin(),
-                          this->toClear.begin() +
-                            static_cast<std::ptrdiff_t>(count));
+      for (const std::string& id : cleared) {
+        this->toClear.erase(id);
+      }
     }
   }
 }
@@ -274,13 +277,8 @@
 {
   while (!this->ended) {
     co_await SleepFor(this->parts.strand, kExpiryInterval);
-    // Without its record, a job whose submission still stands would be taken
-    // for a new one.
-    if (!this->toClear.empty()) {
-      continue;
-    }
     const std::vector<std::string> expired =
-      this->scheduler.TakeExpired(kExpiredPerTransaction);
+      this->scheduler.TakeExpired(kExpiredPerTransaction, this->toClear);
     if (expired.empty() || this->ended) {
       continue;
     }
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -503,3 +503,25 @@
   CHECK(world.StateAt(node, "s") == WorkflowState::Cancelled);
   CHECK(!world.workers.RanTwice());
 }
+
+// Guards against a job that runs again because its submission still stood when
+// its owner went, after its end.
+TEST_CASE("an ended job whose submission still stands is not run again")
+{
+  World world;
+  Node& node = world.AddNode("a");
+  REQUIRE(
+    world.Await(node.gateway.Submit(Job("j"), node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::Accepted);
+  REQUIRE(world.Until([&] { return world.workers.Running() == 2; }));
+  world.workers.FinishAll();
+  REQUIRE(world.Until(
+    [&] { return world.StateAt(node, "j") == WorkflowState::Completed; }));
+  const WorkflowKeys keys(0);
+  world.store.Remove(keys.Owner());
+  REQUIRE(world.Until([&] { return world.store.Count(keys.Owner()) == 1; }));
+  REQUIRE(world.Until([&] { return world.store.Count(keys.Jobs()) == 0; }));
+  CHECK(world.StateAt(node, "j") == WorkflowState::Completed);
+  CHECK(world.workers.StartsOf("j.0.0.0") == 1);
+  CHECK(!world.workers.RanTwice());
+}
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -499,3 +499,20 @@
   CHECK(harness.scheduler.Plan().stops.size() == 2);
   CHECK(harness.scheduler.StateOf("s") == WorkflowState::Unknown);
 }
+
+// Guards against a job that is forgotten while its submission still stands: the
+// next reading of the inbox would take it for a new one.
+TEST_CASE("an ended job is kept until its submission is gone")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j"));
+  harness.PlanAndConfirm();
+  harness.Report("w1", 1, {}, { { 1, "j.0.0.0", 1, RunEnd::Done, "" } });
+  harness.WriteProgress();
+  harness.clock.Advance(std::chrono::minutes(10));
+  CHECK(harness.scheduler.TakeExpired(10, { "j" }).empty());
+  CHECK(!harness.scheduler.Accept(harness.Job("j")));
+  CHECK(harness.scheduler.TakeExpired(10, {}) ==
+        std::vector<std::string>{ "j" });
+}
--- /dev/null
+++ b/test/unit/OwnerDirectory.cpp
@@ -0,0 +1,128 @@
+#include "OwnerDirectory.h"
+
+#include "WorkflowKeys.h"
+#include "generated/WorkflowJson.h"
+#include "support/FakePlatform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+
+using namespace sequoiakeel;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A directory on a store, with what it told of cells 0 and 1. */
+struct DirectoryWorld
+{
+  DirectoryWorld()
+  {
+    for (const std::uint32_t cell : { 0, 1 }) {
+      this->directory.Subscribe(cell, [this, cell](const OwnerView& aView) {
+        this->views[cell] = aView;
+        ++this->changes;
+      });
+    }
+    boost::asio::co_spawn(
+      this->context,
+      [this]() { return this->directory.Run(); },
+      boost::asio::detached);
+  }
+
+  template<class Condition>
+  bool Until(Condition aCondition)
+  {
+    const auto deadline = std::chrono::steady_clock::now() + seconds(20);
+    while (std::chrono::steady_clock::now() < deadline) {
+      if (aCondition()) {
+        return true;
+      }
+      this->context.run_for(milliseconds(5));
+    }
+    return false;
+  }
+
+  void Own(std::uint32_t aCell, const std::string& aNode)
+  {
+    CellOwnerRecord record;
+    record.node = aNode;
+    StoreTransaction change;
+    change.puts.push_back(
+      { WorkflowKeys(aCell).OwnerNotice(), nlohmann::json(record).dump() });
+    auto done = boost::asio::co_spawn(this->context,
+                                      this->store.Commit(change, seconds(1)),
+                                      boost::asio::use_future);
+    REQUIRE(this->Until(
+      [&] { return done.wait_for(seconds(0)) == std::future_status::ready; }));
+    REQUIRE(done.get().result == StoreResult::Ok);
+  }
+
+  bool Shows(std::uint32_t aCell, const std::string& aNode)
+  {
+    return this->Until([&] {
+      const auto view = this->views.find(aCell);
+      return view != this->views.end() && view->second.owner &&
+             view->second.owner->node == aNode;
+    });
+  }
+
+  boost::asio::io_context context;
+  FakeTransactionalStore store{ context.get_executor() };
+  OwnerDirectory directory{ context.get_executor(), store };
+  std::map<std::uint32_t, OwnerView> views;
+  int changes = 0;
+};
+
+} // namespace
+
+// Guards against a cell whose vacancy or new owner a process does not learn.
+TEST_CASE("owners that come and go are told, each once")
+{
+  DirectoryWorld world;
+  REQUIRE(world.Until([&] { return world.views.size() == 2; }));
+  CHECK(!world.views[0].owner);
+  CHECK(!world.views[1].owner);
+  world.Own(1, "a");
+  REQUIRE(world.Shows(1, "a"));
+  world.store.Remove(WorkflowKeys(1).OwnerNotice());
+  REQUIRE(world.Until([&] { return !world.views[1].owner; }));
+  world.Own(1, "b");
+  REQUIRE(world.Shows(1, "b"));
+  CHECK(!world.views[0].owner);
+  CHECK(world.changes == 5);
+}
+
+// Guards against owners that changed while the watch heard nothing and the
+// history was dropped.
+TEST_CASE("owners that changed unheard are found by reading again")
+{
+  DirectoryWorld world;
+  world.Own(0, "a");
+  REQUIRE(world.Shows(0, "a"));
+  world.store.SetDeaf(true);
+  world.Own(0, "b");
+  world.Own(1, "c");
+  world.store.SetDeaf(false);
+  CHECK(world.Shows(0, "b"));
+  CHECK(world.Shows(1, "c"));
+}
+
+// Guards against a record of another writer that ends the process or hides the
+// other owners.
+TEST_CASE("an unreadable record hides no other owner")
+{
+  DirectoryWorld world;
+  StoreTransaction change;
+  change.puts = { { OwnersPrefix() + "zero", "{}" },
+                  { OwnersPrefix() + "0", "[not json" } };
+  boost::asio::co_spawn(world.context,
+                        world.store.Commit(change, seconds(1)),
+                        boost::asio::use_future);
+  world.Own(1, "a");
+  CHECK(world.Shows(1, "a"));
+}
