--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -158,7 +158,7 @@
    * could take, even without all short tasks. */
   std::vector<HandOver> HandOvers() const;
 
-  bool HasHandOvers() const { return !this->homeless.empty(); }
+  bool HasHandOvers() const { return !this->unplaceable.empty(); }
 
   /** Notes that tasks are being handed over: they are not started here. Returns
    * the job's progress with them; empty if one of them is no longer pending. */
@@ -393,7 +393,7 @@
                                const PlacedTask& aTask);
   /** Tells whether a step that asked for no more found no worker in this round.
    */
-  bool IsHopeless(const PlacedTask& aTask) const;
+  bool IsUnplaced(const PlacedTask& aTask) const;
   void NoteUnplaced(const PlacedTask& aTask);
   /** Keeps room for a long-running task that found none. */
   HoldOutcome HoldRoom(const std::string& aTaskName, const PlacedTask& aTask);
@@ -405,7 +405,7 @@
   void Preempt(ScheduledWorker& aWorker,
                const std::string& aTaskName,
                const PlacedTask& aTask);
-  void NoteHomeless(const TaskName& aName, const PlacedTask& aTask);
+  void NoteUnplaceable(const TaskName& aName, const PlacedTask& aTask);
   void PlanLeaving(ScheduledWorker& aWorker, const std::string& aTaskName);
   PlannedStart Start(Entry& aEntry,
                      const TaskName& aName,
@@ -452,7 +452,7 @@
   std::map<std::string, RoomHold> lastHolds;
   std::map<std::string, RoomHold> holds;
   /** Long-running tasks that no worker could hold in the present round. */
-  std::vector<TaskName> homeless;
+  std::vector<TaskName> unplaceable;
   /** Searches for workers to hold that are left in the present round. */
   int holdSearches = 0;
   PreemptionBudget preemptionBudget;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -145,7 +145,7 @@
       noWorker = noWorker || this->HoldRoom(FormatTaskName(name), placed) ==
                                HoldOutcome::NoWorker;
       if (noWorker) {
-        this->NoteHomeless(name, placed);
+        this->NoteUnplaceable(name, placed);
       }
       continue;
     }
--- a/src/CellSchedulerRoom.cpp
+++ b/src/CellSchedulerRoom.cpp
@@ -63,7 +63,7 @@
   this->openWorkers.clear();
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
-  this->homeless.clear();
+  this->unplaceable.clear();
   this->lastHolds = std::move(this->holds);
   this->holds.clear();
   this->holdSearches = kHoldSearchesPerRound;
@@ -80,7 +80,7 @@
 }
 
 bool
-CellScheduler::IsHopeless(const PlacedTask& aTask) const
+CellScheduler::IsUnplaced(const PlacedTask& aTask) const
 {
   const auto found =
     this->unplaced.find(KindOf(aTask.submission.service, aTask.step));
@@ -133,7 +133,7 @@
 ScheduledWorker*
 CellScheduler::Choose(const PlacedTask& aTask)
 {
-  if (this->IsHopeless(aTask)) {
+  if (this->IsUnplaced(aTask)) {
     return nullptr;
   }
   ScheduledWorker* const best = this->ChooseAmong(this->openWorkers, aTask);
@@ -324,7 +324,7 @@
 }
 
 void
-CellScheduler::NoteHomeless(const TaskName& aName, const PlacedTask& aTask)
+CellScheduler::NoteUnplaceable(const TaskName& aName, const PlacedTask& aTask)
 {
   // A cell that has lost sight of its workers has lost its own connection.
   if (this->openWorkers.size() * 2 < this->workers.size()) {
@@ -334,7 +334,7 @@
   const bool simple = aTask.submission.recurrence.count == 0 && !step.gang &&
                       step.requiredLabel.empty() && step.after.empty();
   if (simple && aTask.waited > kHandOverAfter) {
-    this->homeless.push_back(aName);
+    this->unplaceable.push_back(aName);
   }
 }
 
@@ -342,7 +342,7 @@
 CellScheduler::HandOvers() const
 {
   std::map<std::string, HandOver> byJob;
-  for (const TaskName& name : this->homeless) {
+  for (const TaskName& name : this->unplaceable) {
     const auto found = this->jobs.find(name.job);
     // Tasks that came from another cell stay, so that none goes to and fro.
     if (found == this->jobs.end() || found->second.job.IsPart()) {
--- a/test/support/LoadPlayer.h
+++ b/test/support/LoadPlayer.h
@@ -76,12 +76,6 @@
     this->ListWorkers();
   }
 
-  /** A worker's tasks end as failed from now on, or no longer. */
-  void SetFailing(const std::string& aWorker, bool aFails)
-  {
-    this->workers[aWorker].fails = aFails;
-  }
-
   /** Restarts a worker: all that ran there is gone. */
   void Restart(const std::string& aWorker)
   {
@@ -141,16 +135,7 @@
     return longest;
   }
 
-  /** Jobs that were completed within their objective. */
-  int CompletedInTime(std::span<const std::string> aJobs) const
-  {
-    int count = 0;
-    for (const std::string& job : aJobs) {
-      count += this->harness.scheduler.StateOf(job) == WorkflowState::Completed;
-    }
-    return count;
-  }
-
+  /** Runs that were told to stop. */
   int stops = 0;
   SchedulerHarness harness;
 
@@ -169,7 +154,6 @@
     std::vector<EndedRow> ended;
     std::uint64_t nextEnd = 1;
     TimePoint reportedAt;
-    bool fails = false;
   };
 
   void ListWorkers()
@@ -267,10 +251,6 @@
       if (run.longRunning) {
         run.endsAt = now + std::chrono::hours(1);
       }
-      if (worker.fails) {
-        run.end = RunEnd::Failed;
-        run.endsAt = now + std::chrono::milliseconds(200);
-      }
       worker.runs[start.order.task] = run;
       scheduler.HandleStart(
         start.worker,
