Draw the ports of the soak below those of outgoing connections

Trace: n0.log says "cannot bind 127.0.0.1:41407: Address already in use"; the port had been drawn from the range of outgoing connections and another process had it when n0 started, so callers reached a process of the other soak. The check is unchanged.

--- a/test/soak/SoakRun.cpp
+++ b/test/soak/SoakRun.cpp
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace sequoiakeel::soak {
 
@@ -47,13 +48,29 @@
 /** Workers for each core of a host, so that the fleet has kCells cells. */
 constexpr int kWorkersPerCore = 4;
 
+/** Listening ports lie below those of outgoing connections: one of these could
+ * take the port of a killed process before its restart. */
+constexpr unsigned kFirstPort = 10000;
+constexpr unsigned kPorts = 20000;
+
+/** Spreads the ports of soaks that run side by side. */
+constexpr unsigned kPortsPerProcess = 997;
+
 Endpoint
 FreeEndpoint()
 {
+  static unsigned next = static_cast<unsigned>(getpid()) * kPortsPerProcess;
   asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context,
-                                   { asio::ip::address_v4::loopback(), 0 });
-  return Endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next % kPorts);
+    ++next;
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
+    boost::system::error_code error;
+    acceptor.bind({ asio::ip::address_v4::loopback(), port }, error);
+    if (!error) {
+      return Endpoint{ "127.0.0.1", port };
+    }
+  }
 }
 
 std::string
