Log the usage of a cell once a second

Cause: from logs alone it could not be seen which kind of task a full cell is full of. Change: MeasureUsage() sums the processors that long-running tasks, short tasks and fillers reserve, use and wait for; the owner logs them as cell_usage once a second.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -397,6 +397,9 @@
   }
   void MarkDirty(const std::string& aJob);
   std::vector<Candidate> Candidates() const;
+  /** Logs at intervals how the cell's processors are used and what the tasks
+   * that wait demand. */
+  void LogUsage(std::span<const Candidate> aWaiting);
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
   void PlanSteps(std::span<const Candidate> aCandidates,
                  PlannedCommands& aOrders);
@@ -484,6 +487,7 @@
   FillerInterference interference;
   TimePoint interferenceUpdatedAt;
   TimePoint interferenceLoggedAt;
+  TimePoint usageLoggedAt;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -1,5 +1,6 @@
 #include "CellScheduler.h"
 
+#include "CellUsage.h"
 #include "Log.h"
 
 #include <algorithm>
@@ -21,6 +22,9 @@
  * end of the run. */
 constexpr std::chrono::milliseconds kStopRepeat{ 500 };
 
+/** Interval at which the usage of the cell is logged. */
+constexpr std::chrono::milliseconds kUsageLogInterval{ 1000 };
+
 } // namespace
 
 PlannedCommands
@@ -31,6 +35,7 @@
   this->BeginPlanningPass();
   const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
   std::vector<Candidate> candidates = this->Candidates();
+  this->LogUsage(candidates);
   std::stable_sort(candidates.begin(),
                    candidates.end(),
                    [&](const Candidate& aLeft, const Candidate& aRight) {
@@ -51,6 +56,44 @@
   return orders;
 }
 
+void
+CellScheduler::LogUsage(std::span<const Candidate> aWaiting)
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->usageLoggedAt < kUsageLogInterval) {
+    return;
+  }
+  this->usageLoggedAt = now;
+  std::int64_t waitingLongRunning = 0;
+  std::int64_t waitingShort = 0;
+  std::int64_t waitingFillers = 0;
+  for (const Candidate& candidate : aWaiting) {
+    const Entry& entry = this->jobs.at(candidate.job);
+    const WorkflowStep& step = entry.job.Submission().steps[candidate.step];
+    const std::int64_t cpu = static_cast<std::int64_t>(step.cpuMilli) *
+                             entry.job.Occurrences()[candidate.occurrence]
+                               .steps[candidate.step]
+                               .pending;
+    std::int64_t& sum = step.longRunning ? waitingLongRunning
+                        : step.filler    ? waitingFillers
+                                         : waitingShort;
+    sum += cpu;
+  }
+  const CellUsage usage = MeasureUsage(this->workers, this->interference, now);
+  Event("cell_usage")
+    .Add("capacity_milli", usage.capacity)
+    .Add("long_running_milli", usage.longRunning)
+    .Add("short_milli", usage.shortTasks)
+    .Add("filler_demand_milli", usage.fillerDemand)
+    .Add("filler_use_milli", usage.fillerUse)
+    .Add("filler_available_milli", usage.availableToFillers)
+    .Add("filler_held_back_milli", usage.fillersHeldBack)
+    .Add("waiting_long_running_milli", waitingLongRunning)
+    .Add("waiting_short_milli", waitingShort)
+    .Add("waiting_filler_milli", waitingFillers)
+    .Add("workers_over_target", usage.workersOverTarget);
+}
+
 void
 CellScheduler::PlanSteps(std::span<const Candidate> aCandidates,
                          PlannedCommands& aOrders)
