Log which fillers run beside a serving task over its target

Cause: the log told that a worker's serving tasks were over their target, not beside which fillers, so harm by known pairs, unknown pairs and full processors could not be told apart. Change: target_missed names the worst serving task, the fillers beside it with their estimated effects, and whether the processors are contended.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -358,6 +358,9 @@
   void ObserveTailLatencies(const ScheduledWorker& aWorker);
   void ObserveInterference(const ScheduledWorker& aWorker);
   void AdjustFillers(ScheduledWorker& aWorker);
+  /** Logs which fillers run beside the serving task that exceeds its latency
+   * target most. */
+  void LogMissedTarget(const ScheduledWorker& aWorker) const;
   /** Returns whether best-effort tasks use more processor time than the other
    * tasks leave unused. */
   bool FillersContend(const ScheduledWorker& aWorker) const;
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -3,6 +3,8 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 namespace sequoiakeel {
 
@@ -196,13 +198,58 @@
     if (!suspectAll && effect <= FillerInterference::kHarmlessEffect) {
       continue;
     }
-    worst = std::max(worst,
-                     static_cast<double>(commitment.usage) /
-                       commitment.step.latencyTargetMs);
+    worst = std::max(worst, commitment.LatencyRatio());
   }
   return worst;
 }
 
+void
+CellScheduler::LogMissedTarget(const ScheduledWorker& aWorker) const
+{
+  const Commitment* worst = nullptr;
+  int over = 0;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (!commitment.HasLatencyTarget() ||
+        commitment.phase != CommitmentPhase::Running ||
+        commitment.LatencyRatio() <= 1) {
+      continue;
+    }
+    ++over;
+    if (worst == nullptr || commitment.LatencyRatio() > worst->LatencyRatio()) {
+      worst = &commitment;
+    }
+  }
+  if (worst == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  std::ostringstream fillers;
+  fillers << std::fixed << std::setprecision(2);
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (!commitment.step.filler) {
+      continue;
+    }
+    fillers << commitment.step.image << ":effect="
+            << this->interference.Effect(worst->step.image,
+                                         commitment.step.image)
+            << ",cpu_milli=" << commitment.usage
+            << ",percent=" << commitment.speedPercent << ",age_ms="
+            << std::chrono::duration_cast<std::chrono::milliseconds>(
+                 now - commitment.startedAt)
+                 .count()
+            << ";";
+  }
+  Event("target_missed")
+    .Add("worker", aWorker.description.id)
+    .Add("job", worst->stepKey)
+    .Add("image", worst->step.image)
+    .Add("tasks_over", over)
+    .Add("worst_ratio", worst->LatencyRatio())
+    .Add("readings_over", aWorker.readingsOverTarget)
+    .Add("contended", this->FillersContend(aWorker))
+    .Add("fillers", fillers.str());
+}
+
 void
 CellScheduler::AdjustFillers(ScheduledWorker& aWorker)
 {
@@ -214,6 +261,9 @@
   this->ObserveInterference(aWorker);
   const double ratio = aWorker.WorstLatencyRatio();
   aWorker.readingsOverTarget = ratio > 1 ? aWorker.readingsOverTarget + 1 : 0;
+  if (ratio > 1) {
+    this->LogMissedTarget(aWorker);
+  }
   std::set<std::string> images;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
     if (commitment.step.filler) {
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -114,9 +114,7 @@
         commitment.phase != CommitmentPhase::Running) {
       continue;
     }
-    worst = std::max(worst,
-                     static_cast<double>(commitment.usage) /
-                       commitment.step.latencyTargetMs);
+    worst = std::max(worst, commitment.LatencyRatio());
   }
   return worst;
 }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -58,6 +58,13 @@
 
   /** Returns whether the task serves requests with a latency target. */
   bool HasLatencyTarget() const { return this->step.latencyTargetMs > 0; }
+
+  /** Returns the ratio of tail latency to latency target. Precondition:
+   * HasLatencyTarget(). */
+  double LatencyRatio() const
+  {
+    return static_cast<double>(this->usage) / this->step.latencyTargetMs;
+  }
 };
 
 /** Sums over the commitments of a worker. */
