Attribute tail latencies to the fillers of the whole measuring window

Cause: workers report mostly when a task ends, and the latency covers the last half second. The regression used the fillers that were still present, so a harmful filler that had just ended was left out and its effect was attributed to those that remained or to the tasks' own load; fillers younger than 0.7 s were left out as well. Ruled out: processors used up (only a tenth of the readings over the target). Change: ended fillers are remembered for a second, and the shares of all fillers are averaged over the window of the latency.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -102,16 +102,8 @@
     return aCommitment.phase == CommitmentPhase::Running &&
            now - aCommitment.confirmedAt > kSettleTime;
   };
-  std::map<std::string, double> shares;
-  for (const auto& [task, commitment] : aWorker.Commitments()) {
-    if (commitment.step.filler && isSettled(commitment)) {
-      shares[commitment.step.image] +=
-        static_cast<double>(commitment.usage) /
-        static_cast<double>(aWorker.description.capacity.cpuMilli);
-    }
-  }
   std::vector<FillerLoad> fillers;
-  for (const auto& [image, share] : shares) {
+  for (const auto& [image, share] : aWorker.FillerShares(now, kLatencyWindow)) {
     fillers.push_back(FillerLoad{ image, share });
   }
   if (this->FillersContend(aWorker)) {
@@ -301,6 +293,7 @@
 {
   const Commitment* const commitment = aWorker.Find(aRow.task);
   if (commitment != nullptr && commitment->run <= aRow.run) {
+    aWorker.NoteFillerEnd(*commitment, this->clock.Now());
     aWorker.Release(aRow.task);
   }
   this->policies.observer.RunEnded(aRow.end);
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -38,6 +38,53 @@
   this->commitments.erase(found);
 }
 
+void
+ScheduledWorker::NoteFillerEnd(const Commitment& aCommitment, TimePoint aNow)
+{
+  if (!aCommitment.step.filler) {
+    return;
+  }
+  std::erase_if(this->endedFillers, [aNow](const EndedFiller& aFiller) {
+    return aNow - aFiller.endedAt > kFillerHistory;
+  });
+  this->endedFillers.push_back(EndedFiller{ aCommitment.step.image,
+                                            aCommitment.FillerUse(),
+                                            aCommitment.BeganAt(),
+                                            aNow });
+}
+
+std::map<std::string, double>
+ScheduledWorker::FillerShares(TimePoint aNow, Duration aWindow) const
+{
+  std::map<std::string, double> shares;
+  const auto add = [&](const std::string& aImage,
+                       std::int64_t aCpuMilli,
+                       TimePoint aFrom,
+                       TimePoint aUntil) {
+    const Duration ran = aUntil - std::max(aFrom, aNow - aWindow);
+    if (ran <= Duration::zero()) {
+      return;
+    }
+    const double part = std::chrono::duration<double>(ran).count() /
+                        std::chrono::duration<double>(aWindow).count();
+    shares[aImage] += part * static_cast<double>(aCpuMilli) /
+                      static_cast<double>(this->description.capacity.cpuMilli);
+  };
+  for (const auto& [task, commitment] : this->commitments) {
+    if (commitment.step.filler &&
+        commitment.phase != CommitmentPhase::Starting) {
+      add(commitment.step.image,
+          commitment.FillerUse(),
+          commitment.BeganAt(),
+          aNow);
+    }
+  }
+  for (const EndedFiller& filler : this->endedFillers) {
+    add(filler.image, filler.cpuMilli, filler.beganAt, filler.endedAt);
+  }
+  return shares;
+}
+
 void
 ScheduledWorker::AddToSums(const Commitment& aCommitment, int aSign)
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -5,6 +5,7 @@
 #include "generated/Workflow.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -56,6 +57,22 @@
   /** Speed that was last sent to the worker, in percent of full speed. */
   int speedPercent = 100;
 
+  /** Returns when the run began, as far as it is known. */
+  TimePoint BeganAt() const
+  {
+    return this->confirmedAt == TimePoint() ? this->startedAt
+                                            : this->confirmedAt;
+  }
+
+  /** Returns the processor use of a best-effort task in thousandths of a core:
+   * as reported, or as requested until the first report. */
+  std::int64_t FillerUse() const
+  {
+    return this->usage > 0 ? this->usage
+                           : static_cast<std::int64_t>(this->step.cpuMilli) *
+                               this->speedPercent / 100;
+  }
+
   /** Returns whether the task serves requests with a latency target. */
   bool HasLatencyTarget() const { return this->step.latencyTargetMs > 0; }
 
@@ -92,6 +109,16 @@
   std::int64_t accelerators = 0;
 };
 
+/** A best-effort task that ran on a worker until recently. */
+struct EndedFiller
+{
+  std::string image;
+  /** Processor use, in thousandths of a core. */
+  std::int64_t cpuMilli = 0;
+  TimePoint beganAt;
+  TimePoint endedAt;
+};
+
 /** A worker with all runs that may be on it. Not thread safe. */
 class ScheduledWorker
 {
@@ -145,6 +172,20 @@
 
   const CommittedCapacity& Committed() const { return this->committed; }
 
+  /** Records that the best-effort task of a commitment ended; does nothing for
+   * other commitments. */
+  void NoteFillerEnd(const Commitment& aCommitment, TimePoint aNow);
+
+  /** Returns the processor use of the best-effort tasks of each image, averaged
+   * over the last aWindow, as a share of the worker's processors. Tasks that
+   * have ended within that time count for the time that they ran.
+   * Precondition: aWindow is not longer than kFillerHistory. */
+  std::map<std::string, double> FillerShares(TimePoint aNow,
+                                             Duration aWindow) const;
+
+  /** How long ended best-effort tasks are remembered. */
+  static constexpr std::chrono::milliseconds kFillerHistory{ 1000 };
+
   /** Returns the commitment of a task, or null if there is none. */
   Commitment* Find(const std::string& aTask);
 
@@ -183,6 +224,7 @@
   void AddToSums(const Commitment& aCommitment, int aSign);
 
   std::map<std::string, Commitment> commitments;
+  std::deque<EndedFiller> endedFillers;
   std::map<std::string, std::uint32_t> countByStep;
   CommittedCapacity committed;
   ReservedCapacity reserved;
