Leave the effect of fillers out of the load of serving tasks

Cause: the processor time that serving tasks leave to fillers is computed from their tail latency, which the fillers beside them raise, so running fillers kept others out of processors that were free. Change: the latency is divided by the estimated effect of the fillers that run.

--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -35,9 +35,9 @@
 constexpr double kLoadRise = 0.12;
 
 /** Bounds of the estimated load of a serving task, as a share of its
- * processors. The load is derived from tail latency, so interference makes the
- * estimate exceed the actual load. The upper bound is also assumed before the
- * first reading. */
+ * processors. Effects of fillers that are not learnt yet make the estimate
+ * exceed the actual load. The upper bound is also assumed before the first
+ * reading. */
 constexpr double kMinLoad = 0.3;
 constexpr double kMaxLoad = 0.75;
 
@@ -160,6 +160,43 @@
   return spare - kEffectWeight * *effect * wanted;
 }
 
+/** Returns the increase of log(tail latency) of tasks of aServingImage that the
+ * fillers running on a worker account for. */
+double
+EffectOfRunning(const ScheduledWorker& aWorker,
+                const std::string& aServingImage,
+                const FillerInterference& aInterference)
+{
+  double sum = 0;
+  for (const auto& [task, filler] : aWorker.Commitments()) {
+    if (filler.step.filler && filler.phase != CommitmentPhase::Starting) {
+      sum += aInterference.Effect(aServingImage, filler.step.image) *
+             static_cast<double>(filler.usage);
+    }
+  }
+  return sum / static_cast<double>(aWorker.description.capacity.cpuMilli);
+}
+
+/** Returns the load of a serving task as a share of its processors, plus
+ * aLoadRise. The load is derived from the tail latency without the effect of
+ * the fillers. */
+double
+LoadOf(const ScheduledWorker& aWorker,
+       const Commitment& aServing,
+       const FillerInterference& aInterference,
+       double aLoadRise)
+{
+  if (aServing.usage == 0) {
+    return kMaxLoad;
+  }
+  const std::string& image = aServing.step.image;
+  const double undisturbedMs =
+    static_cast<double>(aServing.usage) /
+    std::exp(EffectOfRunning(aWorker, image, aInterference));
+  return std::clamp(
+    aInterference.Load(image, undisturbedMs) + aLoadRise, kMinLoad, kMaxLoad);
+}
+
 /** Returns the bonus of a worker for a serving task: highest if all its serving
  * tasks have the same image, lower if it has none, 0 otherwise. */
 double
@@ -191,15 +228,8 @@
     if (!serving.HasLatencyTarget()) {
       continue;
     }
-    const double load =
-      serving.usage == 0
-        ? kMaxLoad
-        : std::clamp(aInterference.Load(serving.step.image,
-                                        static_cast<double>(serving.usage)) +
-                       aLoadRise,
-                     kMinLoad,
-                     kMaxLoad);
-    inUse += load * serving.step.cpuMilli;
+    inUse += LoadOf(aWorker, serving, aInterference, aLoadRise) *
+             serving.step.cpuMilli;
   }
   return kMaxUtilization *
            static_cast<double>(aWorker.description.capacity.cpuMilli) -
--- a/test/unit/PlacementAndThrottle.cpp
+++ b/test/unit/PlacementAndThrottle.cpp
@@ -185,6 +185,26 @@
   CHECK(CpuAvailableToFillers(worker, interference, 0) < calm);
 }
 
+// Guards against processors that stay unused because the latency that a filler
+// causes is taken for load of the serving tasks.
+TEST_CASE("the effect of running fillers does not count as load")
+{
+  const FillerInterference interference = TrainedModel();
+  ScheduledWorker worker = WorkerWith("w1", Serving("web"), 20);
+  const double alone = CpuAvailableToFillers(worker, interference, 0);
+  Commitment filler;
+  filler.step = Filler("heavy");
+  filler.stepKey = "f";
+  filler.phase = CommitmentPhase::Running;
+  filler.usage = 3200;
+  worker.Commit("filler", filler);
+  const double growth = std::exp(interference.Effect("web", "heavy") * 0.1);
+  REQUIRE(growth > 1.2);
+  worker.Find("task")->usage = static_cast<std::int64_t>(20 * growth + 0.5);
+  CHECK(CpuAvailableToFillers(worker, interference, 0) ==
+        doctest::Approx(alone).epsilon(0.01));
+}
+
 // Guards against a filler that is placed beside a serving task close to its
 // latency target while another worker has free capacity.
 TEST_CASE("a filler is placed where it does not endanger a latency target")
