Pause the fillers of a worker that misses a latency target for long

New fillers of images without a speed limit kept starting on a worker whose serving tasks were over their target, the image held responsible had often ended, fillers with an estimate in the harmless range were never slowed while rounded readings fell just below the target in between, and such a worker was looked at once a second. Change: no filler starts beside a serving task over its target; a worker in this state is looked at twice a second; after 1.5 s at or above the target all its fillers pause.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -19,6 +19,11 @@
  * since latency targets may be missed for at most 4 s. */
 constexpr std::chrono::milliseconds kReportWait{ 1000 };
 
+/** The same while serving tasks of the worker miss their latency target, so
+ * that fillers are slowed down within the time allowed and sped up soon after.
+ */
+constexpr std::chrono::milliseconds kReportWaitOverTarget{ 500 };
+
 /** Shortest time between two report requests to one worker. Each request is
  * billed, and one request returns all run ends that are close together in
  * time. */
@@ -106,9 +111,10 @@
       continue;
     }
     const bool hasUnwrittenEnds = worker->handledEnds > worker->durableEnds;
-    const Duration wait = worker->reported && !hasUnwrittenEnds
-                            ? Duration(kReportWait)
-                            : Duration::zero();
+    const Duration longest =
+      worker->overTargetSince ? kReportWaitOverTarget : kReportWait;
+    const Duration wait =
+      worker->reported && !hasUnwrittenEnds ? longest : Duration::zero();
     const std::uint64_t until = this->scheduler.LeaseUntil(aWorker);
     this->scheduler.NoteLease(aWorker, until);
     const TimePoint sentAt = this->dependencies.clock.Now();
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -44,6 +44,16 @@
  * Best-effort tasks may cause a missed target for four seconds at most. */
 constexpr int kSuspectAllAfter = 3;
 
+/** All fillers of a worker are paused when a latency target has been missed for
+ * this long. Fillers may cause a missed target for four seconds at most; a
+ * pause and its effect on the reported latency take about one second, and
+ * another one passes between two reports. */
+constexpr std::chrono::milliseconds kPauseAllAfter{ 1500 };
+
+/** Ratio of latency to target below which a target counts as kept again.
+ * Reported latencies are rounded and vary around the actual ones. */
+constexpr double kKeptRatio = 0.95;
+
 } // namespace
 
 void
@@ -253,6 +263,13 @@
   this->ObserveInterference(aWorker);
   const double ratio = aWorker.WorstLatencyRatio();
   aWorker.readingsOverTarget = ratio > 1 ? aWorker.readingsOverTarget + 1 : 0;
+  if (ratio >= 1 && !aWorker.overTargetSince) {
+    aWorker.overTargetSince = now;
+  } else if (ratio < kKeptRatio) {
+    aWorker.overTargetSince.reset();
+  }
+  const bool pauseAll =
+    aWorker.overTargetSince && now - *aWorker.overTargetSince >= kPauseAllAfter;
   if (ratio > 1) {
     this->LogMissedTarget(aWorker);
   }
@@ -270,7 +287,9 @@
     const int before = aWorker.FillerPercent(image);
     const double own = this->LatencyRatioFor(aWorker, image);
     const int percent =
-      std::min(this->policies.throttle.NextPercent(before, own), uncontended);
+      pauseAll ? 0
+               : std::min(this->policies.throttle.NextPercent(before, own),
+                          uncontended);
     if (percent == before) {
       continue;
     }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -158,6 +158,9 @@
   /** Number of consecutive evaluations that found a task above its latency
    * target. */
   int readingsOverTarget = 0;
+  /** Since when a task has been at or above its latency target, with readings
+   * just below the target in between; unset if none is. */
+  std::optional<TimePoint> overTargetSince;
   /** When the registry first showed the current value of description.draining.
    */
   TimePoint drainingSince;
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -149,7 +149,8 @@
   // Checks the unused processor time before the effect on serving tasks is
   // computed, since that effect can only lower the score.
   if (spare < kMinUnusedShare * wanted || spare <= aAtLeast ||
-      aWorker.FillerPercent(aStep.image) < 100) {
+      aWorker.FillerPercent(aStep.image) < 100 ||
+      aWorker.WorstLatencyRatio() > 1) {
     return std::nullopt;
   }
   const std::optional<double> effect =
