--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -15,6 +15,16 @@
 /** Covers rounding and the timer granularity of a worker. */
 constexpr std::chrono::milliseconds kLeaseMargin{ 100 };
 
+/** Returns the kind of a step's tasks, for the log. */
+const char*
+KindOf(const WorkflowStep& aStep)
+{
+  if (aStep.longRunning) {
+    return "long_running";
+  }
+  return aStep.filler ? "filler" : "short";
+}
+
 } // namespace
 
 CellScheduler::CellScheduler(SchedulerTimings aBounds,
@@ -90,10 +100,16 @@
   if (this->jobs.contains(id) || this->ended.contains(id)) {
     return false;
   }
+  std::uint64_t tasks = 0;
+  for (const WorkflowStep& step : aSubmission.steps) {
+    tasks += step.count;
+  }
   Event("job_accepted")
     .Add("job", id)
     .Add("queue", aSubmission.queue)
+    .Add("kind", KindOf(aSubmission.steps.front()))
     .Add("steps", static_cast<std::uint64_t>(aSubmission.steps.size()))
+    .Add("tasks", tasks)
     .Add("handed_over", static_cast<std::uint64_t>(aSubmission.part.size()))
     .Add("age_ms", this->wallClock.UnixMs() - aSubmission.acceptedUnixMs);
   this->AddJob(std::move(aSubmission), false);
--- a/src/Runtime.cpp
+++ b/src/Runtime.cpp
@@ -12,11 +12,40 @@
 
 namespace sequoiakeel {
 
+namespace {
+
+constexpr int kHandledSignals[] = { SIGTERM, SIGINT, SIGHUP };
+
+/** Blocks (SIG_BLOCK) or unblocks (SIG_UNBLOCK) the handled signals in the
+ * calling thread and in those that it starts later. */
+void
+MaskSignals(int aHow)
+{
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int handled : kHandledSignals) {
+    sigaddset(&set, handled);
+  }
+  pthread_sigmask(aHow, &set, nullptr);
+}
+
+} // namespace
+
+void
+DeferSignals()
+{
+  MaskSignals(SIG_BLOCK);
+}
+
 Runtime::Runtime(unsigned aThreads)
   : threads(aThreads)
   , context(static_cast<int>(aThreads))
-  , signals(context, SIGTERM, SIGINT, SIGHUP)
+  , signals(context)
 {
+  for (const int handled : kHandledSignals) {
+    this->signals.add(handled);
+  }
+  MaskSignals(SIG_UNBLOCK);
   // Ignore SIGPIPE, so that writing to a connection that the peer closed does
   // not end the process.
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/Runtime.h
+++ b/src/Runtime.h
@@ -12,6 +12,12 @@
  * second signal arrived. */
 inline constexpr int kExitForced = 1;
 
+/** Defers SIGTERM, SIGINT and SIGHUP until a Runtime is constructed, so that a
+ * signal during the start of the program is handled in order instead of ending
+ * the process. To be called first in main(). Not thread safe. */
+void
+DeferSignals();
+
 /**
  * Runs one io_context on several threads until End() is called, and turns
  * SIGTERM and SIGINT into a graceful stop: the first signal calls the stop
@@ -20,7 +26,8 @@
 class Runtime
 {
 public:
-  /** Precondition: aThreads >= 1. */
+  /** Handles the signals from now on, including those that DeferSignals()
+   * deferred. Precondition: aThreads >= 1. */
   explicit Runtime(unsigned aThreads);
 
   /** Returns the context, which lives as long as the object. Thread safe. */
