Start harmless fillers by the projected latency, without a margin for the load

Change: a harmless filler waits while the latency, with its effect and those of fillers too young to be seen, would exceed 0.9 of the target; the reserve is gone, and with it the parameter of CpuAvailableToFillers() and the check of that parameter.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -169,14 +169,14 @@
     inUse += commitment.step.filler ? commitment.usage : 0;
   }
   return static_cast<double>(inUse) >
-         CpuAvailableToFillers(aWorker, this->interference, 0);
+         CpuAvailableToFillers(aWorker, this->interference);
 }
 
 int
 CellScheduler::UncontendedPercent(const ScheduledWorker& aWorker) const
 {
   const auto wanted = static_cast<double>(aWorker.Committed().fillerCpuMilli);
-  const double spare = CpuAvailableToFillers(aWorker, this->interference, 0);
+  const double spare = CpuAvailableToFillers(aWorker, this->interference);
   if (wanted <= spare) {
     return 100;
   }
--- a/src/CellUsage.cpp
+++ b/src/CellUsage.cpp
@@ -18,7 +18,7 @@
     }
     usage.capacity += worker.description.capacity.cpuMilli;
     usage.availableToFillers += static_cast<std::int64_t>(
-      std::max(0.0, CpuAvailableToFillers(worker, aInterference, 0)));
+      std::max(0.0, CpuAvailableToFillers(worker, aInterference)));
     usage.workersOverTarget += worker.WorstLatencyRatio() > 1 ? 1 : 0;
     for (const auto& [task, commitment] : worker.Commitments()) {
       const std::int64_t cpu = commitment.step.cpuMilli;
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -21,6 +21,10 @@
  * with a filler that is not known to be harmless, under the assumed effect. */
 constexpr double kMaxProjectedRatio = 0.8;
 
+/** The same for a filler that is known to be harmless, under its estimated
+ * effect. Several small effects together make a task miss its target. */
+constexpr double kMaxHarmlessRatio = 0.9;
+
 /** Weight of the effect on serving tasks relative to unused processor time. */
 constexpr double kEffectWeight = 4.0;
 
@@ -28,12 +32,6 @@
  * serving tasks grows by a multiple, whatever runs beside them. */
 constexpr double kMaxUtilization = 0.92;
 
-/** Largest rise of the serving tasks' load that is assumed while a filler runs,
- * as a share of their processors. The load oscillates by 0.27 around its mean
- * with a period of 14 to 20 s; the assumed rise covers two seconds of the
- * oscillation. */
-constexpr double kLoadRise = 0.12;
-
 /** Bounds of the estimated load of a serving task, as a share of its
  * processors. Effects of fillers that are not learnt yet make the estimate
  * exceed the actual load. The upper bound is also assumed before the first
@@ -100,6 +98,9 @@
                 const FillerInterference& aInterference,
                 TimePoint aNow)
 {
+  const double share =
+    static_cast<double>(aStep.cpuMilli) /
+    static_cast<double>(aWorker.description.capacity.cpuMilli);
   double worst = 0;
   for (const auto& [task, serving] : aWorker.Commitments()) {
     if (!serving.HasLatencyTarget()) {
@@ -110,24 +111,18 @@
     }
     const std::string& image = serving.step.image;
     const double effect = aInterference.Effect(image, aStep.image);
-    if (effect <= FillerInterference::kHarmlessEffect) {
-      continue;
-    }
+    const bool harmless = effect <= FillerInterference::kHarmlessEffect;
     if (effect >= kHarmfulEffect) {
       return std::nullopt;
     }
-    const double share =
-      static_cast<double>(aStep.cpuMilli) /
-      static_cast<double>(aWorker.description.capacity.cpuMilli);
     const double growth =
       UnreportedEffect(aWorker, image, aInterference, aNow) +
-      kAssumedEffect * share;
-    const double ratio = static_cast<double>(serving.usage) /
-                         serving.step.latencyTargetMs * std::exp(growth);
-    if (ratio > kMaxProjectedRatio) {
+      (harmless ? effect : kAssumedEffect) * share;
+    const double limit = harmless ? kMaxHarmlessRatio : kMaxProjectedRatio;
+    if (serving.LatencyRatio() * std::exp(growth) > limit) {
       return std::nullopt;
     }
-    worst = std::max(worst, effect);
+    worst = std::max(worst, harmless ? 0 : effect);
   }
   return worst;
 }
@@ -141,7 +136,7 @@
 {
   if (!aWorker.fillerSpare) {
     aWorker.fillerSpare =
-      CpuAvailableToFillers(aWorker, aInterference, kLoadRise) -
+      CpuAvailableToFillers(aWorker, aInterference) -
       static_cast<double>(aWorker.Committed().fillerCpuMilli);
   }
   const double spare = *aWorker.fillerSpare;
@@ -178,14 +173,12 @@
   return sum / static_cast<double>(aWorker.description.capacity.cpuMilli);
 }
 
-/** Returns the load of a serving task as a share of its processors, plus
- * aLoadRise. The load is derived from the tail latency without the effect of
- * the fillers. */
+/** Returns the load of a serving task as a share of its processors. The load is
+ * derived from the tail latency without the effect of the fillers. */
 double
 LoadOf(const ScheduledWorker& aWorker,
        const Commitment& aServing,
-       const FillerInterference& aInterference,
-       double aLoadRise)
+       const FillerInterference& aInterference)
 {
   if (aServing.usage == 0) {
     return kMaxLoad;
@@ -195,7 +188,7 @@
     static_cast<double>(aServing.usage) /
     std::exp(EffectOfRunning(aWorker, image, aInterference));
   return std::clamp(
-    aInterference.Load(image, undisturbedMs) + aLoadRise, kMinLoad, kMaxLoad);
+    aInterference.Load(image, undisturbedMs), kMinLoad, kMaxLoad);
 }
 
 /** Returns the bonus of a worker for a serving task: highest if all its serving
@@ -220,8 +213,7 @@
 
 double
 CpuAvailableToFillers(const ScheduledWorker& aWorker,
-                      const FillerInterference& aInterference,
-                      double aLoadRise)
+                      const FillerInterference& aInterference)
 {
   const CommittedCapacity& used = aWorker.Committed();
   double inUse = static_cast<double>(used.cpuMilli - used.servingCpuMilli);
@@ -229,8 +221,7 @@
     if (!serving.HasLatencyTarget()) {
       continue;
     }
-    inUse += LoadOf(aWorker, serving, aInterference, aLoadRise) *
-             serving.step.cpuMilli;
+    inUse += LoadOf(aWorker, serving, aInterference) * serving.step.cpuMilli;
   }
   return kMaxUtilization *
            static_cast<double>(aWorker.description.capacity.cpuMilli) -
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -66,12 +66,10 @@
 
 /** Returns the processor time that a worker's other tasks leave to all its
  * fillers together, in thousandths of a core; negative if the other tasks
- * already exceed the utilization limit. aLoadRise: margin for a rise of the
- * serving tasks' load, as a share of their processors. */
+ * already exceed the utilization limit. */
 double
 CpuAvailableToFillers(const ScheduledWorker& aWorker,
-                      const FillerInterference& aInterference,
-                      double aLoadRise);
+                      const FillerInterference& aInterference);
 
 /** Returns whether a worker currently accepts new tasks, regardless of its free
  * capacity. */
