--- a/test/path/SchedulerStart.cpp
+++ b/test/path/SchedulerStart.cpp
@@ -91,11 +91,12 @@
              const Endpoint& aFront,
              const Endpoint& aStore)
 {
+  const Endpoint peer = FreeEndpoint();
   return nlohmann::json{
-    { "name", aName },          { "zone", "z" },
-    { "front", Text(aFront) },  { "health", Text(FreeEndpoint()) },
-    { "peer_ip", "127.0.0.1" }, { "peer_port", FreeEndpoint().port },
-    { "store", Text(aStore) },  { "stop_grace_ms", 4000 }
+    { "name", aName },           { "zone", "z" },
+    { "front", Text(aFront) },   { "health", Text(FreeEndpoint()) },
+    { "peer_ip", peer.address }, { "peer_port", peer.port },
+    { "store", Text(aStore) },   { "stop_grace_ms", 4000 }
   }.dump();
 }
 
