--- a/src/FillerInterference.cpp
+++ b/src/FillerInterference.cpp
@@ -78,8 +78,7 @@
   return result;
 }
 
-/** Number of passes over all unknowns; effects change by less than 0.01 after
- * it for the number of images that a model holds. */
+/** Number of passes over all unknowns; bounds the time of an update. */
 constexpr int kDescentPasses = 40;
 
 /** Solves a least-squares problem, given by its normal equations, under the
