--- a/test/path/SchedulerStart.cpp
+++ b/test/path/SchedulerStart.cpp
@@ -6,6 +6,7 @@
  */
 #include "EndpointText.h"
 #include "HttpClient.h"
+#include "WorkflowKeys.h"
 #include "soak/SoakStore.h"
 #include "support/ChildProcess.h"
 
@@ -267,3 +268,32 @@
     }
   }
 }
+
+// Guards against a process that never serves and logs no reason because another
+// writer left a record of the layout that cannot be decoded.
+TEST_CASE("a malformed layout record is reported")
+{
+  const Folder folder;
+  Loop loop;
+  Random random(1);
+  auto store = std::make_unique<soak::SoakStore>(loop.Context(), random);
+  asio::co_spawn(loop.Context(),
+                 store->Put(CellLayoutKey(), R"({"cells":"many")"),
+                 asio::use_future)
+    .get();
+  const std::string settings = folder.File("settings.json");
+  const std::string log = folder.File("log");
+  WriteFile(settings, SettingsText("n", FreeEndpoint(), store->Address()));
+  ChildProcess process(
+    "sequoiakeel-scheduler", { "--settings", settings }, log);
+  const auto seen = [&log] {
+    return ReadFile(log).find("record_unreadable") != std::string::npos;
+  };
+  for (int i = 0; i < 200 && process.Running() && !seen(); ++i) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  CHECK(seen());
+  CHECK(process.Running());
+  process.Signal(SIGTERM);
+  CHECK(process.Wait() == 0);
+}
