Log what delays the restart of long-running tasks

Cause: for the reports of LOST the log could not tell apart a cell that is full, capacity that is reserved for another task, and a takeover that waits for a silent worker.

Result: log lines only; no decision changes.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -403,6 +403,9 @@
   /** Logs at intervals how the cell's processors are used and what the tasks
    * that wait demand. */
   void LogUsage(std::span<const Candidate> aWaiting);
+  /** Logs at intervals what the interrupted long-running task that has waited
+   * longest waits for, and what delays the recovery of the cell. */
+  void LogDelays(std::span<const Candidate> aWaiting);
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
   void PlanSteps(std::span<const Candidate> aCandidates,
                  PlannedCommands& aOrders);
@@ -491,6 +494,7 @@
   TimePoint interferenceUpdatedAt;
   TimePoint interferenceLoggedAt;
   TimePoint usageLoggedAt;
+  TimePoint delaysLoggedAt;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -22,9 +22,15 @@
  * end of the run. */
 constexpr std::chrono::milliseconds kStopRepeat{ 500 };
 
-/** Interval at which the usage of the cell is logged. */
+/** Interval at which the usage of the cell and its delays are logged. */
 constexpr std::chrono::milliseconds kUsageLogInterval{ 1000 };
 
+/** Wait from which an interrupted long-running task is logged. */
+constexpr std::chrono::milliseconds kLoggedWait{ 1500 };
+
+/** Number of workers that are named in a log line. */
+constexpr std::size_t kLoggedWorkers = 5;
+
 } // namespace
 
 PlannedCommands
@@ -51,6 +57,7 @@
   this->PlanSteps({ candidates.begin(), others }, orders);
   this->PlanDrains();
   this->PlanSteps({ others, candidates.end() }, orders);
+  this->LogDelays(candidates);
   this->PlanStops(orders);
   this->PlanThrottles(orders);
   return orders;
@@ -94,6 +101,78 @@
     .Add("workers_over_target", usage.workersOverTarget);
 }
 
+void
+CellScheduler::LogDelays(std::span<const Candidate> aWaiting)
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->delaysLoggedAt < kUsageLogInterval) {
+    return;
+  }
+  this->delaysLoggedAt = now;
+  if (!this->recovered) {
+    std::string awaited;
+    std::size_t named = 0;
+    for (const std::string& worker : this->awaitedWorkers) {
+      if (named++ == kLoggedWorkers) {
+        break;
+      }
+      awaited += (awaited.empty() ? "" : ",") + worker;
+    }
+    Event("recovery_waits", LogLevel::Warning)
+      .Add("jobs", static_cast<std::uint64_t>(this->jobs.size()))
+      .Add("awaited", static_cast<std::uint64_t>(this->awaitedWorkers.size()))
+      .Add("workers", awaited);
+  }
+  const WorkflowStep* step = nullptr;
+  std::string longest;
+  TimePoint since = now - kLoggedWait;
+  for (const Candidate& candidate : aWaiting) {
+    if (!candidate.order.interrupted) {
+      continue;
+    }
+    const WorkflowJob& job = this->jobs.at(candidate.job).job;
+    const std::vector<WorkflowTask>& tasks =
+      job.Occurrences()[candidate.occurrence].steps[candidate.step].tasks;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+      if (tasks[i].status != TaskStatus::Pending ||
+          tasks[i].pendingSince >= since) {
+        continue;
+      }
+      since = tasks[i].pendingSince;
+      step = &job.Submission().steps[candidate.step];
+      longest = FormatTaskName(
+        { candidate.job, candidate.occurrence, candidate.step, i });
+    }
+  }
+  if (step == nullptr) {
+    return;
+  }
+  std::int64_t largestFree = 0;
+  std::int64_t largestUnreserved = 0;
+  for (const ScheduledWorker* const worker : this->availableWorkers) {
+    const std::int64_t free =
+      worker->description.capacity.cpuMilli - worker->Committed().cpuMilli;
+    largestFree = std::max(largestFree, free);
+    largestUnreserved =
+      std::max(largestUnreserved, free - worker->Reserved().cpuMilli);
+  }
+  Event("long_running_waits", LogLevel::Warning)
+    .Add("task", longest)
+    .Add("waited_ms",
+         static_cast<std::int64_t>(
+           std::chrono::duration_cast<std::chrono::milliseconds>(now - since)
+             .count()))
+    .Add("cpu_milli", step->cpuMilli)
+    .Add("largest_free_milli", largestFree)
+    .Add("largest_unreserved_milli", largestUnreserved)
+    .Add("available_workers",
+         static_cast<std::uint64_t>(this->availableWorkers.size()))
+    .Add("quarantined_workers",
+         static_cast<std::uint64_t>(this->quarantinedWorkers.size()))
+    .Add("workers", static_cast<std::uint64_t>(this->workers.size()))
+    .Add("may_run_on_silent_worker", this->MayRunOnUnresponsive(longest));
+}
+
 void
 CellScheduler::PlanSteps(std::span<const Candidate> aCandidates,
                          PlannedCommands& aOrders)
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -291,6 +291,7 @@
     .Add("task", aTask)
     .Add("run", commitment->run)
     .Add("worker", aWorker.description.id)
+    .Add("confirmed", commitment->confirmedAt != TimePoint())
     .Add("reason", aReason);
   this->policies.observer.RunLost();
   aWorker.Release(aTask);
