Record where long-running tasks are started before their starts are sent

Cause: a new owner knew only the finished and failed runs of a job.

Change: the progress of a job lists the last run of each long-running task and its worker. The start command is held until that record is durable under the owner's key; a held start is never treated as in flight and is planned again if its worker no longer takes starts. A new owner lets a long-running task wait only for the worker that its record names. It reserves capacity for tasks that wait so, and in the first 500 ms starts no long-running task that never ran while any waits. The roster states that assignments are recorded; without that statement (data of an earlier build) the owner waits for all workers as before. Data written by a build that does not record assignments after one that does keeps the statement until that build rewrites the roster.

A part of a job in another cell now has a progress record while it runs, so a second hand-over to that cell expects the record as it was read.

Tests that plan long-running tasks use SchedulerHarness::PlanStarts(), which writes progress between two passes when starts are held; what they expect is unchanged.

--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -122,7 +122,8 @@
   boost::asio::awaitable<void> WriteRoster();
   boost::asio::awaitable<void> WriteProgress();
   /** Waits until the write window is over, so that several ends of runs share a
-   * transaction. Returns early if the end of a job is to be written. */
+   * transaction. Returns early if the end of a job is to be written or starts
+   * wait for the write. */
   boost::asio::awaitable<void> AwaitWriteWindow();
   boost::asio::awaitable<bool> WriteRecords(
     const std::vector<ProgressRecord>& aRecords);
--- a/src/CellOwnershipSessionHandOver.cpp
+++ b/src/CellOwnershipSessionHandOver.cpp
@@ -95,6 +95,21 @@
   if (read.result != StoreResult::Ok || this->ended) {
     co_return;
   }
+  // The other cell writes progress for a part that it already has. If that part
+  // has ended, so has the job.
+  const StoreRangeReply ran = co_await this->dependencies.store.Get(
+    other.Progress(id), kSessionStoreTimeout);
+  if (ran.result != StoreResult::Ok || this->ended) {
+    co_return;
+  }
+  std::uint64_t partRevision = kAbsentVersion;
+  if (!ran.items.empty()) {
+    const auto record = DecodeRecord<WorkflowProgress>(ran.items.front());
+    if (!record || record->endedUnixMs > 0) {
+      co_return;
+    }
+    partRevision = ran.items.front().revision;
+  }
   WorkflowSubmission part = aHandOver.submission;
   part.part.clear();
   std::uint64_t revision = kAbsentVersion;
@@ -121,7 +136,7 @@
       known == this->progressRevisions.end() ? kAbsentVersion : known->second },
     { this->keys.Cancellation(id), kAbsentVersion },
     { other.Job(id), revision },
-    { other.Progress(id), kAbsentVersion },
+    { other.Progress(id), partRevision },
   };
   change.puts = { { this->keys.Progress(id), nlohmann::json(*progress).dump() },
                   { other.Job(id), value } };
--- a/src/CellOwnershipSessionWrites.cpp
+++ b/src/CellOwnershipSessionWrites.cpp
@@ -149,8 +149,9 @@
   const TimePoint until = this->dependencies.clock.Now() + kWriteWindow;
   // Each report with progress wakes this coroutine, so a single wait may be
   // shorter than the window.
-  while (!this->scheduler.HasFinalProgress() && !this->releasing &&
-         !this->ended && this->dependencies.clock.Now() < until) {
+  while (!this->scheduler.HasFinalProgress() &&
+         !this->scheduler.HasHeldStarts() && !this->releasing && !this->ended &&
+         this->dependencies.clock.Now() < until) {
     co_await this->writeSignal.Wait(until - this->dependencies.clock.Now());
   }
 }
@@ -185,6 +186,9 @@
       }
     }
     this->scheduler.BatchWritten(batch.change);
+    if (this->scheduler.HasHeldStarts()) {
+      this->planSignal.Notify();
+    }
     for (const auto& [id, loop] : this->workerLoops) {
       loop->wake.Notify();
     }
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -37,6 +37,7 @@
   , clock(aClock)
   , wallClock(aWallClock)
   , earlierLeasesExpiredBy(aEarlierLeasesExpiredBy)
+  , createdAt(aClock.Now())
 {
 }
 
@@ -67,6 +68,13 @@
   }
   if (entry.job.AttemptsExhausted()) {
     this->EndJob(id, WorkflowState::Failed, "restored");
+    return;
+  }
+  for (const TaskAssignment& assignment : aProgress.assignments) {
+    if (!assignment.worker.empty()) {
+      this->restoredAssignments[assignment.worker].push_back(TaskName{
+        id, assignment.occurrence, assignment.step, assignment.index });
+    }
   }
 }
 
@@ -81,6 +89,8 @@
 {
   this->RosterWritten(aRoster);
   this->awaitedWorkers = this->roster;
+  this->restoredRecorded = aRoster.assignmentsRecorded;
+  this->assignmentsRecorded = aRoster.assignmentsRecorded;
   for (const UnresponsiveWorker& silent : aRoster.silent) {
     this->tasksOnUnresponsive[silent.worker] = { silent.tasks.begin(),
                                                  silent.tasks.end() };
@@ -139,6 +149,7 @@
   end.progress.steps.clear();
   end.progress.failures.clear();
   end.progress.handedOver.clear();
+  end.progress.assignments.clear();
   end.progress.endedUnixMs = this->wallClock.UnixMs();
   const std::uint64_t age =
     end.progress.endedUnixMs - found->second.job.Submission().acceptedUnixMs;
@@ -153,11 +164,13 @@
   this->policies.observer.JobEnded(aState, std::chrono::milliseconds(age));
   const std::string prefix = aJob + ".";
   for (auto& [id, worker] : this->workers) {
+    std::vector<std::string> runs;
     for (const auto& [task, commitment] : worker.Commitments()) {
-      if (!task.starts_with(prefix) ||
-          commitment.phase == CommitmentPhase::Stopping) {
-        continue;
+      if (task.starts_with(prefix)) {
+        runs.push_back(task);
       }
+    }
+    for (const std::string& task : runs) {
       this->StopRun(worker, task, aWhy);
     }
   }
@@ -177,6 +190,10 @@
   if (commitment == nullptr || commitment->phase == CommitmentPhase::Stopping) {
     return;
   }
+  if (commitment->held) {
+    this->CancelHeldStart(aWorker, aTask, aReason);
+    return;
+  }
   commitment->phase = CommitmentPhase::Stopping;
   commitment->stopSentAt = TimePoint();
   Event("task_stop")
@@ -246,7 +263,8 @@
 {
   const WorkerRoster wanted = this->RosterToWrite();
   if (wanted.workers.size() != this->roster.size() ||
-      wanted.silent.size() != this->rosterUnresponsive.size()) {
+      wanted.silent.size() != this->rosterUnresponsive.size() ||
+      wanted.assignmentsRecorded != this->rosterRecorded) {
     return true;
   }
   for (const std::string& id : wanted.workers) {
@@ -284,6 +302,7 @@
     }
   }
   result.workers = { ids.begin(), ids.end() };
+  result.assignmentsRecorded = this->assignmentsRecorded;
   return result;
 }
 
@@ -291,6 +310,7 @@
 CellScheduler::RosterWritten(const WorkerRoster& aRoster)
 {
   this->roster = { aRoster.workers.begin(), aRoster.workers.end() };
+  this->rosterRecorded = aRoster.assignmentsRecorded;
   this->rosterUnresponsive.clear();
   for (const UnresponsiveWorker& silent : aRoster.silent) {
     this->rosterUnresponsive.insert(silent.worker);
@@ -376,22 +396,20 @@
 void
 CellScheduler::CheckRecovered()
 {
-  if (this->clock.Now() > this->earlierLeasesExpiredBy) {
+  const bool expired = this->clock.Now() > this->earlierLeasesExpiredBy;
+  if (expired) {
     this->tasksOnUnresponsive.clear();
   }
-  if (this->recovered) {
-    return;
-  }
-  if (!this->awaitedWorkers.empty() &&
-      this->clock.Now() <= this->earlierLeasesExpiredBy) {
-    return;
+  if (!this->recovered && (this->awaitedWorkers.empty() || expired)) {
+    this->recovered = true;
+    Event("cell_recovered")
+      .Add("jobs", static_cast<std::uint64_t>(this->jobs.size()))
+      .Add("silent_workers",
+           static_cast<std::uint64_t>(this->awaitedWorkers.size()));
+    this->awaitedWorkers.clear();
   }
-  this->recovered = true;
-  Event("cell_recovered")
-    .Add("jobs", static_cast<std::uint64_t>(this->jobs.size()))
-    .Add("silent_workers",
-         static_cast<std::uint64_t>(this->awaitedWorkers.size()));
-  this->awaitedWorkers.clear();
+  this->ResolveRestoredAssignments();
+  this->CheckAssignmentsRecorded();
 }
 
 void
@@ -442,6 +460,8 @@
 void
 CellScheduler::BatchWritten(std::uint64_t aChange)
 {
+  this->durableChange = std::max(this->durableChange, aChange);
+  this->CheckAssignmentsRecorded();
   for (auto& [id, worker] : this->workers) {
     if (worker.handledEndsChange <= aChange) {
       worker.durableEnds = worker.handledEnds;
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -91,6 +91,9 @@
   std::vector<PlannedStart> starts;
   std::vector<PlannedStop> stops;
   std::vector<PlannedThrottle> throttles;
+  /** Number of starts that were decided on and are held until the progress that
+   * names them is durable. */
+  std::size_t heldStarts = 0;
 };
 
 /** A change of a job's progress that has to be made durable. */
@@ -142,7 +145,9 @@
                 TimePoint aEarlierLeasesExpiredBy);
 
   /** Restores a job that an earlier owner may have started. Its tasks are not
-   * started until all workers on the roster have reported. */
+   * started until all workers on the roster have reported. If the roster states
+   * that assignments are recorded, a long-running task waits only for the
+   * worker that its assignment names. */
   void Restore(WorkflowSubmission aSubmission,
                const WorkflowProgress& aProgress);
 
@@ -258,7 +263,8 @@
   void ProgressNotWritten(const ProgressRecord& aRecord);
 
   /** Records that all progress records of a batch are durable, so that the run
-   * ends that led to them may be acknowledged to the workers. */
+   * ends that led to them may be acknowledged to the workers and the starts
+   * held for them may be sent. */
   void BatchWritten(std::uint64_t aChange);
 
   /** Return whether progress has to be written, and whether it includes the end
@@ -266,6 +272,9 @@
   bool HasProgress() const { return !this->dirty.empty(); }
   bool HasFinalProgress() const { return this->dirtyEndedJobs > 0; }
 
+  /** Returns whether starts are held until progress is durable. */
+  bool HasHeldStarts() const { return !this->heldStarts.empty(); }
+
   /** Returns a job's state as callers see it. */
   WorkflowState StateOf(const std::string& aJob) const;
 
@@ -342,6 +351,18 @@
     /** Time since the task became pending. */
     Duration waited{};
   };
+  /** A start of a long-running task that is sent once its assignment is
+   * durable. */
+  struct HeldStart
+  {
+    std::string worker;
+    /** Incarnation of the worker for which the start was decided on. */
+    std::uint64_t incarnation = 0;
+    TaskName name;
+    std::uint64_t run = 0;
+    /** Number of the progress change that has to be durable. */
+    std::uint64_t change = 0;
+  };
   struct Candidate
   {
     std::string job;
@@ -394,6 +415,20 @@
   void ExpireLeases();
   void CheckRecovered();
   bool MayRunOnUnresponsive(const std::string& aTask) const;
+  /** Returns whether a run that an earlier owner started may still exist on a
+   * worker that has not reported. */
+  bool MayStillRun(const WorkflowJob& aJob,
+                   const TaskName& aName,
+                   const WorkflowTask& aTask) const;
+  /** Makes the tasks startable whose recorded worker is neither awaited nor
+   * listed as unresponsive. */
+  void ResolveRestoredAssignments();
+  /** Notes when all runs of long-running tasks are covered by durable
+   * assignments. */
+  void CheckAssignmentsRecorded();
+  /** Marks the progress of a job for writing if the assignments in it changed
+   * with this task. */
+  void NoteAssignmentChange(const WorkflowJob& aJob, const TaskName& aName);
   bool AwaitsUnresponsive(const std::string& aWorker) const
   {
     return this->tasksOnUnresponsive.contains(aWorker);
@@ -436,11 +471,28 @@
                const TaskToPlace& aTask);
   void NoteUnplaceable(const TaskName& aName, const TaskToPlace& aTask);
   void PlanRelocation(ScheduledWorker& aWorker, const std::string& aTaskName);
-  PlannedStart PlanStart(Entry& aEntry,
-                         const TaskName& aName,
-                         std::uint64_t aRun,
-                         ScheduledWorker& aWorker,
-                         const std::string& aStepKey);
+  /** Commits a run of a pending task to a worker. Its start command is added to
+   * aOrders, or held if the assignment has to be durable first. */
+  void PlanStart(Entry& aEntry,
+                 const TaskName& aName,
+                 std::uint64_t aRun,
+                 ScheduledWorker& aWorker,
+                 const std::string& aStepKey,
+                 PlannedCommands& aOrders);
+  /** Returns the start command of a committed run, valid from now on. */
+  PlannedStart IssueStart(Entry& aEntry,
+                          const TaskName& aName,
+                          ScheduledWorker& aWorker);
+  void ReleaseHeldStarts(PlannedCommands& aOrders);
+  /** Takes back a held start, which was never sent. */
+  void CancelHeldStart(ScheduledWorker& aWorker,
+                       const std::string& aTask,
+                       const char* aReason);
+  /** Reserves capacity for tasks that wait for their recorded worker. */
+  void ReserveForAwaitedTasks();
+  /** Returns whether first starts of long-running tasks wait for the reports
+   * that show which capacity restored tasks need. */
+  bool DelaysFirstStarts() const;
   void PlanStops(PlannedCommands& aOrders);
   void PlanDrains();
   void PlanThrottles(PlannedCommands& aOrders);
@@ -453,6 +505,7 @@
   const Clock& clock;
   const WallClock& wallClock;
   TimePoint earlierLeasesExpiredBy;
+  TimePoint createdAt;
   bool recovered = false;
   /** Workers on the roster of earlier owners that have not reported to this
    * owner yet; any task of the cell may be running on them. */
@@ -460,6 +513,21 @@
   /** Tasks that may run on workers that were unresponsive to earlier owners, by
    * worker. */
   std::map<std::string, std::set<std::string>> tasksOnUnresponsive;
+  /** The roster that was loaded states that assignments are recorded. */
+  bool restoredRecorded = false;
+  /** Restored tasks whose recorded worker has not reported, by worker. */
+  std::map<std::string, std::vector<TaskName>> restoredAssignments;
+  /** Every run of a long-running task has a durable assignment; the durable
+   * roster says so if rosterRecorded is set. */
+  bool assignmentsRecorded = false;
+  bool rosterRecorded = false;
+  /** Number of the progress change that has to be durable for
+   * assignmentsRecorded, if all runs are known. */
+  std::optional<std::uint64_t> recordingChange;
+  std::vector<HeldStart> heldStarts;
+  /** Long-running tasks that the current planning pass skipped since they wait
+   * for their recorded worker. */
+  std::vector<TaskName> awaitedTasks;
   /** The durable roster: workers that may get tasks, and workers that are
    * listed as unresponsive. */
   std::set<std::string> roster;
@@ -471,6 +539,8 @@
   std::size_t dirtyEndedJobs = 0;
   /** Number of the last change of durable progress. */
   std::uint64_t change = 0;
+  /** Number of the last change that is known to be durable. */
+  std::uint64_t durableChange = 0;
   /** Workers that accept start commands in the current planning pass, and
    * workers that would accept them if they were not quarantined. */
   std::vector<ScheduledWorker*> availableWorkers;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -67,6 +67,7 @@
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
   this->unplaceable.clear();
+  this->awaitedTasks.clear();
   this->previousReservations = std::move(this->reservations);
   this->reservations.clear();
   this->reservationSearches = kReservationSearchesPerPass;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/** Validity of a start command. A command without an answer can arrive up to 12
- * s later; after its validity the worker rejects it, and the task may be
- * started on another worker. */
-constexpr std::chrono::milliseconds kStartValidity{ 1500 };
-
 /** Limits the starts of one planning pass, so that a burst of jobs does not
  * delay responses. */
 constexpr std::size_t kMaxStartsPerPass = 64;
@@ -39,6 +34,7 @@
   PlannedCommands orders;
   this->ExpireLeases();
   this->BeginPlanningPass();
+  this->ReleaseHeldStarts(orders);
   const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
   std::vector<Candidate> candidates = this->Candidates();
   this->LogUsage(candidates);
@@ -56,7 +52,14 @@
     });
   this->PlanSteps({ candidates.begin(), others }, orders);
   this->PlanDrains();
-  this->PlanSteps({ others, candidates.end() }, orders);
+  this->ReserveForAwaitedTasks();
+  auto last = candidates.end();
+  if (this->DelaysFirstStarts()) {
+    last = std::stable_partition(others, last, [](const Candidate& aCandidate) {
+      return !aCandidate.order.longRunning;
+    });
+  }
+  this->PlanSteps({ others, last }, orders);
   this->LogDelays(candidates);
   this->PlanStops(orders);
   this->PlanThrottles(orders);
@@ -124,7 +127,8 @@
       .Add("workers", awaited);
   }
   const WorkflowStep* step = nullptr;
-  std::string longest;
+  TaskName longest;
+  bool mayStillRun = false;
   TimePoint since = now - kLoggedWait;
   for (const Candidate& candidate : aWaiting) {
     if (!candidate.order.interrupted) {
@@ -140,8 +144,9 @@
       }
       since = tasks[i].pendingSince;
       step = &job.Submission().steps[candidate.step];
-      longest = FormatTaskName(
-        { candidate.job, candidate.occurrence, candidate.step, i });
+      longest =
+        TaskName{ candidate.job, candidate.occurrence, candidate.step, i };
+      mayStillRun = this->MayStillRun(job, longest, tasks[i]);
     }
   }
   if (step == nullptr) {
@@ -157,7 +162,7 @@
       std::max(largestUnreserved, free - worker->Reserved().cpuMilli);
   }
   Event("long_running_waits", LogLevel::Warning)
-    .Add("task", longest)
+    .Add("task", FormatTaskName(longest))
     .Add("waited_ms",
          static_cast<std::int64_t>(
            std::chrono::duration_cast<std::chrono::milliseconds>(now - since)
@@ -170,7 +175,7 @@
     .Add("quarantined_workers",
          static_cast<std::uint64_t>(this->quarantinedWorkers.size()))
     .Add("workers", static_cast<std::uint64_t>(this->workers.size()))
-    .Add("may_run_on_silent_worker", this->MayRunOnUnresponsive(longest));
+    .Add("may_run_on_silent_worker", mayStillRun);
 }
 
 void
@@ -178,7 +183,7 @@
                          PlannedCommands& aOrders)
 {
   for (const Candidate& candidate : aCandidates) {
-    if (aOrders.starts.size() >= kMaxStartsPerPass) {
+    if (aOrders.starts.size() + aOrders.heldStarts >= kMaxStartsPerPass) {
       return;
     }
     this->PlanStep(candidate, aOrders);
@@ -197,7 +202,8 @@
 {
   std::vector<Candidate> result;
   for (const auto& [id, entry] : this->jobs) {
-    if (entry.fromEarlierOwner && !this->recovered) {
+    const bool unsettled = entry.fromEarlierOwner && !this->recovered;
+    if (unsettled && !this->restoredRecorded) {
       continue;
     }
     const WorkflowSubmission& submission = entry.job.Submission();
@@ -212,6 +218,10 @@
           continue;
         }
         const WorkflowStep& step = submission.steps[s];
+        // Runs of other tasks are not recorded, so they may be anywhere.
+        if (unsettled && !step.longRunning) {
+          continue;
+        }
         WaitingStep order;
         order.priority = submission.priority;
         order.longRunning = step.longRunning;
@@ -252,11 +262,13 @@
     const TaskName name{
       aCandidate.job, aCandidate.occurrence, aCandidate.step, i
     };
-    if (!this->tasksOnUnresponsive.empty() &&
-        this->MayRunOnUnresponsive(FormatTaskName(name))) {
+    if (this->MayStillRun(entry.job, name, tasks[i])) {
+      if (step.longRunning) {
+        this->awaitedTasks.push_back(name);
+      }
       continue;
     }
-    if (aOrders.starts.size() >= kMaxStartsPerPass) {
+    if (aOrders.starts.size() + aOrders.heldStarts >= kMaxStartsPerPass) {
       return;
     }
     placed.waited = now - tasks[i].pendingSince;
@@ -275,8 +287,7 @@
       continue;
     }
     placed.rack = worker->description.rack;
-    aOrders.starts.push_back(
-      this->PlanStart(entry, name, tasks[i].run + 1, *worker, key));
+    this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
   }
 }
 
@@ -296,8 +307,10 @@
   std::string checkpoint;
   for (std::uint32_t i = 0; i < members.tasks.size(); ++i) {
     const WorkflowTask& task = members.tasks[i];
-    if (this->MayRunOnUnresponsive(FormatTaskName(
-          { aCandidate.job, aCandidate.occurrence, aCandidate.step, i }))) {
+    const TaskName name{
+      aCandidate.job, aCandidate.occurrence, aCandidate.step, i
+    };
+    if (this->MayStillRun(entry.job, name, task)) {
       return false;
     }
     run = std::max(run, task.run);
@@ -336,61 +349,11 @@
       aCandidate.job, aCandidate.occurrence, aCandidate.step, i
     };
     entry.job.Find(name)->checkpoint = checkpoint;
-    aOrders.starts.push_back(
-      this->PlanStart(entry, name, run + 1, *chosen[i], key));
+    this->PlanStart(entry, name, run + 1, *chosen[i], key, aOrders);
   }
   return true;
 }
 
-PlannedStart
-CellScheduler::PlanStart(Entry& aEntry,
-                         const TaskName& aName,
-                         std::uint64_t aRun,
-                         ScheduledWorker& aWorker,
-                         const std::string& aStepKey)
-{
-  const TimePoint now = this->clock.Now();
-  const WorkflowTask& task = *aEntry.job.Find(aName);
-  PlannedStart start;
-  start.worker = aWorker.description.id;
-  start.endpoint = aWorker.description.endpoint;
-  start.command.task = FormatTaskName(aName);
-  start.command.run = aRun;
-  start.command.payload = aEntry.job.Submission().payload;
-  start.command.checkpoint = task.checkpoint;
-  start.command.validUntilWorkerMs =
-    aWorker.ClockAt(now) + static_cast<std::uint64_t>(kStartValidity.count());
-  this->NoteLease(start.worker, start.command.validUntilWorkerMs);
-  Commitment commitment;
-  commitment.run = aRun;
-  commitment.step = aEntry.job.StepOf(aName);
-  commitment.stepKey = aStepKey;
-  commitment.startedAt = now;
-  // The worker compares the validity with its own clock, which may run slow, so
-  // by the local clock the command stays valid slightly longer.
-  commitment.startExpiresAt = now + kStartValidity + kStartValidity / 20;
-  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
-    now - task.pendingSince);
-  Event("task_start")
-    .Add("task", start.command.task)
-    .Add("run", aRun)
-    .Add("worker", start.worker)
-    .Add("rack", aWorker.description.rack)
-    .Add("image", aEntry.job.StepOf(aName).image)
-    .Add("waited_ms", static_cast<std::int64_t>(waited.count()))
-    .Add("free_cpu_milli",
-         aWorker.description.capacity.cpuMilli - aWorker.Committed().cpuMilli)
-    .Add("report_age_ms",
-         static_cast<std::int64_t>(
-           std::chrono::duration_cast<std::chrono::milliseconds>(
-             now - aWorker.lastReportAt)
-             .count()));
-  aWorker.Commit(start.command.task, std::move(commitment));
-  aEntry.job.Assign(aName, start.worker, aRun);
-  this->policies.observer.TaskStarted(waited);
-  return start;
-}
-
 void
 CellScheduler::PlanStops(PlannedCommands& aOrders)
 {
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -141,6 +141,7 @@
   }
   if (task.status == TaskStatus::Assigned) {
     job.Unassign(aName, this->clock.Now());
+    this->NoteAssignmentChange(job, aName);
   }
   if (aRow.end == RunEnd::Failed) {
     this->CountFailure(aWorker, aName, aEntry, aRow);
@@ -241,7 +242,12 @@
     this->StopRun(aWorker, aRow.task, "run is no longer needed");
     return;
   }
+  const bool recorded =
+    task->mayRunOn == aWorker.description.id && task->run == aRow.run;
   entry->job.Assign(aName, aWorker.description.id, aRow.run);
+  if (!recorded) {
+    this->NoteAssignmentChange(entry->job, aName);
+  }
   if (!aRow.checkpoint.empty()) {
     task->checkpoint = aRow.checkpoint;
   }
@@ -301,6 +307,7 @@
   if (task != nullptr && task->status == TaskStatus::Assigned &&
       task->worker == aWorker.description.id) {
     entry->job.Unassign(*name, this->clock.Now());
+    this->NoteAssignmentChange(entry->job, *name);
   }
 }
 
@@ -317,7 +324,8 @@
   const TimePoint now = this->clock.Now();
   std::vector<std::string> tasks;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    if (commitment.awaitsStop && now <= this->NoCopyRunsAfter(commitment)) {
+    if (commitment.held ||
+        (commitment.awaitsStop && now <= this->NoCopyRunsAfter(commitment))) {
       continue;
     }
     tasks.push_back(task);
@@ -337,7 +345,8 @@
     .Add("incarnation", aIncarnation);
   std::vector<std::string> inFlight;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    if (commitment.mayBeInFlight || commitment.confirmedAt == TimePoint()) {
+    if (commitment.mayBeInFlight ||
+        (commitment.confirmedAt == TimePoint() && !commitment.held)) {
       inFlight.push_back(task);
     }
   }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -35,6 +35,9 @@
   bool sizeKnown = true;
   /** Identifies job, occurrence and step, for the limits of a step. */
   std::string stepKey;
+  /** While Starting: the start command was not sent yet, since the assignment
+   * of the task is not durable. */
+  bool held = false;
   TimePoint startedAt;
   /** While Starting: time from which the start command can no longer take
    * effect. */
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -104,6 +104,17 @@
     }
     this->started = true;
   }
+  for (const TaskAssignment& assignment : aProgress.assignments) {
+    WorkflowTask* const found = this->Find(TaskName{ this->submission.id,
+                                                     assignment.occurrence,
+                                                     assignment.step,
+                                                     assignment.index });
+    if (found != nullptr && found->status == TaskStatus::Pending) {
+      found->run = std::max(found->run, assignment.run);
+      found->mayRunOn = assignment.worker;
+    }
+    this->started = true;
+  }
   for (const TaskFailures& failures : aProgress.failures) {
     const TaskName name{
       this->submission.id, failures.occurrence, failures.step, failures.index
@@ -153,6 +164,7 @@
                  "only a pending task can be assigned");
   task->status = TaskStatus::Assigned;
   task->worker = aWorker;
+  task->mayRunOn.clear();
   task->run = std::max(task->run, aRun);
   --this->TasksOf(aName).pending;
   this->started = true;
@@ -292,6 +304,16 @@
         if (task.status == TaskStatus::HandedOver && !progress.partial) {
           progress.handedOver.push_back(TaskRun{ s, i, task.run });
         }
+        if (this->submission.steps[s].longRunning && task.run > 0 &&
+            task.status != TaskStatus::HandedOver) {
+          progress.assignments.push_back(TaskAssignment{
+            k,
+            s,
+            i,
+            task.run,
+            task.status == TaskStatus::Assigned ? task.worker
+                                                : task.mayRunOn });
+        }
         if (!task.failedRuns.empty()) {
           progress.failures.push_back(TaskFailures{ k, s, i, task.failedRuns });
         }
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -30,6 +30,9 @@
   TaskStatus status = TaskStatus::Pending;
   /** Worker of the current run. Valid if Assigned. */
   std::string worker;
+  /** Worker on which an earlier owner may have started the task, as recorded in
+   * the durable progress; empty if there is none. Valid if Pending. */
+  std::string mayRunOn;
   /** Highest run number known. */
   std::uint64_t run = 0;
   /** Last checkpoint reported. */
--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -110,10 +110,24 @@
       WorkerReport{ aIncarnation, std::move(aRunning), std::move(aEnded) });
   }
 
-  /** Runs a planning pass and confirms every start. */
-  std::vector<PlannedStart> PlanAndConfirm()
+  /** Runs a planning pass. If it holds starts until progress is durable, writes
+   * the progress and runs another pass. Returns the starts of both. */
+  std::vector<PlannedStart> PlanStarts()
   {
     std::vector<PlannedStart> starts = this->scheduler.Plan().starts;
+    if (this->scheduler.HasHeldStarts()) {
+      this->WriteProgress();
+      for (PlannedStart& start : this->scheduler.Plan().starts) {
+        starts.push_back(std::move(start));
+      }
+    }
+    return starts;
+  }
+
+  /** Runs PlanStarts() and confirms every start. */
+  std::vector<PlannedStart> PlanAndConfirm()
+  {
+    std::vector<PlannedStart> starts = this->PlanStarts();
     for (const PlannedStart& start : starts) {
       this->scheduler.HandleStart(
         start.worker,
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -466,7 +466,7 @@
     SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
   harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
   harness.Report("w2", 1, {}, {});
-  CHECK(harness.scheduler.Plan().starts.empty());
+  CHECK(harness.PlanStarts().empty());
 
   SchedulerHarness next;
   next.AddWorkers({ "w1" });
@@ -493,7 +493,7 @@
   REQUIRE(harness.scheduler.BeginHandOver(offer));
   harness.scheduler.CancelHandOver(offer);
   harness.Report("w1", 1, {}, { { 1, "s.0.0.0", 1, RunEnd::Failed, "" } });
-  CHECK(harness.scheduler.Plan().starts.size() == 1);
+  CHECK(harness.PlanStarts().size() == 1);
 }
 
 // Guards against three failures in the receiving cell: run numbers that start
