Keep shares of a worker's processors finite

Cause: a worker's capacity may shrink to nothing while tasks run on it. The shares of fillers and the load of serving tasks were divided by it. The load became NaN, so that the fillers did not count as contending, the reading was learnt from, and the estimate of that image stayed NaN for good.

Change: ScheduledWorker::ShareOf() for all shares; a capacity of zero counts as a thousandth of a core. LoadSimulator can resize a worker and delay starts. A randomized test checks each start against the capacities of the last heartbeat, registry interval and transit.

--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -67,8 +67,7 @@
     }
     const double part = std::chrono::duration<double>(ran).count() /
                         std::chrono::duration<double>(aWindow).count();
-    shares[aImage] += part * static_cast<double>(aCpuMilli) /
-                      static_cast<double>(this->description.capacity.cpuMilli);
+    shares[aImage] += part * this->ShareOf(static_cast<double>(aCpuMilli));
   };
   for (const auto& [task, commitment] : this->commitments) {
     if (commitment.step.filler &&
@@ -129,6 +128,14 @@
   this->reserved.accelerators += aStep.accelerators;
 }
 
+double
+ScheduledWorker::ShareOf(double aCpuMilli) const
+{
+  const std::int64_t processors =
+    std::max<std::int64_t>(1, this->description.capacity.cpuMilli);
+  return aCpuMilli / static_cast<double>(processors);
+}
+
 std::uint32_t
 ScheduledWorker::CountOfStep(const std::string& aStepKey) const
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -210,6 +210,11 @@
   void ClearReservations() { this->reserved = ReservedCapacity(); }
   const ReservedCapacity& Reserved() const { return this->reserved; }
 
+  /** Returns processor time in thousandths of a core as a share of the worker's
+   * processors. The result is finite, also for a worker whose processors are
+   * gone. */
+  double ShareOf(double aCpuMilli) const;
+
   /** Returns the number of commitments of one step. */
   std::uint32_t CountOfStep(const std::string& aStepKey) const;
 
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -86,7 +86,7 @@
     const bool harmless = effect <= FillerInterference::kHarmlessEffect;
     sum += (harmless ? 0 : kAssumedEffect) * filler.step.cpuMilli;
   }
-  return sum / static_cast<double>(aWorker.description.capacity.cpuMilli);
+  return aWorker.ShareOf(sum);
 }
 
 /** Returns the largest effect of a filler on the serving tasks of a worker.
@@ -98,9 +98,7 @@
                 const FillerInterference& aInterference,
                 TimePoint aNow)
 {
-  const double share =
-    static_cast<double>(aStep.cpuMilli) /
-    static_cast<double>(aWorker.description.capacity.cpuMilli);
+  const double share = aWorker.ShareOf(aStep.cpuMilli);
   double worst = 0;
   for (const auto& [task, serving] : aWorker.Commitments()) {
     if (!serving.HasLatencyTarget()) {
@@ -170,7 +168,7 @@
              static_cast<double>(filler.usage);
     }
   }
-  return sum / static_cast<double>(aWorker.description.capacity.cpuMilli);
+  return aWorker.ShareOf(sum);
 }
 
 /** Returns the load of a serving task as a share of its processors. The load is
--- a/test/support/LoadSimulator.h
+++ b/test/support/LoadSimulator.h
@@ -2,6 +2,7 @@
 
 #include "SchedulerHarness.h"
 
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -21,6 +22,12 @@
   static constexpr std::chrono::milliseconds kStep{ 20 };
   static constexpr std::chrono::milliseconds kReportInterval{ 200 };
   static constexpr std::chrono::milliseconds kStopTime{ 100 };
+  /** Longest time from a change of a worker's capacity to the write of the
+   * worker's registry entry. */
+  static constexpr std::chrono::milliseconds kHeartbeat{ 500 };
+  /** Longest transit of a start command, by its validity on the clock of a
+   * worker that runs at the slowest rate. */
+  static constexpr std::chrono::milliseconds kMaxTransit{ 1575 };
 
   LoadSimulator(int aWorkers, std::uint64_t aSeed)
     : random(aSeed)
@@ -71,6 +78,38 @@
     this->harness.scheduler.Accept(job);
   }
 
+  /** Changes the capacity of a worker while it runs. The registry shows the
+   * new capacity within kHeartbeat, and the scheduler reads the registry at its
+   * interval. From the first call on, starts that exceed a capacity are
+   * recorded. */
+  void Resize(const std::string& aWorker, WorkerCapacity aCapacity)
+  {
+    std::uniform_int_distribution<int> delay(
+      0, static_cast<int>(kHeartbeat.count()));
+    Worker& worker = this->workers[aWorker];
+    const TimePoint now = this->harness.clock.Now();
+    if (worker.capacities.empty()) {
+      worker.capacities.push_back(
+        { TimePoint(), this->descriptions[aWorker].capacity });
+    }
+    worker.capacities.push_back({ now, aCapacity });
+    worker.entryWrittenAt =
+      now + std::chrono::milliseconds(delay(this->random));
+    this->resizes = true;
+  }
+
+  /** Delays each start command by a random time of up to kMaxTransit. */
+  void DelayStarts() { this->delaysStarts = true; }
+
+  /** Time for which a start may count on the capacity that a worker had before:
+   * the registry entry is up to one heartbeat old when it is read, and a start
+   * decided just before the next reading is in transit for kMaxTransit. */
+  std::chrono::milliseconds CapacityDelay() const
+  {
+    return kHeartbeat + this->harness.bounds.RegistryInterval() + kMaxTransit +
+           2 * kStep;
+  }
+
   /** Marks a worker as draining in the registry. */
   void Drain(const std::string& aWorker)
   {
@@ -95,6 +134,10 @@
   {
     this->harness.clock.Advance(kStep);
     const TimePoint now = this->harness.clock.Now();
+    this->ExecuteDelayedStarts();
+    if (this->resizes) {
+      this->WriteRegistryEntries();
+    }
     for (auto& [id, worker] : this->workers) {
       const bool ended = this->EndRuns(worker);
       if (ended || now - worker.reportedAt >= kReportInterval) {
@@ -140,6 +183,11 @@
 
   /** Number of runs that were commanded to stop. */
   int stops = 0;
+  /** Number of starts that workers carried out. */
+  int starts = 0;
+  /** Starts that brought a worker over every capacity that it had within
+   * CapacityDelay(). */
+  std::vector<std::string> startsOverCapacity;
   SchedulerHarness harness;
 
 private:
@@ -150,6 +198,15 @@
     TimePoint begun;
     TimePoint endsAt;
     RunEnd end = RunEnd::Done;
+    /** Capacity in use; a filler uses no processor time that counts. */
+    std::int64_t cpuMilli = 0;
+    std::int64_t memoryMb = 0;
+  };
+  struct DelayedStart
+  {
+    PlannedStart start;
+    WorkflowStep step;
+    TimePoint arrivesAt;
   };
   struct Worker
   {
@@ -157,6 +214,9 @@
     std::vector<EndedRun> ended;
     std::uint64_t nextEnd = 1;
     TimePoint reportedAt;
+    /** Capacities by the time since when they apply. */
+    std::deque<std::pair<TimePoint, WorkerCapacity>> capacities;
+    std::optional<TimePoint> entryWrittenAt;
   };
 
   void ListWorkers()
@@ -166,6 +226,7 @@
       listed.push_back(description);
     }
     this->harness.scheduler.UpdateWorkers(listed);
+    this->listedAt = this->harness.clock.Now();
   }
 
   bool EndRuns(Worker& aWorker)
@@ -238,34 +299,122 @@
     this->seenLongRunningTasks.merge(present);
   }
 
+  void WriteRegistryEntries()
+  {
+    const TimePoint now = this->harness.clock.Now();
+    for (auto& [id, worker] : this->workers) {
+      if (worker.entryWrittenAt && now >= *worker.entryWrittenAt) {
+        this->descriptions[id].capacity = worker.capacities.back().second;
+        worker.entryWrittenAt.reset();
+      }
+    }
+    if (now - this->listedAt >= this->harness.bounds.RegistryInterval()) {
+      this->ListWorkers();
+    }
+  }
+
+  void ExecuteDelayedStarts()
+  {
+    const TimePoint now = this->harness.clock.Now();
+    std::vector<DelayedStart> due;
+    std::erase_if(this->delayedStarts, [&](const DelayedStart& aDelayed) {
+      const bool arrived = now >= aDelayed.arrivesAt;
+      if (arrived) {
+        due.push_back(aDelayed);
+      }
+      return arrived;
+    });
+    for (const DelayedStart& delayed : due) {
+      this->ExecuteStart(delayed.start, delayed.step);
+    }
+  }
+
+  void ExecuteStart(const PlannedStart& aStart, const WorkflowStep& aStep)
+  {
+    const TimePoint now = this->harness.clock.Now();
+    Worker& worker = this->workers[aStart.worker];
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    const auto span = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(aStep.estimateMs *
+                                                spread(this->random)));
+    Run run{ aStart.command.run, aStep.longRunning, now, now + span };
+    run.cpuMilli = aStep.filler ? 0 : aStep.cpuMilli;
+    run.memoryMb = aStep.memoryMb;
+    if (run.longRunning) {
+      run.endsAt = now + std::chrono::hours(1);
+    }
+    worker.runs[aStart.command.task] = run;
+    ++this->starts;
+    this->CheckCapacity(aStart, worker, aStep);
+    this->harness.scheduler.HandleStart(
+      aStart.worker,
+      aStart.command.task,
+      aStart.command.run,
+      WorkerCommandReply{ WorkerCommandResult::Done, this->harness.WorkerMs() },
+      false);
+  }
+
+  void CheckCapacity(const PlannedStart& aStart,
+                     const Worker& aWorker,
+                     const WorkflowStep& aStep)
+  {
+    if (aWorker.capacities.empty()) {
+      return;
+    }
+    const TimePoint since = this->harness.clock.Now() - this->CapacityDelay();
+    WorkerCapacity allowed;
+    for (std::size_t i = 0; i < aWorker.capacities.size(); ++i) {
+      const bool replaced = i + 1 < aWorker.capacities.size() &&
+                            aWorker.capacities[i + 1].first < since;
+      if (replaced) {
+        continue;
+      }
+      const WorkerCapacity& one = aWorker.capacities[i].second;
+      allowed.cpuMilli = std::max(allowed.cpuMilli, one.cpuMilli);
+      allowed.memoryMb = std::max(allowed.memoryMb, one.memoryMb);
+    }
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    for (const auto& [task, run] : aWorker.runs) {
+      cpu += run.cpuMilli;
+      memory += run.memoryMb;
+    }
+    // A filler adds no processor time, so it cannot exceed that capacity.
+    const bool overCpu = !aStep.filler && cpu > allowed.cpuMilli;
+    if (overCpu || memory > allowed.memoryMb) {
+      this->startsOverCapacity.push_back(
+        aStart.command.task + " on " + aStart.worker + ": cpu " +
+        std::to_string(cpu) + " of " + std::to_string(allowed.cpuMilli) +
+        ", memory " + std::to_string(memory) + " of " +
+        std::to_string(allowed.memoryMb));
+    }
+  }
+
   void ExecuteCommands(const PlannedCommands& aCommands)
   {
     const TimePoint now = this->harness.clock.Now();
     CellScheduler& scheduler = this->harness.scheduler;
     for (const PlannedStart& start : aCommands.starts) {
-      Worker& worker = this->workers[start.worker];
       const Commitment& commitment = scheduler.FindWorker(start.worker)
                                        ->Commitments()
                                        .at(start.command.task);
-      std::uniform_real_distribution<double> spread(0.5, 1.5);
-      const auto span = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(commitment.step.estimateMs *
-                                                  spread(this->random)));
-      Run run{
-        start.command.run, commitment.step.longRunning, now, now + span
-      };
-      if (run.longRunning) {
-        run.endsAt = now + std::chrono::hours(1);
+      if (!this->delaysStarts) {
+        this->ExecuteStart(start, commitment.step);
+        continue;
       }
-      worker.runs[start.command.task] = run;
-      scheduler.HandleStart(start.worker,
-                            start.command.task,
-                            start.command.run,
-                            WorkerCommandReply{ WorkerCommandResult::Done,
-                                                this->harness.WorkerMs() },
-                            false);
+      std::uniform_int_distribution<int> transit(
+        0, static_cast<int>(kMaxTransit.count()));
+      this->delayedStarts.push_back(
+        DelayedStart{ start,
+                      commitment.step,
+                      now + std::chrono::milliseconds(transit(this->random)) });
     }
     for (const PlannedStop& stop : aCommands.stops) {
+      // A worker rejects a run that it was told to stop before the start.
+      std::erase_if(this->delayedStarts, [&](const DelayedStart& aDelayed) {
+        return aDelayed.start.command.task == stop.task &&
+               aDelayed.start.command.run <= stop.run;
+      });
       const auto run = this->workers[stop.worker].runs.find(stop.task);
       if (run == this->workers[stop.worker].runs.end()) {
         continue;
@@ -279,6 +428,10 @@
   std::mt19937_64 random;
   std::map<std::string, WorkerDescription> descriptions;
   std::map<std::string, Worker> workers;
+  std::vector<DelayedStart> delayedStarts;
+  TimePoint listedAt;
+  bool resizes = false;
+  bool delaysStarts = false;
   std::set<std::string> seenLongRunningTasks;
   std::map<std::string, TimePoint> downSince;
   std::chrono::milliseconds longestDowntime{ 0 };
