Drop what was derived from a capacity when it changes

Cause: the unused processor time of a worker was cached until its next report or commitment, and a reservation was kept for 500 ms, whatever the registry said in the meantime. A filler was started on a worker that had become small, and short tasks took the capacity of the worker that could have served the reserving task.

Change: a change of the listed capacity resets both and is logged as worker_resized.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -232,6 +232,9 @@
         .Add("draining", description.draining);
       worker.drainingSince = this->clock.Now();
     }
+    if (worker.description.capacity != description.capacity) {
+      this->HandleResize(worker, description.capacity);
+    }
     worker.description = description;
     if (worker.reported &&
         description.incarnation > worker.reportedIncarnation) {
@@ -242,6 +245,25 @@
   this->quarantine.SetFleetSize(this->workers.size());
 }
 
+void
+CellScheduler::HandleResize(ScheduledWorker& aWorker,
+                            const WorkerCapacity& aCapacity)
+{
+  const std::string& id = aWorker.description.id;
+  const WorkerCapacity& before = aWorker.description.capacity;
+  Event("worker_resized")
+    .Add("worker", id)
+    .Add("from_cpu_milli", before.cpuMilli)
+    .Add("cpu_milli", aCapacity.cpuMilli)
+    .Add("from_memory_mb", before.memoryMb)
+    .Add("memory_mb", aCapacity.memoryMb)
+    .Add("committed_cpu_milli", aWorker.Committed().cpuMilli)
+    .Add("committed_memory_mb", aWorker.Committed().memoryMb);
+  aWorker.fillerSpare.reset();
+  std::erase_if(this->reservations,
+                [&id](const auto& aItem) { return aItem.second.worker == id; });
+}
+
 void
 CellScheduler::RemoveUnlistedWorkers()
 {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -496,6 +496,9 @@
   void PlanStops(PlannedCommands& aOrders);
   void PlanDrains();
   void PlanThrottles(PlannedCommands& aOrders);
+  /** Drops what was derived from a worker's earlier capacity. Called before the
+   * description of the worker changes. */
+  void HandleResize(ScheduledWorker& aWorker, const WorkerCapacity& aCapacity);
   void RemoveUnlistedWorkers();
   ScheduledWorker* Worker(const std::string& aWorker);
   Entry* FindJob(const std::string& aJob);
--- a/src/WorkerReport.h
+++ b/src/WorkerReport.h
@@ -15,6 +15,9 @@
   std::int64_t cpuMilli = 0;
   std::int64_t memoryMb = 0;
   std::int64_t accelerators = 0;
+
+  friend bool operator==(const WorkerCapacity&,
+                         const WorkerCapacity&) = default;
 };
 
 /** A worker as described by the registry. */
--- a/test/unit/CapacityThatShrinks.cpp
+++ b/test/unit/CapacityThatShrinks.cpp
@@ -109,6 +109,25 @@
 
 } // namespace
 
+// Guards against an estimate of the unused processor time from before the
+// change, which lets fillers start on a worker that has become small.
+TEST_CASE("a filler is not placed by the earlier capacity of a worker")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w0", "w1" });
+  harness.scheduler.Accept(Filler(harness, "f000000000000000", 20000));
+  const std::vector<PlannedStart> first = harness.PlanAndConfirm();
+  REQUIRE(first.size() == 1);
+  const std::string used = first[0].worker;
+  const std::string other = used == "w0" ? "w1" : "w0";
+  harness.scheduler.UpdateWorkers(std::vector{ WorkerOf(used, 32000, 128000),
+                                               WorkerOf(other, 1000, 128000) });
+  harness.scheduler.Accept(Filler(harness, "f100000000000000", 8000));
+  const std::vector<PlannedStart> second = harness.PlanAndConfirm();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].worker == used);
+}
+
 // Guards against divisions by a capacity of zero, whose results reach the speed
 // of fillers and the evidence for all owners.
 TEST_CASE("fillers pause on a worker whose processors are gone")
@@ -191,6 +210,39 @@
   CHECK(harness.PlanAndConfirm().size() == 1);
 }
 
+// Guards against a reservation on a worker that has become too small for it,
+// while short tasks take the capacity of the workers that could serve.
+TEST_CASE("a reservation moves from a worker that has become too small")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w0", "w1" });
+  WorkflowSubmission shorts = harness.Job("5000000000000000", 8);
+  shorts.steps[0].cpuMilli = 8000;
+  shorts.steps[0].estimateMs = 4000;
+  harness.scheduler.Accept(shorts);
+  std::map<std::string, std::vector<RunningRun>> rows;
+  for (const PlannedStart& start : harness.PlanAndConfirm()) {
+    // The tasks of the first worker are about to end.
+    const int percent = start.worker == "w0" ? 90 : 20;
+    rows[start.worker].push_back({ start.command.task, 1, "", percent, 0 });
+  }
+  REQUIRE(rows["w0"].size() == 4);
+  harness.clock.Advance(milliseconds(500));
+  harness.Report("w0", 1, rows["w0"], {});
+  harness.Report("w1", 1, rows["w1"], {});
+  harness.scheduler.Accept(LongRunning(harness, "1000000000000000", 1, 16000));
+  CHECK(harness.PlanAndConfirm().empty());
+  harness.scheduler.UpdateWorkers(std::vector{ WorkerOf("w0", 12000, 128000),
+                                               WorkerOf("w1", 32000, 128000) });
+  WorkflowSubmission more = harness.Job("5100000000000000", 1);
+  more.steps[0].cpuMilli = 8000;
+  harness.scheduler.Accept(more);
+  const EndedRun end{ 1, rows["w1"].back().task, 1, RunEnd::Done, "" };
+  rows["w1"].pop_back();
+  harness.Report("w1", 1, rows["w1"], { end });
+  CHECK(harness.PlanAndConfirm().empty());
+}
+
 // Guards against a reservation that outlives its need: the reserving task takes
 // the place at once that a grown worker offers.
 TEST_CASE("a waiting task starts at once on a worker that grows")
