Do not repeat a start once its worker has become too small

Cause: a start command without an answer is sent up to three times within a second. The registry may show a smaller capacity in between, and the repeated command would bring the worker over it.

Change: AwaitsStart() is false while the worker's commitments exceed its capacity in a resource that the task uses. The commitment stays until the command sent before can no longer take effect.

Result: "a start is not repeated once its worker has become too small" failed before and passes.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -233,7 +233,8 @@
                    const WorkerCommandReply& aReply,
                    bool aMayBeInFlight);
 
-  /** Returns whether a start command may still be repeated. */
+  /** Returns whether a start command may still be repeated. It may not once
+   * the worker's capacity has shrunk below its commitments. */
   bool AwaitsStart(const std::string& aWorker,
                    const std::string& aTask,
                    std::uint64_t aRun) const;
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -435,7 +435,8 @@
   }
   const auto found = worker->Commitments().find(aTask);
   return found != worker->Commitments().end() && found->second.run == aRun &&
-         found->second.phase == CommitmentPhase::Starting;
+         found->second.phase == CommitmentPhase::Starting &&
+         !worker->IsExceededFor(found->second.step);
 }
 
 void
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -120,6 +120,17 @@
            room.cpuMilli;
 }
 
+bool
+ScheduledWorker::IsExceededFor(const WorkflowStep& aStep) const
+{
+  const WorkerCapacity& room = this->description.capacity;
+  const CommittedCapacity& used = this->committed;
+  const bool usesCpu = !aStep.filler && aStep.cpuMilli > 0;
+  return (usesCpu && used.cpuMilli > room.cpuMilli) ||
+         (aStep.memoryMb > 0 && used.memoryMb > room.memoryMb) ||
+         (aStep.accelerators > 0 && used.accelerators > room.accelerators);
+}
+
 void
 ScheduledWorker::Reserve(const WorkflowStep& aStep)
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -205,6 +205,10 @@
    * reservations. The processor demand of a best-effort task is not counted. */
   bool Fits(const WorkflowStep& aStep) const;
 
+  /** Returns whether the commitments exceed the worker's capacity in a resource
+   * that tasks of aStep use, which is so after the capacity has shrunk. */
+  bool IsExceededFor(const WorkflowStep& aStep) const;
+
   /** Reserves capacity for one task of aStep until ClearReservations(). */
   void Reserve(const WorkflowStep& aStep);
   void ClearReservations() { this->reserved = ReservedCapacity(); }
--- a/test/unit/CapacityThatShrinks.cpp
+++ b/test/unit/CapacityThatShrinks.cpp
@@ -109,6 +109,33 @@
 
 } // namespace
 
+// Guards against a start command that is sent again after its worker has become
+// too small for it.
+TEST_CASE("a start is not repeated once its worker has become too small")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w" });
+  harness.scheduler.Accept(harness.Job("a000000000000000"));
+  const PlannedStart start = harness.scheduler.Plan().starts.at(0);
+  const auto awaited = [&] {
+    return harness.scheduler.AwaitsStart(
+      "w", start.command.task, start.command.run);
+  };
+  CHECK(awaited());
+  SUBCASE("in processors")
+  {
+    ListOne(harness, 900);
+    CHECK(!awaited());
+    ListOne(harness, 1000);
+    CHECK(awaited());
+  }
+  SUBCASE("in memory")
+  {
+    ListOne(harness, 32000, 99);
+    CHECK(!awaited());
+  }
+}
+
 // Guards against an estimate of the unused processor time from before the
 // change, which lets fillers start on a worker that has become small.
 TEST_CASE("a filler is not placed by the earlier capacity of a worker")
