Wait for the registry to describe a restarted worker

Cause: a worker that restarts under its id may be of another kind, with other labels and less capacity. Its first report reached the owner before the registry was read again, and starts were decided on the description of the earlier incarnation.

Change: a worker accepts no tasks while the registry describes an earlier incarnation than the one that reports. An entry without an incarnation doesn't count as earlier.

Result: "a new incarnation gets no starts before the registry describes it" failed before and passes.

--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -261,7 +261,12 @@
 {
   const bool silent =
     aWorker.unresponsive || aNow - aWorker.lastReportAt > kReportOverdue;
-  return aWorker.listed && aWorker.reported && !silent &&
+  // The registry may still describe the earlier incarnation, which may have had
+  // other labels and more capacity.
+  const std::uint64_t described = aWorker.description.incarnation;
+  const bool outdated =
+    described != 0 && described < aWorker.reportedIncarnation;
+  return aWorker.listed && aWorker.reported && !silent && !outdated &&
          !aWorker.foreignRuns && aWorker.Committed().unknownSizes == 0 &&
          !aWorker.description.draining && aNow >= aWorker.backoffUntil &&
          aWorker.clockReadingMs != 0;
--- a/test/unit/CapacityThatShrinks.cpp
+++ b/test/unit/CapacityThatShrinks.cpp
@@ -222,6 +222,24 @@
   }
 }
 
+// Guards against starts on a restarted worker by the registry entry of its
+// earlier incarnation, which may have had other labels and more capacity.
+TEST_CASE("a new incarnation gets no starts before the registry describes it")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w" });
+  harness.Report("w", 2, {}, {});
+  harness.scheduler.Accept(harness.Job("a000000000000000"));
+  CHECK(harness.PlanAndConfirm().empty());
+  WorkerDescription described = WorkerOf("w", 500, 128000);
+  described.incarnation = 2;
+  harness.scheduler.UpdateWorkers(std::vector{ described });
+  CHECK(harness.PlanAndConfirm().empty());
+  described.capacity.cpuMilli = 1000;
+  harness.scheduler.UpdateWorkers(std::vector{ described });
+  CHECK(harness.PlanAndConfirm().size() == 1);
+}
+
 // Guards against entries without an incarnation, which would otherwise never
 // count as describing the worker that reports.
 TEST_CASE("a worker whose entry names no incarnation gets starts")
