Offer no capacity of a worker without memory

Cause: the processors of a worker whose memory is used up by long-running tasks, as after its memory has shrunk, counted as free for tasks of other cells.

Change: such a worker is left out of the sum.

Result: "a worker without memory offers no capacity for long-running tasks" failed before (30000 == 0) and passes.

--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -441,10 +441,11 @@
         left.memoryMb -= commitment.step.memoryMb;
       }
     }
-    largest.freeCpuMilli +=
-      static_cast<std::uint64_t>(std::max<std::int64_t>(0, left.cpuMilli));
-    if (left.cpuMilli > static_cast<std::int64_t>(largest.cpuMilli) &&
-        left.memoryMb > 0) {
+    if (left.cpuMilli <= 0 || left.memoryMb <= 0) {
+      continue;
+    }
+    largest.freeCpuMilli += static_cast<std::uint64_t>(left.cpuMilli);
+    if (left.cpuMilli > static_cast<std::int64_t>(largest.cpuMilli)) {
       largest.cpuMilli = static_cast<std::uint64_t>(left.cpuMilli);
       largest.memoryMb = static_cast<std::uint64_t>(left.memoryMb);
     }
--- a/test/unit/CapacityThatShrinks.cpp
+++ b/test/unit/CapacityThatShrinks.cpp
@@ -313,6 +313,29 @@
   CHECK(harness.PlanAndConfirm().size() == 1);
 }
 
+// Guards against free processors that are offered to other cells although the
+// worker has no memory left for a task.
+TEST_CASE("a worker without memory offers no capacity for long-running tasks")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w" });
+  harness.scheduler.Accept(LongRunning(harness, "1000000000000000", 2, 1000));
+  REQUIRE(harness.PlanAndConfirm().size() == 2);
+  CHECK(harness.scheduler.CapacityForLongRunning().freeCpuMilli == 30000);
+  SUBCASE("memory")
+  {
+    ListOne(harness, 32000, 150);
+  }
+  SUBCASE("processors")
+  {
+    ListOne(harness, 1500);
+  }
+  const LongRunningCapacity left = harness.scheduler.CapacityForLongRunning();
+  CHECK(left.freeCpuMilli == 0);
+  CHECK(left.cpuMilli == 0);
+  CHECK(left.memoryMb == 0);
+}
+
 // Guards against stops of tasks that run on a worker which has become too small
 // for them, and against further starts there.
 TEST_CASE("tasks keep running on a worker that has become too small")
