Test that a takeover restarts a task while another worker is lost

Cause: only the scheduler alone was tested with a worker that is lost together with the cell's owner.

Change: fake workers can crash and lose their runs; a cell with two long-running tasks loses its owner, one worker and the run on the other one.

--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -515,6 +515,40 @@
   CHECK(!cluster.workers.RanTwice());
 }
 
+// Guards against a long-running task that waits for all leases of the previous
+// owner, although it surely runs nowhere, because another worker was lost at
+// the same time. Answers of the store to the writes of assignments are lost
+// too.
+TEST_CASE("a task is restarted although its owner and another worker are lost")
+{
+  TestCluster cluster;
+  Node& node = cluster.AddNode("a");
+  const std::string owner = WorkflowKeys(0).Owner();
+  REQUIRE(cluster.Until([&] { return cluster.store.Count(owner) == 1; }));
+  // Each worker has room for one of the two tasks.
+  WorkflowSubmission job = Job("s");
+  job.steps[0].cpuMilli = 20000;
+  job.steps[0].longRunning = true;
+  REQUIRE(
+    cluster.Await(node.gateway.Submit(job, node.clock.Now() + seconds(5))) ==
+    SubmissionOutcome::Accepted);
+  REQUIRE(cluster.Until([&] { return cluster.workers.Running() == 2; }));
+  // The roster that states that assignments are recorded is written with the
+  // next read of the registry.
+  std::this_thread::sleep_for(milliseconds(1500));
+  cluster.store.Remove(owner);
+  cluster.workers.Crash("w2");
+  cluster.workers.LoseRuns("w1");
+  const auto lostAt = std::chrono::steady_clock::now();
+  REQUIRE(cluster.Until([&] { return cluster.workers.Running() == 1; }));
+  CHECK(std::chrono::steady_clock::now() - lostAt < seconds(4));
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(cluster.workers.StartsOf("s.0.0.0") +
+          cluster.workers.StartsOf("s.0.0.1") ==
+        3);
+  CHECK(!cluster.workers.RanTwice());
+}
+
 // Guards against a job that runs again because its owner was replaced after the
 // job's end but before its submission was removed.
 TEST_CASE("an ended job whose submission is still stored does not run again")
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -348,6 +348,9 @@
   {
     const std::lock_guard lock(this->mutex);
     Worker& worker = this->workers.at(aTarget.worker);
+    if (worker.crashed) {
+      co_return WorkerCommandReply{ WorkerCommandResult::Unknown, 0 };
+    }
     reply.workerMs = this->NowMs();
     if (aTarget.fencingToken < worker.token) {
       reply.result = WorkerCommandResult::Fenced;
@@ -426,6 +429,10 @@
       const std::lock_guard lock(this->mutex);
       Worker& worker = this->workers.at(aTarget.worker);
       RenewReply reply;
+      if (worker.crashed) {
+        reply.outcome.result = WorkerCommandResult::Unknown;
+        co_return reply;
+      }
       reply.outcome.workerMs = this->NowMs();
       if (aTarget.fencingToken < worker.token) {
         reply.outcome.result = WorkerCommandResult::Fenced;
@@ -476,6 +483,22 @@
   this->answersToLose = aCount;
 }
 
+void
+FakeWorkers::Crash(const std::string& aWorker)
+{
+  const std::lock_guard lock(this->mutex);
+  Worker& worker = this->workers.at(aWorker);
+  worker.crashed = true;
+  worker.running.clear();
+}
+
+void
+FakeWorkers::LoseRuns(const std::string& aWorker)
+{
+  const std::lock_guard lock(this->mutex);
+  this->workers.at(aWorker).running.clear();
+}
+
 int
 FakeWorkers::StartsOf(const std::string& aTask)
 {
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -128,6 +128,12 @@
    * out. */
   void LoseStartAnswers(int aCount);
 
+  /** Makes a worker crash for good: its runs end and it answers no call. */
+  void Crash(const std::string& aWorker);
+
+  /** Ends all runs of a worker without a record of their ends. */
+  void LoseRuns(const std::string& aWorker);
+
   /** Returns the number of times that a task was started. */
   int StartsOf(const std::string& aTask);
 
@@ -141,6 +147,7 @@
 private:
   struct Worker
   {
+    bool crashed = false;
     std::uint64_t token = 0;
     std::map<std::string, std::uint64_t> running;
     std::map<std::string, std::uint64_t> highestEnded;
