Offer every long-running task that fits nowhere to other cells

The search for a worker to reserve is limited to eight tasks per planning pass. In a full cell, the first eight tasks that fit nowhere used up the searches of every pass, so that later and smaller tasks were never found to be without a worker and never offered to another cell.

A task that needs at least as much as one for which the search failed in the same pass counts as without a worker, without a search of its own.

The new test of unit_CellScheduler fails without the change (20 tasks are not all offered) and passes with it.

--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -66,6 +66,7 @@
   this->availableWorkers.clear();
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
+  this->unreservable.clear();
   this->unplaceable.clear();
   this->awaitedTasks.clear();
   this->previousReservations = std::move(this->reservations);
@@ -239,11 +240,24 @@
   }
   ScheduledWorker* worker = this->PreviouslyReservedWorker(aTaskName, aTask);
   if (worker == nullptr) {
+    // Without this check, the first tasks that fit nowhere would take up all
+    // searches of every pass, and later ones would never be handed over.
+    const std::string& service = aTask.submission.service;
+    const auto failed = this->unreservable.find(service);
+    if (failed != this->unreservable.end() &&
+        NeedsNoMoreThan(failed->second, aTask.step)) {
+      return ReservationOutcome::NoWorker;
+    }
     if (this->reservationSearches == 0) {
       return ReservationOutcome::NotTried;
     }
     --this->reservationSearches;
     worker = this->WorkerToReserve(aTaskName, aTask);
+    const bool anyWorker =
+      aTask.step.maxPerWorker == 0 && aTask.step.requiredLabel.empty();
+    if (worker == nullptr && anyWorker) {
+      this->unreservable.insert_or_assign(service, aTask.step);
+    }
   }
   if (worker == nullptr) {
     return ReservationOutcome::NoWorker;
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -447,6 +447,22 @@
   CHECK(offers[0].size.cpuMilli == 20000);
 }
 
+// Guards against tasks that are never offered because the search for a worker
+// is limited per planning pass and earlier tasks that fit nowhere use it up.
+TEST_CASE("every task that no worker can run is offered to another cell")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  constexpr std::size_t kJobs = 20;
+  for (std::size_t i = 0; i <= kJobs; ++i) {
+    harness.scheduler.Accept(LargeService(harness, "s" + std::to_string(i), 1));
+  }
+  CHECK(harness.PlanAndConfirm().size() == 1);
+  harness.clock.Advance(milliseconds(1100));
+  harness.scheduler.Plan();
+  CHECK(harness.scheduler.HandOvers().size() == kJobs);
+}
+
 // Guards against a second run of a task that was handed over: neither its own
 // cell nor the next owner of that cell may start it again.
 TEST_CASE("a task that was handed over is not started by its own cell")
