Hand long-running tasks over to any cell with a piece of their size

A task whose cell is full was handed over to its job's other candidate cell only, and only once.

- A task goes to any cell that published a piece of its size, and is handed on or returned to its own cell if it fits nowhere there for two seconds.
- The record of the job in its own cell lists the cells that have a part.
It is rewritten, with its revision expected, before a further cell gets a part, and a cancellation expects the revision that it read and names all listed cells in one transaction.
The number of reads does not depend on the number of cells.
- Owners handle each record of a job once, in the order of the revisions.
- Cells publish their eight largest pieces by service and labels, without what is reserved, and publish again within 0.5 s if the largest one grew.
Owners read the records once a second, linearizable, while tasks wait.
Steps with a required label are handed over too.
- Draining workers no longer count as workers that accept no starts, which had kept a cell from offering tasks.

Without the change, both new tests of guarantee_WorkflowJobsSurviveOwners fail in their first wait (the task never starts in the third cell). With it, all 61 tests without the label soak pass.

--- a/src/CellOwnershipSession.cpp
+++ b/src/CellOwnershipSession.cpp
@@ -99,6 +99,10 @@
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.ClearInbox(); });
   this->Spawn(
     [](CellOwnershipSession& aSelf) { return aSelf.RemoveExpired(); });
+  if (this->dependencies.cells > 1) {
+    this->Spawn(
+      [](CellOwnershipSession& aSelf) { return aSelf.PublishCapacity(); });
+  }
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.PlanLoop(); });
   while (!this->ended) {
     co_await this->endSignal.Wait(std::chrono::hours(1));
--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -100,6 +100,18 @@
   }
 
 private:
+  /** Records of a job that a hand-over changes. In each item, a key without a
+   * value stands for a record that does not exist. */
+  struct HandOverRecords
+  {
+    std::uint32_t ownCell = 0;
+    /** Record in this cell, in the job's own cell (the same if this is the own
+     * cell) and in the target cell. */
+    StoreItem here;
+    StoreItem own;
+    StoreItem target;
+  };
+
   struct WorkerLoop
   {
     explicit WorkerLoop(const boost::asio::any_io_executor& aExecutor)
@@ -115,6 +127,10 @@
   boost::asio::awaitable<std::optional<StoreRangeReply>> ReadAll(
     std::string aPrefix);
   void HandleInboxItem(const StoreItem& aItem);
+  /** Returns the submission in an item unless this or a newer version of it was
+   * handled already. An older version may list tasks that this cell has handed
+   * over since. */
+  std::optional<WorkflowSubmission> NewerSubmission(const StoreItem& aItem);
   void HandleInboxSnapshot(const std::vector<StoreItem>& aItems);
   boost::asio::awaitable<void> RenewOwnership();
   boost::asio::awaitable<void> WatchInbox();
@@ -131,15 +147,29 @@
     const std::vector<ProgressRecord>& aRecords) const;
   boost::asio::awaitable<void> ExchangeEvidence();
   boost::asio::awaitable<void> LoadEvidence(ReadFreshness aFreshness);
-  boost::asio::awaitable<void> LoadCapacities();
+  boost::asio::awaitable<void> LoadCapacities(ReadFreshness aFreshness);
   /** Hands over tasks that no worker of this cell can run to another cell. */
   boost::asio::awaitable<void> WriteHandOvers();
   boost::asio::awaitable<void> WriteHandOver(HandOver aHandOver,
                                              std::uint32_t aCell);
-  /** Returns another candidate cell of the job with enough free capacity, if
-   * there is one. */
-  std::optional<std::uint32_t> FindCellWithCapacity(
-    const HandOver& aHandOver) const;
+  /** Reads the records that a hand-over changes; empty if the store does not
+   * answer or the job has ended. */
+  boost::asio::awaitable<std::optional<HandOverRecords>> ReadHandOverRecords(
+    std::string aJob,
+    std::uint32_t aOwnCell,
+    std::uint32_t aCell);
+  StoreTransaction HandOverTransaction(const HandOver& aHandOver,
+                                       const WorkflowProgress& aProgress,
+                                       HandOverRecords aRecords,
+                                       std::uint32_t aCell) const;
+  /** Commits a hand-over until its outcome is known; empty if the session
+   * ended before. */
+  boost::asio::awaitable<std::optional<bool>> CommitHandOver(
+    HandOver aHandOver,
+    StoreTransaction aChange);
+  /** Publishes the cell's capacity if it grew enough to matter to tasks that
+   * wait in other cells. */
+  boost::asio::awaitable<void> PublishCapacity();
   /** Removes the submissions and cancellations of jobs whose end is durable. */
   boost::asio::awaitable<void> ClearInbox();
   boost::asio::awaitable<void> RemoveExpired();
@@ -184,8 +214,13 @@
   std::uint64_t inboxRevision = 0;
   std::uint64_t rosterRevision = 0;
   std::map<std::string, std::uint64_t> progressRevisions;
+  /** Revisions of the submissions that were handled, by job. */
+  std::map<std::string, std::uint64_t> jobRevisions;
   /** Capacity that other cells last published, by cell. */
   std::map<std::uint32_t, LongRunningCapacity> capacities;
+  TimePoint capacitiesReadAt;
+  /** Capacity of this cell as it was last published. */
+  LongRunningCapacity publishedCapacity;
   /** Ended jobs whose submissions are still in the store. Their progress
    * records are kept until the submissions are removed, since a submission
    * without a record would be started as a new job. */
--- a/src/CellOwnershipSessionHandOver.cpp
+++ b/src/CellOwnershipSessionHandOver.cpp
@@ -1,10 +1,12 @@
 #include "CellOwnershipSession.h"
 
-#include "CellBalance.h"
+#include "HandOverTarget.h"
 #include "StoreRecords.h"
 
 #include <algorithm>
 #include <charconv>
+#include <map>
+#include <span>
 
 namespace sequoiakeel {
 
@@ -12,18 +14,50 @@
 
 namespace {
 
-/** Free capacity that another cell must have for each task that is handed over,
- * as a multiple of the task's size. The free capacity is spread over several
- * workers, and the cell's own tasks need part of it. */
-constexpr std::uint64_t kCapacityFactor = 2;
+/** Interval at which the published capacities are read while tasks wait for
+ * another cell. The regular reads are stale and 3 s apart, whereas a task has
+ * to start within 3 s of the time at which there is capacity for it. */
+constexpr std::chrono::milliseconds kCapacityReadInterval{ 1000 };
+
+/** Interval at which a cell checks whether its capacity grew. */
+constexpr std::chrono::milliseconds kCapacityCheckInterval{ 500 };
+
+/** Limits the number of cells that have a part of one job, since a cancellation
+ * is written for all of them in one transaction. */
+constexpr std::size_t kMaxPartCells = 8;
+
+/** Limits the hand-overs that are written before progress is written again.
+ * Each takes up to four calls to the store. */
+constexpr int kHandOversPerRound = 4;
+
+/** Removes tasks from a list of tasks. */
+void
+RemoveTasks(std::vector<TaskRun>& aFrom, std::span<const TaskRun> aTasks)
+{
+  std::erase_if(aFrom, [aTasks](const TaskRun& aRow) {
+    return std::any_of(
+      aTasks.begin(), aTasks.end(), [&aRow](const TaskRun& aTask) {
+        return aTask.step == aRow.step && aTask.index == aRow.index;
+      });
+  });
+}
+
+bool
+HasTask(std::span<const TaskRun> aRows, const TaskRun& aTask)
+{
+  return std::any_of(aRows.begin(), aRows.end(), [&](const TaskRun& aRow) {
+    return aTask.step == aRow.step && aTask.index == aRow.index;
+  });
+}
 
 } // namespace
 
 asio::awaitable<void>
-CellOwnershipSession::LoadCapacities()
+CellOwnershipSession::LoadCapacities(ReadFreshness aFreshness)
 {
+  this->capacitiesReadAt = this->dependencies.clock.Now();
   const StoreRangeReply reply = co_await this->dependencies.store.Range(
-    RoomsPrefix(), ReadFreshness::Stale, kSessionStoreTimeout);
+    RoomsPrefix(), aFreshness, kSessionStoreTimeout);
   if (reply.result != StoreResult::Ok) {
     // Capacities that were read earlier may be outdated, so they are discarded.
     // Without capacities of other cells, no task is handed over.
@@ -43,91 +77,95 @@
   }
 }
 
-std::optional<std::uint32_t>
-CellOwnershipSession::FindCellWithCapacity(const HandOver& aHandOver) const
+asio::awaitable<void>
+CellOwnershipSession::PublishCapacity()
 {
-  for (const std::uint32_t cell :
-       CandidateCells(aHandOver.submission.id, this->dependencies.cells)) {
-    const auto room = this->capacities.find(cell);
-    if (cell == this->claim.cell || room == this->capacities.end()) {
+  while (!this->ended) {
+    co_await SleepFor(this->dependencies.strand, kCapacityCheckInterval);
+    const LongRunningCapacity capacity =
+      this->scheduler.CapacityForLongRunning();
+    if (!this->CanSendCommands() ||
+        !HasLargerPiece(capacity, this->publishedCapacity)) {
       continue;
     }
-    const LongRunningCapacity& size = aHandOver.size;
-    const bool fits = room->second.cpuMilli >= size.cpuMilli &&
-                      room->second.memoryMb >= size.memoryMb;
-    const std::uint64_t wanted =
-      kCapacityFactor * aHandOver.tasks.size() * size.cpuMilli;
-    if (fits && room->second.freeCpuMilli >= wanted) {
-      return cell;
+    StoreTransaction change;
+    change.expect = { { this->keys.Owner(), this->claim.fencingToken } };
+    change.puts = { { this->keys.Room(), nlohmann::json(capacity).dump() } };
+    const StoreTransactionReply reply =
+      co_await this->dependencies.store.Commit(change, kSessionStoreTimeout);
+    if (reply.result == StoreResult::Ok) {
+      this->publishedCapacity = capacity;
     }
   }
-  return std::nullopt;
 }
 
 asio::awaitable<void>
 CellOwnershipSession::WriteHandOvers()
 {
-  if (this->dependencies.cells == 1 || !this->CanSendCommands()) {
+  if (this->dependencies.cells == 1 || !this->CanSendCommands() ||
+      this->scheduler.HandOvers().empty()) {
     co_return;
   }
-  for (const HandOver& handOver : this->scheduler.HandOvers()) {
-    const std::optional<std::uint32_t> cell =
-      this->FindCellWithCapacity(handOver);
-    if (!cell) {
-      continue;
-    }
-    LongRunningCapacity& room = this->capacities[*cell];
-    room.freeCpuMilli -= handOver.tasks.size() * handOver.size.cpuMilli;
-    co_await this->WriteHandOver(handOver, *cell);
-    if (this->ended) {
+  if (this->dependencies.clock.Now() - this->capacitiesReadAt >
+      kCapacityReadInterval) {
+    co_await this->LoadCapacities(ReadFreshness::Linearizable);
+  }
+  int written = 0;
+  for (HandOver& handOver : this->scheduler.HandOvers()) {
+    const auto target = ChooseHandOverTarget(this->capacities, handOver.demand);
+    if (this->ended || written == kHandOversPerRound) {
       co_return;
     }
+    if (!target) {
+      continue;
+    }
+    ++written;
+    handOver.tasks.resize(target->tasks);
+    SubtractTasks(
+      this->capacities[target->cell], handOver.demand, target->tasks);
+    co_await this->WriteHandOver(handOver, target->cell);
   }
 }
 
-asio::awaitable<void>
-CellOwnershipSession::WriteHandOver(HandOver aHandOver, std::uint32_t aCell)
+asio::awaitable<std::optional<CellOwnershipSession::HandOverRecords>>
+CellOwnershipSession::ReadHandOverRecords(std::string aJob,
+                                          std::uint32_t aOwnCell,
+                                          std::uint32_t aCell)
 {
-  const std::string id = aHandOver.submission.id;
-  const WorkflowKeys other(aCell);
-  const StoreRangeReply read =
-    co_await this->dependencies.store.Get(other.Job(id), kSessionStoreTimeout);
-  if (read.result != StoreResult::Ok || this->ended) {
-    co_return;
-  }
-  // The other cell writes progress for a part that it already has. If that part
-  // has ended, so has the job.
-  const StoreRangeReply ran = co_await this->dependencies.store.Get(
-    other.Progress(id), kSessionStoreTimeout);
-  if (ran.result != StoreResult::Ok || this->ended) {
-    co_return;
-  }
-  std::uint64_t partRevision = kAbsentVersion;
-  if (!ran.items.empty()) {
-    const auto record = DecodeRecord<WorkflowProgress>(ran.items.front());
-    if (!record || record->endedUnixMs > 0) {
-      co_return;
+  std::map<std::uint32_t, StoreItem> items;
+  for (const std::uint32_t cell : { this->claim.cell, aOwnCell, aCell }) {
+    if (items.contains(cell)) {
+      continue;
     }
-    partRevision = ran.items.front().revision;
-  }
-  WorkflowSubmission part = aHandOver.submission;
-  part.part.clear();
-  std::uint64_t revision = kAbsentVersion;
-  if (!read.items.empty()) {
-    const auto earlier = DecodeRecord<WorkflowSubmission>(read.items.front());
-    if (!earlier) {
-      co_return;
+    const std::string key = WorkflowKeys(cell).Job(aJob);
+    const StoreRangeReply read =
+      co_await this->dependencies.store.Get(key, kSessionStoreTimeout);
+    const bool required = cell != aCell || cell == aOwnCell;
+    if (read.result != StoreResult::Ok || this->ended ||
+        (required && read.items.empty())) {
+      co_return std::nullopt;
+    }
+    items[cell].key = key;
+    if (!read.items.empty()) {
+      items[cell] = read.items.front();
     }
-    part.part = earlier->part;
-    revision = read.items.front().revision;
-  }
-  part.part.insert(
-    part.part.end(), aHandOver.tasks.begin(), aHandOver.tasks.end());
-  const auto progress = this->scheduler.BeginHandOver(aHandOver);
-  if (!progress) {
-    co_return;
   }
-  const std::string value = nlohmann::json(part).dump();
+  const HandOverRecords records{
+    aOwnCell, items[this->claim.cell], items[aOwnCell], items[aCell]
+  };
+  co_return records;
+}
+
+StoreTransaction
+CellOwnershipSession::HandOverTransaction(const HandOver& aHandOver,
+                                          const WorkflowProgress& aProgress,
+                                          HandOverRecords aRecords,
+                                          std::uint32_t aCell) const
+{
+  const std::string& id = aHandOver.submission.id;
+  const WorkflowKeys ownKeys(aRecords.ownCell);
+  const bool fromOwn = aRecords.ownCell == this->claim.cell;
+  const bool toOwn = aRecords.ownCell == aCell;
   const auto known = this->progressRevisions.find(id);
   StoreTransaction change;
   change.expect = {
@@ -135,53 +173,154 @@
     { this->keys.Progress(id),
       known == this->progressRevisions.end() ? kAbsentVersion : known->second },
     { this->keys.Cancellation(id), kAbsentVersion },
-    { other.Job(id), revision },
-    { other.Progress(id), partRevision },
+    { aRecords.own.key, aRecords.own.revision },
   };
-  change.puts = { { this->keys.Progress(id), nlohmann::json(*progress).dump() },
-                  { other.Job(id), value } };
+  auto own = DecodeRecord<WorkflowSubmission>(aRecords.own);
+  auto here = DecodeRecord<WorkflowSubmission>(aRecords.here);
+  if (!own || !here) {
+    return StoreTransaction{};
+  }
+  const WorkflowSubmission ownBefore = *own;
+  if (fromOwn) {
+    RemoveTasks(own->returned, aHandOver.tasks);
+    change.puts.push_back(
+      { this->keys.Progress(id), nlohmann::json(aProgress).dump() });
+  } else {
+    RemoveTasks(here->part, aHandOver.tasks);
+    change.expect.push_back({ ownKeys.Cancellation(id), kAbsentVersion });
+    change.expect.push_back({ aRecords.here.key, aRecords.here.revision });
+    change.puts.push_back({ aRecords.here.key, nlohmann::json(*here).dump() });
+  }
+  if (toOwn) {
+    own->returned.insert(
+      own->returned.end(), aHandOver.tasks.begin(), aHandOver.tasks.end());
+  } else {
+    std::vector<std::uint32_t>& cells = own->partCells;
+    if (std::find(cells.begin(), cells.end(), aCell) == cells.end()) {
+      cells.push_back(aCell);
+    }
+    WorkflowSubmission part = aHandOver.submission;
+    part.partial = true;
+    part.ownCell = aRecords.ownCell;
+    part.part.clear();
+    part.partCells.clear();
+    part.returned.clear();
+    if (aRecords.target.revision == kAbsentVersion) {
+      // A record of progress without a submission is that of an ended job.
+      change.expect.push_back(
+        { WorkflowKeys(aCell).Progress(id), kAbsentVersion });
+    } else if (auto earlier =
+                 DecodeRecord<WorkflowSubmission>(aRecords.target)) {
+      part.part = std::move(earlier->part);
+    } else {
+      return StoreTransaction{};
+    }
+    part.part.insert(
+      part.part.end(), aHandOver.tasks.begin(), aHandOver.tasks.end());
+    change.expect.push_back({ aRecords.target.key, aRecords.target.revision });
+    change.puts.push_back({ aRecords.target.key, nlohmann::json(part).dump() });
+    if (cells.size() > kMaxPartCells) {
+      return StoreTransaction{};
+    }
+  }
+  if (!(*own == ownBefore)) {
+    change.puts.push_back({ aRecords.own.key, nlohmann::json(*own).dump() });
+  }
+  return change;
+}
+
+asio::awaitable<std::optional<bool>>
+CellOwnershipSession::CommitHandOver(HandOver aHandOver,
+                                     StoreTransaction aChange)
+{
+  const std::string id = aHandOver.submission.id;
+  const bool part = aHandOver.submission.partial;
   bool mayBeApplied = false;
   while (!this->ended) {
     const StoreTransactionReply reply =
-      co_await this->dependencies.store.Commit(change, kSessionStoreTimeout);
-    std::optional<std::uint64_t> written;
+      co_await this->dependencies.store.Commit(aChange, kSessionStoreTimeout);
     if (reply.result == StoreResult::Ok) {
-      written = reply.revision;
-    }
-    for (const StoreItem& item : reply.current) {
-      // If the outcome of an earlier attempt is unknown, that attempt may have
-      // been applied, and the conflict may be with this owner's own write.
-      if (mayBeApplied && item.key == other.Job(id) && item.value == value) {
-        written = item.revision;
+      if (!part) {
+        this->progressRevisions[id] = reply.revision;
       }
+      co_return true;
     }
-    if (written) {
-      this->progressRevisions[id] = *written;
-      Event("tasks_handed_over")
-        .Add("job", id)
-        .Add("tasks", static_cast<std::uint64_t>(aHandOver.tasks.size()))
-        .Add("from_cell", this->claim.cell)
-        .Add("to_cell", aCell)
-        .Add("cpu_milli", aHandOver.size.cpuMilli);
-      co_return;
+    if (reply.result == StoreResult::Conflict && !mayBeApplied) {
+      co_return false;
+    }
+    if (reply.result == StoreResult::Conflict) {
+      // An earlier attempt whose outcome is unknown may have been applied, so
+      // that the conflict is with this owner's own write. Only this owner
+      // removes tasks from this cell, so its records tell.
+      bool applied = false;
+      bool returned = false;
+      for (const StoreItem& item : reply.current) {
+        if (!part && item.key == this->keys.Progress(id)) {
+          const auto progress = DecodeRecord<WorkflowProgress>(item);
+          this->progressRevisions[id] = item.revision;
+          applied =
+            progress && HasTask(progress->handedOver, aHandOver.tasks.front());
+        }
+        if (item.key != this->keys.Job(id)) {
+          continue;
+        }
+        const auto record = DecodeRecord<WorkflowSubmission>(item);
+        const bool listed =
+          record && HasTask(part ? record->part : record->returned,
+                            aHandOver.tasks.front());
+        applied = part ? record && !listed : applied;
+        returned = !part && listed;
+      }
+      co_return applied && !returned;
     }
     mayBeApplied = mayBeApplied || reply.result == StoreResult::Unknown;
-    const bool settled =
-      reply.result == StoreResult::Conflict ||
-      (reply.result == StoreResult::Unavailable && !mayBeApplied);
-    if (settled) {
-      break;
+    if (reply.result == StoreResult::Unavailable && !mayBeApplied) {
+      co_return false;
     }
     co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
   }
-  if (this->ended) {
-    // The next owner reads the outcome of the hand-over from the store.
+  // The next owner reads the outcome of the hand-over from the store.
+  co_return std::nullopt;
+}
+
+asio::awaitable<void>
+CellOwnershipSession::WriteHandOver(HandOver aHandOver, std::uint32_t aCell)
+{
+  const WorkflowSubmission& submission = aHandOver.submission;
+  const std::uint32_t ownCell =
+    submission.partial ? submission.ownCell : this->claim.cell;
+  const auto records =
+    co_await this->ReadHandOverRecords(submission.id, ownCell, aCell);
+  if (!records) {
+    co_return;
+  }
+  // Handles the record before tasks are removed from it, so that the watch,
+  // which may deliver it later, does not add these tasks again.
+  this->HandleInboxItem(records->here);
+  const auto progress = this->scheduler.BeginHandOver(aHandOver);
+  if (!progress) {
+    co_return;
+  }
+  StoreTransaction change =
+    this->HandOverTransaction(aHandOver, *progress, *records, aCell);
+  std::optional<bool> written = false;
+  if (!change.puts.empty()) {
+    written = co_await this->CommitHandOver(aHandOver, std::move(change));
+  }
+  if (!written) {
     co_return;
   }
-  Event("tasks_not_handed_over", LogLevel::Warning)
-    .Add("job", id)
-    .Add("to_cell", aCell);
-  this->scheduler.CancelHandOver(aHandOver);
+  if (!*written) {
+    this->scheduler.CancelHandOver(aHandOver);
+  }
+  Event(*written ? "tasks_handed_over" : "tasks_not_handed_over",
+        *written ? LogLevel::Info : LogLevel::Warning)
+    .Add("job", submission.id)
+    .Add("tasks", static_cast<std::uint64_t>(aHandOver.tasks.size()))
+    .Add("from_cell", this->claim.cell)
+    .Add("to_cell", aCell)
+    .Add("own_cell", ownCell)
+    .Add("cpu_milli", aHandOver.demand.size.cpuMilli);
 }
 
 } // namespace sequoiakeel
--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -77,6 +77,7 @@
     if (!submission) {
       continue;
     }
+    this->jobRevisions[submission->id] = item.revision;
     if (endedJobs.contains(submission->id)) {
       this->jobsToClear.insert(submission->id);
       continue;
@@ -108,6 +109,21 @@
   co_return !this->ended;
 }
 
+std::optional<WorkflowSubmission>
+CellOwnershipSession::NewerSubmission(const StoreItem& aItem)
+{
+  auto submission = DecodeRecord<WorkflowSubmission>(aItem);
+  if (!submission) {
+    return std::nullopt;
+  }
+  std::uint64_t& handled = this->jobRevisions[submission->id];
+  if (aItem.revision <= handled) {
+    return std::nullopt;
+  }
+  handled = aItem.revision;
+  return submission;
+}
+
 void
 CellOwnershipSession::HandleInboxItem(const StoreItem& aItem)
 {
@@ -121,8 +137,8 @@
     return;
   }
   if (aItem.key.starts_with(this->keys.JobsPrefix())) {
-    if (const auto submission = DecodeRecord<WorkflowSubmission>(aItem)) {
-      this->scheduler.Accept(*submission);
+    if (auto submission = this->NewerSubmission(aItem)) {
+      this->scheduler.Accept(std::move(*submission));
       this->planSignal.Notify();
     }
     return;
--- a/src/CellOwnershipSessionWrites.cpp
+++ b/src/CellOwnershipSessionWrites.cpp
@@ -231,10 +231,11 @@
       change.puts.push_back(
         { this->keys.Interference(), nlohmann::json(evidence).dump() });
     }
+    const LongRunningCapacity capacity =
+      this->scheduler.CapacityForLongRunning();
     if (this->dependencies.cells > 1) {
       change.puts.push_back(
-        { this->keys.Room(),
-          nlohmann::json(this->scheduler.CapacityForLongRunning()).dump() });
+        { this->keys.Room(), nlohmann::json(capacity).dump() });
     }
     if (this->ended || change.puts.empty()) {
       continue;
@@ -245,10 +246,12 @@
       // The evidence is written again after the next interval.
       Event("evidence_not_written", LogLevel::Warning)
         .Add("cell", this->claim.cell);
+    } else {
+      this->publishedCapacity = capacity;
     }
     co_await this->LoadEvidence(ReadFreshness::Stale);
     if (this->dependencies.cells > 1) {
-      co_await this->LoadCapacities();
+      co_await this->LoadCapacities(ReadFreshness::Stale);
     }
   }
 }
@@ -301,6 +304,7 @@
     for (const std::string& id : expired) {
       change.removes.push_back(this->keys.Progress(id));
       this->progressRevisions.erase(id);
+      this->jobRevisions.erase(id);
     }
     const StoreTransactionReply reply =
       co_await this->dependencies.store.Commit(change, kSessionStoreTimeout);
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -102,12 +102,13 @@
 CellScheduler::Accept(WorkflowSubmission aSubmission)
 {
   const std::string id = aSubmission.id;
-  if (Entry* const known = this->FindJob(id);
-      known != nullptr && known->job.IsPart()) {
-    known->job.AddPart(aSubmission.part, this->clock.Now());
+  if (Entry* const known = this->FindJob(id)) {
+    known->job.AddTasks(known->job.IsPart() ? aSubmission.part
+                                            : aSubmission.returned,
+                        this->clock.Now());
     return false;
   }
-  if (this->jobs.contains(id) || this->ended.contains(id)) {
+  if (this->ended.contains(id)) {
     return false;
   }
   std::uint64_t tasks = 0;
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -4,6 +4,7 @@
 #include "CapacityForecast.h"
 #include "Clock.h"
 #include "FillerThrottle.h"
+#include "HandOverTarget.h"
 #include "Quarantine.h"
 #include "ScheduledWorker.h"
 #include "SchedulerObserver.h"
@@ -120,8 +121,8 @@
 {
   WorkflowSubmission submission;
   std::vector<TaskRun> tasks;
-  /** Largest resource demand of any of the tasks, for each resource. */
-  LongRunningCapacity size;
+  /** What the tasks need; all are of one step. */
+  HandOverDemand demand;
 };
 
 /**
@@ -160,12 +161,14 @@
   void SetRoster(const WorkerRoster& aRoster);
 
   /** Adds a job that no owner can have started. Returns false if the job is
-   * already known. If the known job is a part of a job of another cell, the
-   * tasks that were handed over since are added to that part. */
+   * already known. Tasks that other cells have handed over or returned to this
+   * cell since are then added to the known job. Precondition: records of a job
+   * are passed in the order of their revisions. */
   bool Accept(WorkflowSubmission aSubmission);
 
   /** Returns the pending long-running tasks that no worker of the cell could
-   * run even if all short tasks ended. */
+   * run even if all short tasks ended. Tasks that came from another cell are
+   * included only after a longer wait, which limits how often they move. */
   std::vector<HandOver> HandOvers() const;
 
   bool HasHandOvers() const { return !this->unplaceable.empty(); }
@@ -179,9 +182,8 @@
    * hand-over did not take place. */
   void CancelHandOver(const HandOver& aHandOver);
 
-  /** Returns the largest task that a worker could run if all short tasks ended,
-   * and the capacity that long-running tasks leave free on all workers
-   * together. */
+  /** Returns the capacity that long-running tasks and the reservations for them
+   * leave free, by service and labels of the workers. */
   LongRunningCapacity CapacityForLongRunning() const;
 
   /** Cancels a job; returns false if it is unknown or has ended. */
@@ -473,6 +475,8 @@
                const std::string& aTaskName,
                const TaskToPlace& aTask);
   void NoteUnplaceable(const TaskName& aName, const TaskToPlace& aTask);
+  /** Returns the capacity that is reserved for long-running tasks. */
+  std::map<std::string, WorkerCapacity> ReservedByWorker() const;
   void PlanRelocation(ScheduledWorker& aWorker, const std::string& aTaskName);
   /** Commits a run of a pending task to a worker. Its start command is added to
    * aOrders, or held if the assignment has to be durable first. */
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -33,6 +33,16 @@
  * another cell. A worker that was only briefly unreachable is back by then. */
 constexpr std::chrono::milliseconds kHandOverWait{ 1000 };
 
+/** The same for a task that came from another cell. The longer wait limits the
+ * number of moves between cells whose published capacity is outdated. A task
+ * has to run again within six seconds. */
+constexpr std::chrono::milliseconds kNextHandOverWait{ 2000 };
+
+/** Number of the largest free pieces that a cell publishes for each group of
+ * workers. It bounds the size of the record, and the number of tasks that the
+ * other cells hand over before they read the next record. */
+constexpr std::size_t kPublishedPieces = 8;
+
 /** Part of the drain time that is reserved for stopping a run on a draining
  * worker, in addition to the interval at which the registry is read: a stop
  * and its report take up to 0.5 s. */
@@ -355,14 +365,19 @@
 void
 CellScheduler::NoteUnplaceable(const TaskName& aName, const TaskToPlace& aTask)
 {
-  // If fewer than half of the workers accept starts, the owner itself is
-  // probably disconnected, and handing over tasks would be wrong.
-  if (this->availableWorkers.size() * 2 < this->workers.size()) {
+  // If fewer than half of the workers that do not drain accept starts, the
+  // owner itself is probably disconnected, and handing over tasks would be
+  // wrong.
+  const auto expected = std::count_if(
+    this->workers.begin(), this->workers.end(), [](const auto& aWorker) {
+      return !aWorker.second.description.draining;
+    });
+  if (this->availableWorkers.size() * 2 < static_cast<std::size_t>(expected)) {
     return;
   }
   const WorkflowStep& step = aTask.step;
-  const bool simple = aTask.submission.recurrence.count == 0 && !step.gang &&
-                      step.requiredLabel.empty() && step.after.empty();
+  const bool simple =
+    aTask.submission.recurrence.count == 0 && !step.gang && step.after.empty();
   if (simple && aTask.waited > kHandOverWait) {
     this->unplaceable.push_back(aName);
   }
@@ -371,29 +386,30 @@
 std::vector<HandOver>
 CellScheduler::HandOvers() const
 {
-  std::map<std::string, HandOver> byJob;
+  const TimePoint now = this->clock.Now();
+  std::map<std::pair<std::string, std::uint32_t>, HandOver> byStep;
   for (const TaskName& name : this->unplaceable) {
     const auto found = this->jobs.find(name.job);
-    // Tasks handed over by another cell are not handed over again, so that they
-    // do not alternate between cells.
-    if (found == this->jobs.end() || found->second.job.IsPart()) {
+    if (found == this->jobs.end()) {
       continue;
     }
     const WorkflowJob& job = found->second.job;
     const WorkflowStep& step = job.StepOf(name);
-    HandOver& entry = byJob[name.job];
+    const WorkflowTask& task =
+      job.Occurrences()[0].steps[name.step].tasks[name.index];
+    if (task.moved && now - task.pendingSince < kNextHandOverWait) {
+      continue;
+    }
+    HandOver& entry = byStep[{ name.job, name.step }];
     entry.submission = job.Submission();
-    entry.tasks.push_back(
-      TaskRun{ name.step,
-               name.index,
-               job.Occurrences()[0].steps[name.step].tasks[name.index].run });
-    entry.size.cpuMilli =
-      std::max<std::uint64_t>(entry.size.cpuMilli, step.cpuMilli);
-    entry.size.memoryMb =
-      std::max<std::uint64_t>(entry.size.memoryMb, step.memoryMb);
+    entry.tasks.push_back(TaskRun{ name.step, name.index, task.run });
+    entry.demand.service = entry.submission.service;
+    entry.demand.requiredLabel = step.requiredLabel;
+    entry.demand.size = FreePiece{ step.cpuMilli, step.memoryMb };
+    ++entry.demand.tasks;
   }
   std::vector<HandOver> result;
-  for (auto& [job, entry] : byJob) {
+  for (auto& [step, entry] : byStep) {
     result.push_back(std::move(entry));
   }
   return result;
@@ -439,11 +455,32 @@
   }
 }
 
+std::map<std::string, WorkerCapacity>
+CellScheduler::ReservedByWorker() const
+{
+  std::map<std::string, WorkerCapacity> result;
+  for (const auto& [task, reservation] : this->reservations) {
+    const std::optional<TaskName> name = ParseTaskName(task);
+    const auto found = name ? this->jobs.find(name->job) : this->jobs.end();
+    if (found == this->jobs.end()) {
+      continue;
+    }
+    const WorkflowStep& step = found->second.job.StepOf(*name);
+    WorkerCapacity& sum = result[reservation.worker];
+    sum.cpuMilli += step.cpuMilli;
+    sum.memoryMb += step.memoryMb;
+  }
+  return result;
+}
+
 LongRunningCapacity
 CellScheduler::CapacityForLongRunning() const
 {
-  LongRunningCapacity largest;
   const TimePoint now = this->clock.Now();
+  const std::map<std::string, WorkerCapacity> reserved =
+    this->ReservedByWorker();
+  std::map<std::pair<std::string, std::set<std::string>>, WorkerGroupCapacity>
+    groups;
   for (const auto& [id, worker] : this->workers) {
     if (!AcceptsNewTasks(worker, now)) {
       continue;
@@ -455,16 +492,35 @@
         left.memoryMb -= commitment.step.memoryMb;
       }
     }
+    if (const auto found = reserved.find(id); found != reserved.end()) {
+      left.cpuMilli -= found->second.cpuMilli;
+      left.memoryMb -= found->second.memoryMb;
+    }
     if (left.cpuMilli <= 0 || left.memoryMb <= 0) {
       continue;
     }
-    largest.freeCpuMilli += static_cast<std::uint64_t>(left.cpuMilli);
-    if (left.cpuMilli > static_cast<std::int64_t>(largest.cpuMilli)) {
-      largest.cpuMilli = static_cast<std::uint64_t>(left.cpuMilli);
-      largest.memoryMb = static_cast<std::uint64_t>(left.memoryMb);
-    }
+    std::set<std::string> labels = worker.description.labels;
+    labels.erase(worker.description.rack);
+    WorkerGroupCapacity& group =
+      groups[{ worker.description.service, std::move(labels) }];
+    const FreePiece piece{ static_cast<std::uint64_t>(left.cpuMilli),
+                           static_cast<std::uint64_t>(left.memoryMb) };
+    group.freeCpuMilli += piece.cpuMilli;
+    group.pieces.push_back(piece);
+  }
+  LongRunningCapacity result;
+  for (auto& [key, group] : groups) {
+    std::sort(group.pieces.begin(),
+              group.pieces.end(),
+              [](const FreePiece& aLeft, const FreePiece& aRight) {
+                return aLeft.cpuMilli > aRight.cpuMilli;
+              });
+    group.pieces.resize(std::min(group.pieces.size(), kPublishedPieces));
+    group.service = key.first;
+    group.labels.assign(key.second.begin(), key.second.end());
+    result.groups.push_back(std::move(group));
   }
-  return largest;
+  return result;
 }
 
 } // namespace sequoiakeel
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <set>
 
 namespace sequoiakeel {
 
@@ -376,7 +377,7 @@
     if (read.items.empty()) {
       const auto job =
         DecodeRecord<WorkflowSubmission>(submission.items.front());
-      if (job && !job->part.empty()) {
+      if (job && (job->partial || !job->part.empty())) {
         continue;
       }
       co_return WorkflowState::Queued;
@@ -431,9 +432,12 @@
 {
   const Duration timeout =
     std::min<Duration>(kStoreCallTimeout, this->TimeLeft(aDeadline));
-  // Part of the job's tasks may have been handed over to the other candidate
-  // cell; the cancellation is written for both cells in one transaction.
+  // Other cells may have a part of the job. The record of the job's own cell
+  // lists them, and is rewritten before another cell gets a part. The
+  // cancellation is written for all of them in one transaction, which expects
+  // the record as it was read.
   StoreTransaction change;
+  std::set<std::uint32_t> cancelled;
   for (const std::uint32_t cell : this->CandidateCellsOf(aJob)) {
     const WorkflowKeys keys(cell);
     const StoreRangeReply read =
@@ -446,7 +450,14 @@
       continue;
     }
     change.expect.push_back({ keys.Job(aJob), read.items.front().revision });
-    change.puts.push_back({ keys.Cancellation(aJob), "{}" });
+    cancelled.insert(cell);
+    const auto job = DecodeRecord<WorkflowSubmission>(read.items.front());
+    if (job) {
+      cancelled.insert(job->partCells.begin(), job->partCells.end());
+    }
+  }
+  for (const std::uint32_t cell : cancelled) {
+    change.puts.push_back({ WorkflowKeys(cell).Cancellation(aJob), "{}" });
   }
   if (!change.puts.empty()) {
     const StoreTransactionReply reply =
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -76,9 +76,7 @@
       this->HandOver(TaskName{ this->submission.id, 0, s, i });
     }
   }
-  const std::vector<TaskRun> part = std::move(this->submission.part);
-  this->submission.part.clear();
-  this->AddPart(part, aNow);
+  this->AddTasks(this->submission.part, aNow);
 }
 
 void
@@ -104,6 +102,14 @@
     }
     this->started = true;
   }
+  for (const TaskRun& task : this->submission.returned) {
+    const TaskName name{ this->submission.id, 0, task.step, task.index };
+    WorkflowTask* const found = this->Find(name);
+    if (found != nullptr && found->status == TaskStatus::HandedOver) {
+      found->run = std::max(found->run, task.run);
+      this->Reclaim(name, found->pendingSince);
+    }
+  }
   for (const TaskAssignment& assignment : aProgress.assignments) {
     WorkflowTask* const found = this->Find(TaskName{ this->submission.id,
                                                      assignment.occurrence,
@@ -166,6 +172,7 @@
   task->worker = aWorker;
   task->mayRunOn.clear();
   task->run = std::max(task->run, aRun);
+  task->moved = false;
   --this->TasksOf(aName).pending;
   this->started = true;
 }
@@ -206,7 +213,7 @@
 }
 
 void
-WorkflowJob::AddPart(std::span<const TaskRun> aTasks, TimePoint aNow)
+WorkflowJob::AddTasks(std::span<const TaskRun> aTasks, TimePoint aNow)
 {
   for (const TaskRun& task : aTasks) {
     const TaskName name{ this->submission.id, 0, task.step, task.index };
@@ -215,8 +222,8 @@
       continue;
     }
     found->run = std::max(found->run, task.run);
+    found->moved = true;
     this->Reclaim(name, aNow);
-    this->submission.part.push_back(task);
   }
   this->started = true;
 }
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -41,6 +41,8 @@
   std::vector<std::uint64_t> failedRuns;
   /** When the task last became Pending. */
   TimePoint pendingSince;
+  /** Came from another cell and has not run here since. */
+  bool moved = false;
 };
 
 /** Tasks of one step in one occurrence of the job. */
@@ -109,13 +111,16 @@
   void HandOver(const TaskName& aName);
   void Reclaim(const TaskName& aName, TimePoint aNow);
 
-  /** Makes tasks pending that the job's own cell handed over to this cell.
-   * Tasks that this cell already has are skipped. */
-  void AddPart(std::span<const TaskRun> aTasks, TimePoint aNow);
+  /** Makes tasks pending that another cell handed over or returned to this
+   * cell. Tasks that this cell already has are skipped. */
+  void AddTasks(std::span<const TaskRun> aTasks, TimePoint aNow);
 
   /** Returns whether this is the part of a job that another cell handed over;
    * that cell owns the job. */
-  bool IsPart() const { return !this->submission.part.empty(); }
+  bool IsPart() const
+  {
+    return this->submission.partial || !this->submission.part.empty();
+  }
 
   /** Marks a task as done; returns false if it was done already. Precondition:
    * the job has the task. */
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -117,7 +117,9 @@
   explicit TestCluster(std::uint32_t aCells = 1)
     : cellCount(aCells)
     , store(context.get_executor())
-    , workers(context.get_executor(), { "w1", "w2" })
+    , workers(context.get_executor(),
+              aCells < 3 ? std::vector<std::string>{ "w1", "w2" }
+                         : std::vector<std::string>{ "w1", "w2", "w3" })
     , work(asio::make_work_guard(context))
   {
     for (int i = 0; i < 2; ++i) {
@@ -160,6 +162,35 @@
     return false;
   }
 
+  /** Waits until every cell has an owner. */
+  bool UntilOwned()
+  {
+    return this->Until(
+      [this] { return this->store.Count(OwnersPrefix()) == this->cellCount; });
+  }
+
+  /** Removes the owner of every cell and waits for the next ones. */
+  bool ReplaceOwners()
+  {
+    for (std::uint32_t cell = 0; cell < this->cellCount; ++cell) {
+      const std::string owner = WorkflowKeys(cell).Owner();
+      this->store.Remove(owner);
+      if (!this->Until([&] { return this->store.Count(owner) == 1; })) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Writes one key, as another process would. */
+  bool Write(const std::string& aKey, const std::string& aValue)
+  {
+    StoreTransaction change;
+    change.puts.push_back({ aKey, aValue });
+    return this->Await(this->store.Commit(change, seconds(1))).result ==
+           StoreResult::Ok;
+  }
+
   std::optional<WorkflowState> StateAt(Node& aNode, const std::string& aJob)
   {
     return this->Await(
@@ -558,6 +589,139 @@
   CHECK(!cluster.workers.RanTwice());
 }
 
+namespace {
+
+/** Three cells with one worker of 32 cores each. Long-running jobs fill the two
+ * candidate cells of job "s", of which one task then runs in the third cell. */
+struct ThreeCells
+{
+  ThreeCells()
+    : cluster(3)
+    , node(cluster.AddNode("a"))
+    , candidates(CandidateCells("s", 3))
+    , third(3 - candidates[0] - candidates[1])
+  {
+    REQUIRE(this->cluster.UntilOwned());
+    for (const std::uint32_t cell : this->candidates) {
+      const WorkflowSubmission job = LongRunning(Filling(cell), 2);
+      REQUIRE(this->cluster.Write(WorkflowKeys(cell).Job(job.id),
+                                  nlohmann::json(job).dump()));
+    }
+    REQUIRE(this->cluster.Until(
+      [&] { return this->cluster.workers.Running() == 4; }));
+    REQUIRE(this->cluster.Await(this->node.gateway.Submit(
+              LongRunning("s", 1), this->node.clock.Now() + seconds(5))) ==
+            SubmissionOutcome::Accepted);
+    this->own = this->HasJob(this->candidates[0]) ? this->candidates[0]
+                                                  : this->candidates[1];
+    REQUIRE(this->UntilStarts(1));
+    CHECK(this->HasJob(this->third));
+  }
+
+  static WorkflowSubmission LongRunning(const std::string& aId,
+                                        std::uint32_t aTasks)
+  {
+    WorkflowSubmission job = Job(aId);
+    job.steps[0].count = aTasks;
+    job.steps[0].cpuMilli = 15000;
+    job.steps[0].longRunning = true;
+    return job;
+  }
+
+  static std::string Filling(std::uint32_t aCell)
+  {
+    return "filling" + std::to_string(aCell);
+  }
+
+  bool HasJob(std::uint32_t aCell)
+  {
+    return this->cluster.store.Count(WorkflowKeys(aCell).Job("s")) == 1;
+  }
+
+  /** Cancels the job that fills a cell. */
+  void Empty(std::uint32_t aCell)
+  {
+    const std::size_t before = this->cluster.workers.Running();
+    REQUIRE(this->cluster.Write(
+      WorkflowKeys(aCell).Cancellation(Filling(aCell)), "{}"));
+    REQUIRE(this->cluster.Until(
+      [&] { return this->cluster.workers.Running() == before - 2; }));
+  }
+
+  /** Drains the worker of a cell. */
+  void Drain(std::uint32_t aCell)
+  {
+    for (const char* const worker : { "w1", "w2", "w3" }) {
+      if (static_cast<std::uint32_t>(worker[1]) % 3 == aCell) {
+        this->cluster.workers.Drain(worker);
+      }
+    }
+  }
+
+  bool UntilStarts(int aCount)
+  {
+    return this->cluster.Until(
+      [&] { return this->cluster.workers.StartsOf("s.0.0.0") == aCount; });
+  }
+
+  /** Cancels the job and checks that nothing but aOthers runs remains. */
+  void CheckCancellation(std::size_t aOthers)
+  {
+    CHECK(this->cluster.StateAt(this->node, "s") == WorkflowState::Running);
+    CHECK(this->cluster.Await(this->node.gateway.Cancel(
+            "s", this->node.clock.Now() + seconds(5))) ==
+          CancelOutcome::Cancelled);
+    CHECK(this->cluster.Until(
+      [&] { return this->cluster.workers.Running() == aOthers; }));
+    CHECK(this->cluster.StateAt(this->node, "s") == WorkflowState::Cancelled);
+    CHECK(this->cluster.Until([&] {
+      return !this->HasJob(0) && !this->HasJob(1) && !this->HasJob(2);
+    }));
+    CHECK(!this->cluster.workers.RanTwice());
+  }
+
+  TestCluster cluster;
+  Node& node;
+  std::vector<std::uint32_t> candidates;
+  std::uint32_t third;
+  std::uint32_t own = 0;
+};
+
+} // namespace
+
+// Guards against a long-running task that waits while the only cell with
+// capacity for it is none of its job's candidate cells, and against a
+// cancellation that misses that cell.
+TEST_CASE("a task runs in a third cell if both candidate cells lack capacity")
+{
+  ThreeCells cells;
+  REQUIRE(cells.cluster.ReplaceOwners());
+  cells.CheckCancellation(4);
+  CHECK(cells.cluster.workers.StartsOf("s.0.0.0") == 1);
+}
+
+// Guards against a task that is stranded in, or run twice after, the cell to
+// which it was handed over, also with lost answers of the store and new owners.
+TEST_CASE("a task is handed on and returned to its own cell")
+{
+  ThreeCells cells;
+  const std::uint32_t other =
+    cells.candidates[0] + cells.candidates[1] - cells.own;
+  cells.Empty(other);
+  cells.cluster.store.LoseAnswers(2);
+  cells.Drain(cells.third);
+  REQUIRE(cells.UntilStarts(2));
+  CHECK(cells.HasJob(other));
+  REQUIRE(cells.cluster.ReplaceOwners());
+  cells.Empty(cells.own);
+  cells.cluster.store.LoseAnswers(2);
+  cells.Drain(other);
+  REQUIRE(cells.UntilStarts(3));
+  REQUIRE(cells.cluster.ReplaceOwners());
+  cells.CheckCancellation(0);
+  CHECK(cells.cluster.workers.StartsOf("s.0.0.0") == 3);
+}
+
 // Guards against a job that runs again because its owner was replaced after the
 // job's end but before its submission was removed.
 TEST_CASE("an ended job whose submission is still stored does not run again")
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -333,6 +333,7 @@
     description.endpoint = Endpoint{ "127.0.0.1", 1 };
     description.rack = "r1";
     description.capacity = WorkerCapacity{ 32000, 128000, 0 };
+    description.draining = worker.draining;
     result.push_back(std::move(description));
   }
   co_return result;
@@ -476,6 +477,13 @@
   }
 }
 
+void
+FakeWorkers::Drain(const std::string& aWorker)
+{
+  const std::lock_guard lock(this->mutex);
+  this->workers.at(aWorker).draining = true;
+}
+
 void
 FakeWorkers::LoseStartAnswers(int aCount)
 {
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -124,6 +124,9 @@
   /** Ends all runs of all workers as done. */
   void FinishAll();
 
+  /** Lists a worker as draining from now on. */
+  void Drain(const std::string& aWorker);
+
   /** Loses the answers to the next aCount start commands, which are carried
    * out. */
   void LoseStartAnswers(int aCount);
@@ -153,6 +156,7 @@
     std::map<std::string, std::uint64_t> highestEnded;
     std::vector<EndedRun> ended;
     std::uint64_t nextEnd = 1;
+    bool draining = false;
   };
 
   std::uint64_t NowMs() const;
--- a/test/unit/CapacityThatShrinks.cpp
+++ b/test/unit/CapacityThatShrinks.cpp
@@ -321,7 +321,9 @@
   harness.AddWorkers({ "w" });
   harness.scheduler.Accept(LongRunning(harness, "1000000000000000", 2, 1000));
   REQUIRE(harness.PlanAndConfirm().size() == 2);
-  CHECK(harness.scheduler.CapacityForLongRunning().freeCpuMilli == 30000);
+  const LongRunningCapacity before = harness.scheduler.CapacityForLongRunning();
+  REQUIRE(before.groups.size() == 1);
+  CHECK(before.groups.front().freeCpuMilli == 30000);
   SUBCASE("memory")
   {
     ListOne(harness, 32000, 150);
@@ -330,10 +332,7 @@
   {
     ListOne(harness, 1500);
   }
-  const LongRunningCapacity left = harness.scheduler.CapacityForLongRunning();
-  CHECK(left.freeCpuMilli == 0);
-  CHECK(left.cpuMilli == 0);
-  CHECK(left.memoryMb == 0);
+  CHECK(harness.scheduler.CapacityForLongRunning().groups.empty());
 }
 
 // Guards against stops of tasks that run on a worker which has become too small
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -444,7 +444,7 @@
   REQUIRE(offers.size() == 1);
   REQUIRE(offers[0].tasks.size() == 1);
   CHECK(offers[0].tasks[0].index == 1);
-  CHECK(offers[0].size.cpuMilli == 20000);
+  CHECK(offers[0].demand.size.cpuMilli == 20000);
 }
 
 // Guards against tasks that are never offered because the search for a worker
@@ -463,6 +463,64 @@
   CHECK(harness.scheduler.HandOvers().size() == kJobs);
 }
 
+// Guards against a task that is lost between cells when it is handed on or
+// returned, and against one that moves back at once.
+TEST_CASE("a task that came from another cell is handed on after a wait")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LargeService(harness, "full", 1));
+  CHECK(harness.PlanAndConfirm().size() == 1);
+  WorkflowSubmission part = LargeService(harness, "s", 2);
+  part.partial = true;
+  part.ownCell = 1;
+  part.part = { TaskRun{ 0, 1, 4 } };
+  harness.scheduler.Accept(part);
+  harness.clock.Advance(milliseconds(1100));
+  harness.Report("w1", 1, { { "full.0.0.0", 1, "", 100, 0 } }, {});
+  harness.scheduler.Plan();
+  CHECK(harness.scheduler.HandOvers().empty());
+  harness.clock.Advance(milliseconds(1000));
+  harness.scheduler.Plan();
+  const std::vector<HandOver> offers = harness.scheduler.HandOvers();
+  REQUIRE(offers.size() == 1);
+  REQUIRE(offers[0].tasks.size() == 1);
+  CHECK(offers[0].tasks[0].index == 1);
+  CHECK(offers[0].tasks[0].run == 4);
+  REQUIRE(harness.scheduler.BeginHandOver(offers[0]));
+  harness.scheduler.Plan();
+  CHECK(harness.scheduler.HandOvers().empty());
+  CHECK(harness.scheduler.StateOf("s") == WorkflowState::Unknown);
+}
+
+// Guards against a task that its own cell ignores, or starts twice, after
+// another cell has returned it; the next owner must treat it alike.
+TEST_CASE("a returned task runs in its own cell with the next run number")
+{
+  WorkflowProgress before;
+  before.id = "s";
+  before.state = WorkflowState::Running;
+  before.handedOver = { TaskRun{ 0, 1, 1 } };
+  for (const bool newOwner : { false, true }) {
+    SchedulerHarness harness;
+    WorkflowSubmission job = LargeService(harness, "s", 2);
+    WorkflowSubmission changed = job;
+    changed.returned = { TaskRun{ 0, 1, 5 } };
+    harness.scheduler.Restore(newOwner ? changed : job, before);
+    harness.AddWorkers({ "w1", "w2" });
+    if (!newOwner) {
+      CHECK(harness.PlanAndConfirm().size() == 1);
+      CHECK(!harness.scheduler.Accept(changed));
+      CHECK(!harness.scheduler.Accept(changed));
+    }
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(starts.size() == (newOwner ? 2 : 1));
+    CHECK(starts.back().command.task == "s.0.0.1");
+    CHECK(starts.back().command.run == 6);
+    CHECK(harness.PlanAndConfirm().empty());
+  }
+}
+
 // Guards against a second run of a task that was handed over: neither its own
 // cell nor the next owner of that cell may start it again.
 TEST_CASE("a task that was handed over is not started by its own cell")
