Keep a task's wait when its start is rejected

A worker that rejected every start of an interrupted long-running task renewed the task's wait each time. The wait never reached 1.5 s (preemption) or 2.5 s (quarantined workers), so the task stayed away although sound workers had capacity. A start that is not known to have begun now keeps the wait, and a task whose lease expired waits since the last report of its worker.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -300,13 +300,20 @@
     .Add("confirmed", commitment->confirmedAt != TimePoint())
     .Add("reason", aReason);
   this->policies.observer.RunLost();
+  // A start that was rejected or not carried out does not end the wait of the
+  // task, otherwise a worker that rejects every start would keep renewing it.
+  const bool began = commitment->confirmedAt != TimePoint();
   aWorker.Release(aTask);
   const std::optional<TaskName> name = ParseTaskName(aTask);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
   const WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
   if (task != nullptr && task->status == TaskStatus::Assigned &&
       task->worker == aWorker.description.id) {
-    entry->job.Unassign(*name, this->clock.Now());
+    if (began) {
+      entry->job.Unassign(*name, aWorker.lastReportAt);
+    } else {
+      entry->job.RevokeAssignment(*name);
+    }
     this->NoteAssignmentChange(entry->job, *name);
   }
 }
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -178,14 +178,20 @@
 }
 
 void
-WorkflowJob::Unassign(const TaskName& aName, TimePoint aNow)
+WorkflowJob::Unassign(const TaskName& aName, TimePoint aSince)
+{
+  this->RevokeAssignment(aName);
+  this->Find(aName)->pendingSince = aSince;
+}
+
+void
+WorkflowJob::RevokeAssignment(const TaskName& aName)
 {
   WorkflowTask* const task = this->Find(aName);
   InternalAssert(task != nullptr && task->status == TaskStatus::Assigned,
                  "only an assigned task can become pending again");
   task->status = TaskStatus::Pending;
   task->worker.clear();
-  task->pendingSince = aNow;
   ++this->TasksOf(aName).pending;
 }
 
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -39,7 +39,7 @@
   std::string checkpoint;
   /** Numbers of the failed runs, for TaskFailures. */
   std::vector<std::uint64_t> failedRuns;
-  /** When the task last became Pending. */
+  /** Since when the task has had no run that is known to have begun. */
   TimePoint pendingSince;
   /** Came from another cell and has not run here since. */
   bool moved = false;
@@ -102,8 +102,14 @@
               const std::string& aWorker,
               std::uint64_t aRun);
 
-  /** Returns an assigned task to pending. Throws if it is not assigned. */
-  void Unassign(const TaskName& aName, TimePoint aNow);
+  /** Returns an assigned task to pending. aSince: end of its run, as far as it
+   * is known. Throws if the task is not assigned. */
+  void Unassign(const TaskName& aName, TimePoint aSince);
+
+  /** Returns an assigned task to pending whose run is not known to have begun.
+   * The time since which it has been pending is kept. Throws if the task is not
+   * assigned. */
+  void RevokeAssignment(const TaskName& aName);
 
   /** HandOver() marks a pending task as handed over to another cell; Reclaim()
    * makes a task that was handed over pending here again. Both throw if the
