Start a waiting long-running task on reserved capacity

Capacity that was reserved for a large interrupted task stayed unused for as long as that task could not start, while smaller ones would have fitted. From 3 s of waiting on, a long-running task may take capacity that is reserved for another. Within a step, a task that has waited longer than one that was not placed is tried as well, since it may use workers that the other may not.

unit_InterruptedTasks "a task that fits is started on capacity that stays reserved" fails before the change (no start within 5 s) and passes after it.

--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -29,6 +29,12 @@
  * waiting. */
 constexpr std::chrono::milliseconds kQuarantinedWorkerWait{ 2500 };
 
+/** Wait after which a long-running task is started on capacity that is reserved
+ * for another one: the other task could not start there in this time, and the
+ * capacity must not stay unused for longer than half of the six seconds within
+ * which an interrupted task has to run again. */
+constexpr std::chrono::milliseconds kReservedCapacityWait{ 3000 };
+
 /** Wait after which a task that no worker of its cell can run is offered to
  * another cell. A worker that was only briefly unreachable is back by then. */
 constexpr std::chrono::milliseconds kHandOverWait{ 1000 };
@@ -126,10 +132,12 @@
 {
   const TimePoint now = this->clock.Now();
   const WorkflowStep& step = aTask.step;
+  const bool mayUseReserved =
+    step.longRunning && aTask.waited > kReservedCapacityWait;
   ScheduledWorker* best = nullptr;
   double bestRate = WorkerChoice::kAnyScore;
   for (ScheduledWorker* const worker : aWorkers) {
-    if (!worker->Fits(step) ||
+    if (!(mayUseReserved ? worker->FitsBesideRuns(step) : worker->Fits(step)) ||
         !SatisfiesConstraints(
           *worker, aTask.submission.service, step, aTask.stepKey)) {
       continue;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -253,7 +253,8 @@
     entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step].tasks;
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
   const TimePoint now = this->clock.Now();
-  bool full = false;
+  // A task that has waited longer may be placed where this one may not.
+  std::optional<Duration> longestMissed;
   bool noWorker = false;
   for (std::uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].status != TaskStatus::Pending) {
@@ -272,9 +273,12 @@
       return;
     }
     placed.waited = now - tasks[i].pendingSince;
-    ScheduledWorker* const worker = full ? nullptr : this->ChooseWorker(placed);
+    const bool missed = longestMissed && placed.waited <= *longestMissed;
+    ScheduledWorker* const worker =
+      missed ? nullptr : this->ChooseWorker(placed);
     if (worker == nullptr) {
-      full = true;
+      longestMissed =
+        std::max(longestMissed.value_or(placed.waited), placed.waited);
       if (!step.longRunning) {
         return;
       }
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -106,18 +106,29 @@
 
 bool
 ScheduledWorker::Fits(const WorkflowStep& aStep) const
+{
+  return this->FitsBeside(this->reserved, aStep);
+}
+
+bool
+ScheduledWorker::FitsBesideRuns(const WorkflowStep& aStep) const
+{
+  return this->FitsBeside(ReservedCapacity(), aStep);
+}
+
+bool
+ScheduledWorker::FitsBeside(const ReservedCapacity& aReserved,
+                            const WorkflowStep& aStep) const
 {
   const WorkerCapacity& room = this->description.capacity;
   const CommittedCapacity& used = this->committed;
-  if (used.memoryMb + this->reserved.memoryMb + aStep.memoryMb >
-        room.memoryMb ||
-      used.accelerators + this->reserved.accelerators + aStep.accelerators >
+  if (used.memoryMb + aReserved.memoryMb + aStep.memoryMb > room.memoryMb ||
+      used.accelerators + aReserved.accelerators + aStep.accelerators >
         room.accelerators) {
     return false;
   }
   return aStep.filler ||
-         used.cpuMilli + this->reserved.cpuMilli + aStep.cpuMilli <=
-           room.cpuMilli;
+         used.cpuMilli + aReserved.cpuMilli + aStep.cpuMilli <= room.cpuMilli;
 }
 
 bool
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -209,6 +209,9 @@
    * that tasks of aStep use, which is so after the capacity has shrunk. */
   bool IsExceededFor(const WorkflowStep& aStep) const;
 
+  /** Like Fits(), but does not count reservations. */
+  bool FitsBesideRuns(const WorkflowStep& aStep) const;
+
   /** Reserves capacity for one task of aStep until ClearReservations(). */
   void Reserve(const WorkflowStep& aStep);
   void ClearReservations() { this->reserved = ReservedCapacity(); }
@@ -237,6 +240,8 @@
 
 private:
   void AddToSums(const Commitment& aCommitment, int aSign);
+  bool FitsBeside(const ReservedCapacity& aReserved,
+                  const WorkflowStep& aStep) const;
 
   std::map<std::string, Commitment> commitments;
   std::deque<EndedFiller> endedFillers;
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -65,3 +65,48 @@
   }
   CHECK(preempted);
 }
+
+// Guards against capacity that stays unused since it is reserved for a larger
+// task that cannot start.
+TEST_CASE("a task that fits is started on capacity that stays reserved")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission gang = harness.Job("gang");
+  gang.steps[0].gang = true;
+  gang.steps[0].cpuMilli = 16000;
+  gang.steps[0].estimateMs = 100000;
+  harness.scheduler.Accept(gang);
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  harness.scheduler.Accept(LongRunning(harness, "large", 20000));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.clock.Advance(milliseconds(10));
+  harness.scheduler.Accept(LongRunning(harness, "small", 6000));
+  const std::vector<PlannedStart> second = harness.PlanAndConfirm();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].worker == "w2");
+  harness.clock.Advance(milliseconds(100));
+  harness.Report(
+    "w2", 1, { Row("large.0.0.0", 1, 100), Row("small.0.0.0", 1, 100) }, {});
+  WorkerDescription gone = SchedulerHarness::Worker("w2", 2);
+  gone.draining = true;
+  harness.scheduler.UpdateWorkers(
+    std::vector{ SchedulerHarness::Worker("w1"), gone });
+  std::vector<std::string> started;
+  for (int i = 0; i < 50; ++i) {
+    harness.clock.Advance(milliseconds(100));
+    std::vector<RunningRun> running{ Row("gang.0.0.0", 1, 1) };
+    for (const std::string& task : started) {
+      running.push_back(Row(task, 2, 100));
+    }
+    harness.Report("w1", 1, running, {});
+    for (const PlannedStart& start : harness.PlanAndConfirm()) {
+      started.push_back(start.command.task);
+    }
+  }
+  CHECK(started == std::vector<std::string>{ "small.0.0.0" });
+}
