Stop starts that a new incarnation may have confirmed

A worker that restarts under its id can confirm a start before the scheduler knows of the restart. Starts confirmed after the worker's last report are now stopped on the new incarnation first.

unit_InterruptedTasks "a start that a new incarnation may have confirmed is stopped first" fails before the change and passes after it.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -352,8 +352,11 @@
     .Add("incarnation", aIncarnation);
   std::vector<std::string> inFlight;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    if (commitment.mayBeInFlight ||
-        (commitment.confirmedAt == TimePoint() && !commitment.held)) {
+    // A start that was confirmed after the last report may have been carried
+    // out by the new incarnation. A held start was never sent.
+    const bool unreported = commitment.confirmedAt == TimePoint() ||
+                            commitment.confirmedAt > aWorker.lastReportAt;
+    if (commitment.mayBeInFlight || (unreported && !commitment.held)) {
       inFlight.push_back(task);
     }
   }
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -110,3 +110,22 @@
   }
   CHECK(started == std::vector<std::string>{ "small.0.0.0" });
 }
+
+// Guards against a second run of a task whose start was carried out by a new
+// incarnation of the worker that the scheduler did not know yet.
+TEST_CASE("a start that a new incarnation may have confirmed is stopped first")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 6000));
+  harness.clock.Advance(milliseconds(100));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1", 2), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  const PlannedCommands commands = harness.scheduler.Plan();
+  CHECK(commands.starts.empty());
+  REQUIRE(commands.stops.size() == 1);
+  CHECK(commands.stops[0].worker == "w1");
+}
