Keep an earlier run of a pending task that a worker reports

A report that listed an earlier run of a pending task left a commitment on the worker while the task stayed pending. If the task was then placed on the same worker, Commit() threw out of Plan(), which ends the process. The run is now adopted, except for gang members, and no task is started on a worker that may still run an earlier run of it.

unit_InterruptedTasks "an earlier run of a pending task is kept" fails before the change (exception from Plan()) and passes after it.

--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -290,6 +290,10 @@
       }
       continue;
     }
+    if (worker->Find(FormatTaskName(name)) != nullptr) {
+      // The end of an earlier run on this worker is not known yet.
+      continue;
+    }
     placed.rack = worker->description.rack;
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
   }
@@ -328,7 +332,12 @@
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
   for (std::uint32_t i = 0; i < step.count; ++i) {
     ScheduledWorker* const worker = this->ChooseWorker(placed);
-    if (worker == nullptr) {
+    const bool earlierRun =
+      worker != nullptr &&
+      worker->Find(FormatTaskName(
+        { aCandidate.job, aCandidate.occurrence, aCandidate.step, i })) !=
+        nullptr;
+    if (worker == nullptr || earlierRun) {
       break;
     }
     placed.rack = worker->description.rack;
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -230,8 +230,10 @@
     return;
   }
   commitment.step = entry->job.StepOf(aName);
-  const bool wanted =
-    task->status == TaskStatus::Pending && aRow.run >= task->run;
+  // An earlier run of a pending task is kept, since it is the only one. For a
+  // member of a gang it is of no use, since the other members have ended.
+  const bool wanted = task->status == TaskStatus::Pending &&
+                      (aRow.run >= task->run || !commitment.step.gang);
   aWorker.Commit(aRow.task, commitment);
   Event("task_found")
     .Add("task", aRow.task)
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -129,3 +129,33 @@
   REQUIRE(commands.stops.size() == 1);
   CHECK(commands.stops[0].worker == "w1");
 }
+
+// Guards against an exception that ends the process: a worker reports an
+// earlier run of a task that waits to be started.
+TEST_CASE("an earlier run of a pending task is kept")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 6000));
+  const std::vector<PlannedStart> first = harness.PlanAndConfirm();
+  REQUIRE(first.size() == 1);
+  const std::string silent = first[0].worker;
+  const std::string other = silent == "w1" ? "w2" : "w1";
+  harness.Report(silent, 1, { Row("service.0.0.0", 1, 100) }, {});
+  harness.scheduler.HandleUnresponsive(silent);
+  harness.clock.Advance(seconds(9));
+  harness.Report(other, 1, {}, {});
+  const std::vector<PlannedStart> second = harness.PlanAndConfirm();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].worker == other);
+  harness.clock.Advance(milliseconds(100));
+  harness.Report(
+    other, 1, {}, { EndedRun{ 1, "service.0.0.0", 2, RunEnd::Failed, "" } });
+  harness.Report(silent, 1, { Row("service.0.0.0", 1, 100) }, {});
+  harness.scheduler.NoteLease(silent, harness.scheduler.LeaseUntil(silent));
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  PlannedCommands commands;
+  CHECK_NOTHROW(commands = harness.scheduler.Plan());
+  CHECK(commands.starts.empty());
+  CHECK(commands.stops.empty());
+}
