Let a worker that is back get tasks sooner

A worker that had restarted or had not answered was asked for its next report with a wait of 1 s, each lost request took 1.6 s, and the roster was written only after the next read of the registry. Together it got no tasks for over 3 s. Its reports are now requested without a wait, and the roster is written as soon as a worker that it lacks reports.

unit_InterruptedTasks "a restarted or unresponsive worker is asked to report at once" guards the first part; on the code before the change it was only run with a stand-in for NeedsReportNow(), which failed. The second part has no test of its own.

--- a/src/CellOwnershipSession.cpp
+++ b/src/CellOwnershipSession.cpp
@@ -44,6 +44,7 @@
               EarlierLeasesExpireAt(dependencies))
   , renewedAt(dependencies.clock.Now())
   , planSignal(dependencies.strand)
+  , rosterSignal(dependencies.strand)
   , writeSignal(dependencies.strand)
   , endSignal(dependencies.strand)
 {
@@ -71,6 +72,7 @@
     .Add("reason", aReason);
   this->endSignal.Notify();
   this->planSignal.Notify();
+  this->rosterSignal.Notify();
   this->writeSignal.Notify();
 }
 
@@ -91,6 +93,7 @@
     .Add("jobs", static_cast<std::uint64_t>(this->scheduler.Jobs()))
     .Add("workers", static_cast<std::uint64_t>(this->scheduler.Workers()));
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.WatchInbox(); });
+  this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.KeepRoster(); });
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.PollRegistry(); });
   this->Spawn(
     [](CellOwnershipSession& aSelf) { return aSelf.WriteProgress(); });
--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -135,6 +135,8 @@
   boost::asio::awaitable<void> RenewOwnership();
   boost::asio::awaitable<void> WatchInbox();
   boost::asio::awaitable<void> PollRegistry();
+  /** Writes the roster whenever it is stale and rosterSignal is set. */
+  boost::asio::awaitable<void> KeepRoster();
   boost::asio::awaitable<void> WriteRoster();
   boost::asio::awaitable<void> WriteProgress();
   /** Waits until the write window is over, so that several ends of runs share a
@@ -232,6 +234,7 @@
    * the store. */
   TimePoint registryGraceUntil;
   AsyncSignal planSignal;
+  AsyncSignal rosterSignal;
   AsyncSignal writeSignal;
   AsyncSignal endSignal;
 };
--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -110,11 +110,9 @@
                         std::chrono::milliseconds(50));
       continue;
     }
-    const bool hasUnwrittenEnds = worker->handledEnds > worker->durableEnds;
     const Duration longest =
       worker->overTargetSince ? kReportWaitOverTarget : kReportWait;
-    const Duration wait =
-      worker->reported && !hasUnwrittenEnds ? longest : Duration::zero();
+    const Duration wait = worker->NeedsReportNow() ? Duration::zero() : longest;
     const std::uint64_t until = this->scheduler.LeaseUntil(aWorker);
     this->scheduler.NoteLease(aWorker, until);
     const TimePoint sentAt = this->dependencies.clock.Now();
@@ -146,6 +144,9 @@
     }
     this->scheduler.HandleReport(
       aWorker, sentAt, reply.outcome.workerMs, reply.report);
+    if (!this->scheduler.IsOnRoster(aWorker)) {
+      this->rosterSignal.Notify();
+    }
     this->planSignal.Notify();
     if (this->scheduler.HasProgress()) {
       this->writeSignal.Notify();
--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -252,9 +252,7 @@
     this->lastListed = *listed;
     this->scheduler.UpdateWorkers(*listed);
     this->StartWorkerLoops();
-    if (this->scheduler.RosterIsStale()) {
-      co_await this->WriteRoster();
-    }
+    this->rosterSignal.Notify();
     this->planSignal.Notify();
     co_await SleepFor(this->dependencies.strand, interval);
   }
--- a/src/CellOwnershipSessionWrites.cpp
+++ b/src/CellOwnershipSessionWrites.cpp
@@ -40,8 +40,26 @@
  * images from harmful ones; four cells together need less than 10 s. */
 constexpr std::chrono::seconds kEvidenceInterval{ 3 };
 
+/** Shortest time between two writes of the roster. */
+constexpr std::chrono::milliseconds kRosterWriteInterval{ 100 };
+
 } // namespace
 
+asio::awaitable<void>
+CellOwnershipSession::KeepRoster()
+{
+  while (!this->ended) {
+    co_await this->rosterSignal.Wait(std::chrono::hours(1));
+    if (this->ended || !this->scheduler.RosterIsStale()) {
+      continue;
+    }
+    co_await this->WriteRoster();
+    this->planSignal.Notify();
+    // Changes of several workers within this time share a write.
+    co_await SleepFor(this->dependencies.strand, kRosterWriteInterval);
+  }
+}
+
 asio::awaitable<void>
 CellOwnershipSession::WriteRoster()
 {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -197,6 +197,13 @@
    * removed worker, for whose report the next owner would wait. */
   bool RosterIsStale() const;
 
+  /** Returns whether the durable roster names a worker, so that it may get
+   * tasks. */
+  bool IsOnRoster(const std::string& aWorker) const
+  {
+    return this->roster.contains(aWorker);
+  }
+
   /** Returns the roster that should be durable now. */
   WorkerRoster RosterToWrite() const;
 
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -222,6 +222,15 @@
    * gone. */
   double ShareOf(double aCpuMilli) const;
 
+  /** Returns whether the next report is needed at once instead of at the next
+   * end of a run: without it the worker gets no starts, or its run ends are not
+   * acknowledged. */
+  bool NeedsReportNow() const
+  {
+    return !this->reported || this->unresponsive || this->clockReadingMs == 0 ||
+           this->handledEnds > this->durableEnds;
+  }
+
   /** Returns the number of commitments of one step. */
   std::uint32_t CountOfStep(const std::string& aStepKey) const;
 
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -159,3 +159,17 @@
   CHECK(commands.starts.empty());
   CHECK(commands.stops.empty());
 }
+
+// Guards against a worker that gets no starts for seconds after it is back,
+// since its first report waits for the end of a run.
+TEST_CASE("a restarted or unresponsive worker is asked to report at once")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2" });
+  CHECK_FALSE(harness.scheduler.FindWorker("w1")->NeedsReportNow());
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1", 2), SchedulerHarness::Worker("w2") });
+  CHECK(harness.scheduler.FindWorker("w1")->NeedsReportNow());
+  harness.scheduler.HandleUnresponsive("w2");
+  CHECK(harness.scheduler.FindWorker("w2")->NeedsReportNow());
+}
