Let tasks crash their workers and capacities change in the soak

A task that its job's payload marks crashes the worker 10 ms after the start; the worker drops its connections and comes back under its id as a new incarnation 1 to 3 s later. Capacities change at random and the registry follows within a heartbeat. The ledger counts starts in touch after three crashes, accepts a failed job only with two crashes under its crashing task, and workers check starts against the capacities of the last 3 s and one heartbeat. Starts within 3 s of a disturbance of a process, a path or the store don't count for the new rules; after the faults a calm span of 15 s follows in which they do.

--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -2,6 +2,17 @@
 
 namespace sequoiakeel::soak {
 
+namespace {
+
+/** After this many crashes under a task that crashes its workers, the task may
+ * be started fewer than this many times more by processes in touch. */
+constexpr int kCrashes = 3;
+
+/** A task may be given up after this many crashes under it. */
+constexpr int kCrashesToGiveUp = 2;
+
+} // namespace
+
 const StepPlan*
 JobLedger::StepOf(const TaskName& aName) const
 {
@@ -41,6 +52,9 @@
   if (job.refused && !job.accepted && !job.uncertain) {
     this->RecordViolation("a refused job runs", detail);
   }
+  if (job.crashes && name->step == 0 && name->index == 0) {
+    this->CheckCrashLimit(aTask, detail);
+  }
   if (name->step > 0 && !this->StepDone(job, name->step - 1)) {
     this->RecordViolation("a step starts before the one that it waits for",
                           detail);
@@ -60,6 +74,19 @@
   }
 }
 
+void
+JobLedger::CheckCrashLimit(const std::string& aTask, const std::string& aDetail)
+{
+  if (!this->inTouch || this->crashes[aTask] < kCrashes) {
+    return;
+  }
+  if (++this->startsAfterCrashes[aTask] == kCrashes) {
+    this->RecordViolation("a task that crashes its workers is started on",
+                          aDetail + " after " +
+                            std::to_string(this->crashes[aTask]) + " crashes");
+  }
+}
+
 void
 JobLedger::RecordRunEnded(const std::string& aWorker,
                           const std::string& aTask,
@@ -120,7 +147,9 @@
     this->RecordViolation("a job is shown as cancelled that nobody cancelled",
                           aJob);
   }
-  if (aState == "failed") {
+  const std::string first = FormatTaskName({ aJob, 0, 0, 0 });
+  const bool givenUp = job.crashes && this->crashes[first] >= kCrashesToGiveUp;
+  if (aState == "failed" && !givenUp) {
     this->RecordViolation("a job is shown as failed without a failed run",
                           aJob);
   }
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -27,6 +27,8 @@
   std::string id;
   /** Each step starts only after the previous one has completed. */
   std::vector<StepPlan> steps;
+  /** The first task of the first step crashes each worker that starts it. */
+  bool crashes = false;
   bool accepted = false;
   /** An attempt to submit may have been accepted although the caller got no
    * response. */
@@ -62,6 +64,14 @@
                       const std::string& aTask,
                       std::uint64_t aRun);
 
+  /** Records that a worker crashed while it ran a task. */
+  void RecordCrash(const std::string& aTask) { ++this->crashes[aTask]; }
+
+  /** Sets whether the processes and the store have been undisturbed for long
+   * enough that rules with a time limit hold. */
+  void SetInTouch(bool aInTouch) { this->inTouch = aInTouch; }
+  bool InTouch() const { return this->inTouch; }
+
   /** Records that a run completed. The worker keeps the completion record until
    * the scheduler acknowledges it. */
   void RecordCompletion(const std::string& aTask, std::uint64_t aRun);
@@ -89,6 +99,7 @@
   std::uint64_t Starts() const { return this->starts; }
 
 private:
+  void CheckCrashLimit(const std::string& aTask, const std::string& aDetail);
   bool StepDone(const JobPlan& aJob, std::uint32_t aStep) const;
 
   /** Workers and run numbers of the runs in progress, by task. */
@@ -104,6 +115,11 @@
   /** Completed runs whose task was started again while a worker still held the
    * unacknowledged completion record. */
   std::set<std::pair<std::string, std::uint64_t>> startedAfterDone;
+  /** Number of workers that crashed under a task, and of its starts in touch
+   * after kCrashes of them. */
+  std::map<std::string, int> crashes;
+  std::map<std::string, int> startsAfterCrashes;
+  bool inTouch = false;
   std::vector<std::string> broken;
   std::uint64_t starts = 0;
 };
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -53,6 +53,8 @@
   app.add_option("--nodes", plan.nodes, "Scheduler processes");
   app.add_option("--workers", plan.workers, "Workers");
   app.add_option("--callers", plan.callers, "Callers");
+  app.add_flag("--crashing-tasks", plan.crashingTasks, "Tasks crash workers");
+  app.add_flag("--resizes", plan.resizes, "Workers shrink and grow");
   app.add_option("--folder", folder, "Folder of the logs");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   StartLogging("soak", LogLevel::Error);
--- a/test/soak/SoakRun.cpp
+++ b/test/soak/SoakRun.cpp
@@ -40,6 +40,12 @@
 constexpr seconds kCancelLimit{ 10 };
 
 constexpr seconds kCallTimeout{ 3 };
+
+/** A process is in touch after this time without a disturbance. */
+constexpr seconds kStableWindow{ 3 };
+
+/** Number of jobs with a task that crashes its workers, at a time. */
+constexpr int kMaxCrashingJobs = 2;
 constexpr milliseconds kPollInterval{ 120 };
 constexpr std::uint32_t kCells = 2;
 
@@ -102,11 +108,17 @@
   explicit Soak(const SoakPlan& aPlan)
     : plan(aPlan)
     , random(aPlan.seed)
+    , extras(aPlan.seed + 1)
     , store(context, random)
   {
     for (int i = 0; i < aPlan.workers; ++i) {
       this->workers.push_back(std::make_unique<SoakWorker>(
         this->context, "w" + std::to_string(i), this->ledger, this->random));
+      SoakWorker& worker = *this->workers.back();
+      worker.SetCrashHandler([this, &worker] {
+        worker.Proxy().Reset();
+        this->CrashWorker(worker, milliseconds(1000 + this->DrawExtra(2000)));
+      });
     }
     for (int i = 0; i < aPlan.nodes; ++i) {
       this->AddNode(i);
@@ -168,6 +180,12 @@
       DrawIndex(this->random, static_cast<std::size_t>(aLimit)));
   }
 
+  int DrawExtra(int aLimit)
+  {
+    return static_cast<int>(
+      DrawIndex(this->extras, static_cast<std::size_t>(aLimit)));
+  }
+
   Node& AnyNode() { return *this->nodes[Draw(this->plan.nodes)]; }
 
   asio::awaitable<void> Sleep(Duration aTime)
@@ -179,6 +197,8 @@
   {
     while (true) {
       co_await this->Sleep(milliseconds(10));
+      this->ledger.SetInTouch(
+        std::chrono::steady_clock::now() - this->disturbedAt > kStableWindow);
       for (const std::unique_ptr<SoakWorker>& worker : this->workers) {
         worker->Tick();
       }
@@ -213,6 +233,9 @@
     for (int i = 0; i < this->plan.callers; ++i) {
       this->Spawn(this->Caller(i));
     }
+    if (this->plan.resizes) {
+      this->Spawn(this->ResizeWorkers());
+    }
     co_await this->InjectFaults();
     co_await this->Settle();
     this->context.stop();
@@ -247,6 +270,11 @@
       step.cpuMilli = 800;
       this->lasting.push_back(aId);
     }
+    if (this->plan.crashingTasks && !step.longRunning &&
+        this->crashingJobs < kMaxCrashingJobs && this->DrawExtra(6) == 0) {
+      ++this->crashingJobs;
+      job.crashes = true;
+    }
     job.steps.push_back(step);
     if (!step.longRunning && this->Draw(2) == 0) {
       job.steps.push_back(step);
@@ -270,7 +298,9 @@
       }
       steps.push_back(std::move(row));
     }
-    return nlohmann::json{ { "spec", "work" }, { "steps", steps } }.dump();
+    const char* const payload =
+      aJob.crashes ? SoakWorker::kCrashPayload : "work";
+    return nlohmann::json{ { "spec", payload }, { "steps", steps } }.dump();
   }
 
   asio::awaitable<ExchangeResult> Call(Node& aNode,
@@ -328,6 +358,12 @@
   asio::awaitable<void> PlayJob(std::string aId)
   {
     this->ledger.jobs[aId] = this->DrawJob(aId);
+    co_await this->PlayDrawnJob(aId);
+    this->crashingJobs -= this->ledger.jobs.at(aId).crashes ? 1 : 0;
+  }
+
+  asio::awaitable<void> PlayDrawnJob(std::string aId)
+  {
     co_await this->Submit(aId);
     if (!this->ledger.jobs.at(aId).accepted) {
       co_return;
@@ -395,7 +431,7 @@
   {
     while (true) {
       const std::string state = co_await this->Show(aId);
-      if (state == "completed") {
+      if (state == "completed" || state == "failed") {
         this->finished.insert(aId);
         co_return;
       }
@@ -430,6 +466,13 @@
     --this->open;
   }
 
+  /** Marks the processes as disturbed until aTime from now. */
+  void Disturb(Duration aTime)
+  {
+    this->disturbedAt =
+      std::max(this->disturbedAt, std::chrono::steady_clock::now() + aTime);
+  }
+
   /** Clears a fault after a delay. Several faults may overlap. */
   void Later(Duration aTime, std::function<void()> aUndo)
   {
@@ -439,6 +482,7 @@
 
   void KillNode(Node& aNode, int aSignal, Duration aDown)
   {
+    this->Disturb(aDown);
     aNode.process->Signal(aSignal);
     // A second SIGTERM forces the process to stop with a non-zero exit code,
     // so that code is not checked.
@@ -464,12 +508,14 @@
 
   void PauseNode(Node& aNode, Duration aTime)
   {
+    this->Disturb(aTime);
     aNode.process->Signal(SIGSTOP);
     this->Later(aTime, [&aNode] { aNode.process->Signal(SIGCONT); });
   }
 
   void CutStore(Node& aNode, PathFault aFault, bool aOpenOnly, Duration aTime)
   {
+    this->Disturb(aTime);
     aNode.storePath->SetFault(aFault, aOpenOnly);
     this->Later(aTime,
                 [&aNode] { aNode.storePath->SetFault(PathFault::None); });
@@ -477,6 +523,7 @@
 
   void CutWorker(SoakWorker& aWorker, PathFault aFault, Duration aTime)
   {
+    this->Disturb(aTime);
     aWorker.Proxy().SetFault(aFault);
     this->Later(aTime, [&aWorker] {
       if (aWorker.Up()) {
@@ -499,12 +546,14 @@
 
   void SetStoreFault(StoreFault aFault, Duration aTime)
   {
+    this->Disturb(aTime);
     this->store.SetFault(aFault);
     this->Later(aTime, [this] { this->store.SetFault(StoreFault::None); });
   }
 
   void InjectOne()
   {
+    this->Disturb(Duration::zero());
     Node& node = this->AnyNode();
     SoakWorker& worker = *this->workers[Draw(this->plan.workers)];
     const milliseconds time(200 + this->Draw(3800));
@@ -542,6 +591,8 @@
         [&] { worker.Proxy().Reset(); } },
       { "late orders at " + worker.Id() + length,
         [&] {
+          // Late commands are executed up to 5 s after the fault.
+          this->Disturb(time + seconds(5) - kStableWindow);
           worker.SetLateCommands(true);
           this->Later(time, [&worker] { worker.SetLateCommands(false); });
         } },
@@ -552,6 +603,7 @@
         } },
       { "deaf watches" + length,
         [&] {
+          this->Disturb(time);
           this->store.SetWatchesBlocked(true);
           this->Later(time, [this] { this->store.SetWatchesBlocked(false); });
         } },
@@ -570,6 +622,23 @@
     chosen.inject();
   }
 
+  asio::awaitable<void> ResizeWorkers()
+  {
+    constexpr int kMostMilli = 16001;
+    while (!this->stopping) {
+      co_await this->Sleep(milliseconds(100 + this->DrawExtra(600)));
+      const int index = this->DrawExtra(this->plan.workers);
+      this->workers[index]->Resize(this->DrawExtra(kMostMilli));
+      co_await this->Sleep(milliseconds(
+        this->DrawExtra(static_cast<int>(SoakWorker::kHeartbeat.count()) / 2)));
+      co_await this->Publish();
+    }
+    for (const std::unique_ptr<SoakWorker>& worker : this->workers) {
+      worker->Resize(kMostMilli - 1);
+    }
+    co_await this->Publish();
+  }
+
   asio::awaitable<void> InjectFaults()
   {
     this->begun = std::chrono::steady_clock::now();
@@ -580,6 +649,9 @@
     while (this->open > 0) {
       co_await this->Sleep(milliseconds(50));
     }
+    if (this->plan.crashingTasks || this->plan.resizes) {
+      co_await this->Sleep(this->plan.calm);
+    }
   }
 
   asio::awaitable<bool> Until(std::function<bool()> aCondition, seconds aLimit)
@@ -657,6 +729,9 @@
 
   SoakPlan plan;
   Random random;
+  /** Numbers for crashing tasks and resizes, so that the faults of a seed are
+   * the same with and without them. */
+  Random extras;
   asio::io_context context;
   JobLedger ledger;
   SoakStore store;
@@ -669,6 +744,9 @@
   TimePoint begun;
   int busyCallers = 0;
   int open = 0;
+  int crashingJobs = 0;
+  /** Last disturbance of a process or the store. */
+  TimePoint disturbedAt = std::chrono::steady_clock::now();
   bool stopping = false;
 };
 
--- a/test/soak/SoakRun.h
+++ b/test/soak/SoakRun.h
@@ -15,6 +15,13 @@
   int workers = 8;
   int callers = 6;
   std::chrono::seconds faults{ 8 };
+  /** Some jobs have a task that crashes its worker. */
+  bool crashingTasks = false;
+  /** Workers shrink and grow while they run. */
+  bool resizes = false;
+  /** Time without faults of processes and the store after the other faults, in
+   * which crashes and resizes go on; only with one of these options. */
+  std::chrono::seconds calm{ 15 };
   /** Folder for settings and logs. It must exist. */
   std::string folder;
 };
--- a/test/soak/SoakWorker.cpp
+++ b/test/soak/SoakWorker.cpp
@@ -30,6 +30,13 @@
 
 constexpr std::chrono::milliseconds kHoldStep{ 10 };
 
+/** Time from the start of a crashing task to the crash. */
+constexpr std::chrono::milliseconds kCrashDelay{ 10 };
+
+/** A smaller capacity counts after 3 s and one heartbeat. */
+constexpr std::chrono::milliseconds kCapacityNotice =
+  std::chrono::milliseconds(3000) + SoakWorker::kHeartbeat;
+
 std::uint64_t
 UnixMs()
 {
@@ -58,6 +65,7 @@
   , proxy(aContext.get_executor(), Endpoint{ "127.0.0.1", server.Port() })
   , startedAt(std::chrono::steady_clock::now())
   , bornUnixMs(UnixMs())
+  , capacities{ { TimePoint(), kRoomCpuMilli } }
 {
   this->server.Start();
 }
@@ -84,7 +92,10 @@
     { "coldRemainingMs", 0 },
     { "seq", 1 },
     { "born", this->bornUnixMs },
-    { "room", { { "cpu", kRoomCpuMilli }, { "memMb", 64000 }, { "gpu", 0 } } },
+    { "room",
+      { { "cpu", this->capacities.back().second },
+        { "memMb", 64000 },
+        { "gpu", 0 } } },
     { "labels", { "a", "r-" + this->id } }
   }.dump();
 }
@@ -97,7 +108,9 @@
   this->proxy.SetFault(PathFault::Silent);
   for (const auto& [task, run] : this->runs) {
     this->ledger.RecordRunEnded(this->id, task, run.run);
+    this->ledger.RecordCrash(task);
   }
+  this->crashAt.reset();
   for (const End& end : this->ends) {
     if (std::string_view(end.how) == "done") {
       this->ledger.RecordCompletionLost(end.task, end.run);
@@ -108,6 +121,12 @@
   this->highestRun.clear();
 }
 
+void
+SoakWorker::Resize(std::uint32_t aCpuMilli)
+{
+  this->capacities.push_back({ std::chrono::steady_clock::now(), aCpuMilli });
+}
+
 void
 SoakWorker::Restart()
 {
@@ -214,6 +233,10 @@
   started.endsAt = std::chrono::steady_clock::now() +
                    std::chrono::milliseconds(step ? step->durationMs : 100);
   this->runs[task] = started;
+  if (aBody.at("spec") == kCrashPayload && name && name->step == 0 &&
+      name->index == 0) {
+    this->crashAt = std::chrono::steady_clock::now() + kCrashDelay;
+  }
   this->ledger.RecordStart(this->id, task, run);
   this->CheckCapacity();
   return this->Reply(200, {});
@@ -228,9 +251,22 @@
     const StepPlan* const step = name ? this->ledger.StepOf(*name) : nullptr;
     cpu += step != nullptr ? step->cpuMilli : 0;
   }
-  if (cpu > kRoomCpuMilli) {
+  // Processes that were disturbed may count on any earlier capacity.
+  std::uint32_t allowed = kRoomCpuMilli;
+  if (this->ledger.InTouch() && !this->lateCommands) {
+    const TimePoint since = std::chrono::steady_clock::now() - kCapacityNotice;
+    while (this->capacities.size() > 1 && this->capacities[1].first < since) {
+      this->capacities.pop_front();
+    }
+    allowed = 0;
+    for (const auto& [from, capacity] : this->capacities) {
+      allowed = std::max(allowed, capacity);
+    }
+  }
+  if (cpu > allowed) {
     this->ledger.RecordViolation("a worker runs more than it has room for",
-                                 this->id);
+                                 this->id + ": " + std::to_string(cpu) +
+                                   " of " + std::to_string(allowed));
   }
 }
 
@@ -309,6 +345,11 @@
     return;
   }
   const TimePoint now = std::chrono::steady_clock::now();
+  if (this->crashAt && now >= *this->crashAt) {
+    this->crashAt.reset();
+    this->crashHandler();
+    return;
+  }
   const bool lapsed = this->leased && this->ClockMs() >= this->leaseUntilMs;
   std::vector<std::string> over;
   for (const auto& [task, run] : this->runs) {
--- a/test/soak/SoakWorker.h
+++ b/test/soak/SoakWorker.h
@@ -7,9 +7,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace sequoiakeel::soak {
@@ -32,6 +34,23 @@
   const std::string& Id() const { return this->id; }
   FaultProxy& Proxy() { return this->proxy; }
 
+  /** Longest time from a change of the capacity to the write of the registry
+   * entry. */
+  static constexpr std::chrono::milliseconds kHeartbeat{ 1000 };
+
+  /** Payload of a job whose first task crashes each worker that starts it. */
+  static constexpr const char* kCrashPayload = "crash";
+
+  /** Sets what happens when a task crashes the worker. */
+  void SetCrashHandler(std::function<void()> aHandler)
+  {
+    this->crashHandler = std::move(aHandler);
+  }
+
+  /** Changes the capacity. The smaller of two capacities counts once the
+   * registry has had time to follow. */
+  void Resize(std::uint32_t aCpuMilli);
+
   /** Discards all runs and end records, and stops responding. */
   void Crash();
 
@@ -94,6 +113,10 @@
   std::uint64_t lapses = 0;
   std::map<std::string, Run> runs;
   std::map<std::string, std::uint64_t> highestRun;
+  /** Processor capacities by the time since when they apply. */
+  std::deque<std::pair<TimePoint, std::uint32_t>> capacities;
+  std::function<void()> crashHandler;
+  std::optional<TimePoint> crashAt;
   std::deque<End> ends;
   std::uint64_t nextEnd = 1;
 };
