Keep reserved capacity from long-running tasks that never ran

Cause: a long-running task that had waited for 3 s could take any reserved capacity, also if it never ran. After a takeover a new job took the last free piece while an interrupted task waited for its recorded worker, so that the interrupted task found none when that worker was given up (LOST).

Change: only interrupted tasks may use capacity that is reserved for another one.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -362,6 +362,8 @@
     std::string rack;
     /** Time since the task became pending. */
     Duration waited{};
+    /** The task has run before. */
+    bool interrupted = false;
   };
   /** A start of a long-running task that is sent once its assignment is
    * durable. */
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -29,10 +29,10 @@
  * waiting. */
 constexpr std::chrono::milliseconds kQuarantinedWorkerWait{ 2500 };
 
-/** Wait after which a long-running task is started on capacity that is reserved
- * for another one: the other task could not start there in this time, and the
- * capacity must not stay unused for longer than half of the six seconds within
- * which an interrupted task has to run again. */
+/** Wait after which an interrupted long-running task is started on capacity
+ * that is reserved for another one: the other task could not start in this
+ * time, and the capacity must not stay unused for longer than half of the six
+ * seconds within which an interrupted task has to run again. */
 constexpr std::chrono::milliseconds kReservedCapacityWait{ 3000 };
 
 /** Wait after which a task that no worker of its cell can run is offered to
@@ -132,8 +132,8 @@
 {
   const TimePoint now = this->clock.Now();
   const WorkflowStep& step = aTask.step;
-  const bool mayUseReserved =
-    step.longRunning && aTask.waited > kReservedCapacityWait;
+  const bool mayUseReserved = step.longRunning && aTask.interrupted &&
+                              aTask.waited > kReservedCapacityWait;
   ScheduledWorker* best = nullptr;
   double bestRate = WorkerChoice::kAnyScore;
   for (ScheduledWorker* const worker : aWorkers) {
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -273,6 +273,7 @@
       return;
     }
     placed.waited = now - tasks[i].pendingSince;
+    placed.interrupted = tasks[i].run > 0;
     const bool missed = longestMissed && placed.waited <= *longestMissed;
     ScheduledWorker* const worker =
       missed ? nullptr : this->ChooseWorker(placed);
