Write progress in the test of rejected starts

Cause: starts of long-running tasks are held until their assignment is durable.

Change: the test writes progress and plans again, as PlanStarts() does for the other tests. What it checks is unchanged.

--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -52,7 +52,11 @@
     harness.clock.Advance(milliseconds(100));
     harness.Report("w1", 1, { Row("busy.0.0.0", 1, 1) }, {});
     harness.Report("w2", 1, {}, {});
-    const PlannedCommands commands = harness.scheduler.Plan();
+    PlannedCommands commands = harness.scheduler.Plan();
+    if (commands.stops.empty() && harness.scheduler.HasHeldStarts()) {
+      harness.WriteProgress();
+      commands = harness.scheduler.Plan();
+    }
     for (const PlannedStart& start : commands.starts) {
       harness.scheduler.HandleStart(
         start.worker,
