Acknowledge ends of runs only to the incarnation that reported them

Cause: a renewal named the last durable end that the scheduler knew of, to whichever process answered. A worker that had started again under its id and ended a repeated start before its first report discarded that end, since sequence numbers start anew. The run counted as lost and the task ran again. The HTTP client reconnects between two requests, so a check of the incarnation before the request is not enough.

Change: a renewal names the incarnation that it acknowledges ends to.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -118,8 +118,10 @@
     const TimePoint sentAt = this->dependencies.clock.Now();
     const WorkerCommandTarget target =
       this->Target(aWorker, worker->description.endpoint);
+    const EndsAcknowledgement ends{ worker->reportedIncarnation,
+                                    worker->durableEnds };
     const RenewReply reply = co_await this->dependencies.workerCommands.Renew(
-      target, until, worker->durableEnds, wait, wait + kWorkerTimeout);
+      target, until, ends, wait, wait + kWorkerTimeout);
     if (this->ended) {
       co_return;
     }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "HttpClient.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -222,21 +223,45 @@
 {
   Idle taken = this->TakeIdle();
   const asio::any_io_executor strand = taken.strand;
-  asio::awaitable<ExchangeResult> call =
-    this->CallOnStrand(std::move(aRequest), aTimeout, std::move(taken));
+  asio::awaitable<ExchangeResult> call = this->CallOnStrand(
+    std::move(aRequest), aTimeout, std::move(taken), Reconnect::IfClosed);
   ExchangeResult result =
     co_await asio::co_spawn(strand, std::move(call), use_awaitable);
   co_return result;
 }
 
 asio::awaitable<ExchangeResult>
-HttpClient::CallOnStrand(HttpRequest aRequest, Duration aTimeout, Idle aIdle)
+HttpClient::CallOn(std::uint64_t aConnection,
+                   HttpRequest aRequest,
+                   Duration aTimeout)
+{
+  Idle taken = this->TakeIdle(aConnection);
+  if (!taken.connection) {
+    co_return ExchangeResult();
+  }
+  const asio::any_io_executor strand = taken.strand;
+  asio::awaitable<ExchangeResult> call = this->CallOnStrand(
+    std::move(aRequest), aTimeout, std::move(taken), Reconnect::Never);
+  ExchangeResult result =
+    co_await asio::co_spawn(strand, std::move(call), use_awaitable);
+  co_return result;
+}
+
+asio::awaitable<ExchangeResult>
+HttpClient::CallOnStrand(HttpRequest aRequest,
+                         Duration aTimeout,
+                         Idle aIdle,
+                         Reconnect aReconnect)
 {
   const TimePoint start = std::chrono::steady_clock::now();
   if (aIdle.connection && !aIdle.connection->Reusable()) {
     aIdle.connection.reset();
   }
+  if (!aIdle.connection && aReconnect == Reconnect::Never) {
+    co_return ExchangeResult();
+  }
   if (!aIdle.connection) {
+    aIdle.number = this->NextNumber();
     aIdle.connection = std::make_unique<HttpConnection>(aIdle.strand);
     const std::string error =
       co_await aIdle.connection->Connect(this->endpoint, aTimeout);
@@ -252,6 +277,7 @@
     std::max<Duration>(aTimeout - spent, std::chrono::milliseconds(1));
   ExchangeResult result =
     co_await aIdle.connection->Exchange(std::move(aRequest), left);
+  result.connection = aIdle.number;
   if (result.timedOut) {
     this->DropIdle();
   }
@@ -273,7 +299,30 @@
       return taken;
     }
   }
-  return Idle{ nullptr, asio::make_strand(this->executor), {} };
+  return Idle{ 0, nullptr, asio::make_strand(this->executor), {} };
+}
+
+HttpClient::Idle
+HttpClient::TakeIdle(std::uint64_t aConnection)
+{
+  const std::lock_guard lock(this->mutex);
+  const auto found =
+    std::find_if(this->idle.begin(), this->idle.end(), [&](const Idle& aIdle) {
+      return aIdle.number == aConnection;
+    });
+  if (found == this->idle.end()) {
+    return Idle();
+  }
+  Idle taken = std::move(*found);
+  this->idle.erase(found);
+  return taken;
+}
+
+std::uint64_t
+HttpClient::NextNumber()
+{
+  const std::lock_guard lock(this->mutex);
+  return ++this->lastNumber;
 }
 
 void
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -34,6 +34,9 @@
   /** Error message if progress isn't Complete. */
   std::string error;
   bool timedOut = false;
+  /** Number of the connection that was used, unique within its HttpClient; 0 if
+   * there was none. */
+  std::uint64_t connection = 0;
 
   bool Complete() const { return this->progress == ExchangeProgress::Complete; }
 };
@@ -96,26 +99,47 @@
   boost::asio::awaitable<ExchangeResult> Call(HttpRequest aRequest,
                                               Duration aTimeout);
 
+  /** Like Call(), but sends the request only on the connection with the number
+   * aConnection, which reaches the same process as the earlier requests on it.
+   * If that connection is not idle and open, the request is not sent and the
+   * result names no connection. */
+  boost::asio::awaitable<ExchangeResult> CallOn(std::uint64_t aConnection,
+                                                HttpRequest aRequest,
+                                                Duration aTimeout);
+
+  /** Closes all idle connections. */
+  void DropIdle();
+
 private:
+  enum class Reconnect : std::uint8_t
+  {
+    Never,
+    IfClosed,
+  };
+
   struct Idle
   {
+    std::uint64_t number = 0;
     std::unique_ptr<HttpConnection> connection;
     boost::asio::any_io_executor strand;
     TimePoint since;
   };
 
   Idle TakeIdle();
+  Idle TakeIdle(std::uint64_t aConnection);
   void PutIdle(Idle aIdle);
-  void DropIdle();
+  std::uint64_t NextNumber();
   boost::asio::awaitable<ExchangeResult> CallOnStrand(HttpRequest aRequest,
                                                       Duration aTimeout,
-                                                      Idle aIdle);
+                                                      Idle aIdle,
+                                                      Reconnect aReconnect);
 
   boost::asio::any_io_executor executor;
   Endpoint endpoint;
   std::size_t maxIdle;
   std::mutex mutex;
   std::vector<Idle> idle;
+  std::uint64_t lastNumber = 0;
 };
 
 } // namespace sequoiakeel
--- a/src/WorkerCommandClient.h
+++ b/src/WorkerCommandClient.h
@@ -17,6 +17,14 @@
   std::uint64_t fencingToken = 0;
 };
 
+/** Acknowledges the ends of runs that one incarnation of a worker reported, up
+ * to a sequence number; 0 acknowledges none. */
+struct EndsAcknowledgement
+{
+  std::uint64_t incarnation = 0;
+  std::uint64_t upTo = 0;
+};
+
 struct RenewReply
 {
   WorkerCommandReply outcome;
@@ -54,13 +62,15 @@
 
   /**
    * Extends the lease of all runs on the worker until aUntilWorkerMs on the
-   * worker's clock (0: leaves the lease unchanged), acknowledges the ends of
-   * runs up to the sequence number aAcknowledged, and waits up to aWait for the
-   * end of a run. Returns a report.
+   * worker's clock (0: leaves the lease unchanged), acknowledges ends of runs,
+   * and waits up to aWait for the end of a run. Returns a report. The
+   * acknowledgement is left out unless it is certain to reach the incarnation
+   * that it names: sequence numbers start anew after a restart, and the new
+   * incarnation would discard ends that it has not reported.
    */
   virtual boost::asio::awaitable<RenewReply> Renew(WorkerCommandTarget aTarget,
                                                    std::uint64_t aUntilWorkerMs,
-                                                   std::uint64_t aAcknowledged,
+                                                   EndsAcknowledgement aEnds,
                                                    Duration aWait,
                                                    Duration aTimeout) = 0;
 };
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -380,6 +380,34 @@
   CHECK(!cluster.workers.RanTwice());
 }
 
+// Guards against a second run of a task whose end a restarted worker forgets,
+// since the acknowledgement of ends of its earlier incarnation covers it.
+TEST_CASE("a restarted worker keeps the ends that it has not reported")
+{
+  TestCluster cluster;
+  Node& node = cluster.AddNode("a");
+  cluster.workers.Drain("w2");
+  const auto submit = [&](const std::string& aId) {
+    WorkflowSubmission job = Job(aId);
+    job.steps[0].count = 1;
+    return cluster.Await(
+      node.gateway.Submit(job, node.clock.Now() + seconds(5)));
+  };
+  REQUIRE(submit("j") == SubmissionOutcome::Accepted);
+  REQUIRE(cluster.Until([&] { return cluster.workers.Running() == 1; }));
+  cluster.workers.FinishAll();
+  REQUIRE(cluster.Until(
+    [&] { return cluster.StateAt(node, "j") == WorkflowState::Completed; }));
+  cluster.workers.RestartAtNextStart("w1");
+  REQUIRE(submit("k") == SubmissionOutcome::Accepted);
+  REQUIRE(cluster.Until([&] {
+    cluster.workers.FinishAll();
+    return cluster.StateAt(node, "k") == WorkflowState::Completed;
+  }));
+  CHECK(cluster.workers.StartsOf("k.0.0.0") == 1);
+  CHECK(!cluster.workers.RanTwice());
+}
+
 // Guards against the end of a run that is lost, or acknowledged to the worker
 // too early, because the answer of the store to its write was lost.
 TEST_CASE("no end of a run is lost when answers of the store are lost")
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -328,7 +328,7 @@
   for (const auto& [id, worker] : this->workers) {
     WorkerDescription description;
     description.id = id;
-    description.incarnation = 1;
+    description.incarnation = worker.listedIncarnation;
     description.service = "desk";
     description.endpoint = Endpoint{ "127.0.0.1", 1 };
     description.rack = "r1";
@@ -352,6 +352,22 @@
     if (worker.crashed) {
       co_return WorkerCommandReply{ WorkerCommandResult::Unknown, 0 };
     }
+    lost = worker.restartAtNextStart;
+    if (worker.restartAtNextStart) {
+      const std::uint64_t before = worker.incarnation;
+      worker = Worker{};
+      worker.incarnation = before + 1;
+      worker.listedIncarnation = before;
+      worker.awaitsStart = true;
+    }
+  }
+  if (lost) {
+    co_await SleepFor(this->executor, aTimeout);
+    co_return WorkerCommandReply{ WorkerCommandResult::Unknown, 0 };
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    Worker& worker = this->workers.at(aTarget.worker);
     reply.workerMs = this->NowMs();
     if (aTarget.fencingToken < worker.token) {
       reply.result = WorkerCommandResult::Fenced;
@@ -379,6 +395,10 @@
     worker.running[aCommand.task] = aCommand.run;
     ++this->starts[aCommand.task];
     reply.result = WorkerCommandResult::Done;
+    if (worker.awaitsStart) {
+      worker.awaitsStart = false;
+      FinishRuns(worker);
+    }
     if (this->answersToLose > 0) {
       --this->answersToLose;
       lost = true;
@@ -420,61 +440,94 @@
 asio::awaitable<RenewReply>
 FakeWorkers::Renew(WorkerCommandTarget aTarget,
                    std::uint64_t /*aUntilWorkerMs*/,
-                   std::uint64_t aAcknowledged,
+                   EndsAcknowledgement aEnds,
                    Duration aWait,
-                   Duration /*aTimeout*/)
+                   Duration aTimeout)
 {
   const TimePoint deadline = this->clock.Now() + aWait;
+  const TimePoint timeout = this->clock.Now() + aTimeout;
   while (true) {
-    {
-      const std::lock_guard lock(this->mutex);
-      Worker& worker = this->workers.at(aTarget.worker);
+    if (auto reply =
+          this->TryRenew(aTarget, aEnds, this->clock.Now() >= deadline)) {
+      co_return std::move(*reply);
+    }
+    if (this->clock.Now() >= timeout) {
       RenewReply reply;
-      if (worker.crashed) {
-        reply.outcome.result = WorkerCommandResult::Unknown;
-        co_return reply;
-      }
-      reply.outcome.workerMs = this->NowMs();
-      if (aTarget.fencingToken < worker.token) {
-        reply.outcome.result = WorkerCommandResult::Fenced;
-        co_return reply;
-      }
-      worker.token = aTarget.fencingToken;
-      std::erase_if(worker.ended, [&](const EndedRun& aRow) {
-        if (aRow.sequence > aAcknowledged) {
-          return false;
-        }
-        if (aRow.end == RunEnd::Done) {
-          this->doneTasks.insert(aRow.task);
-        }
-        return true;
-      });
-      if (!worker.ended.empty() || this->clock.Now() >= deadline) {
-        reply.outcome.result = WorkerCommandResult::Done;
-        reply.report.incarnation = 1;
-        reply.report.ended = worker.ended;
-        for (const auto& [task, run] : worker.running) {
-          reply.report.running.push_back(RunningRun{ task, run, "", 10, 0 });
-        }
-        co_return reply;
-      }
+      reply.outcome.result = WorkerCommandResult::Unknown;
+      co_return reply;
     }
     co_await SleepFor(this->executor, kStep);
   }
 }
 
+std::optional<RenewReply>
+FakeWorkers::TryRenew(const WorkerCommandTarget& aTarget,
+                      EndsAcknowledgement aEnds,
+                      bool aWaitIsOver)
+{
+  const std::lock_guard lock(this->mutex);
+  Worker& worker = this->workers.at(aTarget.worker);
+  RenewReply reply;
+  if (worker.crashed) {
+    reply.outcome.result = WorkerCommandResult::Unknown;
+    return reply;
+  }
+  if (worker.awaitsStart) {
+    return std::nullopt;
+  }
+  reply.outcome.workerMs = this->NowMs();
+  if (aTarget.fencingToken < worker.token) {
+    reply.outcome.result = WorkerCommandResult::Fenced;
+    return reply;
+  }
+  worker.token = aTarget.fencingToken;
+  std::erase_if(worker.ended, [&](const EndedRun& aRow) {
+    if (aEnds.incarnation != worker.incarnation || aRow.sequence > aEnds.upTo) {
+      return false;
+    }
+    if (aRow.end == RunEnd::Done) {
+      this->doneTasks.insert(aRow.task);
+    }
+    return true;
+  });
+  if (worker.ended.empty() && !aWaitIsOver) {
+    return std::nullopt;
+  }
+  reply.outcome.result = WorkerCommandResult::Done;
+  worker.listedIncarnation = worker.incarnation;
+  reply.report.incarnation = worker.incarnation;
+  reply.report.ended = worker.ended;
+  for (const auto& [task, run] : worker.running) {
+    reply.report.running.push_back(RunningRun{ task, run, "", 10, 0 });
+  }
+  return reply;
+}
+
 void
 FakeWorkers::FinishAll()
 {
   const std::lock_guard lock(this->mutex);
   for (auto& [id, worker] : this->workers) {
-    for (const auto& [task, run] : worker.running) {
-      worker.ended.push_back(
-        EndedRun{ worker.nextEnd++, task, run, RunEnd::Done, "" });
-      worker.highestEnded[task] = run;
-    }
-    worker.running.clear();
+    FinishRuns(worker);
+  }
+}
+
+void
+FakeWorkers::FinishRuns(Worker& aWorker)
+{
+  for (const auto& [task, run] : aWorker.running) {
+    aWorker.ended.push_back(
+      EndedRun{ aWorker.nextEnd++, task, run, RunEnd::Done, "" });
+    aWorker.highestEnded[task] = run;
   }
+  aWorker.running.clear();
+}
+
+void
+FakeWorkers::RestartAtNextStart(const std::string& aWorker)
+{
+  const std::lock_guard lock(this->mutex);
+  this->workers.at(aWorker).restartAtNextStart = true;
 }
 
 void
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -117,7 +118,7 @@
     Duration aTimeout) override;
   boost::asio::awaitable<RenewReply> Renew(WorkerCommandTarget aTarget,
                                            std::uint64_t aUntilWorkerMs,
-                                           std::uint64_t aAcknowledged,
+                                           EndsAcknowledgement aEnds,
                                            Duration aWait,
                                            Duration aTimeout) override;
 
@@ -134,6 +135,13 @@
   /** Makes a worker crash for good: its runs end and it answers no call. */
   void Crash(const std::string& aWorker);
 
+  /** Makes a worker start again under its id at the next start command that it
+   * receives, which it does not carry out. It answers no call until that
+   * command is repeated, and carries out the repeated one, whose run ends as
+   * done at once. The registry shows the new incarnation after its first
+   * report. */
+  void RestartAtNextStart(const std::string& aWorker);
+
   /** Ends all runs of a worker without a record of their ends. */
   void LoseRuns(const std::string& aWorker);
 
@@ -151,6 +159,12 @@
   struct Worker
   {
     bool crashed = false;
+    bool restartAtNextStart = false;
+    /** The worker has started again and received no start command since. */
+    bool awaitsStart = false;
+    std::uint64_t incarnation = 1;
+    /** Incarnation that the registry shows. */
+    std::uint64_t listedIncarnation = 1;
     std::uint64_t token = 0;
     std::map<std::string, std::uint64_t> running;
     std::map<std::string, std::uint64_t> highestEnded;
@@ -160,6 +174,12 @@
   };
 
   std::uint64_t NowMs() const;
+  /** Returns the answer to a renewal, or nothing while the worker does not
+   * answer it yet. */
+  std::optional<RenewReply> TryRenew(const WorkerCommandTarget& aTarget,
+                                     EndsAcknowledgement aEnds,
+                                     bool aWaitIsOver);
+  static void FinishRuns(Worker& aWorker);
 
   boost::asio::any_io_executor executor;
   std::mutex mutex;
