Refuse submissions whose number of tasks exceeds 64 bits

Cause: CheckSubmission multiplied the tasks of all steps by the occurrences, and the product could wrap to a small number. Such a job was stored, and each process that owned its cell would have tried to allocate all of its tasks.

Change: the sum is compared after each step with the limit divided by the occurrences.

--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -370,13 +370,20 @@
   if (aSubmission.steps.empty()) {
     return "the job has no steps";
   }
+  const std::uint64_t limit =
+    kMaxTasksPerJob / std::max<std::uint32_t>(1, aSubmission.recurrence.count);
   std::uint64_t tasks = 0;
   for (std::size_t i = 0; i < aSubmission.steps.size(); ++i) {
     const WorkflowStep& step = aSubmission.steps[i];
     if (step.count == 0) {
       return "step " + std::to_string(i) + " has no tasks";
     }
+    // Compared in each step and without a product, which could exceed 64 bits.
     tasks += step.count;
+    if (tasks > limit) {
+      return "the job has more than " + std::to_string(kMaxTasksPerJob) +
+             " tasks";
+    }
     for (const std::uint32_t earlier : step.after) {
       if (earlier >= i) {
         return "step " + std::to_string(i) +
@@ -384,11 +391,6 @@
       }
     }
   }
-  tasks *= std::max<std::uint32_t>(1, aSubmission.recurrence.count);
-  if (tasks > kMaxTasksPerJob) {
-    return "the job has more than " + std::to_string(kMaxTasksPerJob) +
-           " tasks";
-  }
   return "";
 }
 
--- a/test/unit/PlatformDecoders.cpp
+++ b/test/unit/PlatformDecoders.cpp
@@ -151,6 +151,19 @@
   CHECK(!CheckSubmission(named).empty());
 }
 
+// Guards against a submission whose number of tasks exceeds 64 bits and wraps
+// to a small one, so that each process that loads it runs out of memory.
+TEST_CASE("a submission with more tasks than can be counted is refused")
+{
+  WorkflowSubmission job;
+  job.id = "j";
+  WorkflowStep step;
+  step.count = 1U << 29;
+  job.steps.assign(64, step);
+  job.recurrence.count = 1U << 29;
+  CHECK(!CheckSubmission(job).empty());
+}
+
 // Guards against a malformed row that suppresses the other rows of a report.
 TEST_CASE("malformed rows of a worker's report are skipped")
 {
