Skip stored submissions that violate the constraints of submissions

Cause: an owner used each decodable submission in the store without the checks that the front makes. One without steps or with a dependency on a step that does not exist ended the process, and then that of each next owner of the cell.

Change: a session decodes submissions with DecodeSubmission(), which applies CheckSubmission() and logs submission_invalid. The test also covers records that are no objects, are cut off or are nested deeply.

--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -73,7 +73,7 @@
     if (!item.key.starts_with(this->keys.JobsPrefix())) {
       continue;
     }
-    const auto submission = DecodeRecord<WorkflowSubmission>(item);
+    const auto submission = DecodeSubmission(item);
     if (!submission) {
       continue;
     }
@@ -112,7 +112,7 @@
 std::optional<WorkflowSubmission>
 CellOwnershipSession::NewerSubmission(const StoreItem& aItem)
 {
-  auto submission = DecodeRecord<WorkflowSubmission>(aItem);
+  auto submission = DecodeSubmission(aItem);
   if (!submission) {
     return std::nullopt;
   }
--- a/src/StoreRecords.h
+++ b/src/StoreRecords.h
@@ -3,6 +3,7 @@
 #include "Clock.h"
 #include "Log.h"
 #include "TransactionalStore.h"
+#include "WorkflowJob.h"
 #include "generated/WorkflowJson.h"
 
 #include <exception>
@@ -43,4 +44,22 @@
   }
 }
 
+/** Decodes the submission of a job. Returns nullopt and logs an error if it is
+ * malformed or violates the constraints of submissions, on which the scheduler
+ * relies. Thread safe. */
+inline std::optional<WorkflowSubmission>
+DecodeSubmission(const StoreItem& aItem)
+{
+  auto submission = DecodeRecord<WorkflowSubmission>(aItem);
+  const std::string fault = submission ? CheckSubmission(*submission) : "";
+  if (fault.empty()) {
+    return submission;
+  }
+  Event("submission_invalid", LogLevel::Error)
+    .Add("key", aItem.key)
+    .Add("revision", aItem.revision)
+    .Add("error", fault);
+  return std::nullopt;
+}
+
 } // namespace sequoiakeel
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -445,6 +445,48 @@
   CHECK(cluster.workers.StartsOf("j.0.0.0") == 0);
 }
 
+// Guards against a malformed submission in the store that ends the owner of its
+// cell, and then each next owner.
+TEST_CASE("malformed submissions in the store are skipped")
+{
+  TestCluster cluster;
+  Node& node = cluster.AddNode("a");
+  REQUIRE(cluster.UntilOwned());
+  WorkflowSubmission empty = Job("empty");
+  empty.steps.clear();
+  WorkflowSubmission cyclic = Job("cyclic");
+  cyclic.steps[0].after = { 4000000000 };
+  WorkflowSubmission large = Job("large");
+  large.recurrence.count = 4000000000;
+  const std::string nested =
+    std::string(100000, '[') + std::string(100000, ']');
+  const std::pair<std::string, std::string> malformed[] = {
+    { "empty", nlohmann::json(empty).dump() },
+    { "cyclic", nlohmann::json(cyclic).dump() },
+    { "large", nlohmann::json(large).dump() },
+    { "array", "[]" },
+    { "number", "7" },
+    { "cut", "{" },
+    { "nested", nested },
+  };
+  const WorkflowKeys keys(0);
+  for (const auto& [id, value] : malformed) {
+    REQUIRE(cluster.Write(keys.Job(id), value));
+  }
+  for (const char* const job : { "j", "k" }) {
+    REQUIRE(cluster.Await(
+              node.gateway.Submit(Job(job), node.clock.Now() + seconds(5))) ==
+            SubmissionOutcome::Accepted);
+    REQUIRE(cluster.Until([&] { return cluster.workers.Running() == 2; }));
+    cluster.workers.FinishAll();
+    REQUIRE(cluster.Until(
+      [&] { return cluster.StateAt(node, job) == WorkflowState::Completed; }));
+    // The next owner reads the same records when it loads the cell.
+    REQUIRE(cluster.ReplaceOwners());
+  }
+  CHECK(!cluster.workers.RanTwice());
+}
+
 // Guards against callers that have to wait although the store is known to be
 // unreachable, and against a false refusal: a peer that can reach the store
 // stores the job.
