End the lease of an owner that is removed

Cause: a process that removed a silent owner removed its keys only. The removed owner, resumed after a pause or cut off from its peers, could renew its lease and with it its permission to send commands until its watch showed the removal. The next owner waits only for the permission and for the worker leases that were granted before.

Change: RemoveOwner() ends the lease of the owner's key, which removes the key and its copy. The next renewal of that owner fails and ends its session. It costs one more read of the store for each removal.

--- a/src/CellOwnerElector.cpp
+++ b/src/CellOwnerElector.cpp
@@ -199,13 +199,23 @@
     .Add("cell", this->cell)
     .Add("revision", aRevision)
     .Add("reason", aReason);
-  StoreTransaction change;
-  change.expect.push_back({ this->keys.Owner(), aRevision });
-  change.removes = { this->keys.Owner(), this->keys.OwnerCopy() };
-  const StoreTransactionReply reply =
-    co_await this->dependencies.store.Commit(change, kStoreTimeout);
-  if (reply.result != StoreResult::Ok) {
-    Event("owner_not_deposed", LogLevel::Warning).Add("cell", this->cell);
+  const StoreRangeReply read =
+    co_await this->dependencies.store.Get(this->keys.Owner(), kStoreTimeout);
+  const bool present = read.result == StoreResult::Ok && !read.items.empty() &&
+                       read.items.front().revision == aRevision;
+  // Ending the lease removes the owner's key and its copy. If only the keys
+  // were removed, the owner could renew the lease, and with it its permission
+  // to send commands, until its watch shows the removal. Each claim has a lease
+  // of its own, so a newer owner is not affected.
+  StoreLeaseReply ended;
+  if (present) {
+    ended = co_await this->dependencies.store.EndLease(read.items.front().lease,
+                                                       kStoreTimeout);
+  }
+  if (ended.result != StoreResult::Ok) {
+    Event("owner_not_deposed", LogLevel::Warning)
+      .Add("cell", this->cell)
+      .Add("key_present", present);
   }
 }
 
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -445,6 +445,33 @@
   CHECK(cluster.workers.StartsOf("j.0.0.0") == 0);
 }
 
+// Guards against an owner that keeps renewing its permission to send commands
+// after it was removed, since its watch misses the removal.
+TEST_CASE("a removed owner ends although its watch misses the removal")
+{
+  TestCluster cluster;
+  // Workers that answer would tell the removed owner that there is a newer one.
+  cluster.workers.Crash("w1");
+  cluster.workers.Crash("w2");
+  const auto isOwner = [](Node& aNode) {
+    const std::shared_ptr<CellOwnerElector> cell = aNode.cells.front();
+    return asio::co_spawn(
+             cell->Strand(),
+             [cell]() -> asio::awaitable<bool> {
+               co_return cell->Answer(WorkflowQuery{}).isOwner;
+             },
+             asio::use_future)
+      .get();
+  };
+  Node& first = cluster.AddNode("a");
+  REQUIRE(cluster.Until([&] { return isOwner(first); }));
+  cluster.store.SetWatchesBlocked(true, WorkflowKeys(0).InboxPrefix());
+  Node& second = cluster.AddNode("b");
+  first.server.Stop();
+  REQUIRE(cluster.Until([&] { return isOwner(second); }));
+  CHECK(cluster.Until([&] { return !isOwner(first); }));
+}
+
 // Guards against a malformed submission in the store that ends the owner of its
 // cell, and then each next owner.
 TEST_CASE("malformed submissions in the store are skipped")
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -143,7 +143,7 @@
         co_return reply;
       }
       for (const Change& change : this->history) {
-        if (this->watchesBlocked) {
+        if (this->watchesBlocked && aPrefix.starts_with(this->blockedPrefix)) {
           break;
         }
         if (change.revision > aAfter && change.item.key.starts_with(aPrefix)) {
@@ -267,7 +267,8 @@
 }
 
 void
-FakeTransactionalStore::SetWatchesBlocked(bool aBlocked)
+FakeTransactionalStore::SetWatchesBlocked(bool aBlocked,
+                                          const std::string& aPrefix)
 {
   const std::lock_guard lock(this->mutex);
   if (this->watchesBlocked && !aBlocked) {
@@ -275,6 +276,7 @@
     this->compacted = this->revision;
   }
   this->watchesBlocked = aBlocked;
+  this->blockedPrefix = aPrefix;
 }
 
 void
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -49,9 +49,10 @@
   /** Makes every call return StoreResult::Unavailable while set. */
   void SetDown(bool aDown);
 
-  /** While set, watches return no events. Resetting it compacts the whole
+  /** While set, watches of a prefix that begins with aPrefix return no events.
+   * Resetting it compacts the whole
    * history. */
-  void SetWatchesBlocked(bool aBlocked);
+  void SetWatchesBlocked(bool aBlocked, const std::string& aPrefix = "");
 
   /** Removes a key without ending its lease, as an operator can. */
   void Remove(const std::string& aKey);
@@ -87,6 +88,7 @@
   int commits = 0;
   bool down = false;
   bool watchesBlocked = false;
+  std::string blockedPrefix;
   /** Revision up to which the history was compacted. */
   std::uint64_t compacted = 0;
 };
