Lose no run whose end did not fit into a worker's report

Cause: a worker returns at most 500 ends at a time. A run whose end came later in its list was in neither list of the report, counted as lost and was started again, also when it had ended as done. A new owner drew the same conclusion from the first report of a worker.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -61,10 +61,12 @@
   for (const RunningRun& row : aReport.running) {
     this->HandleRunning(*worker, row);
   }
-  this->MarkMissingRunsLost(*worker, aSentAt, aReport);
+  if (!aReport.endsTruncated) {
+    this->MarkMissingRunsLost(*worker, aSentAt, aReport);
+    this->awaitedWorkers.erase(aWorker);
+    this->tasksOnUnresponsive.erase(aWorker);
+  }
   this->AdjustFillers(*worker);
-  this->awaitedWorkers.erase(aWorker);
-  this->tasksOnUnresponsive.erase(aWorker);
   this->CheckRecovered();
 }
 
--- a/src/WorkerReport.h
+++ b/src/WorkerReport.h
@@ -82,6 +82,9 @@
   std::uint64_t incarnation = 0;
   std::vector<RunningRun> running;
   std::vector<EndedRun> ended;
+  /** The worker may have more ends than it listed. A run that is in neither
+   * list may then have ended. */
+  bool endsTruncated = false;
 };
 
 /** Outcome of a command to a worker. */
--- a/test/unit/WorkerAcknowledgements.cpp
+++ b/test/unit/WorkerAcknowledgements.cpp
@@ -1,6 +1,7 @@
 #include "HttpServer.h"
 #include "WireJson.h"
 #include "WorkerClient.h"
+#include "support/SchedulerHarness.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -166,3 +167,44 @@
     CHECK(worker.LastSeen() == sequence);
   }
 }
+
+// Guards against a second run of a task whose end did not fit into the report,
+// since a worker returns at most 500 ends at a time.
+TEST_CASE("runs whose ends did not fit into a report are not lost")
+{
+  constexpr std::uint32_t kTasks = 600;
+  constexpr std::size_t kMaxEnds = 500;
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission job = harness.Job("j", kTasks);
+  job.steps[0].cpuMilli = 10;
+  harness.scheduler.Accept(job);
+  std::vector<std::string> started;
+  while (started.size() < kTasks) {
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(!starts.empty());
+    for (const PlannedStart& start : starts) {
+      started.push_back(start.command.task);
+    }
+  }
+  harness.clock.Advance(milliseconds(10));
+  const auto reportFrom = [&](std::size_t aFirst) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (std::size_t i = aFirst; i < kTasks && rows.size() < kMaxEnds; ++i) {
+      rows.push_back({ i + 1, started[i], 1U, "done", "" });
+    }
+    const nlohmann::json body{ { "born", 1U },
+                               { "running", nlohmann::json::array() },
+                               { "finished", rows } };
+    const auto report = DecodeWorkerReport(body, "w1");
+    REQUIRE(report);
+    harness.scheduler.HandleReport(
+      "w1", harness.clock.Now(), harness.WorkerMs(), *report);
+  };
+  reportFrom(0);
+  CHECK(harness.PlanStarts().empty());
+  reportFrom(kMaxEnds);
+  CHECK(harness.PlanStarts().empty());
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Completed);
+}
