Do not publish quarantined workers as free capacity

Cause: the published pieces included idle workers in quarantine, although tasks are placed on these only after a wait of 2.5 s and are handed on after 2 s. Workers that fail for a few seconds drain empty, so they were the largest pieces of a full cell: a long-running task was handed over to them, waited and moved on (LOST).

Change: CapacityForLongRunning() leaves out workers whose quarantine has not expired.

Result: unit_InterruptedTasks "a quarantined worker is not published as free capacity" failed before and passes; the other six tests of placement and hand-over pass.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -183,7 +183,8 @@
   void CancelHandOver(const HandOver& aHandOver);
 
   /** Returns the capacity that long-running tasks and the reservations for them
-   * leave free, by service and labels of the workers. */
+   * leave free, by service and labels of the workers. Quarantined workers do
+   * not count, since tasks are placed on them only after a wait. */
   LongRunningCapacity CapacityForLongRunning() const;
 
   /** Cancels a job; returns false if it is unknown or has ended. */
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -490,7 +490,8 @@
   std::map<std::pair<std::string, std::set<std::string>>, WorkerGroupCapacity>
     groups;
   for (const auto& [id, worker] : this->workers) {
-    if (!AcceptsNewTasks(worker, now)) {
+    if (!AcceptsNewTasks(worker, now) ||
+        this->quarantine.IsQuarantined(now, id)) {
       continue;
     }
     WorkerCapacity left = worker.description.capacity;
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -261,6 +261,15 @@
   return worker.state;
 }
 
+bool
+Quarantine::IsQuarantined(TimePoint aNow, const std::string& aWorker) const
+{
+  const auto found = this->workers.find(aWorker);
+  return found != this->workers.end() &&
+         found->second.state == QuarantineState::Quarantined &&
+         aNow < found->second.quarantinedUntil;
+}
+
 double
 Quarantine::Suspicion(TimePoint aNow, const std::string& aWorker) const
 {
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -39,6 +39,9 @@
    * quarantine has expired. */
   QuarantineState StateOf(TimePoint aNow, const std::string& aWorker);
 
+  /** Returns whether a worker is in a quarantine that has not expired. */
+  bool IsQuarantined(TimePoint aNow, const std::string& aWorker) const;
+
   /** Returns the evidence against a worker relative to the threshold, from 0 to
    * 1; at 1 the worker is quarantined. */
   double Suspicion(TimePoint aNow, const std::string& aWorker) const;
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -177,3 +177,30 @@
   harness.scheduler.HandleUnresponsive("w2");
   CHECK(harness.scheduler.FindWorker("w2")->NeedsReportNow());
 }
+
+// Guards against tasks that move to a cell whose only free worker is
+// quarantined and wait there, while another cell could run them.
+TEST_CASE("a quarantined worker is not published as free capacity")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  REQUIRE(harness.scheduler.CapacityForLongRunning().groups.size() == 1);
+  std::uint64_t sequence = 0;
+  for (const char* const id : { "j1", "j2", "j3" }) {
+    harness.scheduler.Accept(harness.Job(id));
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(starts.size() == 1);
+    harness.Report(
+      "w1",
+      1,
+      {},
+      { EndedRun{
+        ++sequence, starts[0].command.task, 1, RunEnd::Failed, "" } });
+    harness.scheduler.Cancel(id);
+  }
+  CHECK(harness.scheduler.CapacityForLongRunning().groups.empty());
+  // The quarantine lasts a minute.
+  harness.clock.Advance(seconds(61));
+  harness.Report("w1", 1, {}, {});
+  CHECK(harness.scheduler.CapacityForLongRunning().groups.size() == 1);
+}
