Search for a worker for every task that fits nowhere

Cause: a planning pass searches for a worker to reserve at most 8 times. Only steps without a label and a limit per worker were skipped after a failed search, and only against the last size that failed. Eight waiting steps of other kinds used up the searches of every pass: tasks after them got no reservation, no preemption and no offer to another cell (LOST).

Change: if a pass has too few searches, the next ones search for the tasks that had none before any task is searched for again. A reservation is kept beyond its review time if no search is left to review it.

Result: unit_CellScheduler "no step uses up the searches of every planning pass" (8 of 20 tasks offered, with a limit per worker and with falling processors and rising memory) and "capacity is reserved for a task after many that fit nowhere" failed before and pass.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -476,7 +476,8 @@
   ReservationOutcome ReserveCapacity(const std::string& aTaskName,
                                      const TaskToPlace& aTask);
   ScheduledWorker* PreviouslyReservedWorker(const std::string& aTaskName,
-                                            const TaskToPlace& aTask);
+                                            const TaskToPlace& aTask,
+                                            Duration aMaxAge);
   ScheduledWorker* WorkerToReserve(const std::string& aTaskName,
                                    const TaskToPlace& aTask);
   bool MayReserve(const ScheduledWorker& aWorker,
@@ -582,6 +583,13 @@
   /** Remaining searches in the current planning pass for a worker on which to
    * reserve capacity. */
   int reservationSearches = 0;
+  /** Tasks for which no worker to reserve capacity on was found in the current
+   * round of searches, and in the round before it. A round ends with the first
+   * planning pass that has enough searches for the remaining tasks. */
+  std::set<std::string> searchedInRound;
+  std::set<std::string> failedLastRound;
+  /** The current planning pass had too few searches. */
+  bool searchDenied = false;
   PreemptionBudget preemptionBudget;
   Quarantine quarantine;
   FillerInterference interference;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -3,6 +3,7 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiakeel {
 
@@ -88,6 +89,10 @@
   this->previousReservations = std::move(this->reservations);
   this->reservations.clear();
   this->reservationSearches = kReservationSearchesPerPass;
+  if (!this->searchDenied) {
+    this->failedLastRound = std::exchange(this->searchedInRound, {});
+  }
+  this->searchDenied = false;
   for (auto& [id, worker] : this->workers) {
     worker.ClearReservations();
     if (!AcceptsNewTasks(worker, now) || !this->roster.contains(id)) {
@@ -192,11 +197,12 @@
 
 ScheduledWorker*
 CellScheduler::PreviouslyReservedWorker(const std::string& aTaskName,
-                                        const TaskToPlace& aTask)
+                                        const TaskToPlace& aTask,
+                                        Duration aMaxAge)
 {
   const auto last = this->previousReservations.find(aTaskName);
   if (last == this->previousReservations.end() ||
-      this->clock.Now() - last->second.chosenAt >= kReservationReview) {
+      this->clock.Now() - last->second.chosenAt >= aMaxAge) {
     return nullptr;
   }
   const auto kept =
@@ -256,10 +262,19 @@
   if (this->reservations.size() >= kMaxReservations) {
     return ReservationOutcome::NotTried;
   }
-  ScheduledWorker* worker = this->PreviouslyReservedWorker(aTaskName, aTask);
+  ScheduledWorker* worker =
+    this->PreviouslyReservedWorker(aTaskName, aTask, kReservationReview);
+  if (worker == nullptr && this->reservationSearches == 0) {
+    worker = this->PreviouslyReservedWorker(aTaskName, aTask, Duration::max());
+  }
   if (worker == nullptr) {
-    // Without this check, the first tasks that fit nowhere would take up all
-    // searches of every pass, and later ones would never be handed over.
+    // Without these checks, the first tasks that fit nowhere would take up all
+    // searches of every pass, and later ones would never be handed over. If a
+    // pass has too few searches for all tasks, the next passes search for those
+    // that had none before any task is searched for again.
+    if (this->searchedInRound.contains(aTaskName)) {
+      return ReservationOutcome::NoWorker;
+    }
     const std::string& service = aTask.submission.service;
     const auto failed = this->unreservable.find(service);
     if (failed != this->unreservable.end() &&
@@ -267,10 +282,16 @@
       return ReservationOutcome::NoWorker;
     }
     if (this->reservationSearches == 0) {
-      return ReservationOutcome::NotTried;
+      this->searchDenied = true;
+      return this->failedLastRound.contains(aTaskName)
+               ? ReservationOutcome::NoWorker
+               : ReservationOutcome::NotTried;
     }
     --this->reservationSearches;
     worker = this->WorkerToReserve(aTaskName, aTask);
+    if (worker == nullptr) {
+      this->searchedInRound.insert(aTaskName);
+    }
     const bool anyWorker =
       aTask.step.maxPerWorker == 0 && aTask.step.requiredLabel.empty();
     if (worker == nullptr && anyWorker) {
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -463,6 +463,61 @@
   CHECK(harness.scheduler.HandOvers().size() == kJobs);
 }
 
+// Guards against the same for steps of which one task per worker may run, and
+// for steps of which none needs at least as much as another one.
+TEST_CASE("no step uses up the searches of every planning pass")
+{
+  for (const bool restricted : { true, false }) {
+    SchedulerHarness harness;
+    harness.AddWorkers({ "w1" });
+    constexpr std::uint32_t kJobs = 20;
+    for (std::uint32_t i = 0; i <= kJobs; ++i) {
+      WorkflowSubmission job =
+        LargeService(harness, "s" + std::to_string(i), 1);
+      job.steps[0].maxPerWorker = restricted ? 1 : 0;
+      job.steps[0].cpuMilli = 30000 - 100 * i;
+      job.steps[0].memoryMb = 1000 + 100 * i;
+      harness.scheduler.Accept(job);
+    }
+    CHECK(harness.PlanAndConfirm().size() == 1);
+    harness.clock.Advance(milliseconds(1100));
+    for (int pass = 0; pass < 5; ++pass) {
+      harness.clock.Advance(milliseconds(20));
+      harness.scheduler.Plan();
+    }
+    CHECK(harness.scheduler.HandOvers().size() == kJobs);
+  }
+}
+
+// Guards against a task that gets no reservation, or loses it, since tasks that
+// fit nowhere use up the searches.
+TEST_CASE("capacity is reserved for a task after many that fit nowhere")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("short", 32));
+  CHECK(harness.PlanAndConfirm().size() == 32);
+  for (std::uint32_t i = 0; i < 12; ++i) {
+    WorkflowSubmission job = LargeService(harness, "n" + std::to_string(i), 1);
+    job.steps[0].cpuMilli = 90000 - 100 * i;
+    job.steps[0].memoryMb = 1000 + 100 * i;
+    harness.scheduler.Accept(job);
+  }
+  WorkflowSubmission last = LargeService(harness, "fits", 1);
+  last.priority = 1;
+  harness.scheduler.Accept(last);
+  const auto plan = [&] {
+    harness.clock.Advance(milliseconds(20));
+    harness.scheduler.Plan();
+  };
+  plan();
+  plan();
+  for (int pass = 0; pass < 60; ++pass) {
+    plan();
+    CHECK(harness.scheduler.FindWorker("w1")->Reserved().cpuMilli == 20000);
+  }
+}
+
 // Guards against a task that is lost between cells when it is handed on or
 // returned, and against one that moves back at once.
 TEST_CASE("a task that came from another cell is handed on after a wait")
