Keep the wait of a task whose hand-over failed

Cause: each failed hand-over to another cell set the time since which the task waits to now.

Change: CancelHandOver() keeps the wait, since the task did not run in between. A separate time bounds how soon a task is offered again, a second after a failed attempt and two after an arrival from another cell, as before.

--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -40,10 +40,9 @@
  * another cell. A worker that was only briefly unreachable is back by then. */
 constexpr std::chrono::milliseconds kHandOverWait{ 1000 };
 
-/** The same for a task that came from another cell. The longer wait limits the
- * number of moves between cells whose published capacity is outdated. A task
- * has to run again within six seconds. */
-constexpr std::chrono::milliseconds kNextHandOverWait{ 2000 };
+/** Wait after which a failed hand-over is tried again. Each attempt takes
+ * several calls to the store. */
+constexpr std::chrono::milliseconds kHandOverRetryWait{ 1000 };
 
 /** Number of the largest free pieces that a cell publishes for each group of
  * workers. It bounds the size of the record, and the number of tasks that the
@@ -426,7 +425,7 @@
     const WorkflowStep& step = job.StepOf(name);
     const WorkflowTask& task =
       job.Occurrences()[0].steps[name.step].tasks[name.index];
-    if (task.moved && now - task.pendingSince < kNextHandOverWait) {
+    if (now < task.handOverNotBefore) {
       continue;
     }
     HandOver& entry = byStep[{ name.job, name.step }];
@@ -478,9 +477,13 @@
   }
   for (const TaskRun& task : aHandOver.tasks) {
     const TaskName name{ aHandOver.submission.id, 0, task.step, task.index };
-    if (entry->job.Find(name)->status == TaskStatus::HandedOver) {
-      entry->job.Reclaim(name, this->clock.Now());
+    WorkflowTask& handedOver = *entry->job.Find(name);
+    if (handedOver.status != TaskStatus::HandedOver) {
+      continue;
     }
+    // The task has not run in the meantime, so its wait goes on.
+    entry->job.Reclaim(name, handedOver.pendingSince);
+    handedOver.handOverNotBefore = this->clock.Now() + kHandOverRetryWait;
   }
 }
 
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -172,7 +172,6 @@
   task->worker = aWorker;
   task->mayRunOn.clear();
   task->run = std::max(task->run, aRun);
-  task->moved = false;
   --this->TasksOf(aName).pending;
   this->started = true;
 }
@@ -207,13 +206,13 @@
 }
 
 void
-WorkflowJob::Reclaim(const TaskName& aName, TimePoint aNow)
+WorkflowJob::Reclaim(const TaskName& aName, TimePoint aSince)
 {
   WorkflowTask* const task = this->Find(aName);
   InternalAssert(task != nullptr && task->status == TaskStatus::HandedOver,
                  "only a task that was handed over can become pending again");
   task->status = TaskStatus::Pending;
-  task->pendingSince = aNow;
+  task->pendingSince = aSince;
   ++this->TasksOf(aName).pending;
   --this->TasksOf(aName).handedOver;
 }
@@ -228,7 +227,7 @@
       continue;
     }
     found->run = std::max(found->run, task.run);
-    found->moved = true;
+    found->handOverNotBefore = aNow + kNextHandOverWait;
     this->Reclaim(name, aNow);
   }
   this->started = true;
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -12,6 +12,11 @@
 
 namespace sequoiakeel {
 
+/** Wait after which a task that came from another cell may be handed over
+ * again. It limits the number of moves between cells whose published capacity
+ * is outdated. A task has to run again within six seconds. */
+inline constexpr std::chrono::milliseconds kNextHandOverWait{ 2000 };
+
 /** Life cycle state of a task. */
 enum class TaskStatus : std::uint8_t
 {
@@ -41,8 +46,8 @@
   std::vector<std::uint64_t> failedRuns;
   /** Since when the task has had no run that is known to have begun. */
   TimePoint pendingSince;
-  /** Came from another cell and has not run here since. */
-  bool moved = false;
+  /** The task is not handed over to another cell before this time. */
+  TimePoint handOverNotBefore;
 };
 
 /** Tasks of one step in one occurrence of the job. */
@@ -115,10 +120,11 @@
    * makes a task that was handed over pending here again. Both throw if the
    * task is in another state. */
   void HandOver(const TaskName& aName);
-  void Reclaim(const TaskName& aName, TimePoint aNow);
+  void Reclaim(const TaskName& aName, TimePoint aSince);
 
   /** Makes tasks pending that another cell handed over or returned to this
-   * cell. Tasks that this cell already has are skipped. */
+   * cell. Tasks that this cell already has are skipped. The others are not
+   * handed over again before kNextHandOverWait has passed. */
   void AddTasks(std::span<const TaskRun> aTasks, TimePoint aNow);
 
   /** Returns whether this is the part of a job that another cell handed over;
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -204,3 +204,53 @@
   harness.Report("w1", 1, {}, {});
   CHECK(harness.scheduler.CapacityForLongRunning().groups.size() == 1);
 }
+
+// Guards against a wait that begins anew with each failed hand-over, so that
+// the task never reaches the time after which it may use a quarantined worker.
+TEST_CASE("failed hand-overs do not renew the wait of a task")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  std::uint64_t sequence = 0;
+  for (const char* const id : { "j1", "j2", "j3" }) {
+    harness.scheduler.Accept(harness.Job(id));
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(starts.size() == 1);
+    harness.Report(
+      "w1",
+      1,
+      {},
+      { EndedRun{
+        ++sequence, starts[0].command.task, 1, RunEnd::Failed, "" } });
+    harness.scheduler.Cancel(id);
+  }
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  harness.scheduler.Accept(LongRunning(harness, "full", 20000));
+  const std::vector<PlannedStart> first = harness.PlanAndConfirm();
+  REQUIRE(first.size() == 1);
+  REQUIRE(first[0].worker == "w2");
+  harness.scheduler.Accept(LongRunning(harness, "service", 20000));
+  int attempts = 0;
+  TimePoint lastAttempt;
+  std::vector<PlannedStart> started;
+  for (int i = 0; i < 27 && started.empty(); ++i) {
+    harness.clock.Advance(milliseconds(100));
+    harness.Report("w1", 1, {}, {});
+    harness.Report("w2", 1, { Row("full.0.0.0", 1, 100) }, {});
+    started = harness.PlanAndConfirm();
+    for (const HandOver& offer : harness.scheduler.HandOvers()) {
+      // Attempts that follow one another at once would burden the store.
+      CHECK(harness.clock.Now() - lastAttempt >= seconds(1));
+      lastAttempt = harness.clock.Now();
+      ++attempts;
+      REQUIRE(harness.scheduler.BeginHandOver(offer));
+      harness.scheduler.CancelHandOver(offer);
+    }
+  }
+  CHECK(attempts == 2);
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].worker == "w1");
+}
