Judge by the task whether a long-running task was interrupted

Cause: the order of placement and preemption went by whether any task of the job had started, the use of reserved capacity by the run number, which also a held or rejected first start raises. After a takeover a task that never ran, of a job whose other tasks ran, took the last free piece before one that waited for its recorded worker; so did a task whose first start was rejected (LOST).

Change: a task counts as interrupted once a run of it has begun or may have begun on a lost worker. All three decisions use this, and the interrupted tasks of a step are placed apart from its others. Recorded runs count as begun after a takeover or a hand-over, since the record does not tell them apart.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -363,7 +363,7 @@
     std::string rack;
     /** Time since the task became pending. */
     Duration waited{};
-    /** The task has run before. */
+    /** The task is a long-running one that has run before. */
     bool interrupted = false;
   };
   /** A start of a long-running task that is sent once its assignment is
@@ -378,12 +378,16 @@
     /** Number of the progress change that has to be durable. */
     std::uint64_t change = 0;
   };
+  /** Pending tasks of one step: those of a long-running step that have run, if
+   * order.interrupted is set, otherwise all others. */
   struct Candidate
   {
     std::string job;
     std::uint32_t occurrence;
     std::uint32_t step;
     WaitingStep order;
+    /** Number of these tasks. */
+    std::uint32_t pending;
   };
 
   void AddJob(WorkflowSubmission aSubmission, bool aFromEarlierOwner);
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -173,7 +173,7 @@
   WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
   if (task != nullptr && task->status == TaskStatus::Assigned &&
       task->worker == aWorker.description.id) {
-    entry->job.Unassign(*name, task->pendingSince);
+    entry->job.RevokeAssignment(*name);
     this->NoteAssignmentChange(entry->job, *name);
   }
 }
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -311,10 +311,7 @@
                        const TaskToPlace& aTask)
 {
   const TimePoint now = this->clock.Now();
-  const std::optional<TaskName> name = ParseTaskName(aTaskName);
-  const Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-  const bool interrupted = entry != nullptr && entry->job.Started();
-  if (!interrupted || aTask.waited < kPreemptionWait) {
+  if (!aTask.interrupted || aTask.waited < kPreemptionWait) {
     return;
   }
   const auto preemption = ChoosePreemption(aWorker, aTask.step, now);
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -80,10 +80,8 @@
   for (const Candidate& candidate : aWaiting) {
     const Entry& entry = this->jobs.at(candidate.job);
     const WorkflowStep& step = entry.job.Submission().steps[candidate.step];
-    const std::int64_t cpu = static_cast<std::int64_t>(step.cpuMilli) *
-                             entry.job.Occurrences()[candidate.occurrence]
-                               .steps[candidate.step]
-                               .pending;
+    const std::int64_t cpu =
+      static_cast<std::int64_t>(step.cpuMilli) * candidate.pending;
     std::int64_t& sum = step.longRunning ? waitingLongRunning
                         : step.filler    ? waitingFillers
                                          : waitingShort;
@@ -138,7 +136,7 @@
     const std::vector<WorkflowTask>& tasks =
       job.Occurrences()[candidate.occurrence].steps[candidate.step].tasks;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-      if (tasks[i].status != TaskStatus::Pending ||
+      if (tasks[i].status != TaskStatus::Pending || !tasks[i].hasRun ||
           tasks[i].pendingSince >= since) {
         continue;
       }
@@ -225,13 +223,25 @@
         WaitingStep order;
         order.priority = submission.priority;
         order.longRunning = step.longRunning;
-        order.interrupted = step.longRunning && entry.job.Started();
         order.filler = step.filler;
         order.objectiveUnixMs = entry.job.ObjectiveUnixMs();
         order.remainingMs = entry.job.RemainingPathMs(s);
         order.remainingWork = entry.job.RemainingWork();
         order.acceptedUnixMs = submission.acceptedUnixMs;
-        result.push_back(Candidate{ id, k, s, order });
+        // Tasks of a step that have run and those that have not are placed
+        // separately. A gang is placed as a whole.
+        const std::uint32_t pending = occurrence.steps[s].pending;
+        std::uint32_t interrupted =
+          step.longRunning ? occurrence.steps[s].CountInterrupted() : 0;
+        interrupted = step.gang && interrupted > 0 ? pending : interrupted;
+        if (interrupted > 0) {
+          order.interrupted = true;
+          result.push_back(Candidate{ id, k, s, order, interrupted });
+        }
+        if (interrupted < pending) {
+          order.interrupted = false;
+          result.push_back(Candidate{ id, k, s, order, pending - interrupted });
+        }
       }
     }
   }
@@ -257,7 +267,8 @@
   std::optional<Duration> longestMissed;
   bool noWorker = false;
   for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-    if (tasks[i].status != TaskStatus::Pending) {
+    if (tasks[i].status != TaskStatus::Pending ||
+        (step.longRunning && tasks[i].hasRun != aCandidate.order.interrupted)) {
       continue;
     }
     const TaskName name{
@@ -273,7 +284,7 @@
       return;
     }
     placed.waited = now - tasks[i].pendingSince;
-    placed.interrupted = tasks[i].run > 0;
+    placed.interrupted = aCandidate.order.interrupted;
     const bool missed = longestMissed && placed.waited <= *longestMissed;
     ScheduledWorker* const worker =
       missed ? nullptr : this->ChooseWorker(placed);
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -100,6 +100,7 @@
   WorkflowTask& task = *job.Find(aName);
   const WorkflowStep& step = job.StepOf(aName);
   job.MarkStarted();
+  job.MarkRun(aName);
   task.run = std::max(task.run, aRow.run);
   if (!aRow.checkpoint.empty()) {
     task.checkpoint = aRow.checkpoint;
@@ -341,6 +342,12 @@
   }
   for (const std::string& task : tasks) {
     this->MarkRunLost(aWorker, task, aReason);
+    // An unconfirmed start may have been carried out.
+    const std::optional<TaskName> name = ParseTaskName(task);
+    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+    if (entry != nullptr && entry->job.Find(*name) != nullptr) {
+      entry->job.MarkRun(*name);
+    }
   }
 }
 
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -42,6 +42,15 @@
 
 } // namespace
 
+std::uint32_t
+WorkflowStepTasks::CountInterrupted() const
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    this->tasks.begin(), this->tasks.end(), [](const WorkflowTask& aTask) {
+      return aTask.status == TaskStatus::Pending && aTask.hasRun;
+    }));
+}
+
 WorkflowJob::WorkflowJob(WorkflowSubmission aSubmission, TimePoint aNow)
   : submission(std::move(aSubmission))
   , remainingPathMs(LongestChainsMs(submission.steps))
@@ -98,6 +107,7 @@
     WorkflowTask* const found = this->Find(name);
     if (found != nullptr && found->status == TaskStatus::Pending) {
       found->run = std::max(found->run, task.run);
+      found->hasRun = found->run > 0;
       this->HandOver(name);
     }
     this->started = true;
@@ -107,6 +117,7 @@
     WorkflowTask* const found = this->Find(name);
     if (found != nullptr && found->status == TaskStatus::HandedOver) {
       found->run = std::max(found->run, task.run);
+      found->hasRun = found->run > 0;
       this->Reclaim(name, found->pendingSince);
     }
   }
@@ -117,6 +128,7 @@
                                                      assignment.index });
     if (found != nullptr && found->status == TaskStatus::Pending) {
       found->run = std::max(found->run, assignment.run);
+      found->hasRun = found->run > 0;
       found->mayRunOn = assignment.worker;
     }
     this->started = true;
@@ -180,6 +192,7 @@
 WorkflowJob::Unassign(const TaskName& aName, TimePoint aSince)
 {
   this->RevokeAssignment(aName);
+  this->MarkRun(aName);
   this->Find(aName)->pendingSince = aSince;
 }
 
@@ -227,6 +240,7 @@
       continue;
     }
     found->run = std::max(found->run, task.run);
+    found->hasRun = found->hasRun || task.run > 0;
     found->handOverNotBefore = aNow + kNextHandOverWait;
     this->Reclaim(name, aNow);
   }
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -40,6 +40,9 @@
   std::string mayRunOn;
   /** Highest run number known. */
   std::uint64_t run = 0;
+  /** A run of the task has begun, or may have begun on a worker that was lost.
+   * After a takeover, so does every recorded run. */
+  bool hasRun = false;
   /** Last checkpoint reported. */
   std::string checkpoint;
   /** Numbers of the failed runs, for TaskFailures. */
@@ -59,6 +62,9 @@
   std::uint32_t handedOver = 0;
 
   bool AllDone() const { return this->done == this->tasks.size(); }
+
+  /** Returns the number of pending tasks that have run before. */
+  std::uint32_t CountInterrupted() const;
 };
 
 /** Steps of one occurrence, that is, of one instance of a recurring job. A job
@@ -107,8 +113,8 @@
               const std::string& aWorker,
               std::uint64_t aRun);
 
-  /** Returns an assigned task to pending. aSince: end of its run, as far as it
-   * is known. Throws if the task is not assigned. */
+  /** Returns an assigned task to pending whose run has begun. aSince: end of
+   * the run, as far as it is known. Throws if the task is not assigned. */
   void Unassign(const TaskName& aName, TimePoint aSince);
 
   /** Returns an assigned task to pending whose run is not known to have begun.
@@ -149,6 +155,10 @@
 
   bool AllDone() const { return this->openTasks == 0; }
 
+  /** Records that a run of a task may have begun. Precondition: the job has the
+   * task. */
+  void MarkRun(const TaskName& aName) { this->Find(aName)->hasRun = true; }
+
   /** Returns whether any task was started, by this owner or an earlier one. */
   bool Started() const { return this->started; }
 
--- a/test/unit/TakeoverWithLostWorker.cpp
+++ b/test/unit/TakeoverWithLostWorker.cpp
@@ -390,3 +390,67 @@
   CHECK(before.store.progress["s"].assignments[0].run == 1);
   CHECK(before.store.progress["s"].assignments[1].worker == before.workers[1]);
 }
+
+// Guards against the same by a task that never ran, of a job whose other tasks
+// ran.
+TEST_CASE("a task that never ran does not take capacity of one that ran")
+{
+  EarlierOwner before;
+  SchedulerHarness next;
+  TakeOver(next, before.store, { Service(next, "s", 3) });
+  const auto report = [&] {
+    next.Report(before.workers[0], 1, { { TaskOf(0), 1, "", 100, 0 } }, {});
+    next.Report(before.idle, 1, {}, {});
+    next.scheduler.NoteLease(before.workers[0], next.WorkerMs() + 5000);
+    next.scheduler.NoteLease(before.idle, next.WorkerMs() + 5000);
+  };
+  for (int i = 0; i < 20; ++i) {
+    report();
+    CHECK(next.PlanAndConfirm().empty());
+    next.clock.Advance(milliseconds(390));
+  }
+  next.clock.Advance(milliseconds(390));
+  report();
+  const auto starts = next.PlanAndConfirm();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].command.task == TaskOf(1));
+}
+
+// Guards against the same by a task whose first start was rejected.
+TEST_CASE("a rejected first start gives no claim to reserved capacity")
+{
+  EarlierOwner before;
+  SchedulerHarness next;
+  TakeOver(next, before.store, { Service(next, "s", 2) });
+  List(next, { "w1", "w2", "w3", "w4" });
+  next.scheduler.RosterWritten(next.scheduler.RosterToWrite());
+  std::set<std::string> free{ before.idle, "w4" };
+  const auto report = [&] {
+    next.Report(before.workers[0], 1, { { TaskOf(0), 1, "", 100, 0 } }, {});
+    next.scheduler.NoteLease(before.workers[0], next.WorkerMs() + 5000);
+    for (const std::string& id : free) {
+      next.Report(id, 1, {}, {});
+      next.scheduler.NoteLease(id, next.WorkerMs() + 5000);
+    }
+  };
+  report();
+  next.scheduler.Accept(Service(next, "t"));
+  next.clock.Advance(milliseconds(600));
+  report();
+  const auto rejected = next.PlanStarts();
+  REQUIRE(rejected.size() == 1);
+  REQUIRE(rejected[0].command.task == "t.0.0.0");
+  next.scheduler.HandleStart(
+    rejected[0].worker,
+    "t.0.0.0",
+    1,
+    WorkerCommandReply{ WorkerCommandResult::Refused, next.WorkerMs() },
+    false);
+  next.scheduler.HandleUnresponsive(rejected[0].worker);
+  free.erase(rejected[0].worker);
+  for (int i = 0; i < 16; ++i) {
+    next.clock.Advance(milliseconds(390));
+    report();
+    CHECK(next.PlanAndConfirm().empty());
+  }
+}
