Count a job as pending after a rewrite of its record

Cause: every rewrite of a job's record passed its list of returned tasks to the job, which then counted as started even if the list was empty. Callers saw such a job as running, and too few pending jobs.

Change: a job counts as started by this only if a task was added.

Result: unit_CellScheduler "a job whose record is rewritten counts as pending until it starts" failed before and passes.

--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -243,8 +243,8 @@
     found->hasRun = found->hasRun || task.run > 0;
     found->handOverNotBefore = aNow + kNextHandOverWait;
     this->Reclaim(name, aNow);
+    this->started = true;
   }
-  this->started = true;
 }
 
 bool
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -665,3 +665,15 @@
   CHECK(harness.scheduler.TakeExpired(10, {}) ==
         std::vector<std::string>{ "j" });
 }
+
+// Guards against a job that is no longer counted as pending since its record in
+// the store was rewritten.
+TEST_CASE("a job whose record is rewritten counts as pending until it starts")
+{
+  SchedulerHarness harness;
+  harness.scheduler.Accept(harness.Job("j"));
+  CHECK(harness.scheduler.CountPendingJobs("quotes") == 1);
+  CHECK(!harness.scheduler.Accept(harness.Job("j")));
+  CHECK(harness.scheduler.CountPendingJobs("quotes") == 1);
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Queued);
+}
