Check the capacity again before a held start is sent

Cause: the start of a long-running task is held until its assignment is durable. When it was released, only the state of the worker was checked, so a worker that had become smaller since was started beyond its capacity (LIMIT).

Change: a held start is taken back if the commitments of its worker exceed the capacity in a resource that the task uses, as repeated starts are.

Result: unit_CapacityThatShrinks "a held start is not sent once its worker has become too small" failed before and passes.

--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -127,9 +127,12 @@
   };
   const auto takesStarts = [&](const HeldStart& aHeld) {
     const ScheduledWorker& worker = *this->FindWorker(aHeld.worker);
+    const WorkflowStep& step =
+      worker.Commitments().at(FormatTaskName(aHeld.name)).step;
     return AcceptsNewTasks(worker, now) &&
            this->roster.contains(aHeld.worker) &&
-           worker.reportedIncarnation == aHeld.incarnation;
+           worker.reportedIncarnation == aHeld.incarnation &&
+           !worker.IsExceededFor(step);
   };
   std::vector<HeldStart> held = std::exchange(this->heldStarts, {});
   std::erase_if(held, [&](const HeldStart& aHeld) { return !isHeld(aHeld); });
--- a/test/unit/CapacityThatShrinks.cpp
+++ b/test/unit/CapacityThatShrinks.cpp
@@ -387,3 +387,22 @@
   }
   CHECK(starts > 4000);
 }
+
+// Guards against a start beyond the capacity of a worker that became smaller
+// while the start was held.
+TEST_CASE("a held start is not sent once its worker has become too small")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w" });
+  harness.scheduler.Accept(LongRunning(harness, "s", 1, 20000));
+  CHECK(harness.scheduler.Plan().starts.empty());
+  REQUIRE(harness.scheduler.HasHeldStarts());
+  ListOne(harness, 19000);
+  harness.WriteProgress();
+  CHECK(harness.scheduler.Plan().starts.empty());
+  CHECK(harness.scheduler.FindWorker("w")->Committed().cpuMilli == 0);
+  ListOne(harness, 20000);
+  const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].command.run == 2);
+}
