Do not reclaim tasks of a hand-over that was applied

Cause: if the answer to a hand-over was lost and the retry met a conflict, only the first task was looked at. If the other cell had returned that task in the meantime, the hand-over counted as failed, and the owner also started the other tasks, which ran in the other cell (TWICE).

Change: a hand-over moves all tasks or none. It was applied if the revision of the own progress changed or, for a part, if any task is missing in its list. The record that was read is then handled like one from the watch, so that returned tasks become pending with their run numbers.

The fake store can lose the answers of chosen writes for it.

--- a/src/CellOwnershipSessionHandOver.cpp
+++ b/src/CellOwnershipSessionHandOver.cpp
@@ -42,12 +42,30 @@
   });
 }
 
+/** Returns whether all tasks are in a list of tasks. */
 bool
-HasTask(std::span<const TaskRun> aRows, const TaskRun& aTask)
+HasTasks(std::span<const TaskRun> aRows, std::span<const TaskRun> aTasks)
 {
-  return std::any_of(aRows.begin(), aRows.end(), [&](const TaskRun& aRow) {
-    return aTask.step == aRow.step && aTask.index == aRow.index;
-  });
+  return std::all_of(
+    aTasks.begin(), aTasks.end(), [aRows](const TaskRun& aTask) {
+      return std::any_of(
+        aRows.begin(), aRows.end(), [&aTask](const TaskRun& aRow) {
+          return aTask.step == aRow.step && aTask.index == aRow.index;
+        });
+    });
+}
+
+/** Returns the revision of a key that a transaction expects, or kAbsentVersion
+ * if it expects none. */
+std::uint64_t
+ExpectedRevision(const StoreTransaction& aChange, const std::string& aKey)
+{
+  for (const StoreExpectation& expectation : aChange.expect) {
+    if (expectation.key == aKey) {
+      return expectation.revision;
+    }
+  }
+  return kAbsentVersion;
 }
 
 } // namespace
@@ -250,28 +268,26 @@
     }
     if (reply.result == StoreResult::Conflict) {
       // An earlier attempt whose outcome is unknown may have been applied, so
-      // that the conflict is with this owner's own write. Only this owner
-      // removes tasks from this cell, so its records tell.
+      // that the conflict is with this owner's own write. The attempt moved all
+      // tasks or none, and other cells may have returned some of them since.
+      // Only this owner writes the progress of its cell and removes tasks from
+      // its part, so these records tell.
       bool applied = false;
-      bool returned = false;
       for (const StoreItem& item : reply.current) {
         if (!part && item.key == this->keys.Progress(id)) {
-          const auto progress = DecodeRecord<WorkflowProgress>(item);
           this->progressRevisions[id] = item.revision;
-          applied =
-            progress && HasTask(progress->handedOver, aHandOver.tasks.front());
+          applied = item.revision != ExpectedRevision(aChange, item.key);
         }
         if (item.key != this->keys.Job(id)) {
           continue;
         }
         const auto record = DecodeRecord<WorkflowSubmission>(item);
-        const bool listed =
-          record && HasTask(part ? record->part : record->returned,
-                            aHandOver.tasks.front());
-        applied = part ? record && !listed : applied;
-        returned = !part && listed;
+        applied =
+          part ? record && !HasTasks(record->part, aHandOver.tasks) : applied;
+        // Tasks that were returned become pending with their run numbers.
+        this->HandleInboxItem(item);
       }
-      co_return applied && !returned;
+      co_return applied;
     }
     mayBeApplied = mayBeApplied || reply.result == StoreResult::Unknown;
     if (reply.result == StoreResult::Unavailable && !mayBeApplied) {
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -745,3 +745,58 @@
   CHECK(cluster.workers.StartsOf("j.0.0.0") == 1);
   CHECK(!cluster.workers.RanTwice());
 }
+
+// Guards against a second run of tasks that were handed over together: the
+// answer of the store is lost, and the other cell returns one of the tasks
+// before the hand-over is tried again.
+TEST_CASE("only the returned one of several tasks runs in its own cell again")
+{
+  TestCluster cluster(2);
+  Node& node = cluster.AddNode("a");
+  REQUIRE(cluster.UntilOwned());
+  const auto longRunning = [](const std::string& aId, std::uint32_t aTasks) {
+    WorkflowSubmission job = Job(aId);
+    job.steps[0].count = aTasks;
+    job.steps[0].cpuMilli = 15000;
+    job.steps[0].longRunning = true;
+    return job;
+  };
+  for (const std::uint32_t cell : { 0, 1 }) {
+    const std::string id = "filling" + std::to_string(cell);
+    REQUIRE(cluster.Write(WorkflowKeys(cell).Job(id),
+                          nlohmann::json(longRunning(id, 2)).dump()));
+  }
+  REQUIRE(cluster.Until([&] { return cluster.workers.Running() == 4; }));
+  // A cell without an owner, in whose place the test acts.
+  const WorkflowKeys other(7);
+  WorkerGroupCapacity group;
+  group.service = "desk";
+  group.pieces.assign(3, FreePiece{ 15000, 1000 });
+  group.freeCpuMilli = 45000;
+  REQUIRE(cluster.Write(
+    other.Room(), nlohmann::json(LongRunningCapacity{ { group } }).dump()));
+  cluster.store.LoseAnswers(1, other.JobsPrefix());
+  REQUIRE(cluster.Await(node.gateway.Submit(longRunning("s", 3),
+                                            node.clock.Now() + seconds(5))) ==
+          SubmissionOutcome::Accepted);
+  REQUIRE(cluster.Until(
+    [&] { return cluster.store.Count(other.JobsPrefix()) == 1; }));
+  const std::uint32_t own =
+    cluster.store.Count(WorkflowKeys(0).Job("s")) == 1 ? 0 : 1;
+  const WorkflowKeys keys(own);
+  const StoreRangeReply stored =
+    cluster.Await(cluster.store.Get(keys.Job("s"), seconds(1)));
+  REQUIRE(stored.items.size() == 1);
+  auto job =
+    nlohmann::json::parse(stored.items.front().value).get<WorkflowSubmission>();
+  job.returned = { TaskRun{ 0, 0, 4 } };
+  REQUIRE(cluster.Write(keys.Job("s"), nlohmann::json(job).dump()));
+  cluster.store.Remove(other.Room());
+  REQUIRE(
+    cluster.Write(keys.Cancellation("filling" + std::to_string(own)), "{}"));
+  REQUIRE(
+    cluster.Until([&] { return cluster.workers.StartsOf("s.0.0.0") == 1; }));
+  std::this_thread::sleep_for(seconds(1));
+  CHECK(cluster.workers.StartsOf("s.0.0.1") == 0);
+  CHECK(cluster.workers.StartsOf("s.0.0.2") == 0);
+}
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -194,7 +194,14 @@
   }
   reply.result = StoreResult::Ok;
   reply.revision = committed;
-  if (this->answersToLose > 0) {
+  const bool concerned =
+    this->answersToLosePrefix.empty() ||
+    std::any_of(aTransaction.puts.begin(),
+                aTransaction.puts.end(),
+                [this](const StorePut& aPut) {
+                  return aPut.key.starts_with(this->answersToLosePrefix);
+                });
+  if (this->answersToLose > 0 && concerned) {
     --this->answersToLose;
     reply = StoreTransactionReply{};
     reply.result = StoreResult::Unknown;
@@ -253,10 +260,11 @@
 }
 
 void
-FakeTransactionalStore::LoseAnswers(int aCount)
+FakeTransactionalStore::LoseAnswers(int aCount, const std::string& aPrefix)
 {
   const std::lock_guard lock(this->mutex);
   this->answersToLose = aCount;
+  this->answersToLosePrefix = aPrefix;
 }
 
 void
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -41,9 +41,9 @@
   boost::asio::awaitable<StoreLeaseReply> EndLease(std::uint64_t aLease,
                                                    Duration aTimeout) override;
 
-  /** Makes the next aCount commits return StoreResult::Unknown after they were
-   * applied. */
-  void LoseAnswers(int aCount);
+  /** Makes the next aCount commits that write a key with a prefix return
+   * StoreResult::Unknown after they were applied. */
+  void LoseAnswers(int aCount, const std::string& aPrefix = "");
 
   /** Makes every call return StoreResult::Unavailable while set. */
   void SetDown(bool aDown);
@@ -83,6 +83,7 @@
   std::uint64_t revision = 1;
   std::uint64_t nextLease = 1;
   int answersToLose = 0;
+  std::string answersToLosePrefix;
   int commits = 0;
   bool down = false;
   bool watchesBlocked = false;
