Bound the wait for a confirmed start on a lost worker by its lease

Cause: if a worker restarts after a start and then is silent, the start is assumed to be carried out by the new incarnation up to 13.5 s after its decision, which is how long an unanswered copy can be in transit.

Change: once all copies of a start command were answered, the wait counts from the confirmation and lasts as long as the longest lease. A start that only a report has confirmed keeps the long bound, since copies may be in transit.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -324,8 +324,10 @@
 TimePoint
 CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
 {
-  return aCommitment.startedAt + kMaxStartDelay +
-         this->bounds.workerLease * 103 / 100;
+  const TimePoint lastStart = aCommitment.allCopiesAnswered
+                                ? aCommitment.confirmedAt
+                                : aCommitment.startedAt + kMaxStartDelay;
+  return lastStart + this->bounds.workerLease * 103 / 100;
 }
 
 void
@@ -419,6 +421,7 @@
       commitment->phase = CommitmentPhase::Running;
     }
     commitment->confirmedAt = now;
+    commitment->allCopiesAnswered = !commitment->mayBeInFlight;
     return;
   }
   Event("start_turned_away", LogLevel::Warning)
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -45,6 +45,9 @@
   /** A copy of the start command was not answered and may still be carried out.
    */
   bool mayBeInFlight = false;
+  /** The worker has confirmed the start command and answered every copy of it,
+   * so that no copy can be carried out after confirmedAt. */
+  bool allCopiesAnswered = false;
   /** The worker was restarted while a copy of the start command was in flight,
    * and its new incarnation would carry the copy out. The run counts as
    * present until the new incarnation has confirmed a stop. */
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -254,3 +254,30 @@
   REQUIRE(started.size() == 1);
   CHECK(started[0].worker == "w1");
 }
+
+// Guards against a task that waits for copies of its start command although all
+// were answered, when its worker restarts after the start and then is silent.
+TEST_CASE("a confirmed start on a lost worker ends with the longest lease")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 6000));
+  harness.clock.Advance(milliseconds(100));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1", 2), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.scheduler.HandleUnresponsive("w1");
+  Duration waited{};
+  std::vector<PlannedStart> starts;
+  while (starts.empty() && waited < seconds(20)) {
+    harness.clock.Advance(milliseconds(100));
+    waited += milliseconds(102);
+    harness.Report("w2", 1, {}, {});
+    starts = harness.PlanAndConfirm();
+  }
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == "w2");
+  CHECK(waited > harness.bounds.workerLease);
+  CHECK(waited < harness.bounds.workerLease + milliseconds(2500));
+}
