Do not publish capacity that is reserved for draining and awaited tasks

Cause: the published pieces left out the reservations that a planning pass keeps by task, but not those it makes directly on a worker, for tasks of draining workers and tasks that wait for their recorded worker. Tasks of other cells were handed over to that capacity and had to wait there.

Change: CapacityForLongRunning() subtracts all capacity reserved on a worker, which includes both kinds.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -490,8 +490,6 @@
                const std::string& aTaskName,
                const TaskToPlace& aTask);
   void NoteUnplaceable(const TaskName& aName, const TaskToPlace& aTask);
-  /** Returns the capacity that is reserved for long-running tasks. */
-  std::map<std::string, WorkerCapacity> ReservedByWorker() const;
   void PlanRelocation(ScheduledWorker& aWorker, const std::string& aTaskName);
   /** Commits a run of a pending task to a worker. Its start command is added to
    * aOrders, or held if the assignment has to be durable first. */
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -484,30 +484,10 @@
   }
 }
 
-std::map<std::string, WorkerCapacity>
-CellScheduler::ReservedByWorker() const
-{
-  std::map<std::string, WorkerCapacity> result;
-  for (const auto& [task, reservation] : this->reservations) {
-    const std::optional<TaskName> name = ParseTaskName(task);
-    const auto found = name ? this->jobs.find(name->job) : this->jobs.end();
-    if (found == this->jobs.end()) {
-      continue;
-    }
-    const WorkflowStep& step = found->second.job.StepOf(*name);
-    WorkerCapacity& sum = result[reservation.worker];
-    sum.cpuMilli += step.cpuMilli;
-    sum.memoryMb += step.memoryMb;
-  }
-  return result;
-}
-
 LongRunningCapacity
 CellScheduler::CapacityForLongRunning() const
 {
   const TimePoint now = this->clock.Now();
-  const std::map<std::string, WorkerCapacity> reserved =
-    this->ReservedByWorker();
   std::map<std::pair<std::string, std::set<std::string>>, WorkerGroupCapacity>
     groups;
   for (const auto& [id, worker] : this->workers) {
@@ -522,10 +502,8 @@
         left.memoryMb -= commitment.step.memoryMb;
       }
     }
-    if (const auto found = reserved.find(id); found != reserved.end()) {
-      left.cpuMilli -= found->second.cpuMilli;
-      left.memoryMb -= found->second.memoryMb;
-    }
+    left.cpuMilli -= worker.Reserved().cpuMilli;
+    left.memoryMb -= worker.Reserved().memoryMb;
     if (left.cpuMilli <= 0 || left.memoryMb <= 0) {
       continue;
     }
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -281,3 +281,25 @@
   CHECK(waited > harness.bounds.workerLease);
   CHECK(waited < harness.bounds.workerLease + milliseconds(2500));
 }
+
+// Guards against a task of another cell that is handed over to capacity that a
+// task of a draining worker is about to use.
+TEST_CASE("capacity reserved for a task of a draining worker is not published")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 20000));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  WorkerDescription leaving = SchedulerHarness::Worker("w1");
+  leaving.draining = true;
+  harness.scheduler.UpdateWorkers(
+    std::vector{ leaving, SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  REQUIRE(harness.scheduler.Plan().stops.size() == 1);
+  const LongRunningCapacity capacity =
+    harness.scheduler.CapacityForLongRunning();
+  REQUIRE(capacity.groups.size() == 1);
+  REQUIRE(capacity.groups[0].pieces.size() == 1);
+  CHECK(capacity.groups[0].pieces[0].cpuMilli == 12000);
+}
