Count accelerators and the limit per worker in published pieces

Cause: a free piece was compared by processors and memory only. A piece of 20 cores counted as several tasks of a step of which one per worker may run, and tasks with accelerators were handed over to cells without any, where they waited for two seconds before they moved on (LOST).

Change: pieces state their accelerators, and a piece counts for at most as many tasks as the limit per worker allows.

--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -430,7 +430,9 @@
     entry.tasks.push_back(TaskRun{ name.step, name.index, task.run });
     entry.demand.service = entry.submission.service;
     entry.demand.requiredLabel = step.requiredLabel;
-    entry.demand.size = FreePiece{ step.cpuMilli, step.memoryMb };
+    entry.demand.size =
+      FreePiece{ step.cpuMilli, step.memoryMb, step.accelerators };
+    entry.demand.maxPerWorker = step.maxPerWorker;
     ++entry.demand.tasks;
   }
   std::vector<HandOver> result;
@@ -500,10 +502,12 @@
       if (commitment.step.longRunning) {
         left.cpuMilli -= commitment.step.cpuMilli;
         left.memoryMb -= commitment.step.memoryMb;
+        left.accelerators -= commitment.step.accelerators;
       }
     }
     left.cpuMilli -= worker.Reserved().cpuMilli;
     left.memoryMb -= worker.Reserved().memoryMb;
+    left.accelerators -= worker.Reserved().accelerators;
     if (left.cpuMilli <= 0 || left.memoryMb <= 0) {
       continue;
     }
@@ -512,7 +516,9 @@
     WorkerGroupCapacity& group =
       groups[{ worker.description.service, std::move(labels) }];
     const FreePiece piece{ static_cast<std::uint64_t>(left.cpuMilli),
-                           static_cast<std::uint64_t>(left.memoryMb) };
+                           static_cast<std::uint64_t>(left.memoryMb),
+                           static_cast<std::uint64_t>(
+                             std::max<std::int64_t>(0, left.accelerators)) };
     group.freeCpuMilli += piece.cpuMilli;
     group.pieces.push_back(piece);
   }
--- a/src/HandOverTarget.cpp
+++ b/src/HandOverTarget.cpp
@@ -21,13 +21,19 @@
 }
 
 std::uint64_t
-TasksInPiece(const FreePiece& aPiece, const FreePiece& aSize)
+TasksInPiece(const FreePiece& aPiece, const HandOverDemand& aDemand)
 {
+  const FreePiece& size = aDemand.size;
   const auto ratio = [](std::uint64_t aFree, std::uint64_t aNeeded) {
     return aNeeded == 0 ? UINT64_MAX : aFree / aNeeded;
   };
-  return std::min(ratio(aPiece.cpuMilli, aSize.cpuMilli),
-                  ratio(aPiece.memoryMb, aSize.memoryMb));
+  // A piece is that of one worker.
+  const std::uint64_t limit =
+    aDemand.maxPerWorker == 0 ? UINT64_MAX : aDemand.maxPerWorker;
+  return std::min({ ratio(aPiece.cpuMilli, size.cpuMilli),
+                    ratio(aPiece.memoryMb, size.memoryMb),
+                    ratio(aPiece.accelerators, size.accelerators),
+                    limit });
 }
 
 std::uint64_t
@@ -66,7 +72,7 @@
     }
     for (const FreePiece& piece : group.pieces) {
       const std::uint64_t left = aDemand.tasks - fit;
-      fit += std::min(left, TasksInPiece(piece, aDemand.size));
+      fit += std::min(left, TasksInPiece(piece, aDemand));
     }
   }
   return fit;
@@ -104,9 +110,10 @@
     }
     for (FreePiece& piece : group.pieces) {
       const std::uint64_t count =
-        std::min(aTasks, TasksInPiece(piece, aDemand.size));
+        std::min(aTasks, TasksInPiece(piece, aDemand));
       piece.cpuMilli -= count * aDemand.size.cpuMilli;
       piece.memoryMb -= count * aDemand.size.memoryMb;
+      piece.accelerators -= count * aDemand.size.accelerators;
       group.freeCpuMilli -=
         std::min(group.freeCpuMilli, count * aDemand.size.cpuMilli);
       aTasks -= count;
--- a/src/HandOverTarget.h
+++ b/src/HandOverTarget.h
@@ -17,6 +17,8 @@
   std::string requiredLabel;
   /** Largest resource demand of any of the tasks. */
   FreePiece size;
+  /** Maximum number of the tasks per worker; 0: no limit. */
+  std::uint32_t maxPerWorker = 0;
   std::uint64_t tasks = 0;
 };
 
--- a/test/unit/HandOverTarget.cpp
+++ b/test/unit/HandOverTarget.cpp
@@ -23,7 +23,11 @@
 HandOverDemand
 Demand(std::uint64_t aTasks)
 {
-  return HandOverDemand{ "desk", "", FreePiece{ 4000, 1000 }, aTasks };
+  HandOverDemand demand;
+  demand.service = "desk";
+  demand.size = FreePiece{ 4000, 1000 };
+  demand.tasks = aTasks;
+  return demand;
 }
 
 } // namespace
@@ -77,6 +81,33 @@
   CHECK(TasksThatFit(Cell({ 5000 }), demand) == 0);
 }
 
+// Guards against more tasks of a step on one worker than its limit allows.
+TEST_CASE("a piece counts for no more tasks than one worker may run")
+{
+  HandOverDemand demand = Demand(3);
+  CHECK(TasksThatFit(Cell({ 20000 }), demand) == 3);
+  demand.maxPerWorker = 1;
+  CHECK(TasksThatFit(Cell({ 20000 }), demand) == 1);
+  LongRunningCapacity cell = Cell({ 20000, 5000 });
+  CHECK(TasksThatFit(cell, demand) == 2);
+  SubtractTasks(cell, demand, 2);
+  CHECK(cell.groups[0].pieces[0].cpuMilli == 16000);
+  CHECK(cell.groups[0].pieces[1].cpuMilli == 1000);
+}
+
+// Guards against tasks with accelerators in a cell that has none.
+TEST_CASE("a piece counts for no more tasks than it has accelerators for")
+{
+  HandOverDemand demand = Demand(3);
+  demand.size.accelerators = 1;
+  LongRunningCapacity cell = Cell({ 20000 });
+  CHECK(TasksThatFit(cell, demand) == 0);
+  cell.groups[0].pieces[0].accelerators = 2;
+  CHECK(TasksThatFit(cell, demand) == 2);
+  SubtractTasks(cell, demand, 2);
+  CHECK(TasksThatFit(cell, demand) == 0);
+}
+
 // Guards against new capacity that other cells learn of seconds later, and
 // against a write to the store for each small change.
 TEST_CASE("a capacity counts as larger if its largest piece grew by much")
