Keep the wait of a task that moves to another cell

Cause: a task that was handed over or returned began its wait anew in the next cell.

Change: a hand-over states how long each task has waited, and the wait goes on from there. A recorded run in the new cell ends it. Records of earlier releases state no wait, so that it begins anew as before.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -61,7 +61,7 @@
   }
   this->AddJob(std::move(aSubmission), true);
   Entry& entry = this->jobs.at(id);
-  entry.job.Restore(aProgress);
+  entry.job.Restore(aProgress, this->clock.Now());
   if (entry.job.AllDone()) {
     this->EndJob(id, WorkflowState::Completed, "restored");
     return;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -427,7 +427,14 @@
     }
     HandOver& entry = byStep[{ name.job, name.step }];
     entry.submission = job.Submission();
-    entry.tasks.push_back(TaskRun{ name.step, name.index, task.run });
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - task.pendingSince);
+    TaskRun& offered = entry.tasks.emplace_back();
+    offered.step = name.step;
+    offered.index = name.index;
+    offered.run = task.run;
+    offered.waitedMs =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, waited.count()));
     entry.demand.service = entry.submission.service;
     entry.demand.requiredLabel = step.requiredLabel;
     entry.demand.size =
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -89,7 +89,7 @@
 }
 
 void
-WorkflowJob::Restore(const WorkflowProgress& aProgress)
+WorkflowJob::Restore(const WorkflowProgress& aProgress, TimePoint aNow)
 {
   for (const StepProgress& step : aProgress.steps) {
     for (const std::uint32_t index : step.done) {
@@ -127,6 +127,10 @@
                                                      assignment.step,
                                                      assignment.index });
     if (found != nullptr && found->status == TaskStatus::Pending) {
+      if (assignment.run > found->run) {
+        // The wait in the list of a part is that before an earlier run.
+        found->pendingSince = aNow;
+      }
       found->run = std::max(found->run, assignment.run);
       found->hasRun = found->run > 0;
       found->mayRunOn = assignment.worker;
@@ -242,7 +246,7 @@
     found->run = std::max(found->run, task.run);
     found->hasRun = found->hasRun || task.run > 0;
     found->handOverNotBefore = aNow + kNextHandOverWait;
-    this->Reclaim(name, aNow);
+    this->Reclaim(name, aNow - std::chrono::milliseconds(task.waitedMs));
     this->started = true;
   }
 }
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -87,7 +87,7 @@
 
   /** Restores the state from durable progress. Precondition: no task was
    * assigned yet. */
-  void Restore(const WorkflowProgress& aProgress);
+  void Restore(const WorkflowProgress& aProgress, TimePoint aNow);
 
   const WorkflowSubmission& Submission() const { return this->submission; }
   const std::vector<WorkflowOccurrence>& Occurrences() const
@@ -129,8 +129,8 @@
   void Reclaim(const TaskName& aName, TimePoint aSince);
 
   /** Makes tasks pending that another cell handed over or returned to this
-   * cell. Tasks that this cell already has are skipped. The others are not
-   * handed over again before kNextHandOverWait has passed. */
+   * cell. Tasks that this cell already has are skipped. The others keep their
+   * wait and are not handed over again before kNextHandOverWait has passed. */
   void AddTasks(std::span<const TaskRun> aTasks, TimePoint aNow);
 
   /** Returns whether this is the part of a job that another cell handed over;
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -303,3 +303,40 @@
   REQUIRE(capacity.groups[0].pieces.size() == 1);
   CHECK(capacity.groups[0].pieces[0].cpuMilli == 12000);
 }
+
+// Guards against a wait that begins anew in each cell, so that a task that
+// moves never reaches the time after which short tasks give way to it.
+TEST_CASE("a task that came from another cell keeps its wait")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission busy = harness.Job("busy");
+  busy.steps[0].cpuMilli = 30000;
+  busy.steps[0].estimateMs = 100000;
+  harness.scheduler.Accept(busy);
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  WorkflowSubmission part = LongRunning(harness, "service", 20000);
+  part.partial = true;
+  part.part = { TaskRun{ 0, 0, 3 } };
+  part.part[0].waitedMs = 1200;
+  harness.scheduler.Accept(part);
+  harness.Report("w1", 1, { Row("busy.0.0.0", 1, 1) }, {});
+  CHECK(harness.scheduler.Plan().stops.empty());
+  harness.clock.Advance(milliseconds(400));
+  harness.Report("w1", 1, { Row("busy.0.0.0", 1, 1) }, {});
+  CHECK(harness.scheduler.Plan().stops.size() == 1);
+}
+
+// Guards against a wait that is lost when the task is handed over.
+TEST_CASE("a task is offered to other cells with its wait")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 40000));
+  harness.Report("w1", 1, {}, {});
+  harness.clock.Advance(milliseconds(1100));
+  harness.scheduler.Plan();
+  const std::vector<HandOver> offers = harness.scheduler.HandOvers();
+  REQUIRE(offers.size() == 1);
+  CHECK(offers[0].tasks[0].waitedMs >= 1100);
+}
