Keep the current run when the end of an earlier one is reported late

Cause: the end of any run of a task on its worker made the task pending, also of a run before the current one, for instance if a report had not listed that run. The task was then started on another worker beside its current run (TWICE).

Change: only the end of the current run, or of a later one, makes an assigned task pending. What an earlier run's end says about failures and the worker's health still counts.

Result: unit_InterruptedTasks "the end of an earlier run does not unassign the current one" failed before and passes.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -101,6 +101,7 @@
   const WorkflowStep& step = job.StepOf(aName);
   job.MarkStarted();
   job.MarkRun(aName);
+  const bool current = aRow.run >= task.run;
   task.run = std::max(task.run, aRow.run);
   if (!aRow.checkpoint.empty()) {
     task.checkpoint = aRow.checkpoint;
@@ -140,7 +141,8 @@
     }
     return;
   }
-  if (task.status == TaskStatus::Assigned) {
+  // The end of an earlier run says nothing about the one in progress.
+  if (task.status == TaskStatus::Assigned && current) {
     job.Unassign(aName, this->clock.Now());
     this->NoteAssignmentChange(job, aName);
   }
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -340,3 +340,28 @@
   REQUIRE(offers.size() == 1);
   CHECK(offers[0].tasks[0].waitedMs >= 1100);
 }
+
+// Guards against a second run of a task when the end of an earlier run is
+// reported late by the worker on which the task runs again.
+TEST_CASE("the end of an earlier run does not unassign the current one")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 6000));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.clock.Advance(milliseconds(100));
+  harness.Report("w1", 1, {}, {});
+  const std::vector<PlannedStart> second = harness.PlanAndConfirm();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].command.run == 2);
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  harness.Report("w1",
+                 1,
+                 { Row("service.0.0.0", 2, 100) },
+                 { EndedRun{ 1, "service.0.0.0", 1, RunEnd::Failed, "" } });
+  harness.scheduler.HandleWrongWorker("w1");
+  CHECK(harness.PlanStarts().empty());
+}
