--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -183,7 +183,8 @@
   void CancelHandOver(const HandOver& aHandOver);
 
   /** Returns the capacity that long-running tasks and the reservations for them
-   * leave free, by service and labels of the workers. */
+   * leave free, by service and labels of the workers. Quarantined workers do
+   * not count, since tasks are placed on them only after a wait. */
   LongRunningCapacity CapacityForLongRunning() const;
 
   /** Cancels a job; returns false if it is unknown or has ended. */
@@ -362,7 +363,7 @@
     std::string rack;
     /** Time since the task became pending. */
     Duration waited{};
-    /** The task has run before. */
+    /** The task is a long-running one that has run before. */
     bool interrupted = false;
   };
   /** A start of a long-running task that is sent once its assignment is
@@ -377,12 +378,16 @@
     /** Number of the progress change that has to be durable. */
     std::uint64_t change = 0;
   };
+  /** Pending tasks of one step: those of a long-running step that have run, if
+   * order.interrupted is set, otherwise all others. */
   struct Candidate
   {
     std::string job;
     std::uint32_t occurrence;
     std::uint32_t step;
     WaitingStep order;
+    /** Number of these tasks. */
+    std::uint32_t pending;
   };
 
   void AddJob(WorkflowSubmission aSubmission, bool aFromEarlierOwner);
@@ -475,7 +480,8 @@
   ReservationOutcome ReserveCapacity(const std::string& aTaskName,
                                      const TaskToPlace& aTask);
   ScheduledWorker* PreviouslyReservedWorker(const std::string& aTaskName,
-                                            const TaskToPlace& aTask);
+                                            const TaskToPlace& aTask,
+                                            Duration aMaxAge);
   ScheduledWorker* WorkerToReserve(const std::string& aTaskName,
                                    const TaskToPlace& aTask);
   bool MayReserve(const ScheduledWorker& aWorker,
@@ -484,8 +490,6 @@
                const std::string& aTaskName,
                const TaskToPlace& aTask);
   void NoteUnplaceable(const TaskName& aName, const TaskToPlace& aTask);
-  /** Returns the capacity that is reserved for long-running tasks. */
-  std::map<std::string, WorkerCapacity> ReservedByWorker() const;
   void PlanRelocation(ScheduledWorker& aWorker, const std::string& aTaskName);
   /** Commits a run of a pending task to a worker. Its start command is added to
    * aOrders, or held if the assignment has to be durable first. */
@@ -581,6 +585,13 @@
   /** Remaining searches in the current planning pass for a worker on which to
    * reserve capacity. */
   int reservationSearches = 0;
+  /** Tasks for which no worker to reserve capacity on was found in the current
+   * round of searches, and in the round before it. A round ends with the first
+   * planning pass that has enough searches for the remaining tasks. */
+  std::set<std::string> searchedInRound;
+  std::set<std::string> failedLastRound;
+  /** The current planning pass had too few searches. */
+  bool searchDenied = false;
   PreemptionBudget preemptionBudget;
   Quarantine quarantine;
   FillerInterference interference;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -3,6 +3,7 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiakeel {
 
@@ -39,10 +40,9 @@
  * another cell. A worker that was only briefly unreachable is back by then. */
 constexpr std::chrono::milliseconds kHandOverWait{ 1000 };
 
-/** The same for a task that came from another cell. The longer wait limits the
- * number of moves between cells whose published capacity is outdated. A task
- * has to run again within six seconds. */
-constexpr std::chrono::milliseconds kNextHandOverWait{ 2000 };
+/** Wait after which a failed hand-over is tried again. Each attempt takes
+ * several calls to the store. */
+constexpr std::chrono::milliseconds kHandOverRetryWait{ 1000 };
 
 /** Number of the largest free pieces that a cell publishes for each group of
  * workers. It bounds the size of the record, and the number of tasks that the
@@ -88,6 +88,10 @@
   this->previousReservations = std::move(this->reservations);
   this->reservations.clear();
   this->reservationSearches = kReservationSearchesPerPass;
+  if (!this->searchDenied) {
+    this->failedLastRound = std::exchange(this->searchedInRound, {});
+  }
+  this->searchDenied = false;
   for (auto& [id, worker] : this->workers) {
     worker.ClearReservations();
     if (!AcceptsNewTasks(worker, now) || !this->roster.contains(id)) {
@@ -192,11 +196,12 @@
 
 ScheduledWorker*
 CellScheduler::PreviouslyReservedWorker(const std::string& aTaskName,
-                                        const TaskToPlace& aTask)
+                                        const TaskToPlace& aTask,
+                                        Duration aMaxAge)
 {
   const auto last = this->previousReservations.find(aTaskName);
   if (last == this->previousReservations.end() ||
-      this->clock.Now() - last->second.chosenAt >= kReservationReview) {
+      this->clock.Now() - last->second.chosenAt >= aMaxAge) {
     return nullptr;
   }
   const auto kept =
@@ -256,10 +261,19 @@
   if (this->reservations.size() >= kMaxReservations) {
     return ReservationOutcome::NotTried;
   }
-  ScheduledWorker* worker = this->PreviouslyReservedWorker(aTaskName, aTask);
+  ScheduledWorker* worker =
+    this->PreviouslyReservedWorker(aTaskName, aTask, kReservationReview);
+  if (worker == nullptr && this->reservationSearches == 0) {
+    worker = this->PreviouslyReservedWorker(aTaskName, aTask, Duration::max());
+  }
   if (worker == nullptr) {
-    // Without this check, the first tasks that fit nowhere would take up all
-    // searches of every pass, and later ones would never be handed over.
+    // Without these checks, the first tasks that fit nowhere would take up all
+    // searches of every pass, and later ones would never be handed over. If a
+    // pass has too few searches for all tasks, the next passes search for those
+    // that had none before any task is searched for again.
+    if (this->searchedInRound.contains(aTaskName)) {
+      return ReservationOutcome::NoWorker;
+    }
     const std::string& service = aTask.submission.service;
     const auto failed = this->unreservable.find(service);
     if (failed != this->unreservable.end() &&
@@ -267,10 +281,16 @@
       return ReservationOutcome::NoWorker;
     }
     if (this->reservationSearches == 0) {
-      return ReservationOutcome::NotTried;
+      this->searchDenied = true;
+      return this->failedLastRound.contains(aTaskName)
+               ? ReservationOutcome::NoWorker
+               : ReservationOutcome::NotTried;
     }
     --this->reservationSearches;
     worker = this->WorkerToReserve(aTaskName, aTask);
+    if (worker == nullptr) {
+      this->searchedInRound.insert(aTaskName);
+    }
     const bool anyWorker =
       aTask.step.maxPerWorker == 0 && aTask.step.requiredLabel.empty();
     if (worker == nullptr && anyWorker) {
@@ -291,10 +311,7 @@
                        const TaskToPlace& aTask)
 {
   const TimePoint now = this->clock.Now();
-  const std::optional<TaskName> name = ParseTaskName(aTaskName);
-  const Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-  const bool interrupted = entry != nullptr && entry->job.Started();
-  if (!interrupted || aTask.waited < kPreemptionWait) {
+  if (!aTask.interrupted || aTask.waited < kPreemptionWait) {
     return;
   }
   const auto preemption = ChoosePreemption(aWorker, aTask.step, now);
@@ -405,15 +422,24 @@
     const WorkflowStep& step = job.StepOf(name);
     const WorkflowTask& task =
       job.Occurrences()[0].steps[name.step].tasks[name.index];
-    if (task.moved && now - task.pendingSince < kNextHandOverWait) {
+    if (now < task.handOverNotBefore) {
       continue;
     }
     HandOver& entry = byStep[{ name.job, name.step }];
     entry.submission = job.Submission();
-    entry.tasks.push_back(TaskRun{ name.step, name.index, task.run });
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - task.pendingSince);
+    TaskRun& offered = entry.tasks.emplace_back();
+    offered.step = name.step;
+    offered.index = name.index;
+    offered.run = task.run;
+    offered.waitedMs =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, waited.count()));
     entry.demand.service = entry.submission.service;
     entry.demand.requiredLabel = step.requiredLabel;
-    entry.demand.size = FreePiece{ step.cpuMilli, step.memoryMb };
+    entry.demand.size =
+      FreePiece{ step.cpuMilli, step.memoryMb, step.accelerators };
+    entry.demand.maxPerWorker = step.maxPerWorker;
     ++entry.demand.tasks;
   }
   std::vector<HandOver> result;
@@ -457,40 +483,25 @@
   }
   for (const TaskRun& task : aHandOver.tasks) {
     const TaskName name{ aHandOver.submission.id, 0, task.step, task.index };
-    if (entry->job.Find(name)->status == TaskStatus::HandedOver) {
-      entry->job.Reclaim(name, this->clock.Now());
-    }
-  }
-}
-
-std::map<std::string, WorkerCapacity>
-CellScheduler::ReservedByWorker() const
-{
-  std::map<std::string, WorkerCapacity> result;
-  for (const auto& [task, reservation] : this->reservations) {
-    const std::optional<TaskName> name = ParseTaskName(task);
-    const auto found = name ? this->jobs.find(name->job) : this->jobs.end();
-    if (found == this->jobs.end()) {
+    WorkflowTask& handedOver = *entry->job.Find(name);
+    if (handedOver.status != TaskStatus::HandedOver) {
       continue;
     }
-    const WorkflowStep& step = found->second.job.StepOf(*name);
-    WorkerCapacity& sum = result[reservation.worker];
-    sum.cpuMilli += step.cpuMilli;
-    sum.memoryMb += step.memoryMb;
+    // The task has not run in the meantime, so its wait goes on.
+    entry->job.Reclaim(name, handedOver.pendingSince);
+    handedOver.handOverNotBefore = this->clock.Now() + kHandOverRetryWait;
   }
-  return result;
 }
 
 LongRunningCapacity
 CellScheduler::CapacityForLongRunning() const
 {
   const TimePoint now = this->clock.Now();
-  const std::map<std::string, WorkerCapacity> reserved =
-    this->ReservedByWorker();
   std::map<std::pair<std::string, std::set<std::string>>, WorkerGroupCapacity>
     groups;
   for (const auto& [id, worker] : this->workers) {
-    if (!AcceptsNewTasks(worker, now)) {
+    if (!AcceptsNewTasks(worker, now) ||
+        this->quarantine.IsQuarantined(now, id)) {
       continue;
     }
     WorkerCapacity left = worker.description.capacity;
@@ -498,12 +509,12 @@
       if (commitment.step.longRunning) {
         left.cpuMilli -= commitment.step.cpuMilli;
         left.memoryMb -= commitment.step.memoryMb;
+        left.accelerators -= commitment.step.accelerators;
       }
     }
-    if (const auto found = reserved.find(id); found != reserved.end()) {
-      left.cpuMilli -= found->second.cpuMilli;
-      left.memoryMb -= found->second.memoryMb;
-    }
+    left.cpuMilli -= worker.Reserved().cpuMilli;
+    left.memoryMb -= worker.Reserved().memoryMb;
+    left.accelerators -= worker.Reserved().accelerators;
     if (left.cpuMilli <= 0 || left.memoryMb <= 0) {
       continue;
     }
@@ -512,7 +523,9 @@
     WorkerGroupCapacity& group =
       groups[{ worker.description.service, std::move(labels) }];
     const FreePiece piece{ static_cast<std::uint64_t>(left.cpuMilli),
-                           static_cast<std::uint64_t>(left.memoryMb) };
+                           static_cast<std::uint64_t>(left.memoryMb),
+                           static_cast<std::uint64_t>(
+                             std::max<std::int64_t>(0, left.accelerators)) };
     group.freeCpuMilli += piece.cpuMilli;
     group.pieces.push_back(piece);
   }
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -102,6 +102,8 @@
   WorkflowTask& task = *job.Find(aName);
   const WorkflowStep& step = job.StepOf(aName);
   job.MarkStarted();
+  job.MarkRun(aName);
+  const bool current = aRow.run >= task.run;
   task.run = std::max(task.run, aRow.run);
   if (!aRow.checkpoint.empty()) {
     task.checkpoint = aRow.checkpoint;
@@ -141,7 +143,8 @@
     }
     return;
   }
-  if (task.status == TaskStatus::Assigned) {
+  // The end of an earlier run says nothing about the one in progress.
+  if (task.status == TaskStatus::Assigned && current) {
     job.Unassign(aName, this->clock.Now());
     this->NoteAssignmentChange(job, aName);
   }
@@ -325,8 +328,10 @@
 TimePoint
 CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
 {
-  return aCommitment.startedAt + kMaxStartDelay +
-         this->bounds.workerLease * 103 / 100;
+  const TimePoint lastStart = aCommitment.allCopiesAnswered
+                                ? aCommitment.confirmedAt
+                                : aCommitment.startedAt + kMaxStartDelay;
+  return lastStart + this->bounds.workerLease * 103 / 100;
 }
 
 void
@@ -343,6 +348,12 @@
   }
   for (const std::string& task : tasks) {
     this->MarkRunLost(aWorker, task, aReason);
+    // An unconfirmed start may have been carried out.
+    const std::optional<TaskName> name = ParseTaskName(task);
+    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+    if (entry != nullptr && entry->job.Find(*name) != nullptr) {
+      entry->job.MarkRun(*name);
+    }
   }
 }
 
@@ -414,6 +425,7 @@
       commitment->phase = CommitmentPhase::Running;
     }
     commitment->confirmedAt = now;
+    commitment->allCopiesAnswered = !commitment->mayBeInFlight;
     return;
   }
   Event("start_turned_away", LogLevel::Warning)
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -42,6 +42,15 @@
 
 } // namespace
 
+std::uint32_t
+WorkflowStepTasks::CountInterrupted() const
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    this->tasks.begin(), this->tasks.end(), [](const WorkflowTask& aTask) {
+      return aTask.status == TaskStatus::Pending && aTask.hasRun;
+    }));
+}
+
 WorkflowJob::WorkflowJob(WorkflowSubmission aSubmission, TimePoint aNow)
   : submission(std::move(aSubmission))
   , remainingPathMs(LongestChainsMs(submission.steps))
@@ -80,7 +89,7 @@
 }
 
 void
-WorkflowJob::Restore(const WorkflowProgress& aProgress)
+WorkflowJob::Restore(const WorkflowProgress& aProgress, TimePoint aNow)
 {
   for (const StepProgress& step : aProgress.steps) {
     for (const std::uint32_t index : step.done) {
@@ -98,6 +107,7 @@
     WorkflowTask* const found = this->Find(name);
     if (found != nullptr && found->status == TaskStatus::Pending) {
       found->run = std::max(found->run, task.run);
+      found->hasRun = found->run > 0;
       this->HandOver(name);
     }
     this->started = true;
@@ -107,6 +117,7 @@
     WorkflowTask* const found = this->Find(name);
     if (found != nullptr && found->status == TaskStatus::HandedOver) {
       found->run = std::max(found->run, task.run);
+      found->hasRun = found->run > 0;
       this->Reclaim(name, found->pendingSince);
     }
   }
@@ -116,7 +127,12 @@
                                                      assignment.step,
                                                      assignment.index });
     if (found != nullptr && found->status == TaskStatus::Pending) {
+      if (assignment.run > found->run) {
+        // The wait in the list of a part is that before an earlier run.
+        found->pendingSince = aNow;
+      }
       found->run = std::max(found->run, assignment.run);
+      found->hasRun = found->run > 0;
       found->mayRunOn = assignment.worker;
     }
     this->started = true;
@@ -172,7 +188,6 @@
   task->worker = aWorker;
   task->mayRunOn.clear();
   task->run = std::max(task->run, aRun);
-  task->moved = false;
   --this->TasksOf(aName).pending;
   this->started = true;
 }
@@ -181,6 +196,7 @@
 WorkflowJob::Unassign(const TaskName& aName, TimePoint aSince)
 {
   this->RevokeAssignment(aName);
+  this->MarkRun(aName);
   this->Find(aName)->pendingSince = aSince;
 }
 
@@ -207,13 +223,13 @@
 }
 
 void
-WorkflowJob::Reclaim(const TaskName& aName, TimePoint aNow)
+WorkflowJob::Reclaim(const TaskName& aName, TimePoint aSince)
 {
   WorkflowTask* const task = this->Find(aName);
   InternalAssert(task != nullptr && task->status == TaskStatus::HandedOver,
                  "only a task that was handed over can become pending again");
   task->status = TaskStatus::Pending;
-  task->pendingSince = aNow;
+  task->pendingSince = aSince;
   ++this->TasksOf(aName).pending;
   --this->TasksOf(aName).handedOver;
 }
@@ -228,10 +244,11 @@
       continue;
     }
     found->run = std::max(found->run, task.run);
-    found->moved = true;
-    this->Reclaim(name, aNow);
+    found->hasRun = found->hasRun || task.run > 0;
+    found->handOverNotBefore = aNow + kNextHandOverWait;
+    this->Reclaim(name, aNow - std::chrono::milliseconds(task.waitedMs));
+    this->started = true;
   }
-  this->started = true;
 }
 
 bool
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -12,6 +12,11 @@
 
 namespace sequoiakeel {
 
+/** Wait after which a task that came from another cell may be handed over
+ * again. It limits the number of moves between cells whose published capacity
+ * is outdated. A task has to run again within six seconds. */
+inline constexpr std::chrono::milliseconds kNextHandOverWait{ 2000 };
+
 /** Life cycle state of a task. */
 enum class TaskStatus : std::uint8_t
 {
@@ -35,14 +40,17 @@
   std::string mayRunOn;
   /** Highest run number known. */
   std::uint64_t run = 0;
+  /** A run of the task has begun, or may have begun on a worker that was lost.
+   * After a takeover, so does every recorded run. */
+  bool hasRun = false;
   /** Last checkpoint reported. */
   std::string checkpoint;
   /** Numbers of the failed runs, for TaskFailures. */
   std::vector<std::uint64_t> failedRuns;
   /** Since when the task has had no run that is known to have begun. */
   TimePoint pendingSince;
-  /** Came from another cell and has not run here since. */
-  bool moved = false;
+  /** The task is not handed over to another cell before this time. */
+  TimePoint handOverNotBefore;
 };
 
 /** Tasks of one step in one occurrence of the job. */
@@ -54,6 +62,9 @@
   std::uint32_t handedOver = 0;
 
   bool AllDone() const { return this->done == this->tasks.size(); }
+
+  /** Returns the number of pending tasks that have run before. */
+  std::uint32_t CountInterrupted() const;
 };
 
 /** Steps of one occurrence, that is, of one instance of a recurring job. A job
@@ -76,7 +87,7 @@
 
   /** Restores the state from durable progress. Precondition: no task was
    * assigned yet. */
-  void Restore(const WorkflowProgress& aProgress);
+  void Restore(const WorkflowProgress& aProgress, TimePoint aNow);
 
   const WorkflowSubmission& Submission() const { return this->submission; }
   const std::vector<WorkflowOccurrence>& Occurrences() const
@@ -102,8 +113,8 @@
               const std::string& aWorker,
               std::uint64_t aRun);
 
-  /** Returns an assigned task to pending. aSince: end of its run, as far as it
-   * is known. Throws if the task is not assigned. */
+  /** Returns an assigned task to pending whose run has begun. aSince: end of
+   * the run, as far as it is known. Throws if the task is not assigned. */
   void Unassign(const TaskName& aName, TimePoint aSince);
 
   /** Returns an assigned task to pending whose run is not known to have begun.
@@ -115,10 +126,11 @@
    * makes a task that was handed over pending here again. Both throw if the
    * task is in another state. */
   void HandOver(const TaskName& aName);
-  void Reclaim(const TaskName& aName, TimePoint aNow);
+  void Reclaim(const TaskName& aName, TimePoint aSince);
 
   /** Makes tasks pending that another cell handed over or returned to this
-   * cell. Tasks that this cell already has are skipped. */
+   * cell. Tasks that this cell already has are skipped. The others keep their
+   * wait and are not handed over again before kNextHandOverWait has passed. */
   void AddTasks(std::span<const TaskRun> aTasks, TimePoint aNow);
 
   /** Returns whether this is the part of a job that another cell handed over;
@@ -143,6 +155,10 @@
 
   bool AllDone() const { return this->openTasks == 0; }
 
+  /** Records that a run of a task may have begun. Precondition: the job has the
+   * task. */
+  void MarkRun(const TaskName& aName) { this->Find(aName)->hasRun = true; }
+
   /** Returns whether any task was started, by this owner or an earlier one. */
   bool Started() const { return this->started; }
 
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -177,3 +177,191 @@
   harness.scheduler.HandleUnresponsive("w2");
   CHECK(harness.scheduler.FindWorker("w2")->NeedsReportNow());
 }
+
+// Guards against tasks that move to a cell whose only free worker is
+// quarantined and wait there, while another cell could run them.
+TEST_CASE("a quarantined worker is not published as free capacity")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  REQUIRE(harness.scheduler.CapacityForLongRunning().groups.size() == 1);
+  std::uint64_t sequence = 0;
+  for (const char* const id : { "j1", "j2", "j3" }) {
+    harness.scheduler.Accept(harness.Job(id));
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(starts.size() == 1);
+    harness.Report(
+      "w1",
+      1,
+      {},
+      { EndedRun{
+        ++sequence, starts[0].command.task, 1, RunEnd::Failed, "" } });
+    harness.scheduler.Cancel(id);
+  }
+  CHECK(harness.scheduler.CapacityForLongRunning().groups.empty());
+  // The quarantine lasts a minute.
+  harness.clock.Advance(seconds(61));
+  harness.Report("w1", 1, {}, {});
+  CHECK(harness.scheduler.CapacityForLongRunning().groups.size() == 1);
+}
+
+// Guards against a wait that begins anew with each failed hand-over, so that
+// the task never reaches the time after which it may use a quarantined worker.
+TEST_CASE("failed hand-overs do not renew the wait of a task")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  std::uint64_t sequence = 0;
+  for (const char* const id : { "j1", "j2", "j3" }) {
+    harness.scheduler.Accept(harness.Job(id));
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(starts.size() == 1);
+    harness.Report(
+      "w1",
+      1,
+      {},
+      { EndedRun{
+        ++sequence, starts[0].command.task, 1, RunEnd::Failed, "" } });
+    harness.scheduler.Cancel(id);
+  }
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  harness.scheduler.Accept(LongRunning(harness, "full", 20000));
+  const std::vector<PlannedStart> first = harness.PlanAndConfirm();
+  REQUIRE(first.size() == 1);
+  REQUIRE(first[0].worker == "w2");
+  harness.scheduler.Accept(LongRunning(harness, "service", 20000));
+  int attempts = 0;
+  TimePoint lastAttempt;
+  std::vector<PlannedStart> started;
+  for (int i = 0; i < 27 && started.empty(); ++i) {
+    harness.clock.Advance(milliseconds(100));
+    harness.Report("w1", 1, {}, {});
+    harness.Report("w2", 1, { Row("full.0.0.0", 1, 100) }, {});
+    started = harness.PlanAndConfirm();
+    for (const HandOver& offer : harness.scheduler.HandOvers()) {
+      // Attempts that follow one another at once would burden the store.
+      CHECK(harness.clock.Now() - lastAttempt >= seconds(1));
+      lastAttempt = harness.clock.Now();
+      ++attempts;
+      REQUIRE(harness.scheduler.BeginHandOver(offer));
+      harness.scheduler.CancelHandOver(offer);
+    }
+  }
+  CHECK(attempts == 2);
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].worker == "w1");
+}
+
+// Guards against a task that waits for copies of its start command although all
+// were answered, when its worker restarts after the start and then is silent.
+TEST_CASE("a confirmed start on a lost worker ends with the longest lease")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 6000));
+  harness.clock.Advance(milliseconds(100));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1", 2), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.scheduler.HandleUnresponsive("w1");
+  Duration waited{};
+  std::vector<PlannedStart> starts;
+  while (starts.empty() && waited < seconds(20)) {
+    harness.clock.Advance(milliseconds(100));
+    waited += milliseconds(102);
+    harness.Report("w2", 1, {}, {});
+    starts = harness.PlanAndConfirm();
+  }
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == "w2");
+  CHECK(waited > harness.bounds.workerLease);
+  CHECK(waited < harness.bounds.workerLease + milliseconds(2500));
+}
+
+// Guards against a task of another cell that is handed over to capacity that a
+// task of a draining worker is about to use.
+TEST_CASE("capacity reserved for a task of a draining worker is not published")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 20000));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  WorkerDescription leaving = SchedulerHarness::Worker("w1");
+  leaving.draining = true;
+  harness.scheduler.UpdateWorkers(
+    std::vector{ leaving, SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  REQUIRE(harness.scheduler.Plan().stops.size() == 1);
+  const LongRunningCapacity capacity =
+    harness.scheduler.CapacityForLongRunning();
+  REQUIRE(capacity.groups.size() == 1);
+  REQUIRE(capacity.groups[0].pieces.size() == 1);
+  CHECK(capacity.groups[0].pieces[0].cpuMilli == 12000);
+}
+
+// Guards against a wait that begins anew in each cell, so that a task that
+// moves never reaches the time after which short tasks give way to it.
+TEST_CASE("a task that came from another cell keeps its wait")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission busy = harness.Job("busy");
+  busy.steps[0].cpuMilli = 30000;
+  busy.steps[0].estimateMs = 100000;
+  harness.scheduler.Accept(busy);
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  WorkflowSubmission part = LongRunning(harness, "service", 20000);
+  part.partial = true;
+  part.part = { TaskRun{ 0, 0, 3 } };
+  part.part[0].waitedMs = 1200;
+  harness.scheduler.Accept(part);
+  harness.Report("w1", 1, { Row("busy.0.0.0", 1, 1) }, {});
+  CHECK(harness.scheduler.Plan().stops.empty());
+  harness.clock.Advance(milliseconds(400));
+  harness.Report("w1", 1, { Row("busy.0.0.0", 1, 1) }, {});
+  CHECK(harness.scheduler.Plan().stops.size() == 1);
+}
+
+// Guards against a wait that is lost when the task is handed over.
+TEST_CASE("a task is offered to other cells with its wait")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 40000));
+  harness.Report("w1", 1, {}, {});
+  harness.clock.Advance(milliseconds(1100));
+  harness.scheduler.Plan();
+  const std::vector<HandOver> offers = harness.scheduler.HandOvers();
+  REQUIRE(offers.size() == 1);
+  CHECK(offers[0].tasks[0].waitedMs >= 1100);
+}
+
+// Guards against a second run of a task when the end of an earlier run is
+// reported late by the worker on which the task runs again.
+TEST_CASE("the end of an earlier run does not unassign the current one")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LongRunning(harness, "service", 6000));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.clock.Advance(milliseconds(100));
+  harness.Report("w1", 1, {}, {});
+  const std::vector<PlannedStart> second = harness.PlanAndConfirm();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].command.run == 2);
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  harness.Report("w1",
+                 1,
+                 { Row("service.0.0.0", 2, 100) },
+                 { EndedRun{ 1, "service.0.0.0", 1, RunEnd::Failed, "" } });
+  harness.scheduler.HandleWrongWorker("w1");
+  CHECK(harness.PlanStarts().empty());
+}
