Log which long-running tasks are offered to other cells

Cause: for a long-running task that waited although another cell had a piece of its size, the log could not tell a task that was never offered from one for which no other cell had published a piece.

Change: long_running_waits shows the number of reservations, of offered tasks and of tasks that were not searched for; offers_without_target shows the smallest offered task that fits in no other cell.

Result: log lines only; no decision changes.

--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -152,6 +152,9 @@
   boost::asio::awaitable<void> LoadCapacities(ReadFreshness aFreshness);
   /** Hands over tasks that no worker of this cell can run to another cell. */
   boost::asio::awaitable<void> WriteHandOvers();
+  /** Logs at intervals that offered tasks fit in no other cell. aSmallest: the
+   * processors of the smallest of them. */
+  void LogOffersWithoutTarget(std::uint64_t aSmallest);
   boost::asio::awaitable<void> WriteHandOver(HandOver aHandOver,
                                              std::uint32_t aCell);
   /** Reads the records that a hand-over changes; empty if the store does not
@@ -221,6 +224,7 @@
   /** Capacity that other cells last published, by cell. */
   std::map<std::uint32_t, LongRunningCapacity> capacities;
   TimePoint capacitiesReadAt;
+  TimePoint offersLoggedAt;
   /** Capacity of this cell as it was last published. */
   LongRunningCapacity publishedCapacity;
   /** Ended jobs whose submissions are still in the store. Their progress
--- a/src/CellOwnershipSessionHandOver.cpp
+++ b/src/CellOwnershipSessionHandOver.cpp
@@ -30,6 +30,9 @@
  * Each takes up to four calls to the store. */
 constexpr int kHandOversPerRound = 4;
 
+/** Interval at which the offers that fit in no other cell are logged. */
+constexpr std::chrono::milliseconds kOfferLogInterval{ 1000 };
+
 /** Removes tasks from a list of tasks. */
 void
 RemoveTasks(std::vector<TaskRun>& aFrom, std::span<const TaskRun> aTasks)
@@ -111,12 +114,15 @@
     co_await this->LoadCapacities(ReadFreshness::Linearizable);
   }
   int written = 0;
+  std::uint64_t smallestWithoutTarget = UINT64_MAX;
   for (HandOver& handOver : this->scheduler.HandOvers()) {
     const auto target = ChooseHandOverTarget(this->capacities, handOver.demand);
     if (this->ended || written == kHandOversPerRound) {
       co_return;
     }
     if (!target) {
+      smallestWithoutTarget =
+        std::min(smallestWithoutTarget, handOver.demand.size.cpuMilli);
       continue;
     }
     ++written;
@@ -125,6 +131,31 @@
       this->capacities[target->cell], handOver.demand, target->tasks);
     co_await this->WriteHandOver(handOver, target->cell);
   }
+  this->LogOffersWithoutTarget(smallestWithoutTarget);
+}
+
+void
+CellOwnershipSession::LogOffersWithoutTarget(std::uint64_t aSmallest)
+{
+  const TimePoint now = this->dependencies.clock.Now();
+  if (aSmallest == UINT64_MAX ||
+      now - this->offersLoggedAt < kOfferLogInterval) {
+    return;
+  }
+  this->offersLoggedAt = now;
+  std::uint64_t largestPiece = 0;
+  for (const auto& [cell, capacity] : this->capacities) {
+    for (const WorkerGroupCapacity& group : capacity.groups) {
+      for (const FreePiece& piece : group.pieces) {
+        largestPiece = std::max(largestPiece, piece.cpuMilli);
+      }
+    }
+  }
+  Event("offers_without_target", LogLevel::Warning)
+    .Add("cell", this->claim.cell)
+    .Add("smallest_milli", aSmallest)
+    .Add("cells", static_cast<std::uint64_t>(this->capacities.size()))
+    .Add("largest_piece_milli", largestPiece);
 }
 
 asio::awaitable<std::optional<CellOwnershipSession::HandOverRecords>>
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -578,6 +578,9 @@
   /** Long-running tasks that no worker could run in the current planning pass,
    * even without its short tasks. */
   std::vector<TaskName> unplaceable;
+  /** Number of long-running tasks in the current planning pass for which no
+   * worker was searched for, since a limit was reached. */
+  std::uint64_t notSearched = 0;
   /** Remaining searches in the current planning pass for a worker on which to
    * reserve capacity. */
   int reservationSearches = 0;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -84,6 +84,7 @@
   this->unplaced.clear();
   this->unreservable.clear();
   this->unplaceable.clear();
+  this->notSearched = 0;
   this->awaitedTasks.clear();
   this->previousReservations = std::move(this->reservations);
   this->reservations.clear();
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -175,7 +175,10 @@
     .Add("quarantined_workers",
          static_cast<std::uint64_t>(this->quarantinedWorkers.size()))
     .Add("workers", static_cast<std::uint64_t>(this->workers.size()))
-    .Add("may_run_on_silent_worker", mayStillRun);
+    .Add("may_run_on_silent_worker", mayStillRun)
+    .Add("reservations", static_cast<std::uint64_t>(this->reservations.size()))
+    .Add("not_searched", this->notSearched)
+    .Add("offered", static_cast<std::uint64_t>(this->unplaceable.size()));
 }
 
 void
@@ -283,9 +286,12 @@
       if (!step.longRunning) {
         return;
       }
-      noWorker =
-        noWorker || this->ReserveCapacity(FormatTaskName(name), placed) ==
-                      ReservationOutcome::NoWorker;
+      if (!noWorker) {
+        const ReservationOutcome outcome =
+          this->ReserveCapacity(FormatTaskName(name), placed);
+        noWorker = outcome == ReservationOutcome::NoWorker;
+        this->notSearched += outcome == ReservationOutcome::NotTried ? 1 : 0;
+      }
       if (noWorker) {
         this->NoteUnplaceable(name, placed);
       }
