Check for every long-running task whether it fits in its cell

Change: a worker keeps the sum of its short runs, so that the check whether a task would fit without them costs a few comparisons per worker. It is made for every task, before the limits on searches and on reservations, which now apply only to the choice among workers that could take the task.

Result: unit_CellScheduler "a task that needs less than all others is offered as well" failed before (8 of 20 tasks were offered) and passes.

--- a/src/CapacityForecast.cpp
+++ b/src/CapacityForecast.cpp
@@ -58,6 +58,13 @@
     this->accelerators += aSign * static_cast<std::int64_t>(aRun.accelerators);
   }
 
+  void Subtract(const WorkerCapacity& aUse)
+  {
+    this->cpuMilli -= aUse.cpuMilli;
+    this->memoryMb -= aUse.memoryMb;
+    this->accelerators -= aUse.accelerators;
+  }
+
   bool None() const
   {
     return this->cpuMilli <= 0 && this->memoryMb <= 0 &&
@@ -116,9 +123,7 @@
 {
   std::vector<ShortRun> runs;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    const bool stays = commitment.step.longRunning &&
-                       commitment.phase != CommitmentPhase::Stopping;
-    if (stays || !commitment.sizeKnown) {
+    if (!commitment.IsShort()) {
       continue;
     }
     runs.push_back(ShortRun{ &task, &commitment, aSortKey(commitment) });
@@ -156,6 +161,14 @@
   return std::nullopt;
 }
 
+bool
+FitsWithoutShortRuns(const ScheduledWorker& aWorker, const WorkflowStep& aStep)
+{
+  Shortfall shortfall(aWorker, aStep);
+  shortfall.Subtract(aWorker.UsedByShortRuns());
+  return shortfall.None();
+}
+
 std::optional<Preemption>
 ChoosePreemption(const ScheduledWorker& aWorker,
                  const WorkflowStep& aStep,
--- a/src/CapacityForecast.h
+++ b/src/CapacityForecast.h
@@ -22,6 +22,12 @@
              const WorkflowStep& aStep,
              TimePoint aNow);
 
+/** Returns whether ExpectedWait() returns a time. Much cheaper, since the
+ * worker caches the sum over its short runs. Not thread safe for that reason.
+ */
+bool
+FitsWithoutShortRuns(const ScheduledWorker& aWorker, const WorkflowStep& aStep);
+
 /** Runs to be preempted for a task, and the work that is lost with them. */
 struct Preemption
 {
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -195,7 +195,7 @@
     this->CancelHeldStart(aWorker, aTask, aReason);
     return;
   }
-  commitment->phase = CommitmentPhase::Stopping;
+  aWorker.MarkStopping(aTask);
   commitment->stopSentAt = TimePoint();
   Event("task_stop")
     .Add("task", aTask)
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -476,6 +476,9 @@
                                      const TaskToPlace& aTask);
   ScheduledWorker* PreviouslyReservedWorker(const std::string& aTaskName,
                                             const TaskToPlace& aTask);
+  /** Returns whether an available worker could run the task if all its short
+   * runs ended. */
+  bool AnyWorkerCouldRun(const TaskToPlace& aTask) const;
   ScheduledWorker* WorkerToReserve(const std::string& aTaskName,
                                    const TaskToPlace& aTask);
   bool MayReserve(const ScheduledWorker& aWorker,
@@ -567,10 +570,6 @@
   /** Smallest step for which no worker was found in the current planning pass,
    * by the PlacementKey() of the step. */
   std::map<std::string, WorkflowStep> unplaced;
-  /** Last step for which no worker to reserve capacity on was found in the
-   * current planning pass, by service. Only steps that can run on any worker of
-   * the service. */
-  std::map<std::string, WorkflowStep> unreservable;
   /** Reservations of the previous planning pass and of the current one, by
    * task. */
   std::map<std::string, CapacityReservation> previousReservations;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -82,7 +82,6 @@
   this->availableWorkers.clear();
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
-  this->unreservable.clear();
   this->unplaceable.clear();
   this->notSearched = 0;
   this->awaitedTasks.clear();
@@ -214,6 +213,17 @@
   return *kept;
 }
 
+bool
+CellScheduler::AnyWorkerCouldRun(const TaskToPlace& aTask) const
+{
+  return std::any_of(this->availableWorkers.begin(),
+                     this->availableWorkers.end(),
+                     [&](const ScheduledWorker* aWorker) {
+                       return FitsWithoutShortRuns(*aWorker, aTask.step) &&
+                              this->MayReserve(*aWorker, aTask);
+                     });
+}
+
 ScheduledWorker*
 CellScheduler::WorkerToReserve(const std::string& aTaskName,
                                const TaskToPlace& aTask)
@@ -222,7 +232,8 @@
   ScheduledWorker* best = nullptr;
   Duration bestWait = Duration::max();
   for (ScheduledWorker* const worker : this->availableWorkers) {
-    if (!this->MayReserve(*worker, aTask)) {
+    if (!FitsWithoutShortRuns(*worker, aTask.step) ||
+        !this->MayReserve(*worker, aTask)) {
       continue;
     }
     const auto wait = ExpectedWait(*worker, aTask.step, now);
@@ -254,29 +265,21 @@
 CellScheduler::ReserveCapacity(const std::string& aTaskName,
                                const TaskToPlace& aTask)
 {
-  if (this->reservations.size() >= kMaxReservations) {
-    return ReservationOutcome::NotTried;
-  }
-  ScheduledWorker* worker = this->PreviouslyReservedWorker(aTaskName, aTask);
+  const bool mayAdd = this->reservations.size() < kMaxReservations;
+  ScheduledWorker* worker =
+    mayAdd ? this->PreviouslyReservedWorker(aTaskName, aTask) : nullptr;
   if (worker == nullptr) {
-    // Without this check, the first tasks that fit nowhere would take up all
-    // searches of every pass, and later ones would never be handed over.
-    const std::string& service = aTask.submission.service;
-    const auto failed = this->unreservable.find(service);
-    if (failed != this->unreservable.end() &&
-        NeedsNoMoreThan(failed->second, aTask.step)) {
+    // The limits do not apply to this check. Otherwise tasks that fit nowhere
+    // would use up all searches of every pass, and those behind them would
+    // never be handed over.
+    if (!this->AnyWorkerCouldRun(aTask)) {
       return ReservationOutcome::NoWorker;
     }
-    if (this->reservationSearches == 0) {
+    if (!mayAdd || this->reservationSearches == 0) {
       return ReservationOutcome::NotTried;
     }
     --this->reservationSearches;
     worker = this->WorkerToReserve(aTaskName, aTask);
-    const bool anyWorker =
-      aTask.step.maxPerWorker == 0 && aTask.step.requiredLabel.empty();
-    if (worker == nullptr && anyWorker) {
-      this->unreservable.insert_or_assign(service, aTask.step);
-    }
   }
   if (worker == nullptr) {
     return ReservationOutcome::NoWorker;
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -88,6 +88,7 @@
 ScheduledWorker::AddToSums(const Commitment& aCommitment, int aSign)
 {
   this->fillerSpare.reset();
+  this->usedByShortRuns.reset();
   CommittedCapacity& sum = this->committed;
   const WorkflowStep& step = aCommitment.step;
   sum.unknownSizes += aCommitment.sizeKnown ? 0 : aSign;
@@ -104,6 +105,36 @@
   }
 }
 
+const WorkerCapacity&
+ScheduledWorker::UsedByShortRuns() const
+{
+  if (this->usedByShortRuns) {
+    return *this->usedByShortRuns;
+  }
+  WorkerCapacity& sum = this->usedByShortRuns.emplace();
+  for (const auto& [task, commitment] : this->commitments) {
+    if (!commitment.IsShort()) {
+      continue;
+    }
+    const WorkflowStep& step = commitment.step;
+    sum.cpuMilli += step.filler ? 0 : static_cast<std::int64_t>(step.cpuMilli);
+    sum.memoryMb += static_cast<std::int64_t>(step.memoryMb);
+    sum.accelerators += static_cast<std::int64_t>(step.accelerators);
+  }
+  return sum;
+}
+
+void
+ScheduledWorker::MarkStopping(const std::string& aTask)
+{
+  Commitment* const commitment = this->Find(aTask);
+  if (commitment == nullptr) {
+    return;
+  }
+  commitment->phase = CommitmentPhase::Stopping;
+  this->usedByShortRuns.reset();
+}
+
 bool
 ScheduledWorker::Fits(const WorkflowStep& aStep) const
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -67,6 +67,15 @@
                                             : this->confirmedAt;
   }
 
+  /** Returns whether the run is expected to end soon, by itself or since it is
+   * being stopped. */
+  bool IsShort() const
+  {
+    const bool stays =
+      this->step.longRunning && this->phase != CommitmentPhase::Stopping;
+    return !stays && this->sizeKnown;
+  }
+
   /** Returns the processor use of a best-effort task in thousandths of a core:
    * as reported, or as requested until the first report. */
   std::int64_t FillerUse() const
@@ -178,6 +187,12 @@
 
   const CommittedCapacity& Committed() const { return this->committed; }
 
+  /** Returns the capacity that the short runs use. */
+  const WorkerCapacity& UsedByShortRuns() const;
+
+  /** Marks a run as being stopped; does nothing if there is no commitment. */
+  void MarkStopping(const std::string& aTask);
+
   /** Records that the best-effort task of a commitment ended; does nothing for
    * other commitments. */
   void NoteFillerEnd(const Commitment& aCommitment, TimePoint aNow);
@@ -257,6 +272,9 @@
   std::map<std::string, std::uint32_t> countByStep;
   CommittedCapacity committed;
   ReservedCapacity reserved;
+  /** Cached result of UsedByShortRuns(); unset after a change of the
+   * commitments. */
+  mutable std::optional<WorkerCapacity> usedByShortRuns;
 };
 
 } // namespace sequoiakeel
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -463,6 +463,29 @@
   CHECK(harness.scheduler.HandOvers().size() == kJobs);
 }
 
+// Guards against a small task that is never offered because the searches of
+// every pass go to tasks that need more processors or more memory.
+TEST_CASE("a task that needs less than all others is offered as well")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(LargeService(harness, "runs", 1));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  constexpr std::uint32_t kJobs = 20;
+  for (std::uint32_t i = 0; i < kJobs; ++i) {
+    harness.clock.Advance(milliseconds(1));
+    WorkflowSubmission job = LargeService(harness, "s" + std::to_string(i), 1);
+    job.steps[0].cpuMilli = 30000 - 500 * i;
+    job.steps[0].memoryMb = 1000 + 100 * i;
+    harness.scheduler.Accept(job);
+  }
+  harness.scheduler.Plan();
+  harness.clock.Advance(milliseconds(1100));
+  harness.Report("w1", 1, { { "runs.0.0.0", 1, "", 100, 0 } }, {});
+  harness.scheduler.Plan();
+  CHECK(harness.scheduler.HandOvers().size() == kJobs);
+}
+
 // Guards against a task that is lost between cells when it is handed on or
 // returned, and against one that moves back at once.
 TEST_CASE("a task that came from another cell is handed on after a wait")
