Place interrupted tasks apart from those of their step that never ran

Cause: within a step, a task is not tried if one that waited at least as long was not placed. This needs a part of a job to which a task that never ran was handed over later.

Change: the longest wait without a worker is kept separately for interrupted tasks.

--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -256,8 +256,10 @@
     entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step].tasks;
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
   const TimePoint now = this->clock.Now();
-  // A task that has waited longer may be placed where this one may not.
+  // Longest wait of the tasks for which no worker was found. A task that has
+  // waited longer, or that was interrupted, may be placed where others may not.
   std::optional<Duration> longestMissed;
+  std::optional<Duration> longestMissedInterrupted;
   bool noWorker = false;
   for (std::uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].status != TaskStatus::Pending) {
@@ -277,12 +279,13 @@
     }
     placed.waited = now - tasks[i].pendingSince;
     placed.interrupted = tasks[i].run > 0;
-    const bool missed = longestMissed && placed.waited <= *longestMissed;
+    std::optional<Duration>& longest =
+      placed.interrupted ? longestMissedInterrupted : longestMissed;
+    const bool missed = longest && placed.waited <= *longest;
     ScheduledWorker* const worker =
       missed ? nullptr : this->ChooseWorker(placed);
     if (worker == nullptr) {
-      longestMissed =
-        std::max(longestMissed.value_or(placed.waited), placed.waited);
+      longest = std::max(longest.value_or(placed.waited), placed.waited);
       if (!step.longRunning) {
         return;
       }
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -115,6 +115,72 @@
   CHECK(started == std::vector<std::string>{ "small.0.0.0" });
 }
 
+// Guards against an interrupted task that is not placed on reserved capacity
+// since another task of its step, which never ran, may not use it.
+TEST_CASE("a task that never ran does not hold back an interrupted one")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1", "w2", "w3" });
+  const auto start = [&](const WorkflowSubmission& aJob) {
+    harness.scheduler.Accept(aJob);
+    const std::vector<PlannedStart> starts = harness.PlanAndConfirm();
+    REQUIRE(starts.size() == 1);
+    harness.clock.Advance(milliseconds(10));
+    return starts[0].worker;
+  };
+  const auto gang = [&](const std::string& aId, std::uint32_t aCpuMilli) {
+    WorkflowSubmission job = harness.Job(aId);
+    job.steps[0].gang = true;
+    job.steps[0].cpuMilli = aCpuMilli;
+    job.steps[0].estimateMs = 100000;
+    return job;
+  };
+  const std::string full = start(gang("gang1", 25000));
+  const std::string half = start(gang("gang2", 16000));
+  const std::string other = start(LongRunning(harness, "large", 20000));
+  WorkflowSubmission part = LongRunning(harness, "part", 7000);
+  part.steps[0].count = 2;
+  part.partial = true;
+  part.part = { TaskRun{ 0, 1, 1 } };
+  REQUIRE(start(part) == full);
+  std::vector<WorkerDescription> listed;
+  for (const std::string& id : { half, full, other }) {
+    listed.push_back(SchedulerHarness::Worker(id));
+  }
+  const auto interrupt =
+    [&](std::size_t aWorker, const std::string& aTask, std::uint64_t aRun) {
+      listed[aWorker].draining = true;
+      harness.scheduler.UpdateWorkers(listed);
+      harness.Report(listed[aWorker].id,
+                     1,
+                     {},
+                     { EndedRun{ 1, aTask, aRun, RunEnd::Stopped, "" } });
+    };
+  std::vector<std::string> started;
+  const auto wait = [&](int aTenths) {
+    for (int i = 0; i < aTenths; ++i) {
+      harness.clock.Advance(milliseconds(100));
+      std::vector<RunningRun> running{ Row("gang2.0.0.0", 1, 1) };
+      for (const std::string& task : started) {
+        running.push_back(Row(task, 3, 100));
+      }
+      harness.Report(half, 1, running, {});
+      for (const PlannedStart& planned : harness.PlanAndConfirm()) {
+        started.push_back(planned.command.task);
+      }
+    }
+  };
+  interrupt(2, "large.0.0.0", 1);
+  wait(1);
+  part.part.push_back(TaskRun{ 0, 0, 0 });
+  harness.scheduler.Accept(part);
+  wait(10);
+  REQUIRE(started.empty());
+  interrupt(1, "part.0.0.1", 2);
+  wait(40);
+  CHECK(started == std::vector<std::string>{ "part.0.0.1" });
+}
+
 // Guards against a second run of a task whose start was carried out by a new
 // incarnation of the worker that the scheduler did not know yet.
 TEST_CASE("a start that a new incarnation may have confirmed is stopped first")
