--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -482,6 +482,9 @@
   ScheduledWorker* PreviouslyReservedWorker(const std::string& aTaskName,
                                             const TaskToPlace& aTask,
                                             Duration aMaxAge);
+  /** Returns whether an available worker could run the task if all its short
+   * runs ended. */
+  bool AnyWorkerCouldRun(const TaskToPlace& aTask) const;
   ScheduledWorker* WorkerToReserve(const std::string& aTaskName,
                                    const TaskToPlace& aTask);
   bool MayReserve(const ScheduledWorker& aWorker,
@@ -571,10 +574,6 @@
   /** Smallest step for which no worker was found in the current planning pass,
    * by the PlacementKey() of the step. */
   std::map<std::string, WorkflowStep> unplaced;
-  /** Last step for which no worker to reserve capacity on was found in the
-   * current planning pass, by service. Only steps that can run on any worker of
-   * the service. */
-  std::map<std::string, WorkflowStep> unreservable;
   /** Reservations of the previous planning pass and of the current one, by
    * task. */
   std::map<std::string, CapacityReservation> previousReservations;
@@ -582,16 +581,12 @@
   /** Long-running tasks that no worker could run in the current planning pass,
    * even without its short tasks. */
   std::vector<TaskName> unplaceable;
+  /** Number of long-running tasks in the current planning pass for which no
+   * worker was searched for, since a limit was reached. */
+  std::uint64_t notSearched = 0;
   /** Remaining searches in the current planning pass for a worker on which to
    * reserve capacity. */
   int reservationSearches = 0;
-  /** Tasks for which no worker to reserve capacity on was found in the current
-   * round of searches, and in the round before it. A round ends with the first
-   * planning pass that has enough searches for the remaining tasks. */
-  std::set<std::string> searchedInRound;
-  std::set<std::string> failedLastRound;
-  /** The current planning pass had too few searches. */
-  bool searchDenied = false;
   PreemptionBudget preemptionBudget;
   Quarantine quarantine;
   FillerInterference interference;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -82,16 +82,12 @@
   this->availableWorkers.clear();
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
-  this->unreservable.clear();
   this->unplaceable.clear();
+  this->notSearched = 0;
   this->awaitedTasks.clear();
   this->previousReservations = std::move(this->reservations);
   this->reservations.clear();
   this->reservationSearches = kReservationSearchesPerPass;
-  if (!this->searchDenied) {
-    this->failedLastRound = std::exchange(this->searchedInRound, {});
-  }
-  this->searchDenied = false;
   for (auto& [id, worker] : this->workers) {
     worker.ClearReservations();
     if (!AcceptsNewTasks(worker, now) || !this->roster.contains(id)) {
@@ -218,6 +214,17 @@
   return *kept;
 }
 
+bool
+CellScheduler::AnyWorkerCouldRun(const TaskToPlace& aTask) const
+{
+  return std::any_of(this->availableWorkers.begin(),
+                     this->availableWorkers.end(),
+                     [&](const ScheduledWorker* aWorker) {
+                       return FitsWithoutShortRuns(*aWorker, aTask.step) &&
+                              this->MayReserve(*aWorker, aTask);
+                     });
+}
+
 ScheduledWorker*
 CellScheduler::WorkerToReserve(const std::string& aTaskName,
                                const TaskToPlace& aTask)
@@ -226,7 +233,8 @@
   ScheduledWorker* best = nullptr;
   Duration bestWait = Duration::max();
   for (ScheduledWorker* const worker : this->availableWorkers) {
-    if (!this->MayReserve(*worker, aTask)) {
+    if (!FitsWithoutShortRuns(*worker, aTask.step) ||
+        !this->MayReserve(*worker, aTask)) {
       continue;
     }
     const auto wait = ExpectedWait(*worker, aTask.step, now);
@@ -258,44 +266,26 @@
 CellScheduler::ReserveCapacity(const std::string& aTaskName,
                                const TaskToPlace& aTask)
 {
-  if (this->reservations.size() >= kMaxReservations) {
-    return ReservationOutcome::NotTried;
-  }
+  const bool mayAdd = this->reservations.size() < kMaxReservations;
   ScheduledWorker* worker =
-    this->PreviouslyReservedWorker(aTaskName, aTask, kReservationReview);
-  if (worker == nullptr && this->reservationSearches == 0) {
+    mayAdd
+      ? this->PreviouslyReservedWorker(aTaskName, aTask, kReservationReview)
+      : nullptr;
+  if (worker == nullptr && mayAdd && this->reservationSearches == 0) {
     worker = this->PreviouslyReservedWorker(aTaskName, aTask, Duration::max());
   }
   if (worker == nullptr) {
-    // Without these checks, the first tasks that fit nowhere would take up all
-    // searches of every pass, and later ones would never be handed over. If a
-    // pass has too few searches for all tasks, the next passes search for those
-    // that had none before any task is searched for again.
-    if (this->searchedInRound.contains(aTaskName)) {
-      return ReservationOutcome::NoWorker;
-    }
-    const std::string& service = aTask.submission.service;
-    const auto failed = this->unreservable.find(service);
-    if (failed != this->unreservable.end() &&
-        NeedsNoMoreThan(failed->second, aTask.step)) {
+    // The limits do not apply to this check. Otherwise tasks that fit nowhere
+    // would use up all searches of every pass, and those behind them would
+    // never be handed over.
+    if (!this->AnyWorkerCouldRun(aTask)) {
       return ReservationOutcome::NoWorker;
     }
-    if (this->reservationSearches == 0) {
-      this->searchDenied = true;
-      return this->failedLastRound.contains(aTaskName)
-               ? ReservationOutcome::NoWorker
-               : ReservationOutcome::NotTried;
+    if (!mayAdd || this->reservationSearches == 0) {
+      return ReservationOutcome::NotTried;
     }
     --this->reservationSearches;
     worker = this->WorkerToReserve(aTaskName, aTask);
-    if (worker == nullptr) {
-      this->searchedInRound.insert(aTaskName);
-    }
-    const bool anyWorker =
-      aTask.step.maxPerWorker == 0 && aTask.step.requiredLabel.empty();
-    if (worker == nullptr && anyWorker) {
-      this->unreservable.insert_or_assign(service, aTask.step);
-    }
   }
   if (worker == nullptr) {
     return ReservationOutcome::NoWorker;
