Give up tasks that crash their workers

Cause: a run that was lost with its worker left no trace. The task was started again without limit, and the next owner of its cell began at run 1. A lost lease alone does not tell a crash from a worker that is silent or cut off.

Change: a lost worker has crashed once another incarnation is in its place. CrashAttribution decides which runs are suspected; suspected tasks are started apart from other recent starts, so that the next crash has one suspect. A task is given up after two crashes as the only suspect, and after four otherwise. The progress of the job keeps the suspected runs, the roster the suspects of lost workers, and a hand-over carries them. New log lines: worker_crashed, task_suspected, task_withheld.

Not fixed: tasks that crash their workers seconds after the start, in a mix of five of them (unit_LateCrashingTaskMixes, listed as known to fail).

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -137,7 +137,14 @@
     }
     reachable = done;
     if (!done) {
-      this->scheduler.HandleUnresponsive(aWorker);
+      // A connection that breaks before the time-out shows that the worker was
+      // up until then.
+      const TimePoint now = this->dependencies.clock.Now();
+      const bool broke = reply.outcome.result == WorkerCommandResult::Unknown &&
+                         now - sentAt < wait + kWorkerTimeout;
+      this->scheduler.HandleUnresponsive(aWorker, broke ? now : sentAt);
+      // The roster tells the next owner which runs the worker had.
+      this->rosterSignal.Notify();
       if (reply.outcome.result == WorkerCommandResult::WrongWorker) {
         this->scheduler.HandleWrongWorker(aWorker);
       }
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -66,7 +66,9 @@
     this->EndJob(id, WorkflowState::Completed, "restored");
     return;
   }
-  if (entry.job.AttemptsExhausted()) {
+  if (entry.job.AttemptsExhausted() ||
+      (entry.job.MostCrashes() >= CrashAttribution::kMaxCrashes &&
+       !entry.job.IsPart())) {
     this->EndJob(id, WorkflowState::Failed, "restored");
     return;
   }
@@ -95,6 +97,7 @@
     this->tasksOnUnresponsive[silent.worker] = { silent.tasks.begin(),
                                                  silent.tasks.end() };
   }
+  this->RestoreLosses(aRoster);
   this->CheckRecovered();
 }
 
@@ -149,6 +152,7 @@
   // needed any more.
   end.progress.steps.clear();
   end.progress.failures.clear();
+  end.progress.crashes.clear();
   end.progress.handedOver.clear();
   end.progress.assignments.clear();
   end.progress.endedUnixMs = this->wallClock.UnixMs();
@@ -236,12 +240,26 @@
     if (worker.description.capacity != description.capacity) {
       this->HandleResize(worker, description.capacity);
     }
-    worker.description = description;
     if (worker.reported &&
         description.incarnation > worker.reportedIncarnation) {
+      // Whether the previous incarnation drained is in its description.
       this->BeginIncarnation(worker, description.incarnation);
     }
+    worker.description = description;
   }
+  for (const WorkerDescription& description : aWorkers) {
+    const LostWorker* const loss = this->crashes.FindLoss(description.id);
+    if (loss != nullptr && description.draining &&
+        description.incarnation <= loss->incarnation) {
+      // The worker is up, and its end is planned.
+      this->crashes.RecordReturn(description.id);
+    }
+    for (const std::string& crashed : this->crashes.ReplacedBy(
+           description.id, description.endpoint, description.incarnation)) {
+      this->HandleCrash(crashed, "replaced at its address");
+    }
+  }
+  this->crashes.RemoveExpired(this->clock.Now());
   this->RemoveUnlistedWorkers();
   this->quarantine.SetFleetSize(this->workers.size());
 }
@@ -316,9 +334,12 @@
     result.silent.push_back(std::move(silent));
   }
   for (const auto& [id, tasks] : this->tasksOnUnresponsive) {
-    result.silent.push_back(
-      UnresponsiveWorker{ id, { tasks.begin(), tasks.end() } });
+    UnresponsiveWorker silent;
+    silent.worker = id;
+    silent.tasks = { tasks.begin(), tasks.end() };
+    result.silent.push_back(std::move(silent));
   }
+  this->AddLosses(result.silent);
   for (const auto& [id, worker] : this->workers) {
     if (!worker.unresponsive && !this->AwaitsUnresponsive(id)) {
       ids.insert(id);
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "CapacityForecast.h"
 #include "Clock.h"
+#include "CrashAttribution.h"
 #include "FillerThrottle.h"
 #include "HandOverTarget.h"
 #include "Quarantine.h"
@@ -157,7 +158,9 @@
   /** Restores the state of an ended job. */
   void RestoreEnded(const WorkflowProgress& aProgress);
 
-  /** Sets the workers on which earlier owners may have started tasks. */
+  /** Sets the workers on which earlier owners may have started tasks. The runs
+   * of suspects that it names are known only to jobs that are restored already.
+   */
   void SetRoster(const WorkerRoster& aRoster);
 
   /** Adds a job that no owner can have started. Returns false if the job is
@@ -234,8 +237,11 @@
 
   /** Marks a worker that did not answer a lease renewal as unresponsive. It
    * gets no further lease until it reports again, so that its tasks can be
-   * restarted on other workers once the current lease has expired. */
-  void HandleUnresponsive(const std::string& aWorker);
+   * restarted on other workers once the current lease has expired.
+   * aContactUntil: when the worker was last known to be up, if that is later
+   * than its last report. */
+  void HandleUnresponsive(const std::string& aWorker,
+                          std::optional<TimePoint> aContactUntil = {});
 
   /** Handles the outcome of a start command. aMayBeInFlight: an earlier copy of
    * the command was not answered and may still be carried out. */
@@ -258,7 +264,8 @@
                   const WorkerCommandReply& aReply);
 
   /** Handles a reply which shows that the worker's address belongs to another
-   * worker now: aWorker gets no start commands for a short time. */
+   * worker now: aWorker gets no start commands for a short time, and has
+   * crashed if contact with it was lost. */
   void HandleWrongWorker(const std::string& aWorker);
 
   /** Runs one planning pass and returns its commands. */
@@ -365,6 +372,8 @@
     Duration waited{};
     /** The task is a long-running one that has run before. */
     bool interrupted = false;
+    /** The task is suspected of crashing its workers. */
+    bool suspect = false;
   };
   /** A start of a long-running task that is sent once its assignment is
    * durable. */
@@ -431,6 +440,38 @@
   void MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason);
   TimePoint NoCopyRunsAfter(const Commitment& aCommitment) const;
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
+  /** Records that contact with a worker was lost, unless the worker drains. */
+  void RecordLoss(const ScheduledWorker& aWorker, TimePoint aContactUntil);
+  /** Restores the losses that an earlier owner recorded. Runs of their suspects
+   * are numbered after the recorded ones, since a crash is identified by its
+   * run. */
+  void RestoreLosses(const WorkerRoster& aRoster);
+  /** Adds the lost workers to the unresponsive workers of a roster, so that the
+   * next owner can tell which runs may have crashed them. */
+  void AddLosses(std::vector<UnresponsiveWorker>& aWorkers) const;
+  /** Handles proof that a lost worker has crashed. Does nothing if no loss is
+   * recorded. aEvidence: for the log. */
+  void HandleCrash(const std::string& aWorker, const char* aEvidence);
+  /** Counts a crash against a task and gives the task up if aLimit is reached.
+   */
+  void CountCrash(const SuspectedRun& aRun, std::size_t aLimit);
+  /** Counts a crash for which other runs are suspected against a task. */
+  void CountBystander(const SuspectedRun& aRun);
+  /** Returns whether as many workers crashed under a task as is possible
+   * without starting it too often, whichever task is suspected. */
+  static bool HasMostCrashes(const WorkflowTask& aTask);
+  /** Ends the job of a task that crashes its workers, and clears the tasks that
+   * were on the same workers. A part of a job cannot end by itself; there the
+   * task is only not started any more. */
+  void GiveUp(const TaskName& aName);
+  /** Returns whether a task is suspected of crashing its workers. */
+  bool IsSuspect(const TaskName& aName, const WorkflowTask& aTask) const;
+  /** Returns whether a task is not started any more, since it crashes its
+   * workers and its job, which another cell owns, has not ended. */
+  static bool IsWithheld(const WorkflowTask& aTask);
+  /** Returns whether a suspected task waits for a worker without runs that were
+   * started recently. */
+  bool AwaitsIsolation(const TaskToPlace& aTask) const;
   void ExpireLeases();
   void CheckRecovered();
   bool MayRunOnUnresponsive(const std::string& aTask) const;
@@ -466,6 +507,8 @@
   void PlanStep(const Candidate& aCandidate, PlannedCommands& aOrders);
   bool PlanGang(const Candidate& aCandidate, PlannedCommands& aOrders);
   void BeginPlanningPass();
+  /** Returns the worker on which a task is to be started, or null if it has to
+   * wait. */
   ScheduledWorker* ChooseWorker(const TaskToPlace& aTask);
   ScheduledWorker* ChooseWorkerAmong(std::span<ScheduledWorker* const> aWorkers,
                                      const TaskToPlace& aTask);
@@ -589,6 +632,7 @@
   int reservationSearches = 0;
   PreemptionBudget preemptionBudget;
   Quarantine quarantine;
+  CrashAttribution crashes;
   FillerInterference interference;
   TimePoint interferenceUpdatedAt;
   TimePoint interferenceLoggedAt;
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -40,6 +40,7 @@
   commitment.stepKey = aStepKey;
   commitment.startedAt = this->clock.Now();
   commitment.held = step.longRunning;
+  commitment.suspect = this->IsSuspect(aName, *aEntry.job.Find(aName));
   // A held start is not in flight, so a report without it proves nothing.
   commitment.startExpiresAt = TimePoint::max();
   aWorker.Commit(FormatTaskName(aName), std::move(commitment));
--- /dev/null
+++ b/src/CellSchedulerCrashes.cpp
@@ -0,0 +1,206 @@
+#include "CellScheduler.h"
+
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Wait after which a suspected task is started on any worker. A long-running
+ * task that is in fact harmless has to run again within six seconds; other
+ * tasks may wait for workers that constantly get new runs. */
+constexpr std::chrono::milliseconds kIsolationWait{ 12000 };
+constexpr std::chrono::milliseconds kLongRunningIsolationWait{ 6000 };
+
+/** Crashes of which other runs are suspected after which a task is kept apart
+ * as well. Otherwise tasks that are placed together could not be told apart. */
+constexpr std::size_t kSuspectBystander = 2;
+
+} // namespace
+
+void
+CellScheduler::RecordLoss(const ScheduledWorker& aWorker,
+                          TimePoint aContactUntil)
+{
+  if (aWorker.description.draining) {
+    return;
+  }
+  LostWorker loss;
+  loss.id = aWorker.description.id;
+  loss.incarnation = aWorker.reportedIncarnation;
+  loss.endpoint = aWorker.description.endpoint;
+  loss.rack = aWorker.description.rack;
+  loss.lostAt = aContactUntil;
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (commitment.held) {
+      continue;
+    }
+    const bool confirmed = commitment.confirmedAt != TimePoint() &&
+                           commitment.confirmedAt <= aContactUntil;
+    Duration age =
+      confirmed ? aContactUntil - commitment.confirmedAt : Duration::zero();
+    if (commitment.adopted) {
+      age = std::max<Duration>(age, CrashAttribution::kProvenAfter);
+    }
+    loss.runs.push_back(
+      RunAtLoss{ task, commitment.run, age, commitment.suspect });
+  }
+  this->crashes.RecordLoss(std::move(loss));
+}
+
+void
+CellScheduler::RestoreLosses(const WorkerRoster& aRoster)
+{
+  this->crashes.Restore(this->clock.Now(), aRoster.silent);
+  for (const UnresponsiveWorker& worker : aRoster.silent) {
+    for (const SuspectedRun& run : worker.suspects) {
+      const std::optional<TaskName> name = ParseTaskName(run.task);
+      Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+      WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+      if (task != nullptr) {
+        // Crashes are told apart by run numbers, so a number must not be used
+        // again.
+        task->run = std::max(task->run, run.run);
+      }
+    }
+  }
+}
+
+void
+CellScheduler::AddLosses(std::vector<UnresponsiveWorker>& aWorkers) const
+{
+  for (const auto& [id, loss] : this->crashes.Losses()) {
+    auto found =
+      std::find_if(aWorkers.begin(),
+                   aWorkers.end(),
+                   [&worker = loss.id](const UnresponsiveWorker& aWorker) {
+                     return aWorker.worker == worker;
+                   });
+    if (found == aWorkers.end()) {
+      if (loss.runs.empty()) {
+        continue;
+      }
+      found = aWorkers.insert(found, UnresponsiveWorker());
+      found->worker = id;
+    }
+    found->incarnation = loss.incarnation;
+    found->address = loss.endpoint.address;
+    found->port = loss.endpoint.port;
+    found->suspects = CrashAttribution::SuspectsOf(loss);
+  }
+}
+
+void
+CellScheduler::HandleCrash(const std::string& aWorker, const char* aEvidence)
+{
+  const std::optional<WorkerCrash> crash =
+    this->crashes.RecordCrash(this->clock.Now(), aWorker, this->workers.size());
+  if (!crash) {
+    return;
+  }
+  Event("worker_crashed", LogLevel::Warning)
+    .Add("worker", aWorker)
+    .Add("evidence", aEvidence)
+    .Add("runs", static_cast<std::uint64_t>(crash->runs))
+    .Add("suspects", static_cast<std::uint64_t>(crash->suspects.size()))
+    .Add("crash_limit", static_cast<std::uint64_t>(crash->crashLimit));
+  this->policies.observer.WorkerCrashed();
+  // A suspect that is given up clears the bystanders, so these are counted
+  // first.
+  for (const SuspectedRun& run : crash->bystanders) {
+    this->CountBystander(run);
+  }
+  for (const SuspectedRun& run : crash->suspects) {
+    this->CountCrash(run, crash->crashLimit);
+  }
+}
+
+void
+CellScheduler::CountCrash(const SuspectedRun& aRun, std::size_t aLimit)
+{
+  const std::optional<TaskName> name = ParseTaskName(aRun.task);
+  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  const WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+  if (task == nullptr || !entry->job.MarkCrashed(*name, aRun.run)) {
+    return;
+  }
+  Event("task_suspected", LogLevel::Warning)
+    .Add("task", aRun.task)
+    .Add("run", aRun.run)
+    .Add("crashes", static_cast<std::uint64_t>(task->crashedRuns.size()))
+    .Add("limit", static_cast<std::uint64_t>(aLimit));
+  this->MarkDirty(name->job);
+  if (task->crashedRuns.size() >= aLimit || HasMostCrashes(*task)) {
+    this->GiveUp(*name);
+  }
+}
+
+void
+CellScheduler::CountBystander(const SuspectedRun& aRun)
+{
+  const std::optional<TaskName> name = ParseTaskName(aRun.task);
+  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+  if (task == nullptr || task->status == TaskStatus::Done) {
+    return;
+  }
+  task->bystanderRuns.push_back(aRun.run);
+  if (HasMostCrashes(*task)) {
+    this->GiveUp(*name);
+  }
+}
+
+bool
+CellScheduler::HasMostCrashes(const WorkflowTask& aTask)
+{
+  return aTask.crashedRuns.size() + aTask.bystanderRuns.size() >=
+         CrashAttribution::kMaxCrashes;
+}
+
+void
+CellScheduler::GiveUp(const TaskName& aName)
+{
+  for (const SuspectedRun& run :
+       this->crashes.RecordCulprit(FormatTaskName(aName))) {
+    const std::optional<TaskName> name = ParseTaskName(run.task);
+    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+    if (entry != nullptr && entry->job.Find(*name) != nullptr &&
+        entry->job.ClearCrash(*name, run.run)) {
+      this->MarkDirty(name->job);
+    }
+  }
+  if (!this->jobs.at(aName.job).job.IsPart()) {
+    this->EndJob(
+      aName.job, WorkflowState::Failed, "a task crashes its workers");
+    return;
+  }
+  Event("task_withheld", LogLevel::Warning).Add("task", FormatTaskName(aName));
+  this->FindJob(aName.job)->job.Find(aName)->withheld = true;
+}
+
+bool
+CellScheduler::IsWithheld(const WorkflowTask& aTask)
+{
+  return aTask.withheld || HasMostCrashes(aTask);
+}
+
+bool
+CellScheduler::IsSuspect(const TaskName& aName, const WorkflowTask& aTask) const
+{
+  return !aTask.crashedRuns.empty() ||
+         aTask.bystanderRuns.size() >= kSuspectBystander ||
+         (this->crashes.HasSuspects() &&
+          this->crashes.MayHaveCrashedWorker(FormatTaskName(aName)));
+}
+
+bool
+CellScheduler::AwaitsIsolation(const TaskToPlace& aTask) const
+{
+  return aTask.suspect &&
+         aTask.waited < (aTask.step.longRunning ? kLongRunningIsolationWait
+                                                : kIsolationWait);
+}
+
+} // namespace sequoiakeel
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -134,12 +134,31 @@
   const WorkflowStep& step = aTask.step;
   const bool mayUseReserved = step.longRunning && aTask.interrupted &&
                               aTask.waited > kReservedCapacityWait;
+  const bool isolated = this->AwaitsIsolation(aTask);
+  // The members of a gang end together, so they need not be told apart.
+  const std::string exempt = step.gang ? aTask.stepKey : "";
   ScheduledWorker* best = nullptr;
   double bestRate = WorkerChoice::kAnyScore;
   for (ScheduledWorker* const worker : aWorkers) {
     if (!(mayUseReserved ? worker->FitsBesideRuns(step) : worker->Fits(step)) ||
         !SatisfiesConstraints(
-          *worker, aTask.submission.service, step, aTask.stepKey)) {
+          *worker, aTask.submission.service, step, aTask.stepKey) ||
+        worker->IsolatesSuspect(now) ||
+        (isolated && !worker->AllRunsProven(now, exempt))) {
+      continue;
+    }
+    if (aTask.suspect) {
+      // Its next crash should end as few other runs as possible.
+      const bool accepted =
+        this->policies.choice
+          .Score(
+            *worker, step, this->interference, now, WorkerChoice::kAnyScore)
+          .has_value();
+      const double rate = -static_cast<double>(worker->Commitments().size());
+      if (accepted && rate > bestRate) {
+        best = worker;
+        bestRate = rate;
+      }
       continue;
     }
     const bool sameRack =
@@ -163,7 +182,7 @@
   }
   ScheduledWorker* const best =
     this->ChooseWorkerAmong(this->availableWorkers, aTask);
-  if (best != nullptr) {
+  if (best != nullptr || this->AwaitsIsolation(aTask)) {
     return best;
   }
   this->NoteUnplaced(aTask);
@@ -425,6 +444,7 @@
     offered.run = task.run;
     offered.waitedMs =
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, waited.count()));
+    offered.crashes = task.crashedRuns;
     entry.demand.service = entry.submission.service;
     entry.demand.requiredLabel = step.requiredLabel;
     entry.demand.size =
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -286,11 +286,18 @@
     if (aOrders.starts.size() + aOrders.heldStarts >= kMaxStartsPerPass) {
       return;
     }
+    if (IsWithheld(tasks[i])) {
+      continue;
+    }
     placed.waited = now - tasks[i].pendingSince;
     placed.interrupted = aCandidate.order.interrupted;
+    placed.suspect = this->IsSuspect(name, tasks[i]);
     const bool missed = longestMissed && placed.waited <= *longestMissed;
     ScheduledWorker* const worker =
       missed ? nullptr : this->ChooseWorker(placed);
+    if (worker == nullptr && this->AwaitsIsolation(placed)) {
+      continue;
+    }
     if (worker == nullptr) {
       longestMissed =
         std::max(longestMissed.value_or(placed.waited), placed.waited);
@@ -330,16 +337,20 @@
   const std::string key = FormatStepKey(
     { aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
   std::uint64_t run = 0;
+  TimePoint pendingSince;
+  bool anySuspect = false;
   std::string checkpoint;
   for (std::uint32_t i = 0; i < members.tasks.size(); ++i) {
     const WorkflowTask& task = members.tasks[i];
     const TaskName name{
       aCandidate.job, aCandidate.occurrence, aCandidate.step, i
     };
-    if (this->MayStillRun(entry.job, name, task)) {
+    if (this->MayStillRun(entry.job, name, task) || IsWithheld(task)) {
       return false;
     }
+    anySuspect = anySuspect || this->IsSuspect(name, task);
     run = std::max(run, task.run);
+    pendingSince = std::max(pendingSince, task.pendingSince);
     if (!task.checkpoint.empty()) {
       checkpoint = task.checkpoint;
     }
@@ -348,6 +359,10 @@
   // since a gang that lacks a member only wastes the time of the others.
   std::vector<ScheduledWorker*> chosen;
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
+  if (anySuspect) {
+    placed.suspect = true;
+    placed.waited = this->clock.Now() - pendingSince;
+  }
   for (std::uint32_t i = 0; i < step.count; ++i) {
     ScheduledWorker* const worker = this->ChooseWorker(placed);
     const bool earlierRun =
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -41,9 +41,14 @@
       .Add("running", static_cast<std::uint64_t>(aReport.running.size()))
       .Add("ended", static_cast<std::uint64_t>(aReport.ended.size()));
     worker->reportedIncarnation = aReport.incarnation;
+    const LostWorker* const loss = this->crashes.FindLoss(aWorker);
+    if (loss != nullptr && aReport.incarnation > loss->incarnation) {
+      this->HandleCrash(aWorker, "restarted under its id");
+    }
   } else if (aReport.incarnation > worker->reportedIncarnation) {
     this->BeginIncarnation(*worker, aReport.incarnation);
   }
+  this->crashes.RecordReturn(aWorker);
   worker->fillerSpare.reset();
   worker->unresponsive = false;
   worker->reported = true;
@@ -194,6 +199,13 @@
     commitment->progressPercent = aRow.percent;
     Entry* const entry = name ? this->FindJob(name->job) : nullptr;
     WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+    if (task != nullptr &&
+        (!task->crashedRuns.empty() || !task->bystanderRuns.empty()) &&
+        this->clock.Now() - commitment->confirmedAt >
+          CrashAttribution::kAcquittedAfter &&
+        entry->job.ClearCrashes(*name)) {
+      this->MarkDirty(name->job);
+    }
     if (task != nullptr && !aRow.checkpoint.empty() && task->run == aRow.run) {
       task->checkpoint = aRow.checkpoint;
     }
@@ -221,6 +233,7 @@
   Commitment commitment;
   commitment.run = aRow.run;
   commitment.phase = CommitmentPhase::Running;
+  commitment.adopted = true;
   commitment.confirmedAt = this->clock.Now();
   commitment.startedAt = this->clock.Now();
   commitment.stepKey = FormatStepKey(aName);
@@ -365,6 +378,8 @@
     .Add("worker", aWorker.description.id)
     .Add("from_incarnation", aWorker.reportedIncarnation)
     .Add("incarnation", aIncarnation);
+  this->RecordLoss(aWorker, aWorker.lastReportAt);
+  this->HandleCrash(aWorker.description.id, "restarted under its id");
   std::vector<std::string> inFlight;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
     // A start that was confirmed after the last report may have been carried
@@ -484,11 +499,17 @@
 }
 
 void
-CellScheduler::HandleUnresponsive(const std::string& aWorker)
+CellScheduler::HandleUnresponsive(const std::string& aWorker,
+                                  std::optional<TimePoint> aContactUntil)
 {
-  if (ScheduledWorker* const worker = this->Worker(aWorker)) {
-    worker->unresponsive = true;
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  if (!worker->unresponsive && worker->reported) {
+    this->RecordLoss(*worker, aContactUntil.value_or(worker->lastReportAt));
   }
+  worker->unresponsive = true;
 }
 
 void
@@ -498,6 +519,7 @@
   if (worker != nullptr) {
     worker->backoffUntil = this->clock.Now() + kStartRejectedBackoff;
   }
+  this->HandleCrash(aWorker, "address belongs to another worker");
 }
 
 } // namespace sequoiakeel
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -91,6 +91,7 @@
   this->usedByShortRuns.reset();
   CommittedCapacity& sum = this->committed;
   const WorkflowStep& step = aCommitment.step;
+  this->suspects += aCommitment.suspect ? aSign : 0;
   sum.unknownSizes += aCommitment.sizeKnown ? 0 : aSign;
   sum.memoryMb += aSign * static_cast<std::int64_t>(step.memoryMb);
   sum.accelerators += aSign * static_cast<std::int64_t>(step.accelerators);
@@ -135,6 +136,30 @@
   this->usedByShortRuns.reset();
 }
 
+bool
+ScheduledWorker::AllRunsProven(TimePoint aNow,
+                               const std::string& aExceptStep) const
+{
+  return std::all_of(
+    this->commitments.begin(), this->commitments.end(), [&](const auto& aItem) {
+      const Commitment& commitment = aItem.second;
+      return commitment.IsProven(aNow) ||
+             (!aExceptStep.empty() && commitment.stepKey == aExceptStep);
+    });
+}
+
+bool
+ScheduledWorker::IsolatesSuspect(TimePoint aNow) const
+{
+  return this->suspects > 0 &&
+         std::any_of(this->commitments.begin(),
+                     this->commitments.end(),
+                     [aNow](const auto& aItem) {
+                       return aItem.second.suspect &&
+                              !aItem.second.IsProven(aNow);
+                     });
+}
+
 bool
 ScheduledWorker::Fits(const WorkflowStep& aStep) const
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Clock.h"
+#include "CrashAttribution.h"
 #include "WorkerReport.h"
 #include "generated/Workflow.h"
 
@@ -48,6 +49,11 @@
   /** The worker has confirmed the start command and answered every copy of it,
    * so that no copy can be carried out after confirmedAt. */
   bool allCopiesAnswered = false;
+  /** The task is suspected of crashing its workers. */
+  bool suspect = false;
+  /** The run was found on the worker and not started by this owner, so it is
+   * not known when it began. */
+  bool adopted = false;
   /** The worker was restarted while a copy of the start command was in flight,
    * and its new incarnation would carry the copy out. The run counts as
    * present until the new incarnation has confirmed a stop. */
@@ -88,6 +94,15 @@
                                this->speedPercent / 100;
   }
 
+  /** Returns whether the run has been up for long enough that it is not
+   * suspected of a crash. */
+  bool IsProven(TimePoint aNow) const
+  {
+    return this->adopted ||
+           (this->confirmedAt != TimePoint() &&
+            aNow - this->confirmedAt >= CrashAttribution::kProvenAfter);
+  }
+
   /** Returns whether the task serves requests with a latency target. */
   bool HasLatencyTarget() const { return this->step.latencyTargetMs > 0; }
 
@@ -249,6 +264,14 @@
            this->handledEnds > this->durableEnds;
   }
 
+  /** Returns whether every run on the worker is proven, except those of one
+   * step. aExceptStep: empty if there is no exception. */
+  bool AllRunsProven(TimePoint aNow, const std::string& aExceptStep) const;
+
+  /** Returns whether a suspected task runs here that is not proven, so that no
+   * other run may be started. */
+  bool IsolatesSuspect(TimePoint aNow) const;
+
   /** Returns the number of commitments of one step. */
   std::uint32_t CountOfStep(const std::string& aStepKey) const;
 
@@ -273,6 +296,8 @@
   std::map<std::string, Commitment> commitments;
   std::deque<EndedFiller> endedFillers;
   std::map<std::string, std::uint32_t> countByStep;
+  /** Number of commitments of suspected tasks. */
+  int suspects = 0;
   CommittedCapacity committed;
   ReservedCapacity reserved;
   /** Cached result of UsedByShortRuns(); unset after a change of the
--- a/src/SchedulerMetrics.cpp
+++ b/src/SchedulerMetrics.cpp
@@ -69,6 +69,9 @@
              "Start orders that a worker did not take, by result");
   Family<Counter>& runEnds =
     Counters("sequoiakeel_runs_ended_total", "Ends of runs, by kind");
+  Family<Counter>& workersCrashed = Counters(
+    "sequoiakeel_workers_crashed_total",
+    "Workers that were replaced by another incarnation without a drain.");
   Family<Counter>& runsLost = Counters("sequoiakeel_runs_lost_total",
                                        "Runs given up without a worker's word");
   Family<Counter>& runsPreempted =
@@ -120,6 +123,12 @@
   this->implementation->runEnds.Add({ { "end", ToString(aEnd) } }).Increment();
 }
 
+void
+SchedulerMetrics::WorkerCrashed()
+{
+  this->implementation->workersCrashed.Add({}).Increment();
+}
+
 void
 SchedulerMetrics::RunLost()
 {
--- a/src/SchedulerMetrics.h
+++ b/src/SchedulerMetrics.h
@@ -25,6 +25,7 @@
   void TaskStarted(Duration aWaited) override;
   void StartRejected(WorkerCommandResult aResult) override;
   void RunEnded(RunEnd aEnd) override;
+  void WorkerCrashed() override;
   void RunLost() override;
   void RunPreempted() override;
   void JobEnded(WorkflowState aState, Duration aAge) override;
--- a/src/SchedulerObserver.h
+++ b/src/SchedulerObserver.h
@@ -22,6 +22,9 @@
   /** A worker reported the end of a run. */
   virtual void RunEnded(RunEnd /*aEnd*/) {}
 
+  /** A worker was found to have crashed. */
+  virtual void WorkerCrashed() {}
+
   /** A run was declared lost without a report of its end. */
   virtual void RunLost() {}
 
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -40,6 +40,19 @@
   return from;
 }
 
+/** Adds the crashes that another cell or an earlier owner counted to those that
+ * are known, without counting any of them twice. */
+void
+AddCrashes(WorkflowTask& aTask, std::span<const std::uint64_t> aRuns)
+{
+  for (const std::uint64_t run : aRuns) {
+    std::vector<std::uint64_t>& known = aTask.crashedRuns;
+    if (std::find(known.begin(), known.end(), run) == known.end()) {
+      known.push_back(run);
+    }
+  }
+}
+
 } // namespace
 
 std::uint32_t
@@ -108,6 +121,7 @@
     if (found != nullptr && found->status == TaskStatus::Pending) {
       found->run = std::max(found->run, task.run);
       found->hasRun = found->run > 0;
+      AddCrashes(*found, task.crashes);
       this->HandOver(name);
     }
     this->started = true;
@@ -118,6 +132,7 @@
     if (found != nullptr && found->status == TaskStatus::HandedOver) {
       found->run = std::max(found->run, task.run);
       found->hasRun = found->run > 0;
+      AddCrashes(*found, task.crashes);
       this->Reclaim(name, found->pendingSince);
     }
   }
@@ -149,6 +164,18 @@
     }
     this->started = true;
   }
+  for (const TaskCrashes& crashes : aProgress.crashes) {
+    const TaskName name{
+      this->submission.id, crashes.occurrence, crashes.step, crashes.index
+    };
+    if (this->Find(name) == nullptr) {
+      continue;
+    }
+    for (const std::uint64_t run : crashes.runs) {
+      this->MarkCrashed(name, run);
+    }
+    this->started = true;
+  }
 }
 
 WorkflowTask*
@@ -245,6 +272,7 @@
     }
     found->run = std::max(found->run, task.run);
     found->hasRun = found->hasRun || task.run > 0;
+    AddCrashes(*found, task.crashes);
     found->handOverNotBefore = aNow + kNextHandOverWait;
     this->Reclaim(name, aNow - std::chrono::milliseconds(task.waitedMs));
     this->started = true;
@@ -290,6 +318,55 @@
   return true;
 }
 
+bool
+WorkflowJob::MarkCrashed(const TaskName& aName, std::uint64_t aRun)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr, "unknown task");
+  std::vector<std::uint64_t>& runs = task->crashedRuns;
+  if (task->status == TaskStatus::Done ||
+      std::find(runs.begin(), runs.end(), aRun) != runs.end()) {
+    return false;
+  }
+  task->run = std::max(task->run, aRun);
+  runs.push_back(aRun);
+  return true;
+}
+
+std::size_t
+WorkflowJob::MostCrashes() const
+{
+  std::size_t most = 0;
+  for (const WorkflowOccurrence& occurrence : this->occurrences) {
+    for (const WorkflowStepTasks& step : occurrence.steps) {
+      for (const WorkflowTask& task : step.tasks) {
+        most = std::max(most, task.crashedRuns.size());
+      }
+    }
+  }
+  return most;
+}
+
+bool
+WorkflowJob::ClearCrashes(const TaskName& aName)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr, "unknown task");
+  const bool any = !task->crashedRuns.empty();
+  task->crashedRuns.clear();
+  task->bystanderRuns.clear();
+  return any;
+}
+
+bool
+WorkflowJob::ClearCrash(const TaskName& aName, std::uint64_t aRun)
+{
+  WorkflowTask* const task = this->Find(aName);
+  InternalAssert(task != nullptr, "unknown task");
+  std::erase(task->bystanderRuns, aRun);
+  return std::erase(task->crashedRuns, aRun) > 0;
+}
+
 void
 WorkflowJob::AddLoad(CellLoad& aLoad) const
 {
@@ -332,7 +409,8 @@
           continue;
         }
         if (task.status == TaskStatus::HandedOver && !progress.partial) {
-          progress.handedOver.push_back(TaskRun{ s, i, task.run });
+          progress.handedOver.push_back(
+            TaskRun{ s, i, task.run, 0, task.crashedRuns });
         }
         if (this->submission.steps[s].longRunning && task.run > 0 &&
             task.status != TaskStatus::HandedOver) {
@@ -347,6 +425,10 @@
         if (!task.failedRuns.empty()) {
           progress.failures.push_back(TaskFailures{ k, s, i, task.failedRuns });
         }
+        if (!task.crashedRuns.empty() &&
+            task.status != TaskStatus::HandedOver) {
+          progress.crashes.push_back(TaskCrashes{ k, s, i, task.crashedRuns });
+        }
       }
       if (!done.done.empty()) {
         progress.steps.push_back(std::move(done));
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -5,6 +5,7 @@
 #include "WorkerReport.h"
 #include "generated/Workflow.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -47,6 +48,15 @@
   std::string checkpoint;
   /** Numbers of the failed runs, for TaskFailures. */
   std::vector<std::uint64_t> failedRuns;
+  /** Numbers of the runs that are suspected of having crashed their workers,
+   * for TaskCrashes. */
+  std::vector<std::uint64_t> crashedRuns;
+  /** Numbers of the runs under which a worker crashed of which other runs are
+   * suspected. Not durable: a task that crashes its workers long after its
+   * starts is found out only if the owner stays. */
+  std::vector<std::uint64_t> bystanderRuns;
+  /** Is not started any more, since it crashes its workers. */
+  bool withheld = false;
   /** Since when the task has had no run that is known to have begun. */
   TimePoint pendingSince;
   /** The task is not handed over to another cell before this time. */
@@ -149,6 +159,22 @@
    * the job has the task. */
   bool MarkFailed(const TaskName& aName, std::uint64_t aRun);
 
+  /** Records a run that is suspected of having crashed its worker; returns
+   * false if it was recorded already or the task is done. Precondition: the job
+   * has the task. */
+  bool MarkCrashed(const TaskName& aName, std::uint64_t aRun);
+
+  /** Removes the suspicion of one run; returns false if there was none.
+   * Precondition: the job has the task. */
+  bool ClearCrash(const TaskName& aName, std::uint64_t aRun);
+
+  /** Returns the largest number of such runs of any task. */
+  std::size_t MostCrashes() const;
+
+  /** Removes the suspicion that a task crashes its workers; returns false if
+   * there was none. Precondition: the job has the task. */
+  bool ClearCrashes(const TaskName& aName);
+
   /** Returns whether any task of the job has used up its attempts. Long-running
    * tasks, which run until they are cancelled, have no limit. */
   bool AttemptsExhausted() const { return this->exhausted; }
--- a/test/guarantee/WorkflowJobsSurviveOwners.cpp
+++ b/test/guarantee/WorkflowJobsSurviveOwners.cpp
@@ -886,7 +886,7 @@
   REQUIRE(stored.items.size() == 1);
   auto job =
     nlohmann::json::parse(stored.items.front().value).get<WorkflowSubmission>();
-  job.returned = { TaskRun{ 0, 0, 4 } };
+  job.returned = { TaskRun{ 0, 0, 4, 0, {} } };
   REQUIRE(cluster.Write(keys.Job("s"), nlohmann::json(job).dump()));
   cluster.store.Remove(other.Room());
   REQUIRE(
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -357,8 +357,10 @@
 TEST_CASE("only tasks that may run on an unresponsive worker wait for it")
 {
   SchedulerHarness harness;
-  harness.scheduler.SetRoster(
-    WorkerRoster{ { "w1" }, { UnresponsiveWorker{ "w2", { "j.0.0.0" } } } });
+  UnresponsiveWorker silent;
+  silent.worker = "w2";
+  silent.tasks = { "j.0.0.0" };
+  harness.scheduler.SetRoster(WorkerRoster{ { "w1" }, { silent } });
   harness.scheduler.Restore(harness.Job("j", 2), WorkflowProgress{});
   const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1") };
   harness.scheduler.UpdateWorkers(listed);
@@ -552,7 +554,7 @@
   WorkflowSubmission part = LargeService(harness, "s", 2);
   part.partial = true;
   part.ownCell = 1;
-  part.part = { TaskRun{ 0, 1, 4 } };
+  part.part = { TaskRun{ 0, 1, 4, 0, {} } };
   harness.scheduler.Accept(part);
   harness.clock.Advance(milliseconds(1100));
   harness.Report("w1", 1, { { "full.0.0.0", 1, "", 100, 0 } }, {});
@@ -578,12 +580,12 @@
   WorkflowProgress before;
   before.id = "s";
   before.state = WorkflowState::Running;
-  before.handedOver = { TaskRun{ 0, 1, 1 } };
+  before.handedOver = { TaskRun{ 0, 1, 1, 0, {} } };
   for (const bool newOwner : { false, true }) {
     SchedulerHarness harness;
     WorkflowSubmission job = LargeService(harness, "s", 2);
     WorkflowSubmission changed = job;
-    changed.returned = { TaskRun{ 0, 1, 5 } };
+    changed.returned = { TaskRun{ 0, 1, 5, 0, {} } };
     harness.scheduler.Restore(newOwner ? changed : job, before);
     harness.AddWorkers({ "w1", "w2" });
     if (!newOwner) {
@@ -656,14 +658,14 @@
   SchedulerHarness harness;
   harness.AddWorkers({ "w1", "w2", "w3" });
   WorkflowSubmission part = LargeService(harness, "s", 4);
-  part.part = { TaskRun{ 0, 2, 5 } };
+  part.part = { TaskRun{ 0, 2, 5, 0, {} } };
   harness.scheduler.Accept(part);
   CHECK(harness.scheduler.StateOf("s") == WorkflowState::Unknown);
   CHECK(harness.scheduler.CountPendingJobs("quotes") == 0);
   const auto starts = harness.PlanAndConfirm();
   REQUIRE(StartedTasks(starts) == std::vector<std::string>{ "s.0.0.2" });
   CHECK(starts[0].command.run == 6);
-  part.part.push_back(TaskRun{ 0, 3, 1 });
+  part.part.push_back(TaskRun{ 0, 3, 1, 0, {} });
   harness.scheduler.Accept(part);
   CHECK(StartedTasks(harness.PlanAndConfirm()) ==
         std::vector<std::string>{ "s.0.0.3" });
--- a/test/unit/InterruptedTasks.cpp
+++ b/test/unit/InterruptedTasks.cpp
@@ -141,7 +141,7 @@
   WorkflowSubmission part = LongRunning(harness, "part", 7000);
   part.steps[0].count = 2;
   part.partial = true;
-  part.part = { TaskRun{ 0, 1, 1 } };
+  part.part = { TaskRun{ 0, 1, 1, 0, {} } };
   REQUIRE(start(part) == full);
   std::vector<WorkerDescription> listed;
   for (const std::string& id : { half, full, other }) {
@@ -172,7 +172,7 @@
   };
   interrupt(2, "large.0.0.0", 1);
   wait(1);
-  part.part.push_back(TaskRun{ 0, 0, 0 });
+  part.part.push_back(TaskRun{ 0, 0, 0, 0, {} });
   harness.scheduler.Accept(part);
   wait(10);
   REQUIRE(started.empty());
@@ -383,7 +383,7 @@
   REQUIRE(harness.PlanAndConfirm().size() == 1);
   WorkflowSubmission part = LongRunning(harness, "service", 20000);
   part.partial = true;
-  part.part = { TaskRun{ 0, 0, 3 } };
+  part.part = { TaskRun{ 0, 0, 3, 0, {} } };
   part.part[0].waitedMs = 1200;
   harness.scheduler.Accept(part);
   harness.Report("w1", 1, { Row("busy.0.0.0", 1, 1) }, {});
