Give up tasks that crash their workers in the cells of planners

Cause: a task whose worker crashed was queued again without limit. Only ends reported as failed counted against it.

Change: the log entry for a replaced worker names the tasks that started on it within 10 s before it was last seen. The state counts the crash against those that were not suspected before and against the only one that was; the third crash gives the task up. Nothing starts beside a suspected task in its first 10 s. An attempt counts once, and a start by an earlier owner can only make a task suspected. No log record is added, and the stored format is unchanged: failed_on also holds the workers of counted crashes.

The random sequences of HostNeverOvercommitted restart workers under tasks.

A crash later than 10 s after the start is not counted.

--- a/src/CellMachine.cpp
+++ b/src/CellMachine.cpp
@@ -253,6 +253,7 @@
 CellMachine::BecomeActive(TimePoint aNow)
 {
   this->phase = CellPhase::Active;
+  this->activeSince = aNow;
   this->history.Count("cell_owned");
   Event("cell_owned")
     .Add("cell", this->options.cell)
--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -180,6 +180,8 @@
      * have expired. */
     int finalQueries = 0;
     std::optional<TimePoint> lastReply;
+    /** Time of the last reply of the incarnation in the log. */
+    std::optional<TimePoint> lastSeen;
     std::uint32_t grant = 0;
     bool grantPending = false;
     bool granted = false;
@@ -200,6 +202,8 @@
     /** The intent to start is durable and the start was not sent yet. */
     bool startDue = false;
     bool startInFlight = false;
+    /** A crash of the worker was counted against the attempt. */
+    bool crashed = false;
     /** Number of a status query. If a report up to it does not list the
      * attempt, this is no evidence that the attempt has ended. */
     std::uint64_t floor = 0;
@@ -333,6 +337,13 @@
   void EvictOverflow(const std::string& aName, TimePoint aNow);
   std::string LeaseOf(const WorkerLink& aLink) const;
   bool IsResponsive(const WorkerLink& aLink, TimePoint aNow) const;
+  /** Whether a task's start was so short a time before its worker was last seen
+   * that it may have caused a crash after that. */
+  bool IsNew(const TaskRef& aTask,
+             const TaskRow& aRow,
+             TimePoint aLastSeen) const;
+  std::string CrashCandidates(const std::string& aName, TimePoint aLastSeen);
+  bool IsTryingSuspect(const std::string& aWorker, TimePoint aNow) const;
   WorkerCommand CommandTo(WorkerVerb aVerb, const std::string& aWorker) const;
 
   CellOptions options;
@@ -341,6 +352,7 @@
   CellLimits limits;
 
   CellPhase phase = CellPhase::Idle;
+  TimePoint activeSince;
   bool candidate = false;
   bool drainWanted = false;
   std::uint64_t storeLease = 0;
--- a/src/CellMachineJobs.cpp
+++ b/src/CellMachineJobs.cpp
@@ -238,11 +238,27 @@
   if (queue.empty()) {
     return;
   }
-  const std::vector<WorkerView> workers = this->WorkerViews(aNow);
+  std::vector<WorkerView> workers = this->WorkerViews(aNow);
+  for (WorkerView& worker : workers) {
+    worker.unreachable =
+      worker.unreachable || this->IsTryingSuspect(worker.name, aNow);
+  }
   const std::vector<TeamView> teams = this->TeamViews();
   const CellView view{ aNow, workers, teams };
-  for (const PlacementDecision& decision :
-       this->policies.Place(view, queue, kMaxPlacementsPerRound)) {
+  std::vector<PlacementDecision> decisions =
+    this->policies.Place(view, queue, kMaxPlacementsPerRound);
+  // Of tasks that are placed together, a suspected one is started first, so
+  // that nothing starts beside it.
+  std::stable_partition(decisions.begin(),
+                        decisions.end(),
+                        [this](const PlacementDecision& aDecision) {
+                          const std::optional<TaskRef> ref =
+                            ParseTaskId(aDecision.task);
+                          const TaskRow* row =
+                            ref ? this->working.FindTask(*ref) : nullptr;
+                          return row != nullptr && CrashesUnder(*row) > 0;
+                        });
+  for (const PlacementDecision& decision : decisions) {
     this->ApplyPlacement(decision, aNow);
   }
 }
@@ -273,7 +289,8 @@
                            [&](const WorkerLease& aLease) {
                              return aLease.id == this->LeaseOf(link->second);
                            }) ||
-      !this->IsResponsive(link->second, aNow)) {
+      !this->IsResponsive(link->second, aNow) ||
+      this->IsTryingSuspect(aDecision.worker, aNow)) {
     return;
   }
   const TaskRow* row = this->working.FindTask(*ref);
--- a/src/CellMachineTasks.cpp
+++ b/src/CellMachineTasks.cpp
@@ -208,6 +208,18 @@
     };
   }
   this->Propose(std::move(entry), std::move(effect));
+  if (!ended && !job.row.cancelled &&
+      this->working.FindTask(aTask) == nullptr) {
+    this->history.Add(aTask.job,
+                      "given_up",
+                      "task " + std::to_string(aTask.task) +
+                        ": it crashes its workers",
+                      aNow);
+    Event("task_given_up", LogLevel::Warning)
+      .Add("task", TaskId(aTask))
+      .Add("attempt", row.attempt)
+      .Add("crashes", static_cast<std::uint64_t>(CrashesUnder(row)));
+  }
   const Job* after = this->working.FindJob(aTask.job);
   if (after == nullptr || after->row.ended) {
     this->queuedSince.erase(aTask.job);
--- a/src/CellMachineWorkers.cpp
+++ b/src/CellMachineWorkers.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::seconds kSilentAfter{ 10 };
 /** A worker is removed once the host list has not named it for this long. */
 constexpr std::chrono::seconds kRemoveAfterUnlisted{ 60 };
+/** A task that its worker has survived for this long is not the probable cause
+ * of a crash. */
+constexpr std::chrono::seconds kCrashWindow{ 10 };
 
 bool
 Lists(const WorkerStatus& aStatus, const std::string& aLease)
@@ -45,6 +48,55 @@
   return aLink.lastReply && aNow - *aLink.lastReply < kSilentAfter;
 }
 
+bool
+CellMachine::IsNew(const TaskRef& aTask,
+                   const TaskRow& aRow,
+                   TimePoint aLastSeen) const
+{
+  const auto runtime = this->runtimes.find(aTask);
+  const bool known =
+    runtime != this->runtimes.end() && runtime->second.attempt == aRow.attempt;
+  if (known && runtime->second.startDue) {
+    return true;
+  }
+  // A task whose start this owner has not sent was started before the takeover.
+  const TimePoint started = known && runtime->second.since != TimePoint{}
+                              ? runtime->second.since
+                              : this->activeSince;
+  return aLastSeen - started < kCrashWindow;
+}
+
+std::string
+CellMachine::CrashCandidates(const std::string& aName, TimePoint aLastSeen)
+{
+  std::string result;
+  for (const TaskRef& task : this->working.TasksOn(aName)) {
+    const TaskRow& row = *this->working.FindTask(task);
+    TaskRuntime& runtime = this->RuntimeOf(task, row.attempt);
+    // A task that was started before the takeover may have run for long, so it
+    // can become suspected but is not given up for this crash.
+    const bool spared =
+      row.epoch != this->working.Epoch() && CrashesUnder(row) > 0;
+    if (spared || runtime.startDue || runtime.crashed ||
+        !this->IsNew(task, row, aLastSeen)) {
+      continue;
+    }
+    runtime.crashed = true;
+    result += (result.empty() ? "" : "\n") + TaskId(task);
+  }
+  return result;
+}
+
+bool
+CellMachine::IsTryingSuspect(const std::string& aWorker, TimePoint aNow) const
+{
+  return std::ranges::any_of(
+    this->working.TasksOn(aWorker), [&](const TaskRef& aTask) {
+      const TaskRow& row = *this->working.FindTask(aTask);
+      return CrashesUnder(row) > 0 && this->IsNew(aTask, row, aNow);
+    });
+}
+
 void
 CellMachine::SetFleet(const std::vector<HostRecord>& aHosts,
                       [[maybe_unused]] TimePoint aNow)
@@ -182,6 +234,8 @@
                        known->second.capacity != aStatus.capacity ||
                        known->second.address != aLink.endpoint.address ||
                        known->second.port != aLink.endpoint.port;
+  const TimePoint lastSeen =
+    std::exchange(aLink.lastSeen, aNow).value_or(this->activeSince);
   if (!changed) {
     return true;
   }
@@ -207,6 +261,9 @@
   entry.port = aLink.endpoint.port;
   entry.incarnation = aStatus.incarnation;
   entry.capacity.push_back(aStatus.capacity);
+  if (replaced) {
+    entry.text = this->CrashCandidates(aName, lastSeen);
+  }
   this->Propose(std::move(entry));
   this->unplaceable.clear();
   return true;
--- a/src/CellState.cpp
+++ b/src/CellState.cpp
@@ -3,6 +3,7 @@
 #include "Error.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace sequoiakeel {
 
@@ -22,6 +23,12 @@
 
 } // namespace
 
+std::size_t
+CrashesUnder(const TaskRow& aRow)
+{
+  return aRow.failedOn.size() - aRow.failures;
+}
+
 std::uint32_t
 Job::QueuedTasks() const
 {
@@ -251,7 +258,10 @@
   Job& job = this->MutableJob(aTask.job);
   TaskRow& row = job.tasks.at(aTask.task);
   this->ReleaseTask(aTask, row);
-  if (job.row.cancelled) {
+  const bool givenUp =
+    !job.row.cancelled && CrashesUnder(row) >= kMaxTaskCrashes;
+  if (job.row.cancelled || givenUp) {
+    job.row.failed += givenUp ? 1 : 0;
     job.tasks.erase(aTask.task);
     this->EndIfDone(job);
     return;
@@ -325,6 +335,31 @@
   // The worker's tasks are not released here but one by one, by later entries:
   // a start command in flight may have reached the new incarnation.
   this->ApplyWorkerAdded(aEntry);
+  this->CountCrash(aEntry.worker, aEntry.text);
+}
+
+void
+CellState::CountCrash(const std::string& aWorker, const std::string& aTaskIds)
+{
+  std::vector<TaskRow*> unsuspected;
+  std::vector<TaskRow*> suspected;
+  std::istringstream lines(aTaskIds);
+  for (std::string id; std::getline(lines, id);) {
+    const std::optional<TaskRef> ref = ParseTaskId(id);
+    if (!ref || !this->TasksOn(aWorker).contains(*ref)) {
+      continue;
+    }
+    TaskRow& row = this->MutableJob(ref->job).tasks.at(ref->task);
+    (CrashesUnder(row) == 0 ? unsuspected : suspected).push_back(&row);
+  }
+  for (TaskRow* row : unsuspected) {
+    row->failedOn.push_back(aWorker);
+  }
+  // Suspected tasks start apart from each other. If several of them were
+  // starting nevertheless, none of them is the probable cause.
+  if (suspected.size() == 1) {
+    suspected.front()->failedOn.push_back(aWorker);
+  }
 }
 
 void
--- a/src/CellState.h
+++ b/src/CellState.h
@@ -31,6 +31,15 @@
 /** A task that has failed this many times is not started again. */
 constexpr std::uint32_t kMaxTaskFailures = 4;
 
+/** A task under which this many workers have crashed is given up. At most the
+ * first of these crashes may be the fault of a task that started beside it. */
+constexpr std::size_t kMaxTaskCrashes = 3;
+
+/** Returns the number of crashes of workers counted against a task. Thread
+ * safe. */
+std::size_t
+CrashesUnder(const TaskRow& aRow);
+
 /**
  * State of a cell: a deterministic function of the log entries applied. Not
  * thread safe.
@@ -96,6 +105,7 @@
   void ApplyOwnerChanged(const LogEntry& aEntry);
   void ApplyWorkerAdded(const LogEntry& aEntry);
   void ApplyWorkerReplaced(const LogEntry& aEntry);
+  void CountCrash(const std::string& aWorker, const std::string& aTaskIds);
   void ApplyWorkerRemoved(const LogEntry& aEntry);
   void ApplyJobAccepted(const LogEntry& aEntry);
   void ApplyJobCancelled(const LogEntry& aEntry);
--- a/test/support/CellSimulation.h
+++ b/test/support/CellSimulation.h
@@ -120,6 +120,8 @@
 private:
   WorkerReply Status();
   WorkerReply Start(const StartTask& aStart);
+  /** Restarts the worker, which is unreachable for CellSimulation::downTime. */
+  void Crash();
   WorkerReply Act(const WorkerCommand& aCommand, Run& aRun);
 
   CellSimulation& world;
@@ -209,6 +211,14 @@
   std::map<std::string, std::unique_ptr<FakePlanner>> planners;
   /** Workers that receive no messages. */
   std::set<std::string> unreachable;
+  /** Tasks that crash their worker when this time has passed since their start.
+   */
+  std::map<std::string, Duration> crashingTasks;
+  /** Time for which a crashed worker is unreachable. */
+  Duration downTime = std::chrono::seconds(2);
+  int crashes = 0;
+  /** Number of restarts of workers while they ran a task, by task id. */
+  std::map<std::string, int> restartsUnder;
   /** Workers that receive messages but whose replies are lost. */
   std::set<std::string> repliesLost;
   /** Probability of a fate other than Deliver, in percent. */
--- a/test/support/FakeWorker.cpp
+++ b/test/support/FakeWorker.cpp
@@ -38,10 +38,23 @@
   ++this->incarnation;
   this->capacity = aCapacity;
   this->DiscardUnacknowledgedCompletions();
+  for (const auto& [id, run] : this->runs) {
+    ++this->world.restartsUnder[id];
+  }
   this->runs.clear();
   this->leases.clear();
 }
 
+void
+FakeWorker::Crash()
+{
+  ++this->world.crashes;
+  this->Restart(this->capacity);
+  this->world.unreachable.insert(this->name);
+  this->world.At(this->world.downTime,
+                 [this] { this->world.unreachable.erase(this->name); });
+}
+
 void
 FakeWorker::Progress()
 {
@@ -138,6 +151,18 @@
   run.began = this->world.clock.Now();
   run.doneMs = aStart.checkpoint.empty() ? 0 : std::stoll(aStart.checkpoint);
   this->runs[aStart.taskId] = run;
+  const auto crash = this->world.crashingTasks.find(aStart.taskId);
+  if (crash != this->world.crashingTasks.end() &&
+      crash->second == Duration::zero()) {
+    this->Crash();
+    reply.result = AgentResult::Unknown;
+  } else if (crash != this->world.crashingTasks.end()) {
+    this->world.At(crash->second, [this, started = this->incarnation] {
+      if (this->incarnation == started) {
+        this->Crash();
+      }
+    });
+  }
   return reply;
 }
 
