Check a worker's capacity again when a start is sent

Cause: a start is checked against the capacity when its intent is logged and sent once the log record is durable.

Change: a start that waits for its record is released, without being sent, if the commitments on its worker exceed the worker's capacity by then.

--- a/src/CellMachineTasks.cpp
+++ b/src/CellMachineTasks.cpp
@@ -74,6 +74,10 @@
     this->ReleaseUnfinished(aTask, "cancelled-before-start", aNow);
     return;
   }
+  if (!Fits({}, this->working.Commitments().Free(row->worker))) {
+    this->ReleaseUnfinished(aTask, "capacity-reduced", aNow);
+    return;
+  }
   if (!this->OwnsWithValidLease(aNow)) {
     this->startsDue.insert(aTask);
     return;
--- a/test/guarantee/HostNeverOvercommitted.cpp
+++ b/test/guarantee/HostNeverOvercommitted.cpp
@@ -248,6 +248,34 @@
   }
 }
 
+// Guards against a start that was decided before its worker's capacity shrank
+// and is sent after, since its log record was late.
+TEST_CASE("a start that waits for its log record is not sent to a full worker")
+{
+  for (std::uint64_t seed = 400; seed < 410; ++seed) {
+    CAPTURE(seed);
+    ReadyCell world(seed);
+    world.planners["p1"]->policies.rotate = false;
+    world.storeFate = [](const StoreCommand& aCommand) {
+      return aCommand.verb == StoreVerb::Put ? DeliveryFault::LoseRequest
+                                             : DeliveryFault::Deliver;
+    };
+    world.SubmitOne(kJob, 20000, kFitting);
+    world.Run(seconds(1));
+    world.workers["w1"]->capacity = Resources{ 13000, 125000, 0 };
+    world.Run(seconds(5));
+    world.storeFate = nullptr;
+    CHECK(world.RunUntilFinished(kJob));
+    CHECK(world.violations.empty());
+    // The capacity is used again after it has grown.
+    world.workers["w1"]->capacity = kWorkerSize;
+    world.Run(seconds(5));
+    world.SubmitOne("cell-1.2", 20000, kFitting);
+    CHECK(world.RunUntil([&] { return world.RunningOn("w1") == kFitting; }));
+    CHECK(world.violations.empty());
+  }
+}
+
 // Guards against a worker that stays overcommitted after its capacity shrinks
 // while tasks run on it.
 TEST_CASE("tasks leave a worker whose capacity shrinks")
