Test capacity that changes with the stand-in worker

Change: /standin/faults takes cpu_millis and memory_mb, which the status shows; /standin/overcommits lists the tasks whose start exceeded the capacity.

--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -5,6 +5,7 @@
  */
 #include "HttpClient.h"
 #include "HttpServer.h"
+#include "Ledger.h"
 #include "Log.h"
 #include "Runtime.h"
 #include "generated/PlatformJson.h"
@@ -72,6 +73,7 @@
     : options(aOptions)
     , incarnation(static_cast<std::uint64_t>(
         std::chrono::system_clock::now().time_since_epoch().count()))
+    , capacity{ aOptions.cpuMillis, aOptions.memoryMb, aOptions.accelerators }
   {
   }
 
@@ -96,11 +98,17 @@
       const json body = json::parse(aRequest.body);
       this->failStarts = body.value("fail_tasks", false);
       this->leaving = body.value("leaving", false);
+      this->capacity.cpuMillis =
+        body.value("cpu_millis", this->options.cpuMillis);
+      this->capacity.memoryMb = body.value("memory_mb", this->options.memoryMb);
       return JsonResponse(200, "{}");
     }
     if (path.size() == 2 && path[0] == "standin" && path[1] == "starts") {
       return JsonResponse(200, json(this->startCounts).dump());
     }
+    if (path.size() == 2 && path[0] == "standin" && path[1] == "overcommits") {
+      return JsonResponse(200, json(this->overcommits).dump());
+    }
     return JsonResponse(404, "{}");
   }
 
@@ -152,9 +160,7 @@
     WorkerStatus status;
     status.worker = this->options.name;
     status.incarnation = this->incarnation;
-    status.capacity = Resources{ this->options.cpuMillis,
-                                 this->options.memoryMb,
-                                 this->options.accelerators };
+    status.capacity = this->capacity;
     status.leaving = this->leaving;
     for (const auto& [id, expiry] : this->leases) {
       status.leases.push_back(WorkerLease{
@@ -198,6 +204,15 @@
       return Refuse(412, "lease is unknown or expired");
     }
     ++this->startCounts[aStart.taskId];
+    Resources used = aStart.resources;
+    for (const auto& [id, task] : this->tasks) {
+      if (task.state == WorkerTaskState::Running) {
+        used = Plus(used, task.start.resources);
+      }
+    }
+    if (!Fits(used, this->capacity)) {
+      this->overcommits.push_back(aStart.taskId);
+    }
     Task task;
     task.began = steady_clock::now();
     task.done = DoneAt(aStart.checkpoint);
@@ -258,6 +273,9 @@
   std::map<std::string, steady_clock::time_point> leases;
   std::map<std::string, Task> tasks;
   std::map<std::string, int> startCounts;
+  Resources capacity;
+  /** Tasks whose start brought the worker over its capacity. */
+  std::vector<std::string> overcommits;
   bool failStarts = false;
   bool leaving = false;
 };
--- a/test/path/PlannerRunsJobs.cpp
+++ b/test/path/PlannerRunsJobs.cpp
@@ -153,3 +153,47 @@
     CHECK(count == 1);
   }
 }
+
+// Guards against starts that bring a worker over a capacity that shrank while
+// it ran, and against capacity that is not used again after it has grown.
+TEST_CASE("a worker's capacity may shrink and grow while it runs")
+{
+  Deployment deployment;
+  deployment.StartWorker("worker-1", "zone-1", { "--cpu-millis", "8000" });
+  deployment.PutConfiguration(SmallConfiguration({ "zone-1" }));
+  deployment.StartPlanner("planner-1", "zone-1");
+  const Endpoint planner = deployment.PeerEndpointOf("planner-1");
+  REQUIRE(WaitUntil([&] { return Owns(planner); }));
+  const auto resize = [&](int aCpuMillis) {
+    deployment.Call("worker-1",
+                    "POST",
+                    "/standin/faults",
+                    nlohmann::json{ { "cpu_millis", aCpuMillis } }.dump());
+    const std::string line = "cpu_millis=" + std::to_string(aCpuMillis);
+    return WaitUntil([&] {
+      const std::string log = deployment.LogOf("planner-1");
+      const std::size_t changed = log.rfind("worker_changed");
+      return changed != std::string::npos &&
+             log.find(line, changed) != std::string::npos;
+    });
+  };
+  const auto running = [&] { return Query(planner, kJob).tasksRunning; };
+  const auto overcommits = [&] {
+    return nlohmann::json::parse(
+             deployment.Call("worker-1", "GET", "/standin/overcommits").body)
+      .size();
+  };
+  CHECK(SubmitOrder(planner, kJob, 60, 2000).outcome ==
+        SubmitOutcome::Accepted);
+  REQUIRE(WaitUntil([&] { return running() == 8; }));
+  REQUIRE(resize(3000));
+  // Until its next report a worker may receive starts for its old capacity.
+  const std::size_t before = overcommits();
+  CHECK(WaitUntil([&] { return running() <= 3; }));
+  REQUIRE(resize(8000));
+  CHECK(overcommits() == before);
+  CHECK(WaitUntil([&] { return running() == 8; }));
+  REQUIRE(
+    WaitUntil([&] { return Query(planner, kJob).state == "finished"; }, 120));
+  CHECK(overcommits() == before);
+}
