--- a/src/CellMachineTasks.cpp
+++ b/src/CellMachineTasks.cpp
@@ -74,6 +74,10 @@
     this->ReleaseUnfinished(aTask, "cancelled-before-start", aNow);
     return;
   }
+  if (!Fits({}, this->working.Commitments().Free(row->worker))) {
+    this->ReleaseUnfinished(aTask, "capacity-reduced", aNow);
+    return;
+  }
   if (!this->OwnsWithValidLease(aNow)) {
     this->startsDue.insert(aTask);
     return;
@@ -208,6 +212,18 @@
     };
   }
   this->Propose(std::move(entry), std::move(effect));
+  if (!ended && !job.row.cancelled &&
+      this->working.FindTask(aTask) == nullptr) {
+    this->history.Add(aTask.job,
+                      "given_up",
+                      "task " + std::to_string(aTask.task) +
+                        ": it crashes its workers",
+                      aNow);
+    Event("task_given_up", LogLevel::Warning)
+      .Add("task", TaskId(aTask))
+      .Add("attempt", row.attempt)
+      .Add("crashes", static_cast<std::uint64_t>(CrashesUnder(row)));
+  }
   const Job* after = this->working.FindJob(aTask.job);
   if (after == nullptr || after->row.ended) {
     this->queuedSince.erase(aTask.job);
