Write the roster again when the suspects of a lost worker change

Cause: the roster counted as stale only if the number of silent workers or the ids changed. If a worker was lost, came back and was lost again, the roster kept the runs of the first loss, and the next owner would blame these.

Change: the suspects that the durable roster names are compared too.

Result: unit_CrashingTasks "the roster is stale when the suspects of a lost worker change" passes. It was found by a review, not by a play; the case was not run on the code before.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -313,6 +313,13 @@
       return true;
     }
   }
+  for (const UnresponsiveWorker& silent : wanted.silent) {
+    const auto written = this->rosterSuspects.find(silent.worker);
+    if (written == this->rosterSuspects.end() ||
+        written->second != silent.suspects) {
+      return true;
+    }
+  }
   return false;
 }
 
@@ -356,8 +363,10 @@
   this->roster = { aRoster.workers.begin(), aRoster.workers.end() };
   this->rosterRecorded = aRoster.assignmentsRecorded;
   this->rosterUnresponsive.clear();
+  this->rosterSuspects.clear();
   for (const UnresponsiveWorker& silent : aRoster.silent) {
     this->rosterUnresponsive.insert(silent.worker);
+    this->rosterSuspects[silent.worker] = silent.suspects;
   }
 }
 
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -601,6 +601,8 @@
    * listed as unresponsive. */
   std::set<std::string> roster;
   std::set<std::string> rosterUnresponsive;
+  /** Suspects of lost workers that the durable roster names, by worker. */
+  std::map<std::string, std::vector<SuspectedRun>> rosterSuspects;
   std::unordered_map<std::string, Entry> jobs;
   std::unordered_map<std::string, EndedJob> ended;
   std::map<std::string, ScheduledWorker> workers;
--- a/test/unit/CrashingTasks.cpp
+++ b/test/unit/CrashingTasks.cpp
@@ -496,3 +496,20 @@
                              [&] { return cell.Starts(TaskOf("bad")) == 2; }));
   CHECK(cell.starts.back().run > cell.starts.front().run);
 }
+
+// Guards against a next owner that blames runs of an earlier loss of a worker.
+TEST_CASE("the roster is stale when the suspects of a lost worker change")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("a"));
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.scheduler.HandleUnresponsive("w1", harness.clock.Now());
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  CHECK(!harness.scheduler.RosterIsStale());
+  harness.Report("w1", 1, { RunningRun{ "a.0.0.0", 1, "", 10, 0 } }, {});
+  harness.clock.Advance(seconds(1));
+  harness.Report("w1", 1, { RunningRun{ "a.0.0.0", 1, "", 10, 0 } }, {});
+  harness.scheduler.HandleUnresponsive("w1", harness.clock.Now());
+  CHECK(harness.scheduler.RosterIsStale());
+}
