End a job whose task returns with the most crashes

Cause: a task that had reached the limit of crashes in another cell was not started any more after its return, but its job was shown as running until the next owner restored it.

Change: the limit is checked when tasks return, as after a restore.

Result: unit_CrashingTasks "a task that returns with the most crashes ends its job" passes. It was found by a review; the case was not run on the code before.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -109,6 +109,10 @@
     known->job.AddTasks(known->job.IsPart() ? aSubmission.part
                                             : aSubmission.returned,
                         this->clock.Now());
+    if (known->job.MostCrashes() >= CrashAttribution::kMaxCrashes &&
+        !known->job.IsPart()) {
+      this->EndJob(id, WorkflowState::Failed, "a task crashes its workers");
+    }
     return false;
   }
   if (this->ended.contains(id)) {
--- a/test/unit/CrashingTasks.cpp
+++ b/test/unit/CrashingTasks.cpp
@@ -513,3 +513,21 @@
   harness.scheduler.HandleUnresponsive("w1", harness.clock.Now());
   CHECK(harness.scheduler.RosterIsStale());
 }
+
+// Guards against a job that is never shown as failed since its task reached the
+// limit in another cell.
+TEST_CASE("a task that returns with the most crashes ends its job")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission job = harness.Job("a", 2);
+  job.steps[0].longRunning = true;
+  WorkflowProgress progress;
+  progress.id = "a";
+  progress.handedOver = { TaskRun{ 0, 1, 1, 0, { 1 } } };
+  harness.scheduler.Restore(job, progress);
+  job.returned = { TaskRun{ 0, 1, 4, 0, { 1, 2, 3, 4 } } };
+  harness.scheduler.Accept(job);
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("a") == WorkflowState::Failed);
+}
