Clear no crashes by a run whose start was not confirmed

Cause: the age of a run was counted from the confirmation of its start. Without one, the run seemed as old as the clock, and a report that listed it cleared the crashes of its task for good.

Change: only a confirmed run that does not await a stop clears them.

Result: unit_CrashingTasks "a stopped run that was not confirmed clears no crash" passes. It was found by a review; the case was not run on the code before.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -201,6 +201,7 @@
     WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
     if (task != nullptr &&
         (!task->crashedRuns.empty() || !task->bystanderRuns.empty()) &&
+        commitment->confirmedAt != TimePoint() && !commitment->awaitsStop &&
         this->clock.Now() - commitment->confirmedAt >
           CrashAttribution::kAcquittedAfter &&
         entry->job.ClearCrashes(*name)) {
--- a/test/unit/CrashingTasks.cpp
+++ b/test/unit/CrashingTasks.cpp
@@ -531,3 +531,26 @@
   harness.WriteProgress();
   CHECK(harness.scheduler.StateOf("a") == WorkflowState::Failed);
 }
+
+// Guards against an acquittal by a run that never was confirmed.
+TEST_CASE("a stopped run that was not confirmed clears no crash")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowProgress progress;
+  progress.id = "a";
+  progress.crashes = { TaskCrashes{ 0, 0, 0, { 1 } } };
+  WorkflowSubmission job = harness.Job("a");
+  harness.clock.Advance(seconds(20));
+  harness.Report("w1", 1, {}, {});
+  harness.scheduler.Restore(job, progress);
+  const std::vector<PlannedStart> starts = harness.PlanStarts();
+  REQUIRE(starts.size() == 1);
+  harness.scheduler.UpdateWorkers(
+    std::vector{ SchedulerHarness::Worker("w1", 2) });
+  harness.Report("w1", 2, { RunningRun{ "a.0.0.0", 2, "", 10, 0 } }, {});
+  const ProgressBatch batch = harness.scheduler.TakeProgress();
+  REQUIRE(batch.records.size() == 1);
+  REQUIRE(batch.records[0].progress.crashes.size() == 1);
+  CHECK(batch.records[0].progress.crashes[0].runs.front() == 1);
+}
