Count a run once as a bystander of a crash

Cause: a commitment that outlives two restarts of its worker under one id put the same run twice into the list of bystanders, and a task is given up by the length of that list.

Change: a run number that is in the list is not added again.

Result: the cases of unit_CrashingTasks pass; none brings the sequence about. It was found by a review.

--- a/src/CellSchedulerCrashes.cpp
+++ b/src/CellSchedulerCrashes.cpp
@@ -143,7 +143,10 @@
   const std::optional<TaskName> name = ParseTaskName(aRun.task);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
   WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
-  if (task == nullptr || task->status == TaskStatus::Done) {
+  if (task == nullptr || task->status == TaskStatus::Done ||
+      std::find(task->bystanderRuns.begin(),
+                task->bystanderRuns.end(),
+                aRun.run) != task->bystanderRuns.end()) {
     return;
   }
   task->bystanderRuns.push_back(aRun.run);
