Take only a worker of the same service as proof of a crash

Cause: any entry of the registry with a later incarnation at the address of a lost worker counted as proof that the worker had crashed, also one of another service, and every entry did for a worker whose incarnation is not known. Entries may come from other writers.

Change: the service has to be the same, and a loss without an incarnation is not confirmed in this way.

Result: the case of unit_CrashAttribution on successors checks another service and passes.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -258,8 +258,7 @@
       // The worker is up, and its end is planned.
       this->crashes.RecordReturn(description.id);
     }
-    for (const std::string& crashed : this->crashes.ReplacedBy(
-           description.id, description.endpoint, description.incarnation)) {
+    for (const std::string& crashed : this->crashes.ReplacedBy(description)) {
       this->HandleCrash(crashed, "replaced at its address");
     }
   }
--- a/src/CellSchedulerCrashes.cpp
+++ b/src/CellSchedulerCrashes.cpp
@@ -30,6 +30,7 @@
   LostWorker loss;
   loss.id = aWorker.description.id;
   loss.incarnation = aWorker.reportedIncarnation;
+  loss.service = aWorker.description.service;
   loss.endpoint = aWorker.description.endpoint;
   loss.rack = aWorker.description.rack;
   loss.lostAt = aContactUntil;
--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -131,14 +131,14 @@
 }
 
 std::vector<std::string>
-CrashAttribution::ReplacedBy(const std::string& aWorker,
-                             const Endpoint& aEndpoint,
-                             std::uint64_t aIncarnation) const
+CrashAttribution::ReplacedBy(const WorkerDescription& aWorker) const
 {
   std::vector<std::string> replaced;
   for (const auto& [id, loss] : this->losses) {
-    if (id != aWorker && loss.endpoint == aEndpoint &&
-        aIncarnation > loss.incarnation) {
+    const bool sameService =
+      loss.service.empty() || loss.service == aWorker.service;
+    if (id != aWorker.id && sameService && loss.endpoint == aWorker.endpoint &&
+        loss.incarnation != 0 && aWorker.incarnation > loss.incarnation) {
       replaced.push_back(id);
     }
   }
--- a/src/CrashAttribution.h
+++ b/src/CrashAttribution.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Clock.h"
+#include "WorkerReport.h"
 #include "generated/Settings.h"
 #include "generated/Workflow.h"
 
@@ -33,6 +34,8 @@
 {
   std::string id;
   std::uint64_t incarnation = 0;
+  /** Empty if it is not known. */
+  std::string service;
   Endpoint endpoint;
   std::string rack;
   TimePoint lostAt;
@@ -96,11 +99,9 @@
    * call of a non-const method. */
   const LostWorker* FindLoss(const std::string& aWorker) const;
 
-  /** Returns the lost workers at whose endpoint a later incarnation is listed
-   * under another id. */
-  std::vector<std::string> ReplacedBy(const std::string& aWorker,
-                                      const Endpoint& aEndpoint,
-                                      std::uint64_t aIncarnation) const;
+  /** Returns the lost workers in whose place aWorker is: it is a later
+   * incarnation at the same endpoint under another id. */
+  std::vector<std::string> ReplacedBy(const WorkerDescription& aWorker) const;
 
   /** Removes the loss of a worker that is known to have crashed and returns its
    * probable cause; empty if no loss is recorded. aWorkers: number of workers
--- a/test/unit/CrashAttribution.cpp
+++ b/test/unit/CrashAttribution.cpp
@@ -25,6 +25,7 @@
   LostWorker loss;
   loss.id = aId;
   loss.incarnation = 5;
+  loss.service = "desk";
   loss.endpoint = Endpoint{ "10.0.0.1", 7 };
   loss.rack = aRack;
   loss.lostAt = aLostAt;
@@ -32,6 +33,19 @@
   return loss;
 }
 
+WorkerDescription
+Listed(const std::string& aId,
+       const Endpoint& aEndpoint,
+       std::uint64_t aIncarnation)
+{
+  WorkerDescription worker;
+  worker.id = aId;
+  worker.endpoint = aEndpoint;
+  worker.incarnation = aIncarnation;
+  worker.service = "desk";
+  return worker;
+}
+
 std::vector<std::string>
 TasksOf(const std::vector<SuspectedRun>& aSuspects)
 {
@@ -151,12 +165,16 @@
   CrashAttribution crashes;
   crashes.RecordLoss(Loss("w1", clock.Now(), { { "a", 1, milliseconds(10) } }));
   const Endpoint same{ "10.0.0.1", 7 };
-  CHECK(crashes.ReplacedBy("w2", same, 6) == std::vector<std::string>{ "w1" });
-  CHECK(crashes.ReplacedBy("w2", same, 5).empty());
-  CHECK(crashes.ReplacedBy("w2", same, 4).empty());
-  CHECK(crashes.ReplacedBy("w1", same, 6).empty());
-  CHECK(crashes.ReplacedBy("w2", Endpoint{ "10.0.0.1", 8 }, 6).empty());
-  CHECK(crashes.ReplacedBy("w2", Endpoint{ "10.0.0.2", 7 }, 6).empty());
+  CHECK(crashes.ReplacedBy(Listed("w2", same, 6)) ==
+        std::vector<std::string>{ "w1" });
+  CHECK(crashes.ReplacedBy(Listed("w2", same, 5)).empty());
+  CHECK(crashes.ReplacedBy(Listed("w2", same, 4)).empty());
+  CHECK(crashes.ReplacedBy(Listed("w1", same, 6)).empty());
+  CHECK(crashes.ReplacedBy(Listed("w2", Endpoint{ "10.0.0.1", 8 }, 6)).empty());
+  CHECK(crashes.ReplacedBy(Listed("w2", Endpoint{ "10.0.0.2", 7 }, 6)).empty());
+  WorkerDescription other = Listed("w2", same, 6);
+  other.service = "other";
+  CHECK(crashes.ReplacedBy(other).empty());
 }
 
 // Guards against tasks that stay suspected for a worker that is gone for good.
@@ -297,7 +315,7 @@
   CHECK(crashes.MayHaveCrashedWorker("bad"));
   CHECK(!crashes.MayHaveCrashedWorker("innocent"));
   CHECK(crashes.FindLoss("w2") == nullptr);
-  CHECK(crashes.ReplacedBy("w9", Endpoint{ "10.0.0.1", 7 }, 6) ==
+  CHECK(crashes.ReplacedBy(Listed("w9", Endpoint{ "10.0.0.1", 7 }, 6)) ==
         std::vector<std::string>{ "w1" });
   const auto crash = crashes.RecordCrash(clock.Now(), "w1", kWorkers);
   REQUIRE(crash);
