Count crashes with the low limit only for runs that surely began

Cause: a sole suspect is given up after two crashes. A run whose start was not confirmed is a suspect too, although it may never have begun, and a loss that is noticed by a time-out or a refused connection is dated too early or too late. So a job could be shown as failed although only one worker had crashed under its task (LOST).

Change: the limit is four if the start was not confirmed or the time of the loss is not known. A refused connection does not show when the worker went down, so such a loss is dated to the last report. Runs that await a stop belong to an incarnation that is gone and are left out.

Result: unit_CrashAttribution "a sole suspect that may not have run is given up later" passes; before, the fields did not exist.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -142,7 +142,8 @@
       const TimePoint now = this->dependencies.clock.Now();
       const bool broke = reply.outcome.result == WorkerCommandResult::Unknown &&
                          now - sentAt < wait + kWorkerTimeout;
-      this->scheduler.HandleUnresponsive(aWorker, broke ? now : sentAt);
+      this->scheduler.HandleUnresponsive(
+        aWorker, broke ? std::optional(now) : std::nullopt);
       // The roster tells the next owner which runs the worker had.
       this->rosterSignal.Notify();
       if (reply.outcome.result == WorkerCommandResult::WrongWorker) {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -238,8 +238,7 @@
   /** Marks a worker that did not answer a lease renewal as unresponsive. It
    * gets no further lease until it reports again, so that its tasks can be
    * restarted on other workers once the current lease has expired.
-   * aContactUntil: when the worker was last known to be up, if that is later
-   * than its last report. */
+   * aContactUntil: when the worker went down, if its connection broke then. */
   void HandleUnresponsive(const std::string& aWorker,
                           std::optional<TimePoint> aContactUntil = {});
 
@@ -440,8 +439,10 @@
   void MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason);
   TimePoint NoCopyRunsAfter(const Commitment& aCommitment) const;
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
-  /** Records that contact with a worker was lost, unless the worker drains. */
-  void RecordLoss(const ScheduledWorker& aWorker, TimePoint aContactUntil);
+  /** Records that contact with a worker was lost, unless the worker drains.
+   * aContactUntil: when the worker was last up; unset if that is not known. */
+  void RecordLoss(const ScheduledWorker& aWorker,
+                  std::optional<TimePoint> aContactUntil);
   /** Restores the losses that an earlier owner recorded. Runs of their suspects
    * are numbered after the recorded ones, since a crash is identified by its
    * run. */
--- a/src/CellSchedulerCrashes.cpp
+++ b/src/CellSchedulerCrashes.cpp
@@ -22,7 +22,7 @@
 
 void
 CellScheduler::RecordLoss(const ScheduledWorker& aWorker,
-                          TimePoint aContactUntil)
+                          std::optional<TimePoint> aContactUntil)
 {
   if (aWorker.description.draining) {
     return;
@@ -30,23 +30,25 @@
   LostWorker loss;
   loss.id = aWorker.description.id;
   loss.incarnation = aWorker.reportedIncarnation;
-  loss.service = aWorker.description.service;
   loss.endpoint = aWorker.description.endpoint;
   loss.rack = aWorker.description.rack;
-  loss.lostAt = aContactUntil;
+  loss.service = aWorker.description.service;
+  loss.lostAt = aContactUntil.value_or(aWorker.lastReportAt);
+  loss.approximate = !aContactUntil.has_value();
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    if (commitment.held) {
+    // A run that awaits a stop is that of an incarnation that is gone.
+    if (commitment.held || commitment.awaitsStop) {
       continue;
     }
-    const bool confirmed = commitment.confirmedAt != TimePoint() &&
-                           commitment.confirmedAt <= aContactUntil;
-    Duration age =
-      confirmed ? aContactUntil - commitment.confirmedAt : Duration::zero();
+    const bool confirmed = commitment.confirmedAt != TimePoint();
+    Duration age = confirmed && commitment.confirmedAt <= loss.lostAt
+                     ? loss.lostAt - commitment.confirmedAt
+                     : Duration::zero();
     if (commitment.adopted) {
       age = std::max<Duration>(age, CrashAttribution::kProvenAfter);
     }
     loss.runs.push_back(
-      RunAtLoss{ task, commitment.run, age, commitment.suspect });
+      RunAtLoss{ task, commitment.run, age, commitment.suspect, !confirmed });
   }
   this->crashes.RecordLoss(std::move(loss));
 }
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -379,7 +379,7 @@
     .Add("worker", aWorker.description.id)
     .Add("from_incarnation", aWorker.reportedIncarnation)
     .Add("incarnation", aIncarnation);
-  this->RecordLoss(aWorker, aWorker.lastReportAt);
+  this->RecordLoss(aWorker, std::nullopt);
   this->HandleCrash(aWorker.description.id, "restarted under its id");
   std::vector<std::string> inFlight;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
@@ -508,7 +508,7 @@
     return;
   }
   if (!worker->unresponsive && worker->reported) {
-    this->RecordLoss(*worker, aContactUntil.value_or(worker->lastReportAt));
+    this->RecordLoss(*worker, aContactUntil);
   }
   worker->unresponsive = true;
 }
--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -96,6 +96,7 @@
     loss.incarnation = worker.incarnation;
     loss.endpoint = Endpoint{ worker.address, worker.port };
     loss.lostAt = aNow;
+    loss.approximate = true;
     for (const SuspectedRun& run : worker.suspects) {
       loss.runs.push_back(
         RunAtLoss{ run.task, run.run, Duration::zero(), false });
@@ -210,8 +211,15 @@
   }
   const bool othersCrash =
     this->unexplainedAt && aNow - *this->unexplainedAt < kUnexplainedWindow;
-  const bool ambiguous =
-    crash.suspects.size() > 1 || coincidence == Coincidence::Ambiguous;
+  // Whether a suspect ran at the time of the crash is not certain if its start
+  // was not confirmed or the time of the loss is not known.
+  const bool uncertain =
+    loss->approximate ||
+    std::any_of(loss->runs.begin(),
+                loss->runs.end(),
+                [](const RunAtLoss& aRun) { return aRun.unconfirmed; });
+  const bool ambiguous = crash.suspects.size() > 1 || uncertain ||
+                         coincidence == Coincidence::Ambiguous;
   crash.crashLimit = ambiguous     ? kMaxCrashes
                      : othersCrash ? kCrashesOfSoleSuspectAmongOthers
                                    : kCrashesOfSoleSuspect;
--- a/src/CrashAttribution.h
+++ b/src/CrashAttribution.h
@@ -27,6 +27,8 @@
   Duration age{};
   /** The task is suspected of an earlier crash. */
   bool suspected = false;
+  /** The start was not confirmed, so the run may never have begun. */
+  bool unconfirmed = false;
 };
 
 /** A worker with which contact was lost. */
@@ -39,6 +41,8 @@
   Endpoint endpoint;
   std::string rack;
   TimePoint lostAt;
+  /** The worker may have been up for some time after lostAt. */
+  bool approximate = false;
   std::vector<RunAtLoss> runs;
 };
 
--- a/test/unit/CrashAttribution.cpp
+++ b/test/unit/CrashAttribution.cpp
@@ -177,6 +177,25 @@
   CHECK(crashes.ReplacedBy(other).empty());
 }
 
+// Guards against giving up a task under which only one worker surely crashed.
+TEST_CASE("a sole suspect that may not have run is given up later")
+{
+  for (const bool approximate : { false, true }) {
+    CAPTURE(approximate);
+    ManualClock clock;
+    CrashAttribution crashes;
+    RunAtLoss run{ "a", 2, Duration::zero() };
+    run.unconfirmed = !approximate;
+    LostWorker loss = Loss("w1", clock.Now(), { run });
+    loss.approximate = approximate;
+    crashes.RecordLoss(loss);
+    const auto crash = crashes.RecordCrash(clock.Now(), "w1", kWorkers);
+    REQUIRE(crash);
+    CHECK(TasksOf(crash->suspects) == std::vector<std::string>{ "a" });
+    CHECK(crash->crashLimit == CrashAttribution::kMaxCrashes);
+  }
+}
+
 // Guards against tasks that stay suspected for a worker that is gone for good.
 TEST_CASE("a loss that is not confirmed as a crash expires")
 {
