Judge the bystanders of a crash after its suspects

Cause: the bystanders of a crash were counted, and given up at the limit, before the suspects of the same crash. A task that had been beside three crashes was given up although the fourth was explained by a suspect that was given up with it (LOST).

Change: bystanders are counted first, since giving up a suspect clears them, and judged last.

Result: unit_CrashingTasks "a bystander is not given up with the cause of its last crash" failed before (the service was not running) and passes.

--- a/src/CellSchedulerCrashes.cpp
+++ b/src/CellSchedulerCrashes.cpp
@@ -111,13 +111,21 @@
     .Add("crash_limit", static_cast<std::uint64_t>(crash->crashLimit));
   this->policies.observer.WorkerCrashed();
   // A suspect that is given up clears the bystanders, so these are counted
-  // first.
+  // before and judged after.
   for (const SuspectedRun& run : crash->bystanders) {
     this->CountBystander(run);
   }
   for (const SuspectedRun& run : crash->suspects) {
     this->CountCrash(run, crash->crashLimit);
   }
+  for (const SuspectedRun& run : crash->bystanders) {
+    const std::optional<TaskName> name = ParseTaskName(run.task);
+    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+    const WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+    if (task != nullptr && !task->withheld && HasMostCrashes(*task)) {
+      this->GiveUp(*name);
+    }
+  }
 }
 
 void
@@ -153,9 +161,6 @@
     return;
   }
   task->bystanderRuns.push_back(aRun.run);
-  if (HasMostCrashes(*task)) {
-    this->GiveUp(*name);
-  }
 }
 
 bool
--- a/test/unit/CrashingTasks.cpp
+++ b/test/unit/CrashingTasks.cpp
@@ -554,3 +554,32 @@
   REQUIRE(batch.records[0].progress.crashes.size() == 1);
   CHECK(batch.records[0].progress.crashes[0].runs.front() == 1);
 }
+
+// Guards against giving up a task for a crash whose cause is given up with it.
+TEST_CASE("a bystander is not given up with the cause of its last crash")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission service = harness.Job("service");
+  service.steps[0].longRunning = true;
+  WorkflowProgress earlier;
+  earlier.id = "service";
+  earlier.crashes = { TaskCrashes{ 0, 0, 0, { 1, 2, 3 } } };
+  harness.scheduler.Restore(service, earlier);
+  const RunningRun row{ "service.0.0.0", 4, "", 100, 0 };
+  harness.Report("w1", 1, { row }, {});
+  harness.clock.Advance(seconds(1));
+  harness.Report("w1", 1, { row }, {});
+  WorkflowProgress crashed;
+  crashed.id = "bad";
+  crashed.crashes = { TaskCrashes{ 0, 0, 0, { 1 } } };
+  harness.scheduler.Restore(harness.Job("bad"), crashed);
+  REQUIRE(harness.PlanAndConfirm().size() == 1);
+  harness.clock.Advance(milliseconds(10));
+  harness.scheduler.HandleUnresponsive("w1", harness.clock.Now());
+  harness.clock.Advance(seconds(3));
+  harness.Report("w1", 2, {}, {});
+  harness.WriteProgress();
+  CHECK(harness.scheduler.StateOf("bad") == WorkflowState::Failed);
+  CHECK(harness.scheduler.StateOf("service") == WorkflowState::Running);
+}
