Name the last contact with a worker agent in the terms of the code

Cause: a member of the older path had the name of a field of the users' platform, which only the adapter may use.

Change: it is named after what it holds, the time of the last contact. Result: a rename; unit_TasksThatCrashWorkers passes.

--- a/src/CellMachine.h
+++ b/src/CellMachine.h
@@ -181,7 +181,7 @@
     int finalQueries = 0;
     std::optional<TimePoint> lastReply;
     /** Time of the last reply of the incarnation in the log. */
-    std::optional<TimePoint> lastSeen;
+    std::optional<TimePoint> lastContact;
     std::uint32_t grant = 0;
     bool grantPending = false;
     bool granted = false;
--- a/src/CellMachineWorkers.cpp
+++ b/src/CellMachineWorkers.cpp
@@ -234,8 +234,8 @@
                        known->second.capacity != aStatus.capacity ||
                        known->second.address != aLink.endpoint.address ||
                        known->second.port != aLink.endpoint.port;
-  const TimePoint lastSeen =
-    std::exchange(aLink.lastSeen, aNow).value_or(this->activeSince);
+  const TimePoint lastContact =
+    std::exchange(aLink.lastContact, aNow).value_or(this->activeSince);
   if (!changed) {
     return true;
   }
@@ -262,7 +262,7 @@
   entry.incarnation = aStatus.incarnation;
   entry.capacity.push_back(aStatus.capacity);
   if (replaced) {
-    entry.text = this->CrashCandidates(aName, lastSeen);
+    entry.text = this->CrashCandidates(aName, lastContact);
   }
   this->Propose(std::move(entry));
   this->unplaceable.clear();
