Look up the task of a crash in one place

Cause: five functions repeated the steps from the name of a task to its state.

Change: FindTask() returns name, job entry and state together. No decision changes.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -453,6 +453,15 @@
   /** Handles proof that a lost worker has crashed. Does nothing if no loss is
    * recorded. aEvidence: for the log. */
   void HandleCrash(const std::string& aWorker, const char* aEvidence);
+  /** A task of a job that has not ended. The pointers are valid until the job
+   * ends. */
+  struct KnownTask
+  {
+    TaskName name;
+    Entry* entry = nullptr;
+    WorkflowTask* task = nullptr;
+  };
+  std::optional<KnownTask> FindTask(const std::string& aTask);
   /** Counts a crash against a task and gives the task up if aLimit is reached.
    */
   void CountCrash(const SuspectedRun& aRun, std::size_t aLimit);
--- a/src/CellSchedulerCrashes.cpp
+++ b/src/CellSchedulerCrashes.cpp
@@ -59,13 +59,10 @@
   this->crashes.Restore(this->clock.Now(), aRoster.silent);
   for (const UnresponsiveWorker& worker : aRoster.silent) {
     for (const SuspectedRun& run : worker.suspects) {
-      const std::optional<TaskName> name = ParseTaskName(run.task);
-      Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-      WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
-      if (task != nullptr) {
-        // Crashes are told apart by run numbers, so a number must not be used
-        // again.
-        task->run = std::max(task->run, run.run);
+      // Crashes are told apart by run numbers, so a number must not be used
+      // again.
+      if (const auto known = this->FindTask(run.task)) {
+        known->task->run = std::max(known->task->run, run.run);
       }
     }
   }
@@ -119,48 +116,55 @@
     this->CountCrash(run, crash->crashLimit);
   }
   for (const SuspectedRun& run : crash->bystanders) {
-    const std::optional<TaskName> name = ParseTaskName(run.task);
-    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-    const WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
-    if (task != nullptr && !task->withheld && HasMostCrashes(*task)) {
-      this->GiveUp(*name);
+    const auto known = this->FindTask(run.task);
+    if (known && !known->task->withheld && HasMostCrashes(*known->task)) {
+      this->GiveUp(known->name);
     }
   }
 }
 
+std::optional<CellScheduler::KnownTask>
+CellScheduler::FindTask(const std::string& aTask)
+{
+  const std::optional<TaskName> name = ParseTaskName(aTask);
+  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
+  WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+  if (task == nullptr) {
+    return std::nullopt;
+  }
+  return KnownTask{ *name, entry, task };
+}
+
 void
 CellScheduler::CountCrash(const SuspectedRun& aRun, std::size_t aLimit)
 {
-  const std::optional<TaskName> name = ParseTaskName(aRun.task);
-  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-  const WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
-  if (task == nullptr || !entry->job.MarkCrashed(*name, aRun.run)) {
+  const auto known = this->FindTask(aRun.task);
+  if (!known || !known->entry->job.MarkCrashed(known->name, aRun.run)) {
     return;
   }
+  const WorkflowTask& task = *known->task;
   Event("task_suspected", LogLevel::Warning)
     .Add("task", aRun.task)
     .Add("run", aRun.run)
-    .Add("crashes", static_cast<std::uint64_t>(task->crashedRuns.size()))
+    .Add("crashes", static_cast<std::uint64_t>(task.crashedRuns.size()))
     .Add("limit", static_cast<std::uint64_t>(aLimit));
-  this->MarkDirty(name->job);
-  if (task->crashedRuns.size() >= aLimit || HasMostCrashes(*task)) {
-    this->GiveUp(*name);
+  this->MarkDirty(known->name.job);
+  if (task.crashedRuns.size() >= aLimit || HasMostCrashes(task)) {
+    this->GiveUp(known->name);
   }
 }
 
 void
 CellScheduler::CountBystander(const SuspectedRun& aRun)
 {
-  const std::optional<TaskName> name = ParseTaskName(aRun.task);
-  Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-  WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
-  if (task == nullptr || task->status == TaskStatus::Done ||
-      std::find(task->bystanderRuns.begin(),
-                task->bystanderRuns.end(),
-                aRun.run) != task->bystanderRuns.end()) {
+  const auto known = this->FindTask(aRun.task);
+  if (!known || known->task->status == TaskStatus::Done) {
     return;
   }
-  task->bystanderRuns.push_back(aRun.run);
+  std::vector<std::uint64_t>& runs = known->task->bystanderRuns;
+  if (std::find(runs.begin(), runs.end(), aRun.run) == runs.end()) {
+    runs.push_back(aRun.run);
+  }
 }
 
 bool
@@ -175,11 +179,9 @@
 {
   for (const SuspectedRun& run :
        this->crashes.RecordCulprit(FormatTaskName(aName))) {
-    const std::optional<TaskName> name = ParseTaskName(run.task);
-    Entry* const entry = name ? this->FindJob(name->job) : nullptr;
-    if (entry != nullptr && entry->job.Find(*name) != nullptr &&
-        entry->job.ClearCrash(*name, run.run)) {
-      this->MarkDirty(name->job);
+    const auto known = this->FindTask(run.task);
+    if (known && known->entry->job.ClearCrash(known->name, run.run)) {
+      this->MarkDirty(known->name.job);
     }
   }
   if (!this->jobs.at(aName.job).job.IsPart()) {
