Note a size as unplaced only for searches against lasting commitments

Cause: PlanGang commits capacity for its members one by one. When a member found no worker, ChooseWorker noted its size as one that fits nowhere in this pass. The attempt's commitments were released, the note stayed, and every later step of that size or more was skipped, in each pass.

The callers of the search now note the size: PlanStep always, PlanGang only if the first member finds no worker, since only that search sees nothing but lasting commitments.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -527,6 +527,8 @@
    * resources of aTask and can run on the same workers. Always false for
    * long-running tasks. */
   bool IsUnplaced(const TaskToPlace& aTask) const;
+  /** Records that no worker was found for aTask, for IsUnplaced(). Precondition:
+   * the search saw only commitments and reservations that outlast it. */
   void NoteUnplaced(const TaskToPlace& aTask);
   /** Reserves capacity for a long-running task that does not fit on any worker.
    */
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -185,7 +185,6 @@
   if (best != nullptr || this->AwaitsIsolation(aTask)) {
     return best;
   }
-  this->NoteUnplaced(aTask);
   if (aTask.step.longRunning && aTask.waited > kQuarantinedWorkerWait) {
     return this->ChooseWorkerAmong(this->quarantinedWorkers, aTask);
   }
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -299,6 +299,7 @@
       continue;
     }
     if (worker == nullptr) {
+      this->NoteUnplaced(placed);
       longestMissed =
         std::max(longestMissed.value_or(placed.waited), placed.waited);
       if (!step.longRunning) {
@@ -365,6 +366,11 @@
   }
   for (std::uint32_t i = 0; i < step.count; ++i) {
     ScheduledWorker* const worker = this->ChooseWorker(placed);
+    // Later searches see the capacity of the members before, so that what they
+    // miss says nothing about other steps.
+    if (worker == nullptr && chosen.empty() && !this->AwaitsIsolation(placed)) {
+      this->NoteUnplaced(placed);
+    }
     const bool earlierRun =
       worker != nullptr &&
       worker->Find(FormatTaskName(
