Log which accepted job waits longest for its start, and why

A short task that no worker takes left no line in the log.

task_waits names, once a second, the step of the earliest accepted job that has waited for more than 10 s, and counts the workers by the obstacle. The checks of ColocationChoice return their obstacle in place of an empty result; decisions are unchanged.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -511,6 +511,9 @@
   /** Logs at intervals what the interrupted long-running task that has waited
    * longest waits for, and what delays the recovery of the cell. */
   void LogDelays(std::span<const Candidate> aWaiting);
+  /** Logs at intervals which short task of the earliest accepted job waits, and
+   * how many workers do not take it for each obstacle. */
+  void LogWaitingTask(std::span<const Candidate> aWaiting);
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
   void PlanSteps(std::span<const Candidate> aCandidates,
                  PlannedCommands& aOrders);
@@ -527,8 +530,9 @@
    * resources of aTask and can run on the same workers. Always false for
    * long-running tasks. */
   bool IsUnplaced(const TaskToPlace& aTask) const;
-  /** Records that no worker was found for aTask, for IsUnplaced(). Precondition:
-   * the search saw only commitments and reservations that outlast it. */
+  /** Records that no worker was found for aTask, for IsUnplaced().
+   * Precondition: the search saw only commitments and reservations that outlast
+   * it. */
   void NoteUnplaced(const TaskToPlace& aTask);
   /** Reserves capacity for a long-running task that does not fit on any worker.
    */
@@ -652,6 +656,7 @@
   TimePoint interferenceLoggedAt;
   TimePoint usageLoggedAt;
   TimePoint delaysLoggedAt;
+  TimePoint waitLoggedAt;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -4,6 +4,8 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 namespace sequoiakeel {
 
@@ -23,6 +25,10 @@
 /** Wait from which an interrupted long-running task is logged. */
 constexpr std::chrono::milliseconds kLoggedWait{ 1500 };
 
+/** Time since a job's acceptance from which its tasks that wait are logged. No
+ * short job of the users' deployments is meant to take as long. */
+constexpr std::chrono::seconds kLoggedShortWait{ 10 };
+
 /** Number of workers that are named in a log line. */
 constexpr std::size_t kLoggedWorkers = 5;
 
@@ -61,6 +67,7 @@
   }
   this->PlanSteps({ others, last }, orders);
   this->LogDelays(candidates);
+  this->LogWaitingTask(candidates);
   this->PlanStops(orders);
   this->PlanThrottles(orders);
   return orders;
@@ -179,6 +186,69 @@
     .Add("offered", static_cast<std::uint64_t>(this->unplaceable.size()));
 }
 
+void
+CellScheduler::LogWaitingTask(std::span<const Candidate> aWaiting)
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->waitLoggedAt < kUsageLogInterval) {
+    return;
+  }
+  this->waitLoggedAt = now;
+  const Candidate* longest = nullptr;
+  for (const Candidate& candidate : aWaiting) {
+    if (candidate.order.longRunning) {
+      continue;
+    }
+    if (longest == nullptr ||
+        candidate.order.acceptedUnixMs < longest->order.acceptedUnixMs) {
+      longest = &candidate;
+    }
+  }
+  if (longest == nullptr) {
+    return;
+  }
+  const auto waited = static_cast<double>(this->wallClock.UnixMs()) -
+                      static_cast<double>(longest->order.acceptedUnixMs);
+  if (waited <
+      std::chrono::duration<double, std::milli>(kLoggedShortWait).count()) {
+    return;
+  }
+  const WorkflowSubmission& submission =
+    this->jobs.at(longest->job).job.Submission();
+  const WorkflowStep& step = submission.steps[longest->step];
+  const std::string key =
+    FormatStepKey({ longest->job, longest->occurrence, longest->step, 0 });
+  std::map<std::string_view, int> workersBy;
+  for (const ScheduledWorker* const worker : this->availableWorkers) {
+    if (!SatisfiesConstraints(*worker, submission.service, step, key)) {
+      ++workersBy["not_allowed"];
+    } else if (!worker->Fits(step)) {
+      ++workersBy[worker->FitsBesideRuns(step) ? "reserved" : "full"];
+    } else if (step.filler) {
+      ++workersBy[ToString(
+        ObstacleFor(*worker, step, this->interference, now))];
+    } else {
+      ++workersBy["none"];
+    }
+  }
+  std::string obstacles;
+  for (const auto& [obstacle, count] : workersBy) {
+    obstacles += (obstacles.empty() ? "" : ",") + std::string(obstacle) + ":" +
+                 std::to_string(count);
+  }
+  Event("task_waits", LogLevel::Warning)
+    .Add("step", key)
+    .Add("pending", longest->pending)
+    .Add("priority", longest->order.priority)
+    .Add("gang", step.gang)
+    .Add("filler", step.filler)
+    .Add("image", step.image)
+    .Add("cpu_milli", step.cpuMilli)
+    .Add("memory_mb", step.memoryMb)
+    .Add("accepted_ms_ago", static_cast<std::int64_t>(waited))
+    .Add("workers", obstacles);
+}
+
 void
 CellScheduler::PlanSteps(std::span<const Candidate> aCandidates,
                          PlannedCommands& aOrders)
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -89,40 +89,75 @@
   return aWorker.ShareOf(sum);
 }
 
-/** Returns the largest effect of a filler on the serving tasks of a worker.
- * Empty if the filler must not start there: a serving task would come too close
- * to its latency target, or its latency has not been reported yet. */
-std::optional<double>
+/** The largest effect of a filler on the serving tasks of a worker, unless an
+ * obstacle forbids the filler there. */
+struct ServingEffect
+{
+  FillerObstacle obstacle = FillerObstacle::None;
+  double worst = 0;
+};
+
+ServingEffect
 EffectOnServing(const ScheduledWorker& aWorker,
                 const WorkflowStep& aStep,
                 const FillerInterference& aInterference,
                 TimePoint aNow)
 {
   const double share = aWorker.ShareOf(aStep.cpuMilli);
-  double worst = 0;
+  ServingEffect result;
   for (const auto& [task, serving] : aWorker.Commitments()) {
     if (!serving.HasLatencyTarget()) {
       continue;
     }
     if (serving.usage == 0) {
-      return std::nullopt;
+      return { FillerObstacle::LatencyUnknown };
     }
     const std::string& image = serving.step.image;
     const double effect = aInterference.Effect(image, aStep.image);
     const bool harmless = effect <= FillerInterference::kHarmlessEffect;
     if (effect >= kHarmfulEffect) {
-      return std::nullopt;
+      return { FillerObstacle::HarmfulImage };
     }
     const double growth =
       UnreportedEffect(aWorker, image, aInterference, aNow) +
       (harmless ? effect : kAssumedEffect) * share;
     const double limit = harmless ? kMaxHarmlessRatio : kMaxProjectedRatio;
     if (serving.LatencyRatio() * std::exp(growth) > limit) {
-      return std::nullopt;
+      return { FillerObstacle::TargetNear };
     }
-    worst = std::max(worst, harmless ? 0 : effect);
+    result.worst = std::max(result.worst, harmless ? 0 : effect);
   }
-  return worst;
+  return result;
+}
+
+/** Returns the processor time left for one more filler on a worker. */
+double
+SpareForFiller(const ScheduledWorker& aWorker,
+               const FillerInterference& aInterference)
+{
+  if (!aWorker.fillerSpare) {
+    aWorker.fillerSpare =
+      CpuAvailableToFillers(aWorker, aInterference) -
+      static_cast<double>(aWorker.Committed().fillerCpuMilli);
+  }
+  return *aWorker.fillerSpare;
+}
+
+/** Returns the first obstacle that does not depend on the effect on serving
+ * tasks, which takes longer to compute. */
+FillerObstacle
+ObstacleOnWorker(const ScheduledWorker& aWorker,
+                 const WorkflowStep& aStep,
+                 double aSpare)
+{
+  if (aSpare < kMinUnusedShare * static_cast<double>(aStep.cpuMilli)) {
+    return FillerObstacle::ProcessorsInUse;
+  }
+  if (aWorker.FillerPercent(aStep.image) < 100) {
+    return FillerObstacle::Slowed;
+  }
+  return aWorker.WorstLatencyRatio() > 1 ? FillerObstacle::TargetMissed
+                                         : FillerObstacle::None;
 }
 
 std::optional<double>
@@ -132,26 +167,18 @@
             TimePoint aNow,
             double aAtLeast)
 {
-  if (!aWorker.fillerSpare) {
-    aWorker.fillerSpare =
-      CpuAvailableToFillers(aWorker, aInterference) -
-      static_cast<double>(aWorker.Committed().fillerCpuMilli);
-  }
-  const double spare = *aWorker.fillerSpare;
-  const auto wanted = static_cast<double>(aStep.cpuMilli);
-  // Checks the unused processor time before the effect on serving tasks is
-  // computed, since that effect can only lower the score.
-  if (spare < kMinUnusedShare * wanted || spare <= aAtLeast ||
-      aWorker.FillerPercent(aStep.image) < 100 ||
-      aWorker.WorstLatencyRatio() > 1) {
+  const double spare = SpareForFiller(aWorker, aInterference);
+  // The effect on serving tasks can only lower the score.
+  if (spare <= aAtLeast ||
+      ObstacleOnWorker(aWorker, aStep, spare) != FillerObstacle::None) {
     return std::nullopt;
   }
-  const std::optional<double> effect =
+  const ServingEffect effect =
     EffectOnServing(aWorker, aStep, aInterference, aNow);
-  if (!effect) {
+  if (effect.obstacle != FillerObstacle::None) {
     return std::nullopt;
   }
-  return spare - kEffectWeight * *effect * wanted;
+  return spare - kEffectWeight * effect.worst * aStep.cpuMilli;
 }
 
 /** Returns the increase of log(tail latency) of tasks of aServingImage that the
@@ -209,6 +236,41 @@
 
 } // namespace
 
+std::string_view
+ToString(FillerObstacle aObstacle)
+{
+  switch (aObstacle) {
+    case FillerObstacle::None:
+      return "none";
+    case FillerObstacle::ProcessorsInUse:
+      return "processors_in_use";
+    case FillerObstacle::Slowed:
+      return "slowed";
+    case FillerObstacle::TargetMissed:
+      return "target_missed";
+    case FillerObstacle::LatencyUnknown:
+      return "latency_unknown";
+    case FillerObstacle::HarmfulImage:
+      return "harmful_image";
+    case FillerObstacle::TargetNear:
+      return "target_near";
+  }
+  return "invalid";
+}
+
+FillerObstacle
+ObstacleFor(const ScheduledWorker& aWorker,
+            const WorkflowStep& aStep,
+            const FillerInterference& aInterference,
+            TimePoint aNow)
+{
+  const FillerObstacle obstacle =
+    ObstacleOnWorker(aWorker, aStep, SpareForFiller(aWorker, aInterference));
+  return obstacle == FillerObstacle::None
+           ? EffectOnServing(aWorker, aStep, aInterference, aNow).obstacle
+           : obstacle;
+}
+
 double
 CpuAvailableToFillers(const ScheduledWorker& aWorker,
                       const FillerInterference& aInterference)
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -3,8 +3,10 @@
 #include "FillerInterference.h"
 #include "ScheduledWorker.h"
 
+#include <cstdint>
 #include <limits>
 #include <optional>
+#include <string_view>
 
 namespace sequoiakeel {
 
@@ -64,6 +66,35 @@
                               double aAtLeast) const override;
 };
 
+/** Why a filler is not started on a worker on which it fits. */
+enum class FillerObstacle : std::uint8_t
+{
+  None,
+  /** The other tasks leave too little processor time unused. */
+  ProcessorsInUse,
+  /** Fillers of its image are slowed there. */
+  Slowed,
+  /** A serving task exceeds its latency target. */
+  TargetMissed,
+  /** A serving task has not reported its latency yet. */
+  LatencyUnknown,
+  /** The image is known to harm a serving task. */
+  HarmfulImage,
+  /** A serving task would come too close to its latency target. */
+  TargetNear,
+};
+
+std::string_view
+ToString(FillerObstacle aObstacle);
+
+/** Returns why ColocationChoice does not start a filler on a worker that
+ * satisfies every hard constraint of its step. Thread safe. */
+FillerObstacle
+ObstacleFor(const ScheduledWorker& aWorker,
+            const WorkflowStep& aStep,
+            const FillerInterference& aInterference,
+            TimePoint aNow);
+
 /** Returns the processor time that a worker's other tasks leave to all its
  * fillers together, in thousandths of a core; negative if the other tasks
  * already exceed the utilization limit. */
