Widen the limits on starting fillers once their job is overdue

A filler whose image is believed to harm a serving image is not started beside it however low the latency is, which was so on up to 34 of 66 workers, so that fillers demanded 55 to 70% of the processors left to them while thousands of cores waited. Overdue jobs come after all others, and all tasks of one before the first of the next.

Overdue now means that the result is of no use any more, or 30 s since the acceptance, as objectives follow from estimates that can be off by a multiple. A filler of an overdue job may start beside serving tasks that it slows down if their projected latency keeps the target. The first task of each overdue job precedes the second of any, and may start on two fifths of its demand.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -373,6 +373,7 @@
     bool interrupted = false;
     /** The task is suspected of crashing its workers. */
     bool suspect = false;
+    FillerLimits limits = FillerLimits::Usual;
   };
   /** A start of a long-running task that is sent once its assignment is
    * durable. */
@@ -514,6 +515,14 @@
   /** Logs at intervals which short task of the earliest accepted job waits, and
    * how many workers do not take it for each obstacle. */
   void LogWaitingTask(std::span<const Candidate> aWaiting);
+  /** Returns why no task of a step is started on a worker, for the log. */
+  std::string_view ObstacleOn(const ScheduledWorker& aWorker,
+                              const std::string& aService,
+                              const std::string& aStepKey,
+                              const WorkerRequest& aRequest) const;
+  /** Returns the limits for starting a task of a waiting step if it is a
+   * filler. */
+  FillerLimits LimitsFor(const Candidate& aCandidate) const;
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
   void PlanSteps(std::span<const Candidate> aCandidates,
                  PlannedCommands& aOrders);
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -61,9 +61,15 @@
 /** Returns a key that is equal for steps that can run on the same workers,
  * provided that their resources fit. */
 std::string
-PlacementKey(const std::string& aService, const WorkflowStep& aStep)
+PlacementKey(const std::string& aService,
+             const WorkflowStep& aStep,
+             FillerLimits aLimits)
 {
-  return aStep.filler ? aService + "/filler/" + aStep.image : aService;
+  if (!aStep.filler) {
+    return aService;
+  }
+  return aService + "/filler/" + aStep.image + "/" +
+         std::to_string(static_cast<int>(aLimits));
 }
 
 bool
@@ -103,8 +109,8 @@
 bool
 CellScheduler::IsUnplaced(const TaskToPlace& aTask) const
 {
-  const auto found =
-    this->unplaced.find(PlacementKey(aTask.submission.service, aTask.step));
+  const auto found = this->unplaced.find(
+    PlacementKey(aTask.submission.service, aTask.step, aTask.limits));
   return found != this->unplaced.end() && !aTask.step.longRunning &&
          NeedsNoMoreThan(found->second, aTask.step);
 }
@@ -119,7 +125,8 @@
   }
   WorkflowStep& smallest =
     this->unplaced
-      .try_emplace(PlacementKey(aTask.submission.service, step), step)
+      .try_emplace(PlacementKey(aTask.submission.service, step, aTask.limits),
+                   step)
       .first->second;
   if (NeedsNoMoreThan(step, smallest)) {
     smallest = step;
@@ -132,6 +139,7 @@
 {
   const TimePoint now = this->clock.Now();
   const WorkflowStep& step = aTask.step;
+  const WorkerRequest request{ step, aTask.limits };
   const bool mayUseReserved = step.longRunning && aTask.interrupted &&
                               aTask.waited > kReservedCapacityWait;
   const bool isolated = this->AwaitsIsolation(aTask);
@@ -152,7 +160,7 @@
       const bool accepted =
         this->policies.choice
           .Score(
-            *worker, step, this->interference, now, WorkerChoice::kAnyScore)
+            *worker, request, this->interference, now, WorkerChoice::kAnyScore)
           .has_value();
       const double rate = -static_cast<double>(worker->Commitments().size());
       if (accepted && rate > bestRate) {
@@ -165,7 +173,7 @@
       step.sameRack && worker->description.rack == aTask.rack;
     const double bonus = sameRack ? kSameRackBonus : 0;
     const std::optional<double> rate = this->policies.choice.Score(
-      *worker, step, this->interference, now, bestRate - bonus);
+      *worker, request, this->interference, now, bestRate - bonus);
     if (rate && *rate + bonus > bestRate) {
       best = worker;
       bestRate = *rate + bonus;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -25,10 +25,15 @@
 /** Wait from which an interrupted long-running task is logged. */
 constexpr std::chrono::milliseconds kLoggedWait{ 1500 };
 
-/** Time since a job's acceptance from which its tasks that wait are logged. No
- * short job of the users' deployments is meant to take as long. */
+/** Time since a job's acceptance from which a short task that waits is logged.
+ * Most short jobs are due earlier. */
 constexpr std::chrono::seconds kLoggedShortWait{ 10 };
 
+/** Time since its acceptance, or since it was due, after which a job counts as
+ * overdue even if it could still meet its objective: objectives follow from the
+ * callers' estimates, which can be off by a multiple. */
+constexpr std::chrono::seconds kOverdueAfter{ 30 };
+
 /** Number of workers that are named in a log line. */
 constexpr std::size_t kLoggedWorkers = 5;
 
@@ -186,6 +191,28 @@
     .Add("offered", static_cast<std::uint64_t>(this->unplaceable.size()));
 }
 
+std::string_view
+CellScheduler::ObstacleOn(const ScheduledWorker& aWorker,
+                          const std::string& aService,
+                          const std::string& aStepKey,
+                          const WorkerRequest& aRequest) const
+{
+  const WorkflowStep& step = aRequest.step;
+  if (!SatisfiesConstraints(aWorker, aService, step, aStepKey)) {
+    return "not_allowed";
+  }
+  if (!aWorker.FitsBesideRuns(step)) {
+    return "full";
+  }
+  if (!aWorker.Fits(step)) {
+    return "reserved";
+  }
+  return step.filler
+           ? ToString(ObstacleFor(
+               aWorker, aRequest, this->interference, this->clock.Now()))
+           : "none";
+}
+
 void
 CellScheduler::LogWaitingTask(std::span<const Candidate> aWaiting)
 {
@@ -194,9 +221,16 @@
     return;
   }
   this->waitLoggedAt = now;
+  const auto pendingOf = [this](const Candidate& aCandidate) {
+    return this->jobs.at(aCandidate.job)
+      .job.Occurrences()[aCandidate.occurrence]
+      .steps[aCandidate.step]
+      .pending;
+  };
   const Candidate* longest = nullptr;
   for (const Candidate& candidate : aWaiting) {
-    if (candidate.order.longRunning) {
+    // The tasks of other candidates were started in this pass.
+    if (candidate.order.longRunning || pendingOf(candidate) == 0) {
       continue;
     }
     if (longest == nullptr ||
@@ -218,18 +252,10 @@
   const WorkflowStep& step = submission.steps[longest->step];
   const std::string key =
     FormatStepKey({ longest->job, longest->occurrence, longest->step, 0 });
+  const WorkerRequest request{ step, this->LimitsFor(*longest) };
   std::map<std::string_view, int> workersBy;
   for (const ScheduledWorker* const worker : this->availableWorkers) {
-    if (!SatisfiesConstraints(*worker, submission.service, step, key)) {
-      ++workersBy["not_allowed"];
-    } else if (!worker->Fits(step)) {
-      ++workersBy[worker->FitsBesideRuns(step) ? "reserved" : "full"];
-    } else if (step.filler) {
-      ++workersBy[ToString(
-        ObstacleFor(*worker, step, this->interference, now))];
-    } else {
-      ++workersBy["none"];
-    }
+    ++workersBy[this->ObstacleOn(*worker, submission.service, key, request)];
   }
   std::string obstacles;
   for (const auto& [obstacle, count] : workersBy) {
@@ -238,7 +264,7 @@
   }
   Event("task_waits", LogLevel::Warning)
     .Add("step", key)
-    .Add("pending", longest->pending)
+    .Add("pending", pendingOf(*longest))
     .Add("priority", longest->order.priority)
     .Add("gang", step.gang)
     .Add("filler", step.filler)
@@ -261,6 +287,27 @@
   }
 }
 
+FillerLimits
+CellScheduler::LimitsFor(const Candidate& aCandidate) const
+{
+  if (!aCandidate.order.filler) {
+    return FillerLimits::Usual;
+  }
+  const WorkflowJob& job = this->jobs.at(aCandidate.job).job;
+  const auto now = static_cast<double>(this->wallClock.UnixMs());
+  const std::uint64_t since =
+    std::max(aCandidate.order.acceptedUnixMs,
+             job.Occurrences()[aCandidate.occurrence].dueUnixMs);
+  const double waitedMs = now - static_cast<double>(since);
+  const bool overdue =
+    ExpectedOutcomeOf(aCandidate.order, now) == ExpectedOutcome::Useless ||
+    waitedMs > std::chrono::duration<double, std::milli>(kOverdueAfter).count();
+  if (!overdue) {
+    return FillerLimits::Usual;
+  }
+  return job.AnyAssigned() ? FillerLimits::Overdue : FillerLimits::OverdueIdle;
+}
+
 bool
 CellScheduler::StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const
 {
@@ -297,6 +344,7 @@
         order.priority = submission.priority;
         order.longRunning = step.longRunning;
         order.filler = step.filler;
+        order.idle = !entry.job.AnyAssigned();
         order.objectiveUnixMs = entry.job.ObjectiveUnixMs();
         order.remainingMs = entry.job.RemainingPathMs(s);
         order.remainingWork = entry.job.RemainingWork();
@@ -335,6 +383,7 @@
   const std::vector<WorkflowTask>& tasks =
     entry.job.Occurrences()[aCandidate.occurrence].steps[aCandidate.step].tasks;
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
+  placed.limits = this->LimitsFor(aCandidate);
   const TimePoint now = this->clock.Now();
   // A task that has waited longer may be placed where this one may not.
   std::optional<Duration> longestMissed;
@@ -392,6 +441,10 @@
     }
     placed.rack = worker->description.rack;
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
+    if (placed.limits == FillerLimits::OverdueIdle) {
+      // The first task of each overdue job precedes the second of any.
+      return;
+    }
   }
 }
 
@@ -430,6 +483,7 @@
   // since a gang that lacks a member only wastes the time of the others.
   std::vector<ScheduledWorker*> chosen;
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
+  placed.limits = this->LimitsFor(aCandidate);
   if (anySuspect) {
     placed.suspect = true;
     placed.waited = this->clock.Now() - pendingSince;
--- a/src/StepOrder.cpp
+++ b/src/StepOrder.cpp
@@ -8,13 +8,7 @@
  * job's acceptance to its objective has passed since the acceptance. */
 constexpr double kUsefulTimeFactor = 3;
 
-/** Outcome of a job if it is started now, in order of precedence. */
-enum class ExpectedOutcome : std::uint8_t
-{
-  InTime,
-  Late,
-  Useless,
-};
+} // namespace
 
 ExpectedOutcome
 ExpectedOutcomeOf(const WaitingStep& aStep, double aNowUnixMs)
@@ -29,8 +23,6 @@
   return end <= useful ? ExpectedOutcome::Late : ExpectedOutcome::Useless;
 }
 
-} // namespace
-
 bool
 ArrivalOrder::Precedes(const WaitingStep& aLeft,
                        const WaitingStep& aRight,
@@ -65,6 +57,9 @@
     return left < right;
   }
   if (left == ExpectedOutcome::Useless) {
+    if (aLeft.idle != aRight.idle) {
+      return aLeft.idle;
+    }
     return aLeft.acceptedUnixMs < aRight.acceptedUnixMs;
   }
   return aLeft.remainingWork < aRight.remainingWork;
--- a/src/StepOrder.h
+++ b/src/StepOrder.h
@@ -15,6 +15,8 @@
    * without service. */
   bool interrupted = false;
   bool filler = false;
+  /** No task of the job runs. */
+  bool idle = false;
   /** Time by which the job should be completed, in milliseconds since 1970. */
   double objectiveUnixMs = 0;
   /** Shortest time in which the rest of the job can be completed. */
@@ -24,6 +26,19 @@
   std::uint64_t acceptedUnixMs = 0;
 };
 
+/** Outcome of a job if its next step is started now, in order of precedence. */
+enum class ExpectedOutcome : std::uint8_t
+{
+  InTime,
+  Late,
+  /** The result is of no use to callers any more. */
+  Useless,
+};
+
+/** Returns the expected outcome of a step's job. Thread safe. */
+ExpectedOutcome
+ExpectedOutcomeOf(const WaitingStep& aStep, double aNowUnixMs);
+
 /** Strategy that orders steps with tasks to start. Stateless; thread safe. */
 class StepOrder
 {
@@ -58,8 +73,8 @@
  *   be late but still of use; within each class the one with the least
  *   remaining work first, so that most jobs are completed in time and those
  *   under way are finished;
- * - jobs whose result will be of no use any more come last, in order of
- *   arrival.
+ * - jobs whose result will be of no use any more come last: first those of
+ *   which no task runs, then the others, each in order of arrival.
  */
 class LeastWorkOrder : public StepOrder
 {
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /** A filler with an effect of at least this size is not started beside the
- * serving task: the task's own load can peak while the filler runs, and one
- * second of a missed latency target costs more than the work that the filler
- * does in several seconds. */
+ * serving task unless its job is overdue: the task's own load can peak while
+ * the filler runs, and one second of a missed latency target costs more than
+ * the work that the filler does in several seconds. */
 constexpr double kHarmfulEffect = 2.0;
 
 /** Effect assumed for a filler until its effect is known. It is at the upper
@@ -53,6 +53,10 @@
  * there. */
 constexpr double kMinUnusedShare = 0.8;
 
+/** The same for the first task of an overdue job: a large one would otherwise
+ * wait for as long as smaller ones take what becomes free. */
+constexpr double kMinUnusedShareIdle = 0.4;
+
 /** Age from which the last report counts as overdue. Workers report at least
  * once a second; one that is late may hang. */
 constexpr std::chrono::milliseconds kReportOverdue{ 1500 };
@@ -99,11 +103,12 @@
 
 ServingEffect
 EffectOnServing(const ScheduledWorker& aWorker,
-                const WorkflowStep& aStep,
+                const WorkerRequest& aRequest,
                 const FillerInterference& aInterference,
                 TimePoint aNow)
 {
-  const double share = aWorker.ShareOf(aStep.cpuMilli);
+  const WorkflowStep& step = aRequest.step;
+  const double share = aWorker.ShareOf(step.cpuMilli);
   ServingEffect result;
   for (const auto& [task, serving] : aWorker.Commitments()) {
     if (!serving.HasLatencyTarget()) {
@@ -113,14 +118,14 @@
       return { FillerObstacle::LatencyUnknown };
     }
     const std::string& image = serving.step.image;
-    const double effect = aInterference.Effect(image, aStep.image);
+    const double effect = aInterference.Effect(image, step.image);
     const bool harmless = effect <= FillerInterference::kHarmlessEffect;
-    if (effect >= kHarmfulEffect) {
+    if (effect >= kHarmfulEffect && aRequest.limits == FillerLimits::Usual) {
       return { FillerObstacle::HarmfulImage };
     }
     const double growth =
       UnreportedEffect(aWorker, image, aInterference, aNow) +
-      (harmless ? effect : kAssumedEffect) * share;
+      (harmless ? effect : std::max(effect, kAssumedEffect)) * share;
     const double limit = harmless ? kMaxHarmlessRatio : kMaxProjectedRatio;
     if (serving.LatencyRatio() * std::exp(growth) > limit) {
       return { FillerObstacle::TargetNear };
@@ -143,17 +148,29 @@
   return *aWorker.fillerSpare;
 }
 
+/** Returns whether the processor time that no filler of a worker demands yet
+ * suffices for one more. */
+bool
+SufficesFor(const WorkerRequest& aRequest, double aSpare)
+{
+  const double wanted = aRequest.step.cpuMilli;
+  const double share = aRequest.limits == FillerLimits::OverdueIdle
+                         ? kMinUnusedShareIdle
+                         : kMinUnusedShare;
+  return aSpare >= share * wanted;
+}
+
 /** Returns the first obstacle that does not depend on the effect on serving
  * tasks, which takes longer to compute. */
 FillerObstacle
 ObstacleOnWorker(const ScheduledWorker& aWorker,
-                 const WorkflowStep& aStep,
+                 const WorkerRequest& aRequest,
                  double aSpare)
 {
-  if (aSpare < kMinUnusedShare * static_cast<double>(aStep.cpuMilli)) {
+  if (!SufficesFor(aRequest, aSpare)) {
     return FillerObstacle::ProcessorsInUse;
   }
-  if (aWorker.FillerPercent(aStep.image) < 100) {
+  if (aWorker.FillerPercent(aRequest.step.image) < 100) {
     return FillerObstacle::Slowed;
   }
   return aWorker.WorstLatencyRatio() > 1 ? FillerObstacle::TargetMissed
@@ -162,7 +179,7 @@
 
 std::optional<double>
 ScoreFiller(const ScheduledWorker& aWorker,
-            const WorkflowStep& aStep,
+            const WorkerRequest& aRequest,
             const FillerInterference& aInterference,
             TimePoint aNow,
             double aAtLeast)
@@ -170,15 +187,15 @@
   const double spare = SpareForFiller(aWorker, aInterference);
   // The effect on serving tasks can only lower the score.
   if (spare <= aAtLeast ||
-      ObstacleOnWorker(aWorker, aStep, spare) != FillerObstacle::None) {
+      ObstacleOnWorker(aWorker, aRequest, spare) != FillerObstacle::None) {
     return std::nullopt;
   }
   const ServingEffect effect =
-    EffectOnServing(aWorker, aStep, aInterference, aNow);
+    EffectOnServing(aWorker, aRequest, aInterference, aNow);
   if (effect.obstacle != FillerObstacle::None) {
     return std::nullopt;
   }
-  return spare - kEffectWeight * effect.worst * aStep.cpuMilli;
+  return spare - kEffectWeight * effect.worst * aRequest.step.cpuMilli;
 }
 
 /** Returns the increase of log(tail latency) of tasks of aServingImage that the
@@ -260,14 +277,14 @@
 
 FillerObstacle
 ObstacleFor(const ScheduledWorker& aWorker,
-            const WorkflowStep& aStep,
+            const WorkerRequest& aRequest,
             const FillerInterference& aInterference,
             TimePoint aNow)
 {
   const FillerObstacle obstacle =
-    ObstacleOnWorker(aWorker, aStep, SpareForFiller(aWorker, aInterference));
+    ObstacleOnWorker(aWorker, aRequest, SpareForFiller(aWorker, aInterference));
   return obstacle == FillerObstacle::None
-           ? EffectOnServing(aWorker, aStep, aInterference, aNow).obstacle
+           ? EffectOnServing(aWorker, aRequest, aInterference, aNow).obstacle
            : obstacle;
 }
 
@@ -290,7 +307,7 @@
 
 std::optional<double>
 FirstFitChoice::Score(const ScheduledWorker& /*aWorker*/,
-                      const WorkflowStep& /*aStep*/,
+                      const WorkerRequest& /*aRequest*/,
                       const FillerInterference& /*aInterference*/,
                       TimePoint /*aNow*/,
                       double /*aAtLeast*/) const
@@ -300,19 +317,20 @@
 
 std::optional<double>
 ColocationChoice::Score(const ScheduledWorker& aWorker,
-                        const WorkflowStep& aStep,
+                        const WorkerRequest& aRequest,
                         const FillerInterference& aInterference,
                         TimePoint aNow,
                         double aAtLeast) const
 {
-  double score = RackBonus(aWorker, aStep);
-  if (aStep.filler) {
+  const WorkflowStep& step = aRequest.step;
+  double score = RackBonus(aWorker, step);
+  if (step.filler) {
     const std::optional<double> filler =
-      ScoreFiller(aWorker, aStep, aInterference, aNow, aAtLeast - score);
+      ScoreFiller(aWorker, aRequest, aInterference, aNow, aAtLeast - score);
     return filler ? std::optional(*filler + score) : std::nullopt;
   }
-  if (aStep.latencyTargetMs > 0) {
-    score += ImageBonus(aWorker, aStep);
+  if (step.latencyTargetMs > 0) {
+    score += ImageBonus(aWorker, step);
   }
   return score - static_cast<double>(aWorker.description.capacity.cpuMilli -
                                      aWorker.Committed().cpuMilli);
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -10,6 +10,28 @@
 
 namespace sequoiakeel {
 
+/** The limits that apply to the start of a filler. They widen once its job is
+ * overdue, so that no accepted job waits without limit while workers have free
+ * capacity. */
+enum class FillerLimits : std::uint8_t
+{
+  /** The job's result can still be of use. */
+  Usual,
+  /** The job is overdue: its tasks may also start beside serving tasks that
+   * they slow down, if the projected latency of these keeps the target. */
+  Overdue,
+  /** None of the overdue job's tasks runs: one may also start where less of the
+   * processor time that it demands is unused. */
+  OverdueIdle,
+};
+
+/** The properties of a task on which the choice of its worker depends. */
+struct WorkerRequest
+{
+  const WorkflowStep& step;
+  FillerLimits limits = FillerLimits::Usual;
+};
+
 /**
  * Strategy that scores workers for one task. It is only called for workers that
  * satisfy every hard constraint of the task. Stateless; thread safe.
@@ -26,7 +48,7 @@
    * task should wait rather than start there, or if the score does not exceed
    * aAtLeast. */
   virtual std::optional<double> Score(const ScheduledWorker& aWorker,
-                                      const WorkflowStep& aStep,
+                                      const WorkerRequest& aRequest,
                                       const FillerInterference& aInterference,
                                       TimePoint aNow,
                                       double aAtLeast) const = 0;
@@ -38,7 +60,7 @@
 {
 public:
   std::optional<double> Score(const ScheduledWorker& aWorker,
-                              const WorkflowStep& aStep,
+                              const WorkerRequest& aRequest,
                               const FillerInterference& aInterference,
                               TimePoint aNow,
                               double aAtLeast) const override;
@@ -54,13 +76,13 @@
  * - other tasks are placed by best fit, so that capacity for large tasks
  *   remains;
  * - fillers are placed where the most processor time is unused and where their
- *   effect on serving tasks is smallest.
+ *   effect on serving tasks is smallest, within FillerLimits.
  */
 class ColocationChoice : public WorkerChoice
 {
 public:
   std::optional<double> Score(const ScheduledWorker& aWorker,
-                              const WorkflowStep& aStep,
+                              const WorkerRequest& aRequest,
                               const FillerInterference& aInterference,
                               TimePoint aNow,
                               double aAtLeast) const override;
@@ -84,14 +106,16 @@
   TargetNear,
 };
 
+/** Returns the name of an obstacle for log lines. Thread safe. */
 std::string_view
 ToString(FillerObstacle aObstacle);
 
 /** Returns why ColocationChoice does not start a filler on a worker that
- * satisfies every hard constraint of its step. Thread safe. */
+ * satisfies every hard constraint of its step. Not thread safe: caches the
+ * unused processor time in the worker. */
 FillerObstacle
 ObstacleFor(const ScheduledWorker& aWorker,
-            const WorkflowStep& aStep,
+            const WorkerRequest& aRequest,
             const FillerInterference& aInterference,
             TimePoint aNow);
 
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -212,6 +212,7 @@
   InternalAssert(task != nullptr && task->status == TaskStatus::Pending,
                  "only a pending task can be assigned");
   task->status = TaskStatus::Assigned;
+  ++this->assignedTasks;
   task->worker = aWorker;
   task->mayRunOn.clear();
   task->run = std::max(task->run, aRun);
@@ -235,6 +236,7 @@
                  "only an assigned task can become pending again");
   task->status = TaskStatus::Pending;
   task->worker.clear();
+  --this->assignedTasks;
   ++this->TasksOf(aName).pending;
 }
 
@@ -291,6 +293,9 @@
   if (task->status == TaskStatus::Pending) {
     --tasks.pending;
   }
+  if (task->status == TaskStatus::Assigned) {
+    --this->assignedTasks;
+  }
   task->status = TaskStatus::Done;
   task->worker.clear();
   ++tasks.done;
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -188,6 +188,9 @@
   /** Returns whether any task was started, by this owner or an earlier one. */
   bool Started() const { return this->started; }
 
+  /** Returns whether any task has a run of this owner. */
+  bool AnyAssigned() const { return this->assignedTasks > 0; }
+
   /** Records that a task was started, by this owner or an earlier one. */
   void MarkStarted() { this->started = true; }
 
@@ -230,6 +233,7 @@
   double criticalPathMs = 0;
   bool exhausted = false;
   bool started = false;
+  std::uint32_t assignedTasks = 0;
 };
 
 /** Limit of tasks in one job; bounds the memory that one submission can claim.
--- a/test/unit/PlacementAndThrottle.cpp
+++ b/test/unit/PlacementAndThrottle.cpp
@@ -213,13 +213,22 @@
   const TimePoint now{ std::chrono::hours(1) };
   const ScheduledWorker busy = WorkerWith("w1", Serving("web"), 30);
   const ScheduledWorker calm = WorkerWith("w2", Serving("other"), 12);
-  CHECK(!choice.Score(
-    busy, Filler("heavy"), interference, now, WorkerChoice::kAnyScore));
-  CHECK(choice.Score(
-    calm, Filler("heavy"), interference, now, WorkerChoice::kAnyScore));
+  CHECK(!choice.Score(busy,
+                      WorkerRequest{ Filler("heavy") },
+                      interference,
+                      now,
+                      WorkerChoice::kAnyScore));
+  CHECK(choice.Score(calm,
+                     WorkerRequest{ Filler("heavy") },
+                     interference,
+                     now,
+                     WorkerChoice::kAnyScore));
   const FirstFitChoice naive;
-  CHECK(naive.Score(
-    busy, Filler("heavy"), interference, now, WorkerChoice::kAnyScore));
+  CHECK(naive.Score(busy,
+                    WorkerRequest{ Filler("heavy") },
+                    interference,
+                    now,
+                    WorkerChoice::kAnyScore));
 }
 
 // Guards against several fillers with small effects that together make a
@@ -234,7 +243,7 @@
   const auto mayStart = [&](std::int64_t aTailMs) {
     return choice
       .Score(WorkerWith("w", Serving("web"), aTailMs),
-             Filler("light"),
+             WorkerRequest{ Filler("light") },
              interference,
              now,
              WorkerChoice::kAnyScore)
@@ -251,8 +260,11 @@
   const ColocationChoice choice;
   const TimePoint now{ std::chrono::hours(1) };
   const ScheduledWorker unread = WorkerWith("w1", Serving("web"), 0);
-  CHECK(!choice.Score(
-    unread, Filler("heavy"), interference, now, WorkerChoice::kAnyScore));
+  CHECK(!choice.Score(unread,
+                      WorkerRequest{ Filler("heavy") },
+                      interference,
+                      now,
+                      WorkerChoice::kAnyScore));
 }
 
 // Guards against serving tasks of all images being spread over all workers,
@@ -268,8 +280,11 @@
   empty.description = SchedulerHarness::Worker("w3");
   const WorkflowStep step = Serving("web");
   const auto score = [&](const ScheduledWorker& aWorker) {
-    return *choice.Score(
-      aWorker, step, interference, now, WorkerChoice::kAnyScore);
+    return *choice.Score(aWorker,
+                         WorkerRequest{ step },
+                         interference,
+                         now,
+                         WorkerChoice::kAnyScore);
   };
   CHECK(score(same) > score(empty));
   CHECK(score(empty) > score(other));
