Decode the host list entry by entry

Here the same happened with the list of hosts: it was decoded as a whole, so one entry with a field of another type, or nested, made the whole list unreadable for as long as it stood. A port out of range was cut to 16 bits and named another port.

Each entry is decoded by itself; unreadable ones are logged (host_entry_unreadable) and left out.

--- a/src/HttpHostList.h
+++ b/src/HttpHostList.h
@@ -5,6 +5,12 @@
 
 namespace sequoiakeel {
 
+/** Decodes the platform's reply with the list of hosts. Entries that cannot be
+ * read are logged and left out, so that one of them does not hide the others.
+ * Returns nothing if the reply itself is malformed. Thread safe. */
+std::optional<HostListing>
+DecodeHostListing(std::string_view aBody);
+
 /** Reads the host list as JSON over HTTP (docs/api.md, section Platform).
  * Thread safe. */
 class HttpHostList : public HostList
--- /dev/null
+++ b/test/unit/OddEntries.cpp
@@ -0,0 +1,104 @@
+/**
+ * Guards against one odd entry, record or reply of another program that ends a
+ * process, or that hides the well-formed entries beside it: nested very deeply,
+ * with a number or a port out of range, or with a field of another type.
+ */
+#include "HttpHostList.h"
+#include "StoreRecords.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace sequoiakeel;
+
+namespace {
+
+std::string
+Repeat(std::string_view aText, std::size_t aCount)
+{
+  std::string result;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    result += aText;
+  }
+  return result;
+}
+
+/** Returns values that no field of an entry may have. */
+std::vector<std::string>
+OddValues()
+{
+  constexpr std::size_t kDepth = 100000;
+  return { Repeat("[", kDepth) + Repeat("]", kDepth),
+           Repeat("{\"a\":", kDepth) + "1" + Repeat("}", kDepth),
+           "65536",
+           "4294967376",
+           "18446744073709551615",
+           "18446744073709551616",
+           "99999999999999999999999999999999999999999999999999",
+           "1e300",
+           "1e999",
+           "-1",
+           "0.5",
+           "null",
+           "\"abc\"",
+           "{}",
+           "[[]]",
+           "true" };
+}
+
+std::string
+Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+} // namespace
+
+// Guards against a host list that is not followed any more because of one odd
+// entry, and against ports that are cut to another number.
+TEST_CASE("an odd entry does not hide the other hosts")
+{
+  const std::string good =
+    R"({"host":"h1","address":"127.0.0.1","request_port":8080,"agent_port":8081,"zone":"z","rack":"r"})";
+  for (const std::string& value : OddValues()) {
+    for (const std::string field :
+         { R"("request_port":8080)", R"("agent_port":8081)" }) {
+      const std::string name = field.substr(0, field.find(':') + 1);
+      const std::string odd = Replaced(good, field, name + value);
+      const auto listing = DecodeHostListing(
+        R"({"revision":3,"hosts":[)" + good + "," + odd + "," + good + "]}");
+      const bool parses = nlohmann::json::accept(value) && value.size() < 1000;
+      // A reply that is malformed as a whole cannot be followed.
+      REQUIRE(listing.has_value() == parses);
+      CHECK((!listing || listing->hosts.size() == 2));
+    }
+  }
+  for (const char* entry : { "7", "null", "[]", R"("h1")", R"({"host":5})" }) {
+    const auto listing = DecodeHostListing(
+      R"({"revision":3,"hosts":[)" + std::string(entry) + "," + good + "]}");
+    REQUIRE(listing);
+    CHECK(listing->hosts.size() == 1);
+  }
+}
+
+// Guards against a record of the system that another program overwrote.
+TEST_CASE("an odd record in the store is left out")
+{
+  for (const std::string& value : OddValues()) {
+    StoreItem item;
+    item.key = "sequoiakeel/record";
+    for (const std::string& text :
+         { value, R"({"node":)" + value + R"(,"cells":)" + value + "}" }) {
+      item.value = text;
+      CHECK_NOTHROW(DecodeRecord<WorkerRoster>(item));
+      CHECK_NOTHROW(DecodeRecord<WorkflowProgress>(item));
+      CHECK_NOTHROW(DecodeRecord<NodeRecord>(item));
+      CHECK_NOTHROW(DecodeRecord<CellLayout>(item));
+      CHECK_NOTHROW(DecodeRecord<CellOwnerRecord>(item));
+      CHECK_NOTHROW(DecodeRecord<InterferenceEvidence>(item));
+      CHECK_NOTHROW(DecodeRecord<LongRunningCapacity>(item));
+      CHECK(!DecodeSubmission(item));
+    }
+  }
+}
