Survive malformed replies of the store and of worker agents

A reply with a field of another type or a number out of range threw in a coroutine that nobody awaits, and a deeply nested one overflowed the stack when a member was copied.

EtcdStore and HttpWorkerAgent decode with a limit on the nesting and treat a malformed reply as an unknown result, since the call may have taken effect; a read without a readable reply stays unavailable. Integers must be whole and in range, a time to live at most one year.

unit_OddEntries, before: "malformed replies of the store" crashed with SIGSEGV, "malformed replies of a worker agent" threw type_error 302.

--- a/src/EtcdStore.cpp
+++ b/src/EtcdStore.cpp
@@ -1,7 +1,12 @@
 #include "EtcdStore.h"
 
 #include "Base64.h"
+#include "BoundedJson.h"
+#include "Error.h"
+#include "Log.h"
 
+#include <charconv>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,8 +17,13 @@
 
 namespace {
 
+/** Longest time to live that is accepted from a reply; longer ones would
+ * overflow the clock. */
+constexpr std::uint64_t kMaxTtlSeconds = 365 * 24 * 3600;
+
 /** Returns an integer member, or 0 if the member is missing. etcd encodes
- * 64-bit integers as JSON strings; JSON numbers are accepted too. */
+ * 64-bit integers as JSON strings; JSON numbers are accepted too. Throws
+ * UserError if the member is no integer in the range of the type. */
 std::uint64_t
 ReadInteger(const json& aObject, const char* aKey)
 {
@@ -21,8 +31,44 @@
   if (found == aObject.end()) {
     return 0;
   }
-  return found->is_string() ? std::stoull(found->get<std::string>())
-                            : found->get<std::uint64_t>();
+  if (found->is_number_unsigned()) {
+    return found->get<std::uint64_t>();
+  }
+  UserAssert(found->is_string(), std::string(aKey) + " is no integer");
+  const auto& text = found->get_ref<const std::string&>();
+  std::uint64_t value = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  UserAssert(!text.empty() && parsed.ec == std::errc() && parsed.ptr == end,
+             std::string(aKey) + " is no integer");
+  return value;
+}
+
+std::chrono::seconds
+ReadTtl(const json& aObject)
+{
+  const std::uint64_t seconds = ReadInteger(aObject, "TTL");
+  UserAssert(seconds <= kMaxTtlSeconds, "TTL is out of range");
+  return std::chrono::seconds(seconds);
+}
+
+/** Decodes the body of a reply with aDecode, which may throw. Returns false if
+ * the body is malformed or nested too deeply. */
+template<typename Decode>
+bool
+DecodeReply(const std::string& aBody, Decode aDecode)
+{
+  const auto answer = ParseJson(aBody);
+  try {
+    UserAssert(answer && answer->is_object(), "the reply is no object");
+    aDecode(*answer);
+    return true;
+  } catch (const std::exception& error) {
+    Event("store_answer_unreadable", LogLevel::Warning)
+      .Add("bytes", static_cast<std::uint64_t>(aBody.size()))
+      .Add("error", error.what());
+    return false;
+  }
 }
 
 /** Returns the exclusive end of the range of keys that start with aPrefix: the
@@ -100,18 +146,25 @@
   if (!exchange.Complete() || exchange.response.status != 200) {
     co_return reply;
   }
-  const json answer = json::parse(exchange.response.body, nullptr, false);
-  if (!answer.is_object()) {
+  const bool decoded =
+    DecodeReply(exchange.response.body, [&reply](const json& aAnswer) {
+      const auto pairs = aAnswer.find("kvs");
+      if (pairs == aAnswer.end()) {
+        return;
+      }
+      for (const json& pair : *pairs) {
+        StoreValue value;
+        value.key = Base64Decode(pair.value("key", "")).value_or("");
+        value.value = Base64Decode(pair.value("value", "")).value_or("");
+        value.version = ReadInteger(pair, "mod_revision");
+        reply.values.push_back(std::move(value));
+      }
+    });
+  if (!decoded) {
+    reply.values.clear();
     co_return reply;
   }
   reply.result = StoreResult::Ok;
-  for (const json& pair : answer.value("kvs", json::array())) {
-    StoreValue value;
-    value.key = Base64Decode(pair.value("key", "")).value_or("");
-    value.value = Base64Decode(pair.value("value", "")).value_or("");
-    value.version = ReadInteger(pair, "mod_revision");
-    reply.values.push_back(std::move(value));
-  }
   co_return reply;
 }
 
@@ -147,18 +200,25 @@
     reply.result = FailureOf(exchange);
     co_return reply;
   }
-  const json answer = json::parse(exchange.response.body, nullptr, false);
-  if (exchange.response.status != 200 || !answer.is_object()) {
+  if (exchange.response.status != 200) {
     reply.result = ResultOfStatus(exchange.response.status);
     co_return reply;
   }
-  if (!answer.value("succeeded", false)) {
-    reply.result = StoreResult::Conflict;
+  bool succeeded = false;
+  const bool decoded =
+    DecodeReply(exchange.response.body, [&](const json& aAnswer) {
+      succeeded = aAnswer.value("succeeded", false);
+      const auto header = aAnswer.find("header");
+      if (succeeded && header != aAnswer.end()) {
+        reply.version = ReadInteger(*header, "revision");
+      }
+    });
+  if (!decoded) {
+    // The transaction may have taken effect.
+    reply.result = StoreResult::Unknown;
     co_return reply;
   }
-  reply.result = StoreResult::Ok;
-  reply.version =
-    ReadInteger(answer.value("header", json::object()), "revision");
+  reply.result = succeeded ? StoreResult::Ok : StoreResult::Conflict;
   co_return reply;
 }
 
@@ -197,17 +257,18 @@
   const ExchangeResult exchange =
     co_await this->Post("/v3/lease/grant", body.dump());
   StoreLeaseReply reply;
-  const json answer = json::parse(exchange.response.body, nullptr, false);
-  if (!exchange.Complete() || exchange.response.status != 200 ||
-      !answer.is_object()) {
+  if (!exchange.Complete() || exchange.response.status != 200) {
     reply.result = exchange.Complete()
                      ? ResultOfStatus(exchange.response.status)
                      : FailureOf(exchange);
     co_return reply;
   }
-  reply.result = StoreResult::Ok;
-  reply.lease = ReadInteger(answer, "ID");
-  reply.ttl = std::chrono::seconds(ReadInteger(answer, "TTL"));
+  const bool decoded =
+    DecodeReply(exchange.response.body, [&reply](const json& aAnswer) {
+      reply.lease = ReadInteger(aAnswer, "ID");
+      reply.ttl = ReadTtl(aAnswer);
+    });
+  reply.result = decoded ? StoreResult::Ok : StoreResult::Unknown;
   co_return reply;
 }
 
@@ -218,17 +279,24 @@
   const ExchangeResult exchange =
     co_await this->Post("/v3/lease/keepalive", body.dump());
   StoreLeaseReply reply;
-  const json answer = json::parse(exchange.response.body, nullptr, false);
-  if (!exchange.Complete() || exchange.response.status != 200 ||
-      !answer.is_object()) {
+  if (!exchange.Complete() || exchange.response.status != 200) {
     reply.result = exchange.Complete()
                      ? ResultOfStatus(exchange.response.status)
                      : FailureOf(exchange);
     co_return reply;
   }
-  const json result = answer.value("result", json::object());
   reply.lease = aLease;
-  reply.ttl = std::chrono::seconds(ReadInteger(result, "TTL"));
+  const bool decoded =
+    DecodeReply(exchange.response.body, [&reply](const json& aAnswer) {
+      const auto result = aAnswer.find("result");
+      if (result != aAnswer.end()) {
+        reply.ttl = ReadTtl(*result);
+      }
+    });
+  if (!decoded) {
+    reply.result = StoreResult::Unknown;
+    co_return reply;
+  }
   // etcd reports an expired lease with a TTL of zero or with no TTL.
   reply.result =
     reply.ttl.count() > 0 ? StoreResult::Ok : StoreResult::Conflict;
--- a/src/HttpWorkerAgent.cpp
+++ b/src/HttpWorkerAgent.cpp
@@ -1,5 +1,6 @@
 #include "HttpWorkerAgent.h"
 
+#include "BoundedJson.h"
 #include "Log.h"
 #include "generated/PlatformJson.h"
 
@@ -112,21 +113,27 @@
                           std::string aTarget,
                           std::string aBody)
 {
-  const ExchangeResult exchange = co_await this->Call(std::move(aWorker),
-                                                      std::move(aMethod),
-                                                      std::move(aTarget),
-                                                      std::move(aBody));
+  const ExchangeResult exchange = co_await this->Call(
+    aWorker, std::move(aMethod), std::move(aTarget), std::move(aBody));
   AgentTaskReply reply;
   reply.result = ResultOf(exchange);
   if (!exchange.Complete()) {
     reply.reason = exchange.error;
     co_return reply;
   }
-  const json answer = json::parse(exchange.response.body, nullptr, false);
-  if (answer.is_object()) {
-    reply.reason = answer.value("reason", "");
-    reply.checkpoint = answer.value("checkpoint", "");
-    FromString(answer.value("state", ""), reply.state);
+  const auto answer = ParseJson(exchange.response.body);
+  if (!answer || !answer->is_object()) {
+    co_return reply;
+  }
+  try {
+    reply.reason = answer->value("reason", "");
+    reply.checkpoint = answer->value("checkpoint", "");
+    FromString(answer->value("state", ""), reply.state);
+  } catch (const json::exception& error) {
+    Event("worker_reply_malformed", LogLevel::Warning)
+      .Add("worker", aWorker.address)
+      .Add("error", error.what());
+    reply.result = AgentResult::Unknown;
   }
   co_return reply;
 }
--- a/test/unit/OddEntries.cpp
+++ b/test/unit/OddEntries.cpp
@@ -3,14 +3,20 @@
  * process, or that hides the well-formed entries beside it: nested very deeply,
  * with a number or a port out of range, or with a field of another type.
  */
+#include "EtcdStore.h"
 #include "HttpHostList.h"
+#include "HttpServer.h"
+#include "HttpWorkerAgent.h"
 #include "StoreRecords.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
 #include <string>
 #include <vector>
 
 using namespace sequoiakeel;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -53,6 +59,55 @@
   return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
 }
 
+/** A server on loopback that gives the same response to each request. */
+class FixedServer
+{
+public:
+  explicit FixedServer(std::string aBody)
+    : body(std::move(aBody))
+    , server(this->context,
+             Endpoint{ "127.0.0.1", 0 },
+             HttpServerLimits{},
+             [this](HttpRequest aRequest) {
+               return this->Answer(std::move(aRequest));
+             })
+  {
+    this->server.Start();
+  }
+
+  Endpoint Address() const
+  {
+    return Endpoint{ "127.0.0.1", this->server.Port() };
+  }
+
+  asio::any_io_executor Executor() { return this->context.get_executor(); }
+
+  /** Runs a call to its end; rethrows what it throws. */
+  template<typename Result>
+  Result Await(asio::awaitable<Result> aCall)
+  {
+    auto future =
+      asio::co_spawn(this->context, std::move(aCall), asio::use_future);
+    while (future.wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      this->context.run_one();
+    }
+    return future.get();
+  }
+
+private:
+  asio::awaitable<HttpResponse> Answer(HttpRequest /*aRequest*/)
+  {
+    co_return JsonResponse(200, this->body);
+  }
+
+  std::string body;
+  asio::io_context context{ 1 };
+  HttpServer server;
+};
+
+constexpr Duration kTimeout = std::chrono::seconds(5);
+
 } // namespace
 
 // Guards against a host list that is not followed any more because of one odd
@@ -82,6 +137,41 @@
   }
 }
 
+// Guards against an exception, or an overflow of the stack, that a malformed
+// reply of the store causes and that ends the process.
+TEST_CASE("malformed replies of the store count as unreadable")
+{
+  for (const std::string& value : OddValues()) {
+    FixedServer server(R"({"kvs":)" + value + R"(,"succeeded":)" + value +
+                       R"(,"header":{"revision":)" + value + R"(},"ID":)" +
+                       value + R"(,"TTL":)" + value + R"(,"result":{"TTL":)" +
+                       value + "}}");
+    EtcdStore store(server.Executor(), server.Address(), kTimeout);
+    CHECK(server.Await(store.Get("key")).values.empty());
+    const StoreWriteReply write =
+      server.Await(store.CompareAndSwap("key", 1, "value", kNoLease));
+    CHECK((write.result != StoreResult::Ok || value == "true"));
+    const StoreLeaseReply lease =
+      server.Await(store.GrantLease(std::chrono::seconds(5)));
+    CHECK((lease.result != StoreResult::Ok || value == "65536"));
+    CHECK_NOTHROW(server.Await(store.RenewLease(4)));
+  }
+}
+
+// Guards against the same by a worker's reply.
+TEST_CASE("malformed replies of a worker agent have an unknown result")
+{
+  for (const std::string& value : OddValues()) {
+    const bool text = value.starts_with('"');
+    FixedServer server(R"({"reason":)" + value + "}");
+    HttpWorkerAgent agent(server.Executor(), kTimeout);
+    const AgentTaskReply reply =
+      server.Await(agent.Acknowledge(server.Address(), "task"));
+    CHECK((text || reply.reason.empty()));
+    CHECK_NOTHROW(server.Await(agent.Status(server.Address())));
+  }
+}
+
 // Guards against a record of the system that another program overwrote.
 TEST_CASE("an odd record in the store is left out")
 {
