--- a/test/unit/OddEntries.cpp
+++ b/test/unit/OddEntries.cpp
@@ -7,6 +7,7 @@
 #include "HttpHostList.h"
 #include "HttpServer.h"
 #include "HttpWorkerAgent.h"
+#include "Registry.h"
 #include "StoreRecords.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -172,6 +173,41 @@
   }
 }
 
+// Guards against a worker whose capacity wraps to a negative number or
+// overflows sums over workers.
+TEST_CASE("a worker's entry with an odd value is rejected or in range")
+{
+  const std::string good =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","room":{"cpu":16000,"memMb":32768,"gpu":1},"labels":["a","r1-3"],"born":77})";
+  for (const std::string& value : OddValues()) {
+    for (const std::string field :
+         { R"("service":"s")",
+           R"("address":"10.0.0.9:8080")",
+           R"("room":{"cpu":16000,"memMb":32768,"gpu":1})",
+           R"("cpu":16000)",
+           R"("memMb":32768)",
+           R"("gpu":1)",
+           R"("labels":["a","r1-3"])",
+           R"("born":77)" }) {
+      const std::string name = field.substr(0, field.find(':') + 1);
+      std::string fault;
+      const auto worker = platform::DecodeWorker(
+        "i-1", Replaced(good, field, name + value), fault);
+      if (!worker) {
+        CHECK(!fault.empty());
+        continue;
+      }
+      constexpr std::int64_t kMost = 1000000000000;
+      CHECK(worker->capacity.cpuMilli >= 0);
+      CHECK(worker->capacity.cpuMilli <= kMost);
+      CHECK(worker->capacity.memoryMb >= 0);
+      CHECK(worker->capacity.memoryMb <= kMost);
+      CHECK(worker->capacity.accelerators >= 0);
+      CHECK(worker->capacity.accelerators <= kMost);
+    }
+  }
+}
+
 // Guards against a record of the system that another program overwrote.
 TEST_CASE("an odd record in the store is left out")
 {
