Log how many jobs have nothing running and which jobs the starts go to

idle_jobs, once a second, counts the jobs whose turn has come and of which nothing runs, by their expected outcome, names the one that has been idle longest with the obstacles on the workers, and tells how many starts went to such jobs and to others. No decision changes.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -335,6 +335,9 @@
     WorkflowJob job;
     /** An earlier owner may have started its tasks. */
     bool fromEarlierOwner = false;
+    /** Since when no task of the job has had a run, as far as this owner knows.
+     * Unset while one has. */
+    std::optional<TimePoint> idleSince = std::nullopt;
   };
   struct EndedJob
   {
@@ -505,6 +508,17 @@
     return this->tasksOnUnresponsive.contains(aWorker);
   }
   void MarkDirty(const std::string& aJob);
+  /** Starts of short tasks since the last log line about idle jobs. A start is
+   * the first one of its job if no other task of it has a run. */
+  struct StartCounts
+  {
+    std::uint64_t first = 0;
+    std::uint64_t furtherInTime = 0;
+    std::uint64_t furtherNotInTime = 0;
+  };
+
+  /** Notes for each job since when it has been idle. */
+  void UpdateIdleTimes();
   std::vector<Candidate> Candidates() const;
   /** Logs at intervals how the cell's processors are used and what the tasks
    * that wait demand. */
@@ -515,11 +529,19 @@
   /** Logs at intervals which short task of the earliest accepted job waits, and
    * how many workers do not take it for each obstacle. */
   void LogWaitingTask(std::span<const Candidate> aWaiting);
+  /** Logs at intervals how many jobs whose turn has come have no task with a
+   * run, and to which jobs the starts since the last line went. */
+  void LogIdleJobs(std::span<const Candidate> aWaiting);
+  /** Returns how many available workers do not take a task of a step for each
+   * obstacle, for the log. */
+  std::string CountObstacles(const Candidate& aCandidate) const;
   /** Returns why no task of a step is started on a worker, for the log. */
   std::string_view ObstacleOn(const ScheduledWorker& aWorker,
                               const std::string& aService,
                               const std::string& aStepKey,
                               const WorkerRequest& aRequest) const;
+  /** Counts a start of a waiting step's task before it is assigned. */
+  void CountStart(const Candidate& aCandidate);
   /** Returns the limits for starting a task of a waiting step if it is a
    * filler. */
   FillerLimits LimitsFor(const Candidate& aCandidate) const;
@@ -666,6 +688,8 @@
   TimePoint usageLoggedAt;
   TimePoint delaysLoggedAt;
   TimePoint waitLoggedAt;
+  TimePoint idleLoggedAt;
+  StartCounts startCounts;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string_view>
+#include <utility>
 
 namespace sequoiakeel {
 
@@ -46,6 +48,7 @@
   this->ExpireLeases();
   this->BeginPlanningPass();
   this->ReleaseHeldStarts(orders);
+  this->UpdateIdleTimes();
   const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
   std::vector<Candidate> candidates = this->Candidates();
   this->LogUsage(candidates);
@@ -73,6 +76,7 @@
   this->PlanSteps({ others, last }, orders);
   this->LogDelays(candidates);
   this->LogWaitingTask(candidates);
+  this->LogIdleJobs(candidates);
   this->PlanStops(orders);
   this->PlanThrottles(orders);
   return orders;
@@ -247,21 +251,10 @@
       std::chrono::duration<double, std::milli>(kLoggedShortWait).count()) {
     return;
   }
-  const WorkflowSubmission& submission =
-    this->jobs.at(longest->job).job.Submission();
-  const WorkflowStep& step = submission.steps[longest->step];
+  const WorkflowStep& step =
+    this->jobs.at(longest->job).job.Submission().steps[longest->step];
   const std::string key =
     FormatStepKey({ longest->job, longest->occurrence, longest->step, 0 });
-  const WorkerRequest request{ step, this->LimitsFor(*longest) };
-  std::map<std::string_view, int> workersBy;
-  for (const ScheduledWorker* const worker : this->availableWorkers) {
-    ++workersBy[this->ObstacleOn(*worker, submission.service, key, request)];
-  }
-  std::string obstacles;
-  for (const auto& [obstacle, count] : workersBy) {
-    obstacles += (obstacles.empty() ? "" : ",") + std::string(obstacle) + ":" +
-                 std::to_string(count);
-  }
   Event("task_waits", LogLevel::Warning)
     .Add("step", key)
     .Add("pending", pendingOf(*longest))
@@ -272,7 +265,85 @@
     .Add("cpu_milli", step.cpuMilli)
     .Add("memory_mb", step.memoryMb)
     .Add("accepted_ms_ago", static_cast<std::int64_t>(waited))
-    .Add("workers", obstacles);
+    .Add("workers", this->CountObstacles(*longest));
+}
+
+void
+CellScheduler::UpdateIdleTimes()
+{
+  const TimePoint now = this->clock.Now();
+  for (auto& [id, entry] : this->jobs) {
+    if (entry.job.AnyAssigned()) {
+      entry.idleSince.reset();
+      continue;
+    }
+    entry.idleSince = entry.idleSince.value_or(now);
+  }
+}
+
+void
+CellScheduler::LogIdleJobs(std::span<const Candidate> aWaiting)
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->idleLoggedAt < kUsageLogInterval) {
+    return;
+  }
+  this->idleLoggedAt = now;
+  const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
+  std::map<ExpectedOutcome, std::uint64_t> jobs;
+  const Candidate* longest = nullptr;
+  TimePoint since = now;
+  std::set<std::string_view> counted;
+  for (const Candidate& candidate : aWaiting) {
+    const Entry& entry = this->jobs.at(candidate.job);
+    // A job that was started in this pass is still noted as idle.
+    if (candidate.order.longRunning || !entry.idleSince ||
+        entry.job.AnyAssigned() || !counted.insert(candidate.job).second) {
+      continue;
+    }
+    ++jobs[ExpectedOutcomeOf(candidate.order, nowUnixMs)];
+    if (longest == nullptr || *entry.idleSince < since) {
+      longest = &candidate;
+      since = *entry.idleSince;
+    }
+  }
+  const StartCounts starts = std::exchange(this->startCounts, {});
+  if (longest == nullptr) {
+    return;
+  }
+  const auto idle =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+  Event("idle_jobs")
+    .Add("in_time", jobs[ExpectedOutcome::InTime])
+    .Add("late", jobs[ExpectedOutcome::Late])
+    .Add("useless", jobs[ExpectedOutcome::Useless])
+    .Add("longest", longest->job)
+    .Add("longest_ms", static_cast<std::int64_t>(idle.count()))
+    .Add("workers", this->CountObstacles(*longest))
+    .Add("first_starts", starts.first)
+    .Add("further_starts_in_time", starts.furtherInTime)
+    .Add("further_starts_not_in_time", starts.furtherNotInTime);
+}
+
+std::string
+CellScheduler::CountObstacles(const Candidate& aCandidate) const
+{
+  const WorkflowSubmission& submission =
+    this->jobs.at(aCandidate.job).job.Submission();
+  const std::string key = FormatStepKey(
+    { aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
+  const WorkerRequest request{ submission.steps[aCandidate.step],
+                               this->LimitsFor(aCandidate) };
+  std::map<std::string_view, int> workersBy;
+  for (const ScheduledWorker* const worker : this->availableWorkers) {
+    ++workersBy[this->ObstacleOn(*worker, submission.service, key, request)];
+  }
+  std::string obstacles;
+  for (const auto& [obstacle, count] : workersBy) {
+    obstacles += (obstacles.empty() ? "" : ",") + std::string(obstacle) + ":" +
+                 std::to_string(count);
+  }
+  return obstacles;
 }
 
 void
@@ -287,6 +358,23 @@
   }
 }
 
+void
+CellScheduler::CountStart(const Candidate& aCandidate)
+{
+  if (aCandidate.order.longRunning) {
+    return;
+  }
+  if (!this->jobs.at(aCandidate.job).job.AnyAssigned()) {
+    ++this->startCounts.first;
+    return;
+  }
+  const auto now = static_cast<double>(this->wallClock.UnixMs());
+  const bool inTime =
+    ExpectedOutcomeOf(aCandidate.order, now) == ExpectedOutcome::InTime;
+  ++(inTime ? this->startCounts.furtherInTime
+            : this->startCounts.furtherNotInTime);
+}
+
 FillerLimits
 CellScheduler::LimitsFor(const Candidate& aCandidate) const
 {
@@ -440,6 +528,7 @@
       continue;
     }
     placed.rack = worker->description.rack;
+    this->CountStart(aCandidate);
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
     if (placed.limits == FillerLimits::OverdueIdle) {
       // The first task of each overdue job precedes the second of any.
@@ -525,6 +614,7 @@
       aCandidate.job, aCandidate.occurrence, aCandidate.step, i
     };
     entry.job.Find(name)->checkpoint = checkpoint;
+    this->CountStart(aCandidate);
     this->PlanStart(entry, name, run + 1, *chosen[i], key, aOrders);
   }
   return true;
