--- /dev/null
+++ b/test/unit/IdleJobs.cpp
@@ -0,0 +1,204 @@
+/**
+ * Guards against an accepted job of which nothing runs for long while the tasks
+ * of other jobs are started.
+ */
+#include "support/SchedulerHarness.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace sequoiakeel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds kStep{ 200 };
+constexpr milliseconds kTaskTime{ 2200 };
+constexpr std::uint32_t kTaskCpuMilli = 3350;
+
+/** Time after the last arrival from which every job whose turn has come must
+ * have a task with a run, and the longest time for which it may have none, as
+ * the users' rule on lost jobs states. */
+constexpr seconds kFinish{ 14 };
+constexpr seconds kLongestIdle{ 3 };
+
+/** A cell under a load of jobs of two steps, each of seven fillers that run for
+ * kTaskTime. */
+class LoadedCell
+{
+public:
+  explicit LoadedCell(std::size_t aWorkers)
+  {
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < aWorkers; ++i) {
+      ids.push_back("w" + std::to_string(i));
+    }
+    this->harness.AddWorkers(ids);
+    this->workers.insert(ids.begin(), ids.end());
+  }
+
+  TimePoint Now() const { return this->harness.clock.Now(); }
+
+  void AcceptJob(std::uint32_t aTasks)
+  {
+    std::string id = std::to_string(++this->accepted);
+    id.insert(0, 16 - id.size(), '0');
+    WorkflowSubmission job = this->harness.Job(id, aTasks);
+    job.steps[0].cpuMilli = kTaskCpuMilli;
+    job.steps[0].filler = true;
+    job.steps[0].image = "batch";
+    job.steps[0].estimateMs = kTaskTime.count();
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = { 0 };
+    job.objectiveStretch = 2;
+    job.objectiveMs = 1000;
+    job.priority = 2;
+    this->harness.scheduler.Accept(job);
+    this->idleSince[id] = this->Now();
+  }
+
+  /** Removes a worker, which never reports again. */
+  void LoseWorker(const std::string& aWorker)
+  {
+    this->workers.erase(aWorker);
+    std::vector<WorkerDescription> left;
+    for (const std::string& id : this->workers) {
+      left.push_back(SchedulerHarness::Worker(id));
+    }
+    this->harness.scheduler.UpdateWorkers(left);
+    std::erase_if(this->runs, [&](const auto& aItem) {
+      return aItem.second.worker == aWorker;
+    });
+  }
+
+  /** Ends the runs whose time is over, reports and plans. */
+  void Step()
+  {
+    this->harness.clock.Advance(kStep);
+    for (const std::string& worker : this->workers) {
+      this->Report(worker);
+    }
+    for (const PlannedStart& start : this->harness.PlanAndConfirm()) {
+      if (this->workers.contains(start.worker)) {
+        this->runs[start.command.task] =
+          Run{ start.worker, start.command.run, this->Now() + kTaskTime };
+      }
+    }
+    this->harness.WriteProgress();
+    this->NoteIdleJobs();
+  }
+
+  /** Returns for how long a job that has not ended has had nothing running, at
+   * most over all jobs. */
+  Duration LongestIdle() const
+  {
+    Duration longest{};
+    for (const auto& [job, since] : this->idleSince) {
+      longest = std::max(longest, this->Now() - since);
+    }
+    return longest;
+  }
+
+  std::size_t UnfinishedJobs() const { return this->idleSince.size(); }
+
+private:
+  struct Run
+  {
+    std::string worker;
+    std::uint64_t run = 0;
+    TimePoint endsAt;
+  };
+
+  void Report(const std::string& aWorker)
+  {
+    std::vector<RunningRun> rows;
+    std::vector<EndedRun> ended;
+    for (const auto& [task, run] : this->runs) {
+      if (run.worker != aWorker) {
+        continue;
+      }
+      if (run.endsAt <= this->Now()) {
+        ended.push_back({ ++this->ends, task, run.run, RunEnd::Done, "" });
+        continue;
+      }
+      rows.push_back({ task, run.run, "", 50, kTaskCpuMilli });
+    }
+    for (const EndedRun& row : ended) {
+      this->runs.erase(row.task);
+    }
+    this->harness.scheduler.NoteLease(aWorker, this->harness.WorkerMs() + 5000);
+    this->harness.Report(aWorker, 1, std::move(rows), std::move(ended));
+  }
+
+  void NoteIdleJobs()
+  {
+    std::set<std::string_view> running;
+    for (const auto& [task, run] : this->runs) {
+      running.insert(std::string_view(task).substr(0, task.find('.')));
+    }
+    std::erase_if(this->idleSince, [&](const auto& aItem) {
+      return this->harness.scheduler.StateOf(aItem.first) ==
+             WorkflowState::Completed;
+    });
+    for (auto& [job, since] : this->idleSince) {
+      since = running.contains(job) ? this->Now() : since;
+    }
+  }
+
+  SchedulerHarness harness;
+  std::set<std::string> workers;
+  std::map<std::string, Run> runs;
+  /** By job that has not ended. */
+  std::map<std::string, TimePoint> idleSince;
+  std::uint64_t accepted = 0;
+  std::uint64_t ends = 0;
+};
+
+/** Accepts jobs of different sizes at an interval for 108 s, in which a third
+ * of six workers is lost, and checks that every job gets a run soon after. */
+void
+CheckIdleTimeAfterOverload(milliseconds aInterval)
+{
+  LoadedCell cell(6);
+  const TimePoint begin = cell.Now();
+  const TimePoint end = begin + seconds(108);
+  TimePoint next = begin;
+  bool lost = false;
+  std::uint32_t jobs = 0;
+  while (cell.Now() < end) {
+    if (cell.Now() >= next) {
+      // The order prefers small jobs.
+      cell.AcceptJob(3 + 2 * (jobs++ % 5));
+      next += aInterval;
+    }
+    if (!lost && cell.Now() > begin + seconds(46)) {
+      lost = true;
+      cell.LoseWorker("w0");
+      cell.LoseWorker("w1");
+    }
+    cell.Step();
+  }
+  while (cell.Now() < end + kFinish) {
+    cell.Step();
+  }
+  REQUIRE(cell.UnfinishedJobs() > 20);
+  for (int i = 0; i < 30; ++i) {
+    cell.Step();
+    CHECK(cell.LongestIdle() < kLongestIdle);
+  }
+}
+
+} // namespace
+
+// Guards against jobs accepted long ago that have nothing running after an
+// overload, since later ones take all processors.
+TEST_CASE("every job has a run soon after an overload with lost workers")
+{
+  CheckIdleTimeAfterOverload(milliseconds(650));
+}
