Start a task of each job that waits before second tasks of late jobs

Cause: LeastWorkOrder put jobs whose result is of no use any more behind all others without a limit in time, and among them the earliest accepted first each time it had nothing running. After an overload the starts went to further tasks of later jobs for as long as one of these could still be of use, and then to the same earliest jobs.

Ruled out: that the tasks fit nowhere, as tasks of the same images and sizes start all the time.

Now the first task of a job of which nothing runs precedes further tasks of all jobs that cannot be in time, the longest idle first, and after 30 s also jobs that can. What is left after each had its turn goes to their other tasks in the same planning pass. Jobs that can be in time otherwise keep their precedence, so that few of them are lost under overload.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -519,6 +519,10 @@
 
   /** Notes for each job since when it has been idle. */
   void UpdateIdleTimes();
+  /** Returns for how long nothing of a job has run while an occurrence of it
+   * could have. */
+  std::chrono::milliseconds IdleTime(const Entry& aEntry,
+                                     std::uint32_t aOccurrence) const;
   std::vector<Candidate> Candidates() const;
   /** Logs at intervals how the cell's processors are used and what the tasks
    * that wait demand. */
@@ -548,7 +552,14 @@
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
   void PlanSteps(std::span<const Candidate> aCandidates,
                  PlannedCommands& aOrders);
-  void PlanStep(const Candidate& aCandidate, PlannedCommands& aOrders);
+  /** Starts the tasks of a step for which there are workers, or only the first
+   * of them. */
+  void PlanStep(const Candidate& aCandidate,
+                PlannedCommands& aOrders,
+                bool aFirstOnly);
+  /** Returns whether only the first task of a step is started before the other
+   * steps get their turn. */
+  bool StartsFirstOnly(const Candidate& aCandidate) const;
   bool PlanGang(const Candidate& aCandidate, PlannedCommands& aOrders);
   void BeginPlanningPass();
   /** Returns the worker on which a task is to be started, or null if it has to
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -350,14 +350,31 @@
 CellScheduler::PlanSteps(std::span<const Candidate> aCandidates,
                          PlannedCommands& aOrders)
 {
+  std::vector<const Candidate*> begun;
   for (const Candidate& candidate : aCandidates) {
     if (aOrders.starts.size() + aOrders.heldStarts >= kMaxStartsPerPass) {
       return;
     }
-    this->PlanStep(candidate, aOrders);
+    const bool firstOnly = this->StartsFirstOnly(candidate);
+    this->PlanStep(candidate, aOrders, firstOnly);
+    if (firstOnly && this->jobs.at(candidate.job).job.AnyAssigned()) {
+      begun.push_back(&candidate);
+    }
+  }
+  // Every job had its turn, so that what is left goes to their other tasks.
+  for (const Candidate* const candidate : begun) {
+    this->PlanStep(*candidate, aOrders, false);
   }
 }
 
+bool
+CellScheduler::StartsFirstOnly(const Candidate& aCandidate) const
+{
+  return this->LimitsFor(aCandidate) == FillerLimits::OverdueIdle ||
+         TakesTurns(aCandidate.order,
+                    static_cast<double>(this->wallClock.UnixMs()));
+}
+
 void
 CellScheduler::CountStart(const Candidate& aCandidate)
 {
@@ -403,6 +420,28 @@
   return due == 0 || this->wallClock.UnixMs() >= due;
 }
 
+std::chrono::milliseconds
+CellScheduler::IdleTime(const Entry& aEntry, std::uint32_t aOccurrence) const
+{
+  using std::chrono::milliseconds;
+  if (!aEntry.idleSince) {
+    return milliseconds(0);
+  }
+  const WorkflowJob& job = aEntry.job;
+  const auto sinceUnixMs = [&](std::uint64_t aUnixMs) {
+    return milliseconds(static_cast<std::int64_t>(this->wallClock.UnixMs()) -
+                        static_cast<std::int64_t>(aUnixMs));
+  };
+  auto idle = std::chrono::duration_cast<milliseconds>(this->clock.Now() -
+                                                       *aEntry.idleSince);
+  if (!job.Started()) {
+    // The wait under earlier owners counts as well.
+    idle = std::max(idle, sinceUnixMs(job.Submission().acceptedUnixMs));
+  }
+  const std::uint64_t due = job.Occurrences()[aOccurrence].dueUnixMs;
+  return due == 0 ? idle : std::min(idle, sinceUnixMs(due));
+}
+
 std::vector<CellScheduler::Candidate>
 CellScheduler::Candidates() const
 {
@@ -433,6 +472,7 @@
         order.longRunning = step.longRunning;
         order.filler = step.filler;
         order.idle = !entry.job.AnyAssigned();
+        order.idleFor = this->IdleTime(entry, k);
         order.objectiveUnixMs = entry.job.ObjectiveUnixMs();
         order.remainingMs = entry.job.RemainingPathMs(s);
         order.remainingWork = entry.job.RemainingWork();
@@ -458,7 +498,9 @@
 }
 
 void
-CellScheduler::PlanStep(const Candidate& aCandidate, PlannedCommands& aOrders)
+CellScheduler::PlanStep(const Candidate& aCandidate,
+                        PlannedCommands& aOrders,
+                        bool aFirstOnly)
 {
   Entry& entry = this->jobs.at(aCandidate.job);
   const WorkflowStep& step = entry.job.Submission().steps[aCandidate.step];
@@ -530,8 +572,7 @@
     placed.rack = worker->description.rack;
     this->CountStart(aCandidate);
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
-    if (placed.limits == FillerLimits::OverdueIdle) {
-      // The first task of each overdue job precedes the second of any.
+    if (aFirstOnly) {
       return;
     }
   }
--- a/src/StepOrder.cpp
+++ b/src/StepOrder.cpp
@@ -8,6 +8,37 @@
  * job's acceptance to its objective has passed since the acceptance. */
 constexpr double kUsefulTimeFactor = 3;
 
+/** Time without a run after which a job precedes those that can still meet
+ * their objective. */
+constexpr std::chrono::seconds kMaxIdleTime{ 30 };
+
+/** Classes of short steps in order of precedence. */
+enum class ShortStepClass : std::uint8_t
+{
+  IdleForLong,
+  InTime,
+  IdleNotInTime,
+  Late,
+  Useless,
+};
+
+ShortStepClass
+ClassOf(const WaitingStep& aStep, double aNowUnixMs)
+{
+  if (aStep.idle && aStep.idleFor >= kMaxIdleTime) {
+    return ShortStepClass::IdleForLong;
+  }
+  const ExpectedOutcome outcome = ExpectedOutcomeOf(aStep, aNowUnixMs);
+  if (outcome == ExpectedOutcome::InTime) {
+    return ShortStepClass::InTime;
+  }
+  if (aStep.idle) {
+    return ShortStepClass::IdleNotInTime;
+  }
+  return outcome == ExpectedOutcome::Late ? ShortStepClass::Late
+                                          : ShortStepClass::Useless;
+}
+
 } // namespace
 
 ExpectedOutcome
@@ -23,6 +54,14 @@
   return end <= useful ? ExpectedOutcome::Late : ExpectedOutcome::Useless;
 }
 
+bool
+TakesTurns(const WaitingStep& aStep, double aNowUnixMs)
+{
+  const ShortStepClass stepClass = ClassOf(aStep, aNowUnixMs);
+  return !aStep.longRunning && (stepClass == ShortStepClass::IdleForLong ||
+                                stepClass == ShortStepClass::IdleNotInTime);
+}
+
 bool
 ArrivalOrder::Precedes(const WaitingStep& aLeft,
                        const WaitingStep& aRight,
@@ -51,18 +90,22 @@
   if (aLeft.longRunning) {
     return aLeft.acceptedUnixMs < aRight.acceptedUnixMs;
   }
-  const ExpectedOutcome left = ExpectedOutcomeOf(aLeft, aNowUnixMs);
-  const ExpectedOutcome right = ExpectedOutcomeOf(aRight, aNowUnixMs);
+  const ShortStepClass left = ClassOf(aLeft, aNowUnixMs);
+  const ShortStepClass right = ClassOf(aRight, aNowUnixMs);
   if (left != right) {
     return left < right;
   }
-  if (left == ExpectedOutcome::Useless) {
-    if (aLeft.idle != aRight.idle) {
-      return aLeft.idle;
-    }
-    return aLeft.acceptedUnixMs < aRight.acceptedUnixMs;
+  switch (left) {
+    case ShortStepClass::IdleForLong:
+    case ShortStepClass::IdleNotInTime:
+      return aLeft.idleFor > aRight.idleFor;
+    case ShortStepClass::InTime:
+    case ShortStepClass::Late:
+      return aLeft.remainingWork < aRight.remainingWork;
+    case ShortStepClass::Useless:
+      break;
   }
-  return aLeft.remainingWork < aRight.remainingWork;
+  return aLeft.acceptedUnixMs < aRight.acceptedUnixMs;
 }
 
 } // namespace sequoiakeel
--- a/src/StepOrder.h
+++ b/src/StepOrder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 
@@ -15,8 +16,10 @@
    * without service. */
   bool interrupted = false;
   bool filler = false;
-  /** No task of the job runs. */
+  /** No task of the job has a run. */
   bool idle = false;
+  /** Time for which that has been so while the step could have run. */
+  std::chrono::milliseconds idleFor{ 0 };
   /** Time by which the job should be completed, in milliseconds since 1970. */
   double objectiveUnixMs = 0;
   /** Shortest time in which the rest of the job can be completed. */
@@ -39,6 +42,12 @@
 ExpectedOutcome
 ExpectedOutcomeOf(const WaitingStep& aStep, double aNowUnixMs);
 
+/** Returns whether only the first task of a step is started before other steps
+ * get their turn: none of the job's tasks runs, and its result will be late or
+ * it has waited for long. Thread safe. */
+bool
+TakesTurns(const WaitingStep& aStep, double aNowUnixMs);
+
 /** Strategy that orders steps with tasks to start. Stateless; thread safe. */
 class StepOrder
 {
@@ -69,12 +78,17 @@
  *   each second without them is a second without service;
  * - within a priority, long-running tasks precede others and are ordered by
  *   arrival, since they are no less useful when they are started late;
- * - then jobs that can still meet their objective, then those whose result will
- *   be late but still of use; within each class the one with the least
+ * - then the first task of each job of which nothing has run for
+ *   kMaxIdleTime, so that no accepted job waits without limit for later ones;
+ * - then jobs that can still meet their objective, the one with the least
  *   remaining work first, so that most jobs are completed in time and those
  *   under way are finished;
- * - jobs whose result will be of no use any more come last: first those of
- *   which no task runs, then the others, each in order of arrival.
+ * - then the first task of each other job of which nothing runs;
+ * - then jobs whose result will be late but still of use, again by remaining
+ *   work, and at last those whose result will be of no use any more, by
+ *   arrival.
+ * First tasks are ordered by the time for which nothing has run, so that jobs
+ * take turns.
  */
 class LeastWorkOrder : public StepOrder
 {
--- a/test/unit/IdleJobs.cpp
+++ b/test/unit/IdleJobs.cpp
@@ -202,3 +202,37 @@
 {
   CheckIdleTimeAfterOverload(milliseconds(650));
 }
+
+// Guards against a job that never starts while later ones can be in time.
+TEST_CASE("a job that has been idle for 30 seconds precedes jobs in time")
+{
+  const LeastWorkOrder order;
+  WaitingStep inTime;
+  inTime.objectiveUnixMs = 5000;
+  WaitingStep late;
+  late.idle = true;
+  late.idleFor = seconds(29);
+  CHECK(order.Precedes(inTime, late, 1000));
+  late.idleFor = seconds(30);
+  CHECK(order.Precedes(late, inTime, 1000));
+  CHECK(TakesTurns(late, 1000));
+  CHECK(!TakesTurns(inTime, 1000));
+}
+
+// Guards against the earliest job that gets all turns of the late ones.
+TEST_CASE("late jobs with nothing running take turns by idle time")
+{
+  const LeastWorkOrder order;
+  WaitingStep earlier;
+  earlier.idle = true;
+  earlier.idleFor = seconds(1);
+  earlier.acceptedUnixMs = 1;
+  WaitingStep later = earlier;
+  later.idleFor = seconds(2);
+  later.acceptedUnixMs = 2;
+  WaitingStep running = earlier;
+  running.idle = false;
+  CHECK(order.Precedes(later, earlier, 1000));
+  CHECK(!order.Precedes(earlier, later, 1000));
+  CHECK(order.Precedes(earlier, running, 1000));
+}
