Let jobs share processors once few jobs can be in time

Cause: a filler started only where four fifths of its demand were unused, two fifths for the first task of an overdue job, whatever else waited.

Now the first task of a job that waits for its turn may also start where all fillers of the worker then run at a lower speed, down to two fifths, as long as the fillers that wait and can still be in time demand at most a tenth of what is available. So the jobs in time are not slowed down under overload. The fillers are slowed in the same planning pass, so that their use stays within what the other tasks leave unused.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -377,6 +377,8 @@
     /** The task is suspected of crashing its workers. */
     bool suspect = false;
     FillerLimits limits = FillerLimits::Usual;
+    /** See WorkerRequest. */
+    bool mayShare = false;
   };
   /** A start of a long-running task that is sent once its assignment is
    * durable. */
@@ -549,6 +551,14 @@
   /** Returns the limits for starting a task of a waiting step if it is a
    * filler. */
   FillerLimits LimitsFor(const Candidate& aCandidate) const;
+  /** Returns whether so few fillers that can still meet their objective wait
+   * that those of other jobs may slow them down. */
+  bool FewWaitInTime(std::span<const Candidate> aWaiting) const;
+  /** Returns whether a waiting step may share processors with other fillers:
+   * nothing of its job has run for a while. */
+  bool MayShare(const Candidate& aCandidate) const;
+  /** Slows the fillers of a worker whose processors they share. */
+  void SlowToShare(ScheduledWorker& aWorker);
   bool StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const;
   void PlanSteps(std::span<const Candidate> aCandidates,
                  PlannedCommands& aOrders);
@@ -701,6 +711,11 @@
   TimePoint waitLoggedAt;
   TimePoint idleLoggedAt;
   StartCounts startCounts;
+  /** Processor time available to fillers in the cell when it was last logged,
+   * in thousandths of a core. */
+  std::int64_t availableToFillers = 0;
+  /** FewWaitInTime() in the current planning pass. */
+  bool fewWaitInTime = false;
 };
 
 } // namespace sequoiakeel
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -63,13 +63,15 @@
 std::string
 PlacementKey(const std::string& aService,
              const WorkflowStep& aStep,
-             FillerLimits aLimits)
+             FillerLimits aLimits,
+             bool aMayShare)
 {
   if (!aStep.filler) {
     return aService;
   }
   return aService + "/filler/" + aStep.image + "/" +
-         std::to_string(static_cast<int>(aLimits));
+         std::to_string(static_cast<int>(aLimits)) +
+         (aMayShare ? "/share" : "");
 }
 
 bool
@@ -109,8 +111,8 @@
 bool
 CellScheduler::IsUnplaced(const TaskToPlace& aTask) const
 {
-  const auto found = this->unplaced.find(
-    PlacementKey(aTask.submission.service, aTask.step, aTask.limits));
+  const auto found = this->unplaced.find(PlacementKey(
+    aTask.submission.service, aTask.step, aTask.limits, aTask.mayShare));
   return found != this->unplaced.end() && !aTask.step.longRunning &&
          NeedsNoMoreThan(found->second, aTask.step);
 }
@@ -123,11 +125,13 @@
       !step.requiredLabel.empty()) {
     return;
   }
-  WorkflowStep& smallest =
-    this->unplaced
-      .try_emplace(PlacementKey(aTask.submission.service, step, aTask.limits),
-                   step)
-      .first->second;
+  WorkflowStep& smallest = this->unplaced
+                             .try_emplace(PlacementKey(aTask.submission.service,
+                                                       step,
+                                                       aTask.limits,
+                                                       aTask.mayShare),
+                                          step)
+                             .first->second;
   if (NeedsNoMoreThan(step, smallest)) {
     smallest = step;
   }
@@ -139,7 +143,7 @@
 {
   const TimePoint now = this->clock.Now();
   const WorkflowStep& step = aTask.step;
-  const WorkerRequest request{ step, aTask.limits };
+  const WorkerRequest request{ step, aTask.limits, aTask.mayShare };
   const bool mayUseReserved = step.longRunning && aTask.interrupted &&
                               aTask.waited > kReservedCapacityWait;
   const bool isolated = this->AwaitsIsolation(aTask);
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -36,6 +36,15 @@
  * callers' estimates, which can be off by a multiple. */
 constexpr std::chrono::seconds kOverdueAfter{ 30 };
 
+/** Wait after which the first task of a job that was never started may share
+ * processors with other fillers. A job that has begun may do so at once. */
+constexpr std::chrono::seconds kWaitBeforeSharing{ 3 };
+
+/** Waiting demand of fillers that can still meet their objective, relative to
+ * the processor time available to fillers, up to which other jobs may slow them
+ * down. */
+constexpr double kFewWaitingShare = 0.1;
+
 /** Number of workers that are named in a log line. */
 constexpr std::size_t kLoggedWorkers = 5;
 
@@ -52,6 +61,7 @@
   const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
   std::vector<Candidate> candidates = this->Candidates();
   this->LogUsage(candidates);
+  this->fewWaitInTime = this->FewWaitInTime(candidates);
   std::stable_sort(candidates.begin(),
                    candidates.end(),
                    [&](const Candidate& aLeft, const Candidate& aRight) {
@@ -104,6 +114,7 @@
     sum += cpu;
   }
   const CellUsage usage = MeasureUsage(this->workers, this->interference, now);
+  this->availableToFillers = usage.availableToFillers;
   Event("cell_usage")
     .Add("capacity_milli", usage.capacity)
     .Add("long_running_milli", usage.longRunning)
@@ -413,6 +424,49 @@
   return job.AnyAssigned() ? FillerLimits::Overdue : FillerLimits::OverdueIdle;
 }
 
+bool
+CellScheduler::FewWaitInTime(std::span<const Candidate> aWaiting) const
+{
+  const auto now = static_cast<double>(this->wallClock.UnixMs());
+  double demand = 0;
+  for (const Candidate& candidate : aWaiting) {
+    if (!candidate.order.filler ||
+        ExpectedOutcomeOf(candidate.order, now) != ExpectedOutcome::InTime) {
+      continue;
+    }
+    const WorkflowStep& step =
+      this->jobs.at(candidate.job).job.Submission().steps[candidate.step];
+    demand += static_cast<double>(step.cpuMilli) * candidate.pending;
+  }
+  return demand <=
+         kFewWaitingShare * static_cast<double>(this->availableToFillers);
+}
+
+bool
+CellScheduler::MayShare(const Candidate& aCandidate) const
+{
+  const WorkflowJob& job = this->jobs.at(aCandidate.job).job;
+  return this->fewWaitInTime && aCandidate.order.filler &&
+         (job.Started() || aCandidate.order.idleFor >= kWaitBeforeSharing);
+}
+
+void
+CellScheduler::SlowToShare(ScheduledWorker& aWorker)
+{
+  const int percent = this->UncontendedPercent(aWorker);
+  if (percent >= 100) {
+    return;
+  }
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    if (!commitment.step.filler) {
+      continue;
+    }
+    const std::string& image = commitment.step.image;
+    aWorker.fillerPercents[image] =
+      std::min(aWorker.FillerPercent(image), percent);
+  }
+}
+
 bool
 CellScheduler::StepIsDue(const Entry& aEntry, std::uint32_t aOccurrence) const
 {
@@ -539,6 +593,7 @@
       continue;
     }
     placed.waited = now - tasks[i].pendingSince;
+    placed.mayShare = aFirstOnly && this->MayShare(aCandidate);
     placed.interrupted = aCandidate.order.interrupted;
     placed.suspect = this->IsSuspect(name, tasks[i]);
     const bool missed = longestMissed && placed.waited <= *longestMissed;
@@ -572,6 +627,9 @@
     placed.rack = worker->description.rack;
     this->CountStart(aCandidate);
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
+    if (placed.mayShare) {
+      this->SlowToShare(*worker);
+    }
     if (aFirstOnly) {
       return;
     }
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -151,13 +151,20 @@
 /** Returns whether the processor time that no filler of a worker demands yet
  * suffices for one more. */
 bool
-SufficesFor(const WorkerRequest& aRequest, double aSpare)
+SufficesFor(const ScheduledWorker& aWorker,
+            const WorkerRequest& aRequest,
+            double aSpare)
 {
   const double wanted = aRequest.step.cpuMilli;
   const double share = aRequest.limits == FillerLimits::OverdueIdle
                          ? kMinUnusedShareIdle
                          : kMinUnusedShare;
-  return aSpare >= share * wanted;
+  if (aSpare >= share * wanted) {
+    return true;
+  }
+  const auto demand = static_cast<double>(aWorker.Committed().fillerCpuMilli);
+  return aRequest.mayShare &&
+         100 * (aSpare + demand) >= kMinSharedPercent * (demand + wanted);
 }
 
 /** Returns the first obstacle that does not depend on the effect on serving
@@ -167,10 +174,11 @@
                  const WorkerRequest& aRequest,
                  double aSpare)
 {
-  if (!SufficesFor(aRequest, aSpare)) {
+  if (!SufficesFor(aWorker, aRequest, aSpare)) {
     return FillerObstacle::ProcessorsInUse;
   }
-  if (aWorker.FillerPercent(aRequest.step.image) < 100) {
+  const int minPercent = aRequest.mayShare ? kMinSharedPercent : 100;
+  if (aWorker.FillerPercent(aRequest.step.image) < minPercent) {
     return FillerObstacle::Slowed;
   }
   return aWorker.WorstLatencyRatio() > 1 ? FillerObstacle::TargetMissed
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -30,8 +30,15 @@
 {
   const WorkflowStep& step;
   FillerLimits limits = FillerLimits::Usual;
+  /** A filler may also start where all fillers would then run at a lower speed,
+   * down to kMinSharedPercent. */
+  bool mayShare = false;
 };
 
+/** Lowest speed in percent down to which the fillers of a worker share its
+ * processors. */
+inline constexpr int kMinSharedPercent = 40;
+
 /**
  * Strategy that scores workers for one task. It is only called for workers that
  * satisfy every hard constraint of the task. Stateless; thread safe.
--- a/test/unit/IdleJobs.cpp
+++ b/test/unit/IdleJobs.cpp
@@ -203,6 +203,13 @@
   CheckIdleTimeAfterOverload(milliseconds(650));
 }
 
+// Guards against jobs that wait since there are more of them than tasks that
+// can run at full speed.
+TEST_CASE("every job has a run soon after a heavy overload")
+{
+  CheckIdleTimeAfterOverload(milliseconds(450));
+}
+
 // Guards against a job that never starts while later ones can be in time.
 TEST_CASE("a job that has been idle for 30 seconds precedes jobs in time")
 {
