Take a latency of 0 for a reading once it has been measured

Cause: Commitment::usage is 0 until the first report, and EffectOnServing took 0 for "not reported yet" and forbade fillers on the worker. A service without requests, or with a tail that rounds to 0 ms, reports 0 for as long as that lasts. LoadOf gave 0 the same meaning and assumed the highest load, so that the processors of an idle service did not count as unused.

Change: 0 is a reading from the first report on that was requested 700 ms after the confirmed start (the measuring window of 500 ms and the settle time that was used for the learned effects already) and lists the run. Adopted runs count from the report that showed them first, so that a run which began just before a takeover is not taken for idle. Until then nothing changes: no filler starts, and the load counts as the highest. Then 0 is a latency far below the target, with the lowest load that is assumed of a serving task.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -432,7 +432,9 @@
                     const TaskName& aName,
                     Entry& aEntry,
                     const EndedRun& aRow);
-  void HandleRunning(ScheduledWorker& aWorker, const RunningRun& aRow);
+  void HandleRunning(ScheduledWorker& aWorker,
+                     TimePoint aSentAt,
+                     const RunningRun& aRow);
   void Adopt(ScheduledWorker& aWorker,
              const TaskName& aName,
              const RunningRun& aRow);
--- a/src/CellSchedulerFillers.cpp
+++ b/src/CellSchedulerFillers.cpp
@@ -14,10 +14,6 @@
  * tasks is adjusted at most once in that time. */
 constexpr std::chrono::milliseconds kLatencyWindow{ 500 };
 
-/** The effect of a run on the measurements of its worker is visible only after
- * this time. */
-constexpr std::chrono::milliseconds kSettleTime{ 700 };
-
 constexpr std::chrono::milliseconds kInterferenceInterval{ 1000 };
 
 /** Interval at which the estimated effects of best-effort tasks on tail
@@ -52,7 +48,7 @@
   const TimePoint now = this->clock.Now();
   const auto isSettled = [now](const Commitment& aCommitment) {
     return aCommitment.phase == CommitmentPhase::Running &&
-           now - aCommitment.confirmedAt > kSettleTime;
+           now - aCommitment.confirmedAt > Commitment::kSettleTime;
   };
   std::vector<FillerLoad> fillers;
   for (const auto& [image, share] : aWorker.FillerShares(now, kLatencyWindow)) {
@@ -71,6 +67,7 @@
   };
   std::map<std::string, Tails> tails;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
+    // Effects are factors on the latency; a latency of 0 shows none.
     if (commitment.HasLatencyTarget() && isSettled(commitment) &&
         commitment.usage > 0) {
       // The tasks of one job share its load, so their mean latency is used.
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -64,7 +64,7 @@
   }
   worker->foreignRuns = false;
   for (const RunningRun& row : aReport.running) {
-    this->HandleRunning(*worker, row);
+    this->HandleRunning(*worker, aSentAt, row);
   }
   if (!aReport.endsTruncated) {
     this->MarkMissingRunsLost(*worker, aSentAt, aReport);
@@ -186,7 +186,9 @@
 }
 
 void
-CellScheduler::HandleRunning(ScheduledWorker& aWorker, const RunningRun& aRow)
+CellScheduler::HandleRunning(ScheduledWorker& aWorker,
+                             TimePoint aSentAt,
+                             const RunningRun& aRow)
 {
   Commitment* const commitment = aWorker.Find(aRow.task);
   const std::optional<TaskName> name = ParseTaskName(aRow.task);
@@ -195,7 +197,7 @@
       commitment->phase = CommitmentPhase::Running;
       commitment->confirmedAt = this->clock.Now();
     }
-    commitment->usage = aRow.usage;
+    commitment->NoteUsage(aRow.usage, aSentAt);
     commitment->progressPercent = aRow.percent;
     Entry* const entry = name ? this->FindJob(name->job) : nullptr;
     WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -27,6 +27,10 @@
 /** A run that uses capacity on a worker until its end is known. */
 struct Commitment
 {
+  /** Workers measure over the last 500 ms. A run is visible in its worker's
+   * measurements only after this time. */
+  static constexpr std::chrono::milliseconds kSettleTime{ 700 };
+
   std::uint64_t run = 0;
   CommitmentPhase phase = CommitmentPhase::Starting;
   /** Resource demand and kind; a copy, since the run can outlive its job. */
@@ -62,9 +66,12 @@
   TimePoint confirmedAt;
   /** While Stopping: when the last stop command was sent. */
   TimePoint stopSentAt;
-  /** Last reported tail latency in milliseconds if the task has a latency
+  /** Last reported tail latency in whole milliseconds if the task has a latency
    * target, otherwise processor use in thousandths of a core. */
   std::int64_t usage = 0;
+  /** A report that was requested kSettleTime or more after the confirmed start
+   * listed the run, so that a usage of 0 is a measurement. */
+  bool measured = false;
   int progressPercent = 0;
   /** Speed that was last sent to the worker, in percent of full speed. */
   int speedPercent = 100;
@@ -106,8 +113,23 @@
   /** Returns whether the task serves requests with a latency target. */
   bool HasLatencyTarget() const { return this->step.latencyTargetMs > 0; }
 
-  /** Returns the ratio of tail latency to latency target. Precondition:
-   * HasLatencyTarget(). */
+  /** Sets the usage from a report that lists the run. aSentAt: when the report
+   * was requested. */
+  void NoteUsage(std::int64_t aUsage, TimePoint aSentAt)
+  {
+    this->usage = aUsage;
+    this->measured =
+      this->measured || (this->confirmedAt != TimePoint() &&
+                         aSentAt - this->confirmedAt >= kSettleTime);
+  }
+
+  /** Returns whether the usage is a measurement. A usage of 0 is one if the run
+   * has been up for the measuring window: a service without requests, or with a
+   * latency that rounds to 0 ms, reports 0 for good. */
+  bool HasReading() const { return this->usage > 0 || this->measured; }
+
+  /** Returns the ratio of tail latency to latency target; 0 without a reading.
+   * Precondition: HasLatencyTarget(). */
   double LatencyRatio() const
   {
     return static_cast<double>(this->usage) / this->step.latencyTargetMs;
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -114,7 +114,7 @@
     if (!serving.HasLatencyTarget()) {
       continue;
     }
-    if (serving.usage == 0) {
+    if (!serving.HasReading()) {
       return { FillerObstacle::LatencyUnknown };
     }
     const std::string& image = serving.step.image;
@@ -230,9 +230,12 @@
        const Commitment& aServing,
        const FillerInterference& aInterference)
 {
-  if (aServing.usage == 0) {
+  if (!aServing.HasReading()) {
     return kMaxLoad;
   }
+  if (aServing.usage == 0) {
+    return kMinLoad;
+  }
   const std::string& image = aServing.step.image;
   const double undisturbedMs =
     static_cast<double>(aServing.usage) /
--- a/src/WorkerChoice.h
+++ b/src/WorkerChoice.h
@@ -105,7 +105,7 @@
   Slowed,
   /** A serving task exceeds its latency target. */
   TargetMissed,
-  /** A serving task has not reported its latency yet. */
+  /** The latency of a serving task has not been measured yet. */
   LatencyUnknown,
   /** The image is known to harm a serving task. */
   HarmfulImage,
