Treat the speed of a run as unknown until an order for it is answered

Commitment::speedPercent held the speed that was sent last, 100 for a run that was adopted from an earlier owner, and an order was sent only if the wanted speed differed. Workers do not report the speed. So an adopted run kept the earlier owner's speed, and an order that was refused, lost or carried out after newer ones was never noticed; SendThrottle ignored the outcome.

RunSpeed replaces the number. The speed is known only if the last order was answered. An adopted run gets one order. The earlier owner's late orders need nothing more: the worker rejects them by their fencing token. Unresponsive workers get no orders, and a refusal because of a newer owner ends the ownership, as for starts and stops. A run that this owner started gets no further order as long as all are answered.

--- a/src/CapacityForecast.cpp
+++ b/src/CapacityForecast.cpp
@@ -95,7 +95,7 @@
     aRun.progressPercent >= kMinProgressPercent
       ? Milliseconds(aNow - aRun.startedAt) * left / aRun.progressPercent
       : byEstimate;
-  return remaining * 100 / std::max(1, aRun.speedPercent);
+  return remaining * 100 / std::max(1, aRun.speed.Percent());
 }
 
 double
--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -252,22 +252,29 @@
 asio::awaitable<void>
 CellOwnershipSession::SendThrottle(PlannedThrottle aThrottle)
 {
-  if (!this->CanSendCommands()) {
-    co_return;
-  }
-  const WorkerCommandReply reply =
-    co_await this->dependencies.workerCommands.Throttle(
+  WorkerCommandReply reply;
+  if (this->CanSendCommands()) {
+    reply = co_await this->dependencies.workerCommands.Throttle(
       this->Target(aThrottle.worker, aThrottle.endpoint),
       aThrottle.task,
       aThrottle.run,
       aThrottle.percent,
       kStartTimeout);
+  }
+  if (this->ended) {
+    co_return;
+  }
+  if (reply.result == WorkerCommandResult::Fenced) {
+    this->End("fenced: a worker has received commands of a newer owner");
+    co_return;
+  }
   if (reply.result != WorkerCommandResult::Done) {
     Event("filler_speed_not_set", LogLevel::Warning)
       .Add("task", aThrottle.task)
       .Add("worker", aThrottle.worker)
       .Add("result", ToString(reply.result));
   }
+  this->scheduler.HandleThrottle(aThrottle, reply);
 }
 
 } // namespace sequoiakeel
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -87,6 +87,8 @@
   std::string task;
   std::uint64_t run = 0;
   int percent = 100;
+  /** Number of the order among those for the run. */
+  std::uint64_t order = 0;
 };
 
 /** Commands to workers that result from one planning pass. */
@@ -262,6 +264,11 @@
                   std::uint64_t aRun,
                   const WorkerCommandReply& aReply);
 
+  /** Handles the outcome of a speed order. An order whose outcome is not passed
+   * in counts as unanswered. */
+  void HandleThrottle(const PlannedThrottle& aThrottle,
+                      const WorkerCommandReply& aReply);
+
   /** Handles a reply which shows that the worker's address belongs to another
    * worker now: aWorker gets no start commands for a short time, and has
    * crashed if contact with it was lost. */
--- a/src/CellSchedulerFillers.cpp
+++ b/src/CellSchedulerFillers.cpp
@@ -174,7 +174,7 @@
             << this->interference.Effect(worst->step.image,
                                          commitment.step.image)
             << ",cpu_milli=" << commitment.usage
-            << ",percent=" << commitment.speedPercent << ",age_ms="
+            << ",percent=" << commitment.speed.Percent() << ",age_ms="
             << std::chrono::duration_cast<std::chrono::milliseconds>(
                  now - commitment.startedAt)
                  .count()
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -740,21 +740,26 @@
 void
 CellScheduler::PlanThrottles(PlannedCommands& aOrders)
 {
+  const TimePoint now = this->clock.Now();
   for (auto& [id, worker] : this->workers) {
+    if (worker.unresponsive) {
+      continue;
+    }
     for (const auto& [task, unused] : worker.Commitments()) {
       Commitment& commitment = *worker.Find(task);
+      const int percent = worker.FillerPercent(commitment.step.image);
       if (!commitment.step.filler ||
           commitment.phase != CommitmentPhase::Running ||
-          commitment.speedPercent ==
-            worker.FillerPercent(commitment.step.image)) {
+          !commitment.speed.NeedsOrder(percent, now)) {
         continue;
       }
-      commitment.speedPercent = worker.FillerPercent(commitment.step.image);
-      aOrders.throttles.push_back(PlannedThrottle{ id,
-                                                   worker.description.endpoint,
-                                                   task,
-                                                   commitment.run,
-                                                   commitment.speedPercent });
+      aOrders.throttles.push_back(
+        PlannedThrottle{ id,
+                         worker.description.endpoint,
+                         task,
+                         commitment.run,
+                         percent,
+                         commitment.speed.BeginOrder(percent, now) });
     }
   }
 }
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -237,6 +237,7 @@
   commitment.run = aRow.run;
   commitment.phase = CommitmentPhase::Running;
   commitment.adopted = true;
+  commitment.speed = RunSpeed::Unknown();
   commitment.confirmedAt = this->clock.Now();
   commitment.startedAt = this->clock.Now();
   commitment.stepKey = FormatStepKey(aName);
@@ -501,6 +502,19 @@
   commitment->confirmedAt = this->clock.Now();
 }
 
+void
+CellScheduler::HandleThrottle(const PlannedThrottle& aThrottle,
+                              const WorkerCommandReply& aReply)
+{
+  ScheduledWorker* const worker = this->Worker(aThrottle.worker);
+  Commitment* const commitment =
+    worker ? worker->Find(aThrottle.task) : nullptr;
+  if (commitment == nullptr || commitment->run != aThrottle.run) {
+    return;
+  }
+  commitment->speed.HandleOutcome(aThrottle.order, aReply.result);
+}
+
 void
 CellScheduler::HandleUnresponsive(const std::string& aWorker,
                                   std::optional<TimePoint> aContactUntil)
--- a/src/CellUsage.cpp
+++ b/src/CellUsage.cpp
@@ -25,7 +25,7 @@
       if (commitment.step.filler) {
         usage.fillerDemand += cpu;
         usage.fillerUse += commitment.usage;
-        usage.fillersHeldBack += cpu * (100 - commitment.speedPercent) / 100;
+        usage.fillersHeldBack += cpu * (100 - commitment.speed.Percent()) / 100;
         continue;
       }
       (commitment.step.longRunning ? usage.longRunning : usage.shortTasks) +=
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -2,6 +2,7 @@
 
 #include "Clock.h"
 #include "CrashAttribution.h"
+#include "RunSpeed.h"
 #include "WorkerReport.h"
 #include "generated/Workflow.h"
 
@@ -73,8 +74,7 @@
    * listed the run, so that a usage of 0 is a measurement. */
   bool measured = false;
   int progressPercent = 0;
-  /** Speed that was last sent to the worker, in percent of full speed. */
-  int speedPercent = 100;
+  RunSpeed speed;
 
   /** Returns when the run began, as far as it is known. */
   TimePoint BeganAt() const
@@ -98,7 +98,7 @@
   {
     return this->usage > 0 ? this->usage
                            : static_cast<std::int64_t>(this->step.cpuMilli) *
-                               this->speedPercent / 100;
+                               this->speed.Percent() / 100;
   }
 
   /** Returns whether the run has been up for long enough that it is not
