Let short tasks use capacity reserved for a first start

Six long-running tasks of 24 cores wait for batch tasks of 12 cores and 90 s on workers of 32 cores. A job of 0.8 s and 2.3 cores, of the same priority, stays queued for over 40 s with 120 cores unused.

Cause: ReserveCapacity reserves the whole size of each long-running task that fits nowhere, and ScheduledWorker::Fits counts it as used for all other tasks until the task starts. The expected wait only served to choose the worker. Evidence: on the code before, idle_jobs shows workers=reserved:1 in the new test; a short task starts once its end comes before the expected time.

Change: backfilling by estimates (EASY), for tasks that have never run. A task that is neither long-running nor a filler may use their reservation if four times its estimate and 4 s are over before the time at which the reservation is expected to be usable. Limits for wrong estimates: that time only becomes earlier, and runs on reserved capacity count as ended in it, so that they cannot postpone it; if it passes by 5 s while other runs hold the rest, the reservation may be used for 16 s again. Reservations for tasks that have run, await their worker or leave a draining one stay closed to all others, since a service is down meanwhile. The list of sizes without a worker compares estimates too while such reservations exist, so that a longer task does not hide a shorter one.

--- a/src/CapacityForecast.cpp
+++ b/src/CapacityForecast.cpp
@@ -31,6 +31,27 @@
  * two large tasks to preempt short runs that are a few seconds old. */
 constexpr double kMinBudgetCoreSeconds = 100;
 
+/** A task may use a reservation if the time until the reservation is expected
+ * to be usable is at least this multiple of the task's estimate. The estimates
+ * of the task and of the runs that the reservation waits for can both be off by
+ * a factor of two. */
+constexpr int kEstimateFactor = 4;
+
+/** Time that is added for the start of a task, the report of its end, and the
+ * error of the time at which a reservation is expected to be usable. Where all
+ * tasks are short, reservations are usable sooner and are not used by others.
+ */
+constexpr std::chrono::seconds kBackfillMargin{ 4 };
+
+/** A reservation that is not usable for this long after the expected time may
+ * be used by other tasks again, for kReuseTime. With the time before in which
+ * no task of up to a second may use it, this is less than the 14 s within which
+ * short jobs have to start. */
+constexpr std::chrono::seconds kMaxOverdue{ 5 };
+
+/** Enough for tasks of up to 3 s by their estimate. */
+constexpr std::chrono::seconds kReuseTime{ 16 };
+
 /** Resources that a task needs on a worker beyond the free capacity. */
 class Shortfall
 {
@@ -136,22 +157,20 @@
   return runs;
 }
 
-} // namespace
-
+/** Returns the time after which a task of a step fits on a worker if each short
+ * run has the remaining time that aRemainingMs returns; nothing if it would not
+ * fit without them. */
+template<typename RemainingTime>
 std::optional<Duration>
-ExpectedWait(const ScheduledWorker& aWorker,
-             const WorkflowStep& aStep,
-             TimePoint aNow)
+WaitForShortRuns(const ScheduledWorker& aWorker,
+                 const WorkflowStep& aStep,
+                 RemainingTime aRemainingMs)
 {
   Shortfall shortfall(aWorker, aStep);
   if (shortfall.None()) {
     return Duration::zero();
   }
-  const std::vector<ShortRun> runs =
-    ShortRuns(aWorker, [aNow](const Commitment& aRun) {
-      return RemainingMs(aRun, aNow);
-    });
-  for (const ShortRun& run : runs) {
+  for (const ShortRun& run : ShortRuns(aWorker, aRemainingMs)) {
     shortfall.Add(run.commitment->step, -1);
     if (shortfall.None()) {
       return std::chrono::duration_cast<Duration>(
@@ -161,6 +180,64 @@
   return std::nullopt;
 }
 
+} // namespace
+
+std::optional<Duration>
+ExpectedWait(const ScheduledWorker& aWorker,
+             const WorkflowStep& aStep,
+             TimePoint aNow)
+{
+  return WaitForShortRuns(aWorker, aStep, [aNow](const Commitment& aRun) {
+    return RemainingMs(aRun, aNow);
+  });
+}
+
+std::optional<Duration>
+ExpectedWaitForOtherRuns(const ScheduledWorker& aWorker,
+                         const WorkflowStep& aStep,
+                         TimePoint aNow)
+{
+  return WaitForShortRuns(aWorker, aStep, [aNow](const Commitment& aRun) {
+    return aRun.backfill ? 0 : std::max(1.0, RemainingMs(aRun, aNow));
+  });
+}
+
+bool
+FitsOrBackfills(const ScheduledWorker& aWorker,
+                const WorkflowStep& aStep,
+                TimePoint aNow)
+{
+  if (aWorker.Fits(aStep)) {
+    return true;
+  }
+  if (aStep.longRunning || aStep.filler || aStep.estimateMs == 0) {
+    return false;
+  }
+  const auto estimate = std::chrono::milliseconds(aStep.estimateMs);
+  return aWorker.FitsUntil(aStep,
+                           aNow + kEstimateFactor * estimate + kBackfillMargin);
+}
+
+void
+ReservationForecast::Update(const ScheduledWorker& aWorker,
+                            const WorkflowStep& aStep,
+                            TimePoint aNow)
+{
+  const Duration wait =
+    ExpectedWaitForOtherRuns(aWorker, aStep, aNow).value_or(Duration::zero());
+  if (wait == Duration::zero()) {
+    this->expectedAt = std::min(this->expectedAt, aNow);
+    return;
+  }
+  if (this->expectedAt != TimePoint::max() &&
+      aNow > this->expectedAt + kMaxOverdue) {
+    this->reusedUntil = aNow + kReuseTime;
+    this->expectedAt = TimePoint::max();
+  }
+  this->expectedAt =
+    std::min(this->expectedAt, std::max(this->reusedUntil, aNow + wait));
+}
+
 bool
 FitsWithoutShortRuns(const ScheduledWorker& aWorker, const WorkflowStep& aStep)
 {
--- a/src/CapacityForecast.h
+++ b/src/CapacityForecast.h
@@ -22,6 +22,47 @@
              const WorkflowStep& aStep,
              TimePoint aNow);
 
+/** Like ExpectedWait(), but assumes that all runs on reserved capacity have
+ * ended. The result is zero only if no other run has to end. */
+std::optional<Duration>
+ExpectedWaitForOtherRuns(const ScheduledWorker& aWorker,
+                         const WorkflowStep& aStep,
+                         TimePoint aNow);
+
+/** Returns whether a task of a step may start on a worker: it fits beside the
+ * worker's runs and reservations, or it is expected to end well before the
+ * reservations that it uses are needed. Long-running tasks use no reservation,
+ * and neither do fillers, which can be paused and then do not end. */
+bool
+FitsOrBackfills(const ScheduledWorker& aWorker,
+                const WorkflowStep& aStep,
+                TimePoint aNow);
+
+/**
+ * The time at which the reservation of a task is expected to be usable, as far
+ * as it depends on runs that do not use reservations. It only becomes earlier
+ * until it has passed for a time limit while such a run is still needed to end:
+ * then the estimates were wrong, and other tasks may use the reservation again.
+ * So tasks that use a reservation delay it at most by the rest of their runs,
+ * and short tasks do not wait for the end of the other runs. Not thread safe.
+ */
+class ReservationForecast
+{
+public:
+  /** Follows the runs of the worker on which capacity is reserved for a task of
+   * a step. Precondition: the worker's reservations do not include this one. */
+  void Update(const ScheduledWorker& aWorker,
+              const WorkflowStep& aStep,
+              TimePoint aNow);
+
+  TimePoint ExpectedAt() const { return this->expectedAt; }
+
+private:
+  TimePoint expectedAt = TimePoint::max();
+  /** The expected time is not earlier than this, whatever the estimates are. */
+  TimePoint reusedUntil;
+};
+
 /** Returns whether ExpectedWait() returns a time. Much cheaper, since the
  * worker caches the sum over its short runs. Not thread safe for that reason.
  */
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -358,6 +358,7 @@
     std::string worker;
     std::string stepKey;
     TimePoint chosenAt;
+    ReservationForecast forecast{};
   };
   enum class ReservationOutcome : std::uint8_t
   {
@@ -381,6 +382,9 @@
     Duration waited{};
     /** The task is a long-running one that has run before. */
     bool interrupted = false;
+    /** The task has never run, as far as this owner knows, so that nobody
+     * depends on it yet. */
+    bool firstStart = false;
     /** The task is suspected of crashing its workers. */
     bool suspect = false;
     FillerLimits limits = FillerLimits::Usual;
@@ -700,6 +704,9 @@
    * task. */
   std::map<std::string, CapacityReservation> previousReservations;
   std::map<std::string, CapacityReservation> reservations;
+  /** In the current planning pass, reservations were made that tasks may use if
+   * they end early enough. */
+  bool anyBackfillable = false;
   /** Long-running tasks that no worker could run in the current planning pass,
    * even without its short tasks. */
   std::vector<TaskName> unplaceable;
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -39,6 +39,7 @@
   commitment.step = step;
   commitment.stepKey = aStepKey;
   commitment.startedAt = this->clock.Now();
+  commitment.backfill = !step.longRunning && !aWorker.Fits(step);
   commitment.held = step.longRunning;
   commitment.suspect = this->IsSuspect(aName, *aEntry.job.Find(aName));
   // A held start is not in flight, so a report without it proves nothing.
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -81,6 +81,14 @@
          aStep.accelerators <= aThan.accelerators;
 }
 
+/** Compares the estimates of two steps; no estimate is the latest end. */
+bool
+EndsNoLaterThan(const WorkflowStep& aStep, const WorkflowStep& aThan)
+{
+  return aThan.estimateMs == 0 ||
+         (aStep.estimateMs > 0 && aStep.estimateMs <= aThan.estimateMs);
+}
+
 } // namespace
 
 void
@@ -91,6 +99,7 @@
   this->quarantinedWorkers.clear();
   this->unplaced.clear();
   this->unplaceable.clear();
+  this->anyBackfillable = false;
   this->notSearched = 0;
   this->awaitedTasks.clear();
   this->previousReservations = std::move(this->reservations);
@@ -113,8 +122,10 @@
 {
   const auto found = this->unplaced.find(PlacementKey(
     aTask.submission.service, aTask.step, aTask.limits, aTask.mayShare));
+  // A task that ends earlier may fit on reserved capacity.
   return found != this->unplaced.end() && !aTask.step.longRunning &&
-         NeedsNoMoreThan(found->second, aTask.step);
+         NeedsNoMoreThan(found->second, aTask.step) &&
+         (!this->anyBackfillable || EndsNoLaterThan(found->second, aTask.step));
 }
 
 void
@@ -132,7 +143,9 @@
                                                        aTask.mayShare),
                                           step)
                              .first->second;
-  if (NeedsNoMoreThan(step, smallest)) {
+  const bool replaces =
+    !this->anyBackfillable || EndsNoLaterThan(step, smallest);
+  if (replaces && NeedsNoMoreThan(step, smallest)) {
     smallest = step;
   }
 }
@@ -152,7 +165,9 @@
   ScheduledWorker* best = nullptr;
   double bestRate = WorkerChoice::kAnyScore;
   for (ScheduledWorker* const worker : aWorkers) {
-    if (!(mayUseReserved ? worker->FitsBesideRuns(step) : worker->Fits(step)) ||
+    const bool fits = mayUseReserved ? worker->FitsBesideRuns(step)
+                                     : FitsOrBackfills(*worker, step, now);
+    if (!fits ||
         !SatisfiesConstraints(
           *worker, aTask.submission.service, step, aTask.stepKey) ||
         worker->IsolatesSuspect(now) ||
@@ -276,8 +291,12 @@
   if (best == nullptr) {
     return nullptr;
   }
-  this->reservations[aTaskName] =
-    CapacityReservation{ best->description.id, aTask.stepKey, now };
+  CapacityReservation& reservation = this->reservations[aTaskName];
+  reservation = CapacityReservation{ best->description.id, aTask.stepKey, now };
+  const auto previous = this->previousReservations.find(aTaskName);
+  if (previous != this->previousReservations.end()) {
+    reservation.forecast = previous->second.forecast;
+  }
   Event("room_held")
     .Add("task", aTaskName)
     .Add("worker", best->description.id)
@@ -321,7 +340,14 @@
     return ReservationOutcome::NoWorker;
   }
   this->Preempt(*worker, aTaskName, aTask);
-  worker->Reserve(aTask.step);
+  if (!aTask.firstStart) {
+    worker->Reserve(aTask.step);
+    return ReservationOutcome::Reserved;
+  }
+  CapacityReservation& reservation = this->reservations.at(aTaskName);
+  reservation.forecast.Update(*worker, aTask.step, this->clock.Now());
+  worker->ReserveBackfillable(aTask.step, reservation.forecast.ExpectedAt());
+  this->anyBackfillable = true;
   return ReservationOutcome::Reserved;
 }
 
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -219,7 +219,7 @@
   if (!aWorker.FitsBesideRuns(step)) {
     return "full";
   }
-  if (!aWorker.Fits(step)) {
+  if (!FitsOrBackfills(aWorker, step, this->clock.Now())) {
     return "reserved";
   }
   return step.filler
@@ -595,6 +595,7 @@
     placed.waited = now - tasks[i].pendingSince;
     placed.mayShare = aFirstOnly && this->MayShare(aCandidate);
     placed.interrupted = aCandidate.order.interrupted;
+    placed.firstStart = !tasks[i].hasRun;
     placed.suspect = this->IsSuspect(name, tasks[i]);
     const bool missed = longestMissed && placed.waited <= *longestMissed;
     ScheduledWorker* const worker =
--- a/src/ScheduledWorker.cpp
+++ b/src/ScheduledWorker.cpp
@@ -172,6 +172,21 @@
   return this->FitsBeside(ReservedCapacity(), aStep);
 }
 
+bool
+ScheduledWorker::FitsUntil(const WorkflowStep& aStep, TimePoint aEnd) const
+{
+  ReservedCapacity counted = this->reserved;
+  for (const BackfillableReservation& reservation : this->backfillable) {
+    if (reservation.expectedAt < aEnd) {
+      continue;
+    }
+    counted.cpuMilli -= reservation.size.cpuMilli;
+    counted.memoryMb -= reservation.size.memoryMb;
+    counted.accelerators -= reservation.size.accelerators;
+  }
+  return this->FitsBeside(counted, aStep);
+}
+
 bool
 ScheduledWorker::FitsBeside(const ReservedCapacity& aReserved,
                             const WorkflowStep& aStep) const
@@ -206,6 +221,18 @@
   this->reserved.accelerators += aStep.accelerators;
 }
 
+void
+ScheduledWorker::ReserveBackfillable(const WorkflowStep& aStep,
+                                     TimePoint aExpectedAt)
+{
+  this->Reserve(aStep);
+  BackfillableReservation& reservation = this->backfillable.emplace_back();
+  reservation.size.cpuMilli = aStep.filler ? 0 : aStep.cpuMilli;
+  reservation.size.memoryMb = aStep.memoryMb;
+  reservation.size.accelerators = aStep.accelerators;
+  reservation.expectedAt = aExpectedAt;
+}
+
 double
 ScheduledWorker::ShareOf(double aCpuMilli) const
 {
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoiakeel {
 
@@ -44,6 +45,9 @@
   /** While Starting: the start command was not sent yet, since the assignment
    * of the task is not durable. */
   bool held = false;
+  /** The run was started on capacity that is reserved for a task which is
+   * expected to fit only after the end of the run. */
+  bool backfill = false;
   TimePoint startedAt;
   /** While Starting: time from which the start command can no longer take
    * effect. */
@@ -161,6 +165,14 @@
   std::int64_t accelerators = 0;
 };
 
+/** A reservation that tasks may use if they end before it is needed. */
+struct BackfillableReservation
+{
+  ReservedCapacity size;
+  /** When the task of the reservation is expected to fit. */
+  TimePoint expectedAt;
+};
+
 /** A best-effort task that ran on a worker until recently. */
 struct EndedFiller
 {
@@ -267,9 +279,22 @@
   /** Like Fits(), but does not count reservations. */
   bool FitsBesideRuns(const WorkflowStep& aStep) const;
 
+  /** Like Fits(), but does not count the backfillable reservations that are
+   * not expected to be usable before aEnd. */
+  bool FitsUntil(const WorkflowStep& aStep, TimePoint aEnd) const;
+
   /** Reserves capacity for one task of aStep until ClearReservations(). */
   void Reserve(const WorkflowStep& aStep);
-  void ClearReservations() { this->reserved = ReservedCapacity(); }
+
+  /** Like Reserve(), for a task that is expected to fit at aExpectedAt. Tasks
+   * that end by then may use the capacity. */
+  void ReserveBackfillable(const WorkflowStep& aStep, TimePoint aExpectedAt);
+
+  void ClearReservations()
+  {
+    this->reserved = ReservedCapacity();
+    this->backfillable.clear();
+  }
   const ReservedCapacity& Reserved() const { return this->reserved; }
 
   /** Returns processor time in thousandths of a core as a share of the worker's
@@ -321,7 +346,9 @@
   /** Number of commitments of suspected tasks. */
   int suspects = 0;
   CommittedCapacity committed;
+  /** Sum of all reservations, including the backfillable ones. */
   ReservedCapacity reserved;
+  std::vector<BackfillableReservation> backfillable;
   /** Cached result of UsedByShortRuns(); unset after a change of the
    * commitments. */
   mutable std::optional<WorkerCapacity> usedByShortRuns;
