Let jobs in time and gangs share processors as well

Cause: PlanStep allowed sharing only for steps that take turns, which are those of jobs that will be late, and PlanGang never. A job that can be in time, or a gang, therefore waited for unused processors, of which workers shared by late jobs have none. The gate FewWaitInTime closes only once a tenth of what is available is demanded, so that one small job waited until its result was late, and a gang without limit, while later starts went to late jobs.

Now the first task of any job may share under the conditions that held for late jobs; MayShare checks that no task of the job has a run, so that of two steps of a job planned in one pass only one shares. CountObstacles asks with the same permission as the plan, so that idle_jobs and task_waits name the obstacles that count.

unit_IdleJobs before: the two new cases fail, 3 of their 3 checks on the wait (a gang 19.97 s, the end of the case); test cases: 6 | 4 passed | 2 failed, assertions: 75 | 72 passed | 3 failed. After: 6 passed, 75 assertions passed. 17 of 17 unit tests that use SchedulerHarness or LoadSimulator pass. No existing check was changed.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -567,8 +567,10 @@
   /** Returns whether so few fillers that can still meet their objective wait
    * that those of other jobs may slow them down. */
   bool FewWaitInTime(std::span<const Candidate> aWaiting) const;
-  /** Returns whether a waiting step may share processors with other fillers:
-   * nothing of its job has run for a while. */
+  /** Returns whether the next task of a waiting step may share processors with
+   * other fillers: no task of its job has a run, and the job has begun or has
+   * waited for a while. It does not depend on the expected outcome, since
+   * shared processors have none left for jobs that can be in time either. */
   bool MayShare(const Candidate& aCandidate) const;
   /** Slows the fillers of a worker whose processors they share. */
   void SlowToShare(ScheduledWorker& aWorker);
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -344,7 +344,8 @@
   const std::string key = FormatStepKey(
     { aCandidate.job, aCandidate.occurrence, aCandidate.step, 0 });
   const WorkerRequest request{ submission.steps[aCandidate.step],
-                               this->LimitsFor(aCandidate) };
+                               this->LimitsFor(aCandidate),
+                               this->MayShare(aCandidate) };
   std::map<std::string_view, int> workersBy;
   for (const ScheduledWorker* const worker : this->availableWorkers) {
     ++workersBy[this->ObstacleOn(*worker, submission.service, key, request)];
@@ -446,7 +447,7 @@
 CellScheduler::MayShare(const Candidate& aCandidate) const
 {
   const WorkflowJob& job = this->jobs.at(aCandidate.job).job;
-  return this->fewWaitInTime && aCandidate.order.filler &&
+  return this->fewWaitInTime && aCandidate.order.filler && !job.AnyAssigned() &&
          (job.Started() || aCandidate.order.idleFor >= kWaitBeforeSharing);
 }
 
@@ -593,7 +594,7 @@
       continue;
     }
     placed.waited = now - tasks[i].pendingSince;
-    placed.mayShare = aFirstOnly && this->MayShare(aCandidate);
+    placed.mayShare = this->MayShare(aCandidate);
     placed.interrupted = aCandidate.order.interrupted;
     placed.firstStart = !tasks[i].hasRun;
     placed.suspect = this->IsSuspect(name, tasks[i]);
@@ -673,6 +674,7 @@
   std::vector<ScheduledWorker*> chosen;
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
   placed.limits = this->LimitsFor(aCandidate);
+  placed.mayShare = this->MayShare(aCandidate);
   if (anySuspect) {
     placed.suspect = true;
     placed.waited = this->clock.Now() - pendingSince;
@@ -716,6 +718,9 @@
     entry.job.Find(name)->checkpoint = checkpoint;
     this->CountStart(aCandidate);
     this->PlanStart(entry, name, run + 1, *chosen[i], key, aOrders);
+    if (placed.mayShare) {
+      this->SlowToShare(*chosen[i]);
+    }
   }
   return true;
 }
--- a/test/unit/IdleJobs.cpp
+++ b/test/unit/IdleJobs.cpp
@@ -45,22 +45,28 @@
 
   TimePoint Now() const { return this->harness.clock.Now(); }
 
-  void AcceptJob(std::uint32_t aTasks)
+  /** Accepts a job and returns its id. The objective allows for the duration of
+   * the job and aSlack more. */
+  std::string AcceptJob(std::uint32_t aTasks,
+                        seconds aSlack = seconds(1),
+                        bool aGang = false)
   {
     std::string id = std::to_string(++this->accepted);
     id.insert(0, 16 - id.size(), '0');
     WorkflowSubmission job = this->harness.Job(id, aTasks);
     job.steps[0].cpuMilli = kTaskCpuMilli;
     job.steps[0].filler = true;
+    job.steps[0].gang = aGang;
     job.steps[0].image = "batch";
     job.steps[0].estimateMs = kTaskTime.count();
     job.steps.push_back(job.steps[0]);
     job.steps[1].after = { 0 };
     job.objectiveStretch = 2;
-    job.objectiveMs = 1000;
+    job.objectiveMs = static_cast<std::uint32_t>(milliseconds(aSlack).count());
     job.priority = 2;
     this->harness.scheduler.Accept(job);
     this->idleSince[id] = this->Now();
+    return id;
   }
 
   /** Removes a worker, which never reports again. */
@@ -105,6 +111,15 @@
     return longest;
   }
 
+  /** Returns for how long a job has had nothing running, or 0 if it has ended.
+   */
+  Duration IdleTimeOf(const std::string& aJob) const
+  {
+    const auto found = this->idleSince.find(aJob);
+    return found == this->idleSince.end() ? Duration{}
+                                          : this->Now() - found->second;
+  }
+
   std::size_t UnfinishedJobs() const { return this->idleSince.size(); }
 
 private:
@@ -194,6 +209,35 @@
   }
 }
 
+/** Longest time until the first run of a job that is accepted while others
+ * share all processors: the wait before it may share them too, and the rest of
+ * a run.
+ */
+constexpr milliseconds kLongestFirstWait{ 5200 };
+
+/** Accepts a job of three tasks beside many late ones that share all processors
+ * and checks that it gets a run soon. */
+void
+CheckFirstWaitBesideLateJobs(seconds aSlack, bool aGang)
+{
+  LoadedCell cell(4);
+  for (int i = 0; i < 140; ++i) {
+    cell.AcceptJob(7);
+  }
+  const TimePoint accepted = cell.Now() + seconds(14);
+  while (cell.Now() < accepted) {
+    cell.Step();
+  }
+  const std::string job = cell.AcceptJob(3, aSlack, aGang);
+  Duration longest{};
+  while (cell.Now() < accepted + seconds(20)) {
+    cell.Step();
+    longest = std::max(longest, cell.IdleTimeOf(job));
+  }
+  REQUIRE(cell.UnfinishedJobs() > 20);
+  CHECK(longest < kLongestFirstWait);
+}
+
 } // namespace
 
 // Guards against jobs accepted long ago that have nothing running after an
@@ -210,6 +254,21 @@
   CheckIdleTimeAfterOverload(milliseconds(450));
 }
 
+// Guards against a job that waits for unused processors, since it can be in
+// time, while late jobs share all of them.
+TEST_CASE("a job that can be in time has a run soon beside late jobs")
+{
+  CheckFirstWaitBesideLateJobs(seconds(1), false);
+  CheckFirstWaitBesideLateJobs(seconds(120), false);
+}
+
+// Guards against a gang that waits for unused processors while the tasks of
+// other jobs share all of them.
+TEST_CASE("a gang has a run soon beside late jobs")
+{
+  CheckFirstWaitBesideLateJobs(seconds(1), true);
+}
+
 // Guards against a job that never starts while later ones can be in time.
 TEST_CASE("a job that has been idle for 30 seconds precedes jobs in time")
 {
