Wait for the second copy in the test of duplicated answers

guarantee_CallerReceivesWholeAnswer failed once, on a busy machine ("a duplicated answer does not reach the next caller", while the connection is idle). The log of that run shows the attempt that failed, with id mismatched, after 93 ms: the fake backend's second copy was due 30 ms after the first, the test sent the next request after 60 ms of sleep, and the copy arrived after it. The outcome, unknown, is the one that the product owes then; the test meant the case in which the copy arrives while the connection is idle.

The test now waits until the fake backend has written the second copy, and then 30 ms more, in place of the fixed 60 ms.

--- a/test/guarantee/CallerReceivesWholeAnswer.cpp
+++ b/test/guarantee/CallerReceivesWholeAnswer.cpp
@@ -150,7 +150,13 @@
     const std::string body = "request " + std::to_string(round);
     CHECK(fixture.entry.Call(body, NonIdempotentHeaders()).body ==
           "answer to " + body);
-    std::this_thread::sleep_for(later * 2);
+    if (later > milliseconds(0)) {
+      // A second copy that arrives after the next request is another case.
+      const auto expected = static_cast<std::size_t>(round) + 1;
+      REQUIRE(
+        WaitUntil([&] { return fixture.backend.LaterWrites() >= expected; }));
+      std::this_thread::sleep_for(later);
+    }
   }
 }
 
--- a/test/support/FakeBackend.cpp
+++ b/test/support/FakeBackend.cpp
@@ -39,6 +39,7 @@
   std::size_t accepted = 0;
   std::size_t unresponsive = 0;
   std::size_t open = 0;
+  std::size_t laterWrites = 0;
 };
 
 namespace {
@@ -158,6 +159,8 @@
     if (open && !reaction.laterBytes.empty()) {
       open = co_await WriteAfter(
         aSocket, reaction.laterDelay, std::move(reaction.laterBytes));
+      const std::lock_guard lock(aShared->mutex);
+      ++aShared->laterWrites;
     }
     open = open && !reaction.close;
   }
@@ -259,6 +262,13 @@
   return this->shared->accepted;
 }
 
+std::size_t
+FakeBackend::LaterWrites() const
+{
+  const std::lock_guard lock(this->shared->mutex);
+  return this->shared->laterWrites;
+}
+
 std::size_t
 FakeBackend::Open() const
 {
--- a/test/support/FakeBackend.h
+++ b/test/support/FakeBackend.h
@@ -82,6 +82,9 @@
   /** Returns the number of connections accepted so far. */
   std::size_t Accepted() const;
 
+  /** Returns the number of second writes that have ended. */
+  std::size_t LaterWrites() const;
+
   /** Returns the number of open connections. */
   std::size_t Open() const;
 
