Log which lease an owner waited for when it declares runs lost

leases_expired names, for the worker, the ages of its last report, of the last command that grants a lease, and of the last one that was meant for an earlier incarnation. worker_clock_read has the first reading of each incarnation's clock. Both are one line per worker and event.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -438,6 +438,9 @@
     return;
   }
   const TimePoint now = this->clock.Now();
+  if (aUntilWorkerMs > 0) {
+    worker->lastGrantAt = now;
+  }
   const std::uint64_t workerNow = worker->ClockAt(now);
   const double left =
     aUntilWorkerMs > workerNow
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -455,6 +455,11 @@
   void MarkRunLost(ScheduledWorker& aWorker,
                    const std::string& aTask,
                    const char* aReason);
+  /** Returns the runs that are lost if the worker was restarted or its leases
+   * have expired: all but those of which a copy of the start command may still
+   * be carried out. */
+  std::vector<std::string> RunsThatMayBeLost(
+    const ScheduledWorker& aWorker) const;
   void MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason);
   TimePoint NoCopyRunsAfter(const Commitment& aCommitment) const;
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -18,6 +18,16 @@
  * arrive. */
 constexpr std::chrono::milliseconds kStartRejectedBackoff{ 300 };
 
+/** Returns the time since a command was sent for the log; -1 if none was. */
+std::int64_t
+MillisecondsSince(TimePoint aNow, std::optional<TimePoint> aSentAt)
+{
+  return aSentAt ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                     aNow - *aSentAt)
+                     .count()
+                 : -1;
+}
+
 } // namespace
 
 void
@@ -53,6 +63,12 @@
   worker->unresponsive = false;
   worker->reported = true;
   worker->lastReportAt = now;
+  if (worker->clockReadingMs == 0) {
+    Event("worker_clock_read")
+      .Add("worker", aWorker)
+      .Add("incarnation", aReport.incarnation)
+      .Add("clock_ms", aWorkerMs);
+  }
   worker->clockReadingMs = aWorkerMs;
   worker->clockReadAt = now;
   for (const EndedRun& row : aReport.ended) {
@@ -351,8 +367,8 @@
   return lastStart + this->bounds.workerLease * 103 / 100;
 }
 
-void
-CellScheduler::MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason)
+std::vector<std::string>
+CellScheduler::RunsThatMayBeLost(const ScheduledWorker& aWorker) const
 {
   const TimePoint now = this->clock.Now();
   std::vector<std::string> tasks;
@@ -363,7 +379,13 @@
     }
     tasks.push_back(task);
   }
-  for (const std::string& task : tasks) {
+  return tasks;
+}
+
+void
+CellScheduler::MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason)
+{
+  for (const std::string& task : this->RunsThatMayBeLost(aWorker)) {
     this->MarkRunLost(aWorker, task, aReason);
     // An unconfirmed start may have been carried out.
     const std::optional<TaskName> name = ParseTaskName(task);
@@ -403,6 +425,7 @@
     aWorker.Find(task)->stopSentAt = TimePoint();
   }
   this->MarkAllRunsLost(aWorker, "worker restarted");
+  aWorker.earlierGrantAt = aWorker.lastGrantAt;
   aWorker.reportedIncarnation = aIncarnation;
   aWorker.handledEnds = 0;
   aWorker.durableEnds = 0;
@@ -415,9 +438,22 @@
 {
   const TimePoint now = this->clock.Now();
   for (auto& [id, worker] : this->workers) {
-    if (now > worker.leasesExpiredBy && !worker.Commitments().empty()) {
-      this->MarkAllRunsLost(worker, "lease expired");
+    if (now <= worker.leasesExpiredBy) {
+      continue;
+    }
+    const std::size_t runs = this->RunsThatMayBeLost(worker).size();
+    if (runs == 0) {
+      continue;
     }
+    Event("leases_expired")
+      .Add("worker", id)
+      .Add("incarnation", worker.reportedIncarnation)
+      .Add("runs", static_cast<std::uint64_t>(runs))
+      .Add("report_age_ms", MillisecondsSince(now, worker.lastReportAt))
+      .Add("grant_age_ms", MillisecondsSince(now, worker.lastGrantAt))
+      .Add("earlier_grant_age_ms",
+           MillisecondsSince(now, worker.earlierGrantAt));
+    this->MarkAllRunsLost(worker, "lease expired");
   }
   this->CheckRecovered();
 }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -203,6 +203,11 @@
   TimePoint backoffUntil;
   /** Time by which the leases of all runs on the worker have expired. */
   TimePoint leasesExpiredBy;
+  /** When the last command that grants a lease was sent; unset if none was. */
+  std::optional<TimePoint> lastGrantAt;
+  /** lastGrantAt when a new incarnation of the worker became known. Until then
+   * commands were meant for an earlier incarnation; unset if none was. */
+  std::optional<TimePoint> earlierGrantAt;
   TimePoint lastReportAt;
   /** Reading of the worker's clock at clockReadAt; 0: unknown. */
   std::uint64_t clockReadingMs = 0;
