--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -33,6 +33,11 @@
 /** A scheduler with its policies and a manual clock. */
 struct SchedulerHarness
 {
+  explicit SchedulerHarness(SchedulerTimings aBounds = SchedulerTimings())
+    : bounds(aBounds)
+  {
+  }
+
   ManualClock clock;
   ManualWallClock wallClock{ clock };
   LeastWorkOrder order;
