Have a new owner wait for the longest lease on restarted workers

Change: the roster names the settled incarnation of each worker, that is one without a lease from a command for an earlier incarnation. On a silent worker whose registered incarnation is not the settled one the new owner waits for the longest lease. Fresh workers are settled at once, restarted ones when that lease has expired. On others nothing changes, so that long-running tasks of lost workers are not restarted later.

The new case of unit_RestartedWorkers fails on (8.06 s instead of more than 13 s) and passes. Three tests that write a roster by hand name the new field; one of them now states that its silent worker is settled, since it checks the wait for workers that have not restarted.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -12,6 +12,10 @@
  * for, as a fraction of the rate of the local clock. */
 constexpr double kSlowestClockRate = 0.98;
 
+/** Longest time-out of a command. A command that waits for a connection to a
+ * worker which is down can be carried out until then. */
+constexpr std::chrono::milliseconds kLongestCommandTimeout{ 1600 };
+
 /** Covers rounding and the timer granularity of a worker. */
 constexpr std::chrono::milliseconds kLeaseMargin{ 100 };
 
@@ -91,6 +95,7 @@
 {
   this->RosterWritten(aRoster);
   this->awaitedWorkers = this->roster;
+  this->restoredSettled = this->rosterSettled;
   this->restoredRecorded = aRoster.assignmentsRecorded;
   this->assignmentsRecorded = aRoster.assignmentsRecorded;
   for (const UnresponsiveWorker& silent : aRoster.silent) {
@@ -223,9 +228,10 @@
     if (found == this->workers.end()) {
       ScheduledWorker worker;
       worker.description = description;
-      worker.leasesExpiredBy = this->earlierLeasesExpiredBy;
       worker.drainingSince = this->clock.Now();
-      this->workers.emplace(description.id, std::move(worker));
+      this->workers.emplace(description.id, std::move(worker))
+        .first->second.leasesExpiredBy =
+        this->EarlierOwnersLeasesExpiredBy(description.id);
       Event("worker_listed")
         .Add("worker", description.id)
         .Add("rack", description.rack)
@@ -250,6 +256,11 @@
       this->BeginIncarnation(worker, description.incarnation);
     }
     worker.description = description;
+    if (!worker.reported) {
+      worker.leasesExpiredBy =
+        std::max(worker.leasesExpiredBy,
+                 this->EarlierOwnersLeasesExpiredBy(description.id));
+    }
   }
   for (const WorkerDescription& description : aWorkers) {
     const LostWorker* const loss = this->crashes.FindLoss(description.id);
@@ -311,6 +322,9 @@
       return true;
     }
   }
+  if (this->SettledIncarnations() != this->rosterSettled) {
+    return true;
+  }
   const WorkerRoster wanted = this->RosterToWrite();
   if (wanted.workers.size() != this->roster.size() ||
       wanted.silent.size() != this->rosterUnresponsive.size() ||
@@ -362,6 +376,9 @@
     }
   }
   result.workers = { ids.begin(), ids.end() };
+  for (const auto& [id, incarnation] : this->SettledIncarnations()) {
+    result.settled.push_back(WorkerIncarnation{ id, incarnation });
+  }
   result.assignmentsRecorded = this->assignmentsRecorded;
   return result;
 }
@@ -371,6 +388,10 @@
 {
   this->roster = { aRoster.workers.begin(), aRoster.workers.end() };
   this->rosterRecorded = aRoster.assignmentsRecorded;
+  this->rosterSettled.clear();
+  for (const WorkerIncarnation& settled : aRoster.settled) {
+    this->rosterSettled[settled.worker] = settled.incarnation;
+  }
   this->rosterUnresponsive.clear();
   this->rosterSuspects.clear();
   for (const UnresponsiveWorker& silent : aRoster.silent) {
@@ -519,20 +540,77 @@
          kLeaseMargin;
 }
 
+bool
+CellScheduler::MayHaveRestarted(const std::string& aWorker,
+                                std::uint64_t aIncarnation) const
+{
+  if (!this->awaitedWorkers.contains(aWorker) &&
+      !this->AwaitsUnresponsive(aWorker)) {
+    return false;
+  }
+  const auto settled = this->restoredSettled.find(aWorker);
+  return settled == this->restoredSettled.end() ||
+         settled->second != aIncarnation;
+}
+
+TimePoint
+CellScheduler::EarlierOwnersLeasesExpiredBy(const std::string& aWorker) const
+{
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  const auto settled = this->restoredSettled.find(aWorker);
+  const bool unlisted =
+    worker == nullptr && settled != this->restoredSettled.end();
+  if (unlisted ||
+      !this->MayHaveRestarted(
+        aWorker, worker == nullptr ? 0 : worker->description.incarnation)) {
+    return this->earlierLeasesExpiredBy;
+  }
+  // A command of the earlier owner that was meant for an earlier incarnation
+  // can have granted the longest lease.
+  const auto longer =
+    this->bounds.longestWorkerLease - this->bounds.workerLease;
+  return this->earlierLeasesExpiredBy + kLongestCommandTimeout +
+         longer * 103 / 100;
+}
+
+std::map<std::string, std::uint64_t>
+CellScheduler::SettledIncarnations() const
+{
+  std::map<std::string, std::uint64_t> settled;
+  const TimePoint now = this->clock.Now();
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker.reported) {
+      const auto known = this->restoredSettled.find(id);
+      if (known != this->restoredSettled.end()) {
+        settled.insert(*known);
+      } else if (!this->MayHaveRestarted(id, worker.description.incarnation)) {
+        settled[id] = worker.description.incarnation;
+      }
+      continue;
+    }
+    if (!worker.takesEarlierCommands && now > worker.earlierLeasesExpiredBy) {
+      settled[id] = worker.reportedIncarnation;
+    }
+  }
+  return settled;
+}
+
 void
 CellScheduler::CheckRecovered()
 {
-  const bool expired = this->clock.Now() > this->earlierLeasesExpiredBy;
-  if (expired) {
-    this->tasksOnUnresponsive.clear();
-  }
-  if (!this->recovered && (this->awaitedWorkers.empty() || expired)) {
+  const TimePoint now = this->clock.Now();
+  const auto expired = [&](const std::string& aWorker) {
+    return now > this->EarlierOwnersLeasesExpiredBy(aWorker);
+  };
+  std::erase_if(this->tasksOnUnresponsive,
+                [&](const auto& aItem) { return expired(aItem.first); });
+  this->silentSinceTakeover += std::erase_if(this->awaitedWorkers, expired);
+  if (!this->recovered && this->awaitedWorkers.empty()) {
     this->recovered = true;
     Event("cell_recovered")
       .Add("jobs", static_cast<std::uint64_t>(this->jobs.size()))
       .Add("silent_workers",
-           static_cast<std::uint64_t>(this->awaitedWorkers.size()));
-    this->awaitedWorkers.clear();
+           static_cast<std::uint64_t>(this->silentSinceTakeover));
   }
   this->ResolveRestoredAssignments();
   this->CheckAssignmentsRecorded();
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -145,7 +145,7 @@
 {
 public:
   /** aEarlierLeasesExpiredBy: time by which every lease granted by an earlier
-   * owner has expired. */
+   * owner has expired on workers that have not restarted meanwhile. */
   CellScheduler(SchedulerTimings aBounds,
                 SchedulerPolicies aPolicies,
                 const Clock& aClock,
@@ -495,6 +495,15 @@
   /** Returns when the last command that may still be carried out was sent which
    * grants a lease, or nothing if all were answered. */
   std::optional<TimePoint> LastOpenGrant(const ScheduledWorker& aWorker) const;
+  /** Returns whether a worker may have carried out commands of earlier owners
+   * that were meant for an incarnation before aIncarnation. */
+  bool MayHaveRestarted(const std::string& aWorker,
+                        std::uint64_t aIncarnation) const;
+  /** Returns the time by which every lease has expired that earlier owners
+   * granted on a worker. */
+  TimePoint EarlierOwnersLeasesExpiredBy(const std::string& aWorker) const;
+  /** Returns the settled incarnations of workers; see WorkerRoster. */
+  std::map<std::string, std::uint64_t> SettledIncarnations() const;
   /** Returns the time by which the longest lease that a worker grants has
    * expired if it was granted at aGrantedAt. */
   TimePoint LongestLeaseExpiresBy(TimePoint aGrantedAt) const;
@@ -706,6 +715,9 @@
   /** Workers on the roster of earlier owners that have not reported to this
    * owner yet; any task of the cell may be running on them. */
   std::set<std::string> awaitedWorkers;
+  /** Number of workers that were removed from awaitedWorkers without a report.
+   */
+  std::size_t silentSinceTakeover = 0;
   /** Tasks that may run on workers that were unresponsive to earlier owners, by
    * worker. */
   std::map<std::string, std::set<std::string>> tasksOnUnresponsive;
@@ -728,6 +740,10 @@
    * listed as unresponsive. */
   std::set<std::string> roster;
   std::set<std::string> rosterUnresponsive;
+  /** Settled incarnations of the durable roster, by worker, and of the roster
+   * that was loaded. */
+  std::map<std::string, std::uint64_t> rosterSettled;
+  std::map<std::string, std::uint64_t> restoredSettled;
   /** Suspects of lost workers that the durable roster names, by worker. */
   std::map<std::string, std::vector<SuspectedRun>> rosterSuspects;
   std::unordered_map<std::string, Entry> jobs;
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -53,9 +53,10 @@
       .Add("running", static_cast<std::uint64_t>(aReport.running.size()))
       .Add("ended", static_cast<std::uint64_t>(aReport.ended.size()));
     worker->reportedIncarnation = aReport.incarnation;
-    // The worker may have carried out a command of an earlier owner that was
-    // meant for an earlier incarnation. It rejects them now.
-    worker->earlierLeasesExpiredBy = this->LongestLeaseExpiresBy(now);
+    if (this->MayHaveRestarted(aWorker, aReport.incarnation)) {
+      // It rejects the commands of earlier owners from now on.
+      worker->earlierLeasesExpiredBy = this->LongestLeaseExpiresBy(now);
+    }
     const LostWorker* const loss = this->crashes.FindLoss(aWorker);
     if (loss != nullptr && aReport.incarnation > loss->incarnation) {
       this->HandleCrash(aWorker, "restarted under its id");
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -224,7 +224,7 @@
 TEST_CASE("tasks of an earlier owner wait for reports of the roster")
 {
   SchedulerHarness harness;
-  harness.scheduler.SetRoster(WorkerRoster{ { "w1", "w2" }, {} });
+  harness.scheduler.SetRoster(WorkerRoster{ { "w1", "w2" }, {}, {} });
   harness.scheduler.Restore(harness.Job("j", 2), WorkflowProgress{});
   const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1"),
                                                SchedulerHarness::Worker("w2") };
@@ -360,7 +360,8 @@
   UnresponsiveWorker silent;
   silent.worker = "w2";
   silent.tasks = { "j.0.0.0" };
-  harness.scheduler.SetRoster(WorkerRoster{ { "w1" }, { silent } });
+  harness.scheduler.SetRoster(
+    WorkerRoster{ { "w1" }, { silent }, { { "w2", 1 } } });
   harness.scheduler.Restore(harness.Job("j", 2), WorkflowProgress{});
   const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1") };
   harness.scheduler.UpdateWorkers(listed);
@@ -399,7 +400,7 @@
 TEST_CASE("a failure counts even if the task already runs elsewhere")
 {
   SchedulerHarness harness;
-  harness.scheduler.SetRoster(WorkerRoster{ { "w1", "w2" }, {} });
+  harness.scheduler.SetRoster(WorkerRoster{ { "w1", "w2" }, {}, {} });
   harness.scheduler.Restore(harness.Job("j"), WorkflowProgress{});
   const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1"),
                                                SchedulerHarness::Worker("w2") };
--- a/test/unit/RestartedWorkers.cpp
+++ b/test/unit/RestartedWorkers.cpp
@@ -9,6 +9,44 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr seconds kLongestLease{ 10 };
+
+/** Returns the time after which a new owner starts a task again that an earlier
+ * owner had on a worker which is silent since the takeover. aAge: time since
+ * the worker's restart. */
+Duration
+WaitAfterTakeover(milliseconds aAge)
+{
+  SchedulerTimings bounds;
+  bounds.workerLease = milliseconds(5000);
+  bounds.longestWorkerLease = kLongestLease;
+  SchedulerHarness earlier(bounds);
+  earlier.AddWorkers({ "w1" });
+  earlier.scheduler.UpdateWorkers(
+    std::vector{ SchedulerHarness::Worker("w1", 2) });
+  earlier.Report("w1", 2, {}, {});
+  earlier.clock.Advance(aAge);
+  earlier.Report("w1", 2, {}, {});
+  const WorkflowSubmission job = earlier.Job("j");
+  earlier.scheduler.Accept(job);
+  REQUIRE(earlier.PlanAndConfirm().size() == 1);
+  SchedulerHarness next(bounds);
+  next.scheduler.Restore(job, WorkflowProgress{});
+  next.scheduler.SetRoster(earlier.scheduler.RosterToWrite());
+  next.scheduler.UpdateWorkers(std::vector{ SchedulerHarness::Worker("w1", 2),
+                                            SchedulerHarness::Worker("w2") });
+  next.scheduler.RosterWritten(next.scheduler.RosterToWrite());
+  const TimePoint begun = next.clock.Now();
+  while (next.clock.Now() - begun < seconds(30)) {
+    next.clock.Advance(milliseconds(100));
+    next.Report("w2", 1, {}, {});
+    if (!next.PlanAndConfirm().empty()) {
+      break;
+    }
+  }
+  return next.clock.Now() - begun;
+}
+
 } // namespace
 
 // Guards against a second run of a task on a worker that keeps its lease from a
@@ -63,6 +101,15 @@
   CHECK(cell.secondRuns.empty());
 }
 
+// Guards against a second run of a task on a worker that restarted shortly
+// before its owner was replaced.
+TEST_CASE("a new owner waits for the longest lease on a restarted worker")
+{
+  // Leases that the earlier owner asked for have expired after 8 s.
+  CHECK(WaitAfterTakeover(seconds(1)) > seconds(8) + kLongestLease / 2);
+  CHECK(WaitAfterTakeover(seconds(12)) < milliseconds(8500));
+}
+
 // Guards against two runs of a task after restarts and cuts in any order.
 TEST_CASE("random restarts and cuts start no task twice")
 {
