Keep unlisted workers while commands for them can be in flight

A worker that the registry had removed and that was listed again within seconds counted as a new one: it got no newer fencing token, and a start that was meant for its earlier incarnation could be carried out late, beside the run that had replaced it (TWICE).

The new case of unit_RestartedWorkers fails on the commit before and passes.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -305,7 +305,9 @@
     const ScheduledWorker& worker = aItem.second;
     const bool idle =
       worker.Commitments().empty() && now > worker.AllLeasesExpiredBy();
-    if (worker.listed || !idle) {
+    // A worker that is listed again has to be known as restarted, since it
+    // would carry out the commands that were meant for its earlier incarnation.
+    if (worker.listed || !idle || this->HasCommandsInFlight(worker)) {
       return false;
     }
     Event("worker_dropped").Add("worker", aItem.first);
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -495,6 +495,8 @@
   /** Returns when the last command that may still be carried out was sent which
    * grants a lease, or nothing if all were answered. */
   std::optional<TimePoint> LastOpenGrant(const ScheduledWorker& aWorker) const;
+  /** Returns whether a command that grants a lease may still be carried out. */
+  bool HasCommandsInFlight(const ScheduledWorker& aWorker) const;
   /** Returns whether a worker may have carried out commands of earlier owners
    * that were meant for an incarnation before aIncarnation. */
   bool MayHaveRestarted(const std::string& aWorker,
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -416,6 +416,13 @@
   return last;
 }
 
+bool
+CellScheduler::HasCommandsInFlight(const ScheduledWorker& aWorker) const
+{
+  const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
+  return open && this->clock.Now() <= *open + kMaxCommandDelay;
+}
+
 void
 CellScheduler::BoundEarlierLeases(ScheduledWorker& aWorker) const
 {
--- a/test/support/RestartingCell.h
+++ b/test/support/RestartingCell.h
@@ -28,6 +28,9 @@
   static constexpr std::chrono::milliseconds kLease{ 5000 };
   static constexpr std::chrono::milliseconds kLongestLease{ 6000 };
 
+  /** Time after which the registry removes a worker that is down. */
+  static constexpr std::chrono::milliseconds kRegistryExpiry{ 3300 };
+
   /** Longest delay of a command that waits for a connection to a worker which
    * is down: the longest time-out of a command. */
   static constexpr std::chrono::milliseconds kConnectDelay{ 1600 };
@@ -83,6 +86,7 @@
     node.ended.clear();
     node.upAt = this->Now() + aDownTime;
     node.nextClockMs = aClockMs;
+    node.downAt = this->Now();
     node.up = false;
   }
 
@@ -137,6 +141,7 @@
   {
     WorkerDescription worker;
     bool up = true;
+    TimePoint downAt;
     TimePoint upAt;
     TimePoint cutUntil;
     TimePoint bornAt;
@@ -347,7 +352,9 @@
   {
     std::vector<WorkerDescription> listed;
     for (const Node& node : this->nodes) {
-      listed.push_back(node.worker);
+      if (node.up || this->Now() - node.downAt < kRegistryExpiry) {
+        listed.push_back(node.worker);
+      }
     }
     this->harness.scheduler.UpdateWorkers(listed);
     this->listedAt = this->Now();
@@ -373,11 +380,11 @@
   void Renew(int aNode)
   {
     Node& node = this->nodes[aNode];
-    if (this->Now() < node.renewAt) {
-      return;
-    }
     CellScheduler& owner = this->harness.scheduler;
     const std::string& id = node.worker.id;
+    if (this->Now() < node.renewAt || owner.FindWorker(id) == nullptr) {
+      return;
+    }
     if (std::exchange(node.renewalFailed, false)) {
       owner.HandleUnresponsive(id);
     }
--- a/test/unit/RestartedWorkers.cpp
+++ b/test/unit/RestartedWorkers.cpp
@@ -101,6 +101,19 @@
   CHECK(cell.secondRuns.empty());
 }
 
+// Guards against the same for a worker that the registry had removed.
+TEST_CASE("a worker that is listed again rejects starts of before")
+{
+  RestartingCell cell(2, 1, RestartingCell::kLateDelay);
+  cell.SetDelay(milliseconds(11500));
+  cell.Restart(0, seconds(8), 1);
+  cell.Submit("job", 1, seconds(30));
+  cell.Simulate(seconds(7));
+  REQUIRE(cell.NodeOf("job.0.0.0") == 1);
+  cell.Simulate(seconds(7));
+  CHECK(cell.secondRuns.empty());
+}
+
 // Guards against a second run of a task on a worker that restarted shortly
 // before its owner was replaced.
 TEST_CASE("a new owner waits for the longest lease on a restarted worker")
