Move the lease bounds of the scheduler into a file of their own

CellSchedulerLeases.cpp holds what the scheduler knows of leases and fencing tokens.

Functions are moved and renamed only.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -8,17 +8,6 @@
 
 namespace {
 
-/** Slowest rate of a worker's clock that the computation of lease expiry allows
- * for, as a fraction of the rate of the local clock. */
-constexpr double kSlowestClockRate = 0.98;
-
-/** Longest time-out of a command. A command that waits for a connection to a
- * worker which is down can be carried out until then. */
-constexpr std::chrono::milliseconds kLongestCommandTimeout{ 1600 };
-
-/** Covers rounding and the timer granularity of a worker. */
-constexpr std::chrono::milliseconds kLeaseMargin{ 100 };
-
 /** Returns the kind of a step's tasks, for the log. */
 const char*
 KindOf(const WorkflowStep& aStep)
@@ -229,8 +218,9 @@
       ScheduledWorker worker;
       worker.description = description;
       worker.drainingSince = this->clock.Now();
-      this->workers.emplace(description.id, std::move(worker))
-        .first->second.leasesExpiredBy =
+      const auto added =
+        this->workers.emplace(description.id, std::move(worker)).first;
+      added->second.leasesExpiredBy =
         this->EarlierOwnersLeasesExpiredBy(description.id);
       Event("worker_listed")
         .Add("worker", description.id)
@@ -413,46 +403,6 @@
   return false;
 }
 
-std::uint64_t
-CellScheduler::FencingToken(const std::string& aWorker) const
-{
-  const ScheduledWorker* const worker = this->FindWorker(aWorker);
-  return worker == nullptr ? 0 : worker->fencingToken;
-}
-
-void
-CellScheduler::AssignFencingTokens(std::uint64_t aToken)
-{
-  for (auto& [id, worker] : this->workers) {
-    if (!worker.needsFencingToken) {
-      continue;
-    }
-    worker.fencingToken = aToken;
-    worker.needsFencingToken = false;
-    Event("worker_token")
-      .Add("worker", id)
-      .Add("incarnation", worker.reportedIncarnation)
-      .Add("token", aToken);
-  }
-}
-
-void
-CellScheduler::HandleFencingToken(const std::string& aWorker,
-                                  std::uint64_t aIncarnation,
-                                  std::uint64_t aToken)
-{
-  ScheduledWorker* const worker = this->Worker(aWorker);
-  if (worker == nullptr || !worker->takesEarlierCommands ||
-      worker->needsFencingToken ||
-      aIncarnation != worker->reportedIncarnation ||
-      aToken < worker->fencingToken) {
-    return;
-  }
-  worker->takesEarlierCommands = false;
-  worker->earlierLeasesExpiredBy =
-    this->LongestLeaseExpiresBy(this->clock.Now());
-}
-
 std::vector<std::string>
 CellScheduler::WorkersToRenew() const
 {
@@ -486,117 +436,6 @@
   return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-std::uint64_t
-CellScheduler::LeaseUntil(const std::string& aWorker) const
-{
-  const ScheduledWorker* const worker = this->FindWorker(aWorker);
-  if (worker == nullptr || worker->clockReadingMs == 0 ||
-      worker->unresponsive) {
-    return 0;
-  }
-  return worker->ClockAt(this->clock.Now()) +
-         static_cast<std::uint64_t>(this->bounds.workerLease.count());
-}
-
-void
-CellScheduler::NoteLease(const std::string& aWorker,
-                         std::uint64_t aUntilWorkerMs)
-{
-  ScheduledWorker* const worker = this->Worker(aWorker);
-  if (worker == nullptr || worker->clockReadingMs == 0) {
-    return;
-  }
-  if (aUntilWorkerMs > 0) {
-    worker->openRenewalAt = this->clock.Now();
-  }
-  this->ExtendLease(*worker, aUntilWorkerMs);
-}
-
-void
-CellScheduler::ExtendLease(ScheduledWorker& aWorker,
-                           std::uint64_t aUntilWorkerMs)
-{
-  const TimePoint now = this->clock.Now();
-  if (aUntilWorkerMs > 0) {
-    aWorker.lastGrantAt = now;
-  }
-  const std::uint64_t workerNow = aWorker.ClockAt(now);
-  const double left =
-    aUntilWorkerMs > workerNow
-      ? static_cast<double>(aUntilWorkerMs - workerNow) / kSlowestClockRate
-      : 0;
-  const TimePoint expiredBy =
-    now + std::chrono::milliseconds(static_cast<std::int64_t>(left) + 1) +
-    kLeaseMargin;
-  aWorker.leasesExpiredBy = std::max(aWorker.leasesExpiredBy, expiredBy);
-}
-
-TimePoint
-CellScheduler::LongestLeaseExpiresBy(TimePoint aGrantedAt) const
-{
-  const double longest =
-    static_cast<double>(this->bounds.longestWorkerLease.count()) /
-    kSlowestClockRate;
-  return aGrantedAt +
-         std::chrono::milliseconds(static_cast<std::int64_t>(longest) + 1) +
-         kLeaseMargin;
-}
-
-bool
-CellScheduler::MayHaveRestarted(const std::string& aWorker,
-                                std::uint64_t aIncarnation) const
-{
-  if (!this->awaitedWorkers.contains(aWorker) &&
-      !this->AwaitsUnresponsive(aWorker)) {
-    return false;
-  }
-  const auto settled = this->restoredSettled.find(aWorker);
-  return settled == this->restoredSettled.end() ||
-         settled->second != aIncarnation;
-}
-
-TimePoint
-CellScheduler::EarlierOwnersLeasesExpiredBy(const std::string& aWorker) const
-{
-  const ScheduledWorker* const worker = this->FindWorker(aWorker);
-  const auto settled = this->restoredSettled.find(aWorker);
-  const bool unlisted =
-    worker == nullptr && settled != this->restoredSettled.end();
-  if (unlisted ||
-      !this->MayHaveRestarted(
-        aWorker, worker == nullptr ? 0 : worker->description.incarnation)) {
-    return this->earlierLeasesExpiredBy;
-  }
-  // A command of the earlier owner that was meant for an earlier incarnation
-  // can have granted the longest lease.
-  const auto longer =
-    this->bounds.longestWorkerLease - this->bounds.workerLease;
-  return this->earlierLeasesExpiredBy + kLongestCommandTimeout +
-         longer * 103 / 100;
-}
-
-std::map<std::string, std::uint64_t>
-CellScheduler::SettledIncarnations() const
-{
-  std::map<std::string, std::uint64_t> settled;
-  const TimePoint now = this->clock.Now();
-  for (const auto& [id, worker] : this->workers) {
-    if (!worker.reported) {
-      const auto known = this->restoredSettled.find(id);
-      if (known != this->restoredSettled.end()) {
-        settled.insert(*known);
-      } else if (!this->MayHaveRestarted(id, worker.description.incarnation)) {
-        settled[id] = worker.description.incarnation;
-      }
-      continue;
-    }
-    if (!worker.takesEarlierCommands && now > worker.earlierLeasesExpiredBy) {
-      settled[id] = worker.reportedIncarnation;
-    }
-  }
-  return settled;
-}
-
 void
 CellScheduler::CheckRecovered()
 {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -202,8 +202,9 @@
 
   /** Returns whether the durable roster has to be rewritten: it lacks a listed
    * worker, which gets no tasks until the roster names it, it names a removed
-   * worker, for whose report the next owner would wait, or a restarted worker
-   * needs a newer fencing token, which is the revision of the write. */
+   * worker, for whose report the next owner would wait, a restarted worker
+   * needs a newer fencing token, which is the revision of the write, or a
+   * worker has settled. */
   bool RosterIsStale() const;
 
   /** Returns whether the durable roster names a worker, so that it may get
@@ -511,7 +512,7 @@
   TimePoint LongestLeaseExpiresBy(TimePoint aGrantedAt) const;
   /** Sets by when the leases have expired that a new incarnation of a worker
    * may get from commands which were meant for an earlier one. */
-  void BoundEarlierLeases(ScheduledWorker& aWorker) const;
+  void BoundStaleLeases(ScheduledWorker& aWorker) const;
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
   /** Records that contact with a worker was lost, unless the worker drains.
    * aContactUntil: when the worker was last up; unset if that is not known. */
--- /dev/null
+++ b/src/CellSchedulerLeases.cpp
@@ -0,0 +1,261 @@
+#include "CellScheduler.h"
+
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+namespace {
+
+/** Slowest rate of a worker's clock that the computation of lease expiry allows
+ * for, as a fraction of the rate of the local clock. */
+constexpr double kSlowestClockRate = 0.98;
+
+/** Longest time-out of a command. A command that waits for a connection to a
+ * worker which is down can be carried out until then. */
+constexpr std::chrono::milliseconds kLongestCommandTimeout{ 1600 };
+
+/** Covers rounding and the timer granularity of a worker. */
+constexpr std::chrono::milliseconds kLeaseMargin{ 100 };
+
+/** Longest time after its decision at which a command can be carried out: a
+ * start command is sent for up to 1.5 s, and a command without an answer can
+ * arrive up to 12 s after it was sent. */
+constexpr std::chrono::milliseconds kMaxCommandDelay{ 13500 };
+
+/** Returns the time since a command was sent for the log; -1 if none was. */
+std::int64_t
+MillisecondsSince(TimePoint aNow, std::optional<TimePoint> aSentAt)
+{
+  return aSentAt ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                     aNow - *aSentAt)
+                     .count()
+                 : -1;
+}
+
+} // namespace
+
+std::uint64_t
+CellScheduler::FencingToken(const std::string& aWorker) const
+{
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  return worker == nullptr ? 0 : worker->fencingToken;
+}
+
+void
+CellScheduler::AssignFencingTokens(std::uint64_t aToken)
+{
+  for (auto& [id, worker] : this->workers) {
+    if (!worker.needsFencingToken) {
+      continue;
+    }
+    worker.fencingToken = aToken;
+    worker.needsFencingToken = false;
+    Event("worker_token")
+      .Add("worker", id)
+      .Add("incarnation", worker.reportedIncarnation)
+      .Add("token", aToken);
+  }
+}
+
+void
+CellScheduler::HandleFencingToken(const std::string& aWorker,
+                                  std::uint64_t aIncarnation,
+                                  std::uint64_t aToken)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker == nullptr || !worker->takesStaleCommands ||
+      worker->needsFencingToken ||
+      aIncarnation != worker->reportedIncarnation ||
+      aToken < worker->fencingToken) {
+    return;
+  }
+  worker->takesStaleCommands = false;
+  worker->staleLeasesExpiredBy = this->LongestLeaseExpiresBy(this->clock.Now());
+}
+
+std::uint64_t
+CellScheduler::LeaseUntil(const std::string& aWorker) const
+{
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  if (worker == nullptr || worker->clockReadingMs == 0 ||
+      worker->unresponsive) {
+    return 0;
+  }
+  return worker->ClockAt(this->clock.Now()) +
+         static_cast<std::uint64_t>(this->bounds.workerLease.count());
+}
+
+void
+CellScheduler::NoteLease(const std::string& aWorker,
+                         std::uint64_t aUntilWorkerMs)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker == nullptr || worker->clockReadingMs == 0) {
+    return;
+  }
+  if (aUntilWorkerMs > 0) {
+    worker->openRenewalAt = this->clock.Now();
+  }
+  this->ExtendLease(*worker, aUntilWorkerMs);
+}
+
+void
+CellScheduler::ExtendLease(ScheduledWorker& aWorker,
+                           std::uint64_t aUntilWorkerMs)
+{
+  const TimePoint now = this->clock.Now();
+  if (aUntilWorkerMs > 0) {
+    aWorker.lastGrantAt = now;
+  }
+  const std::uint64_t workerNow = aWorker.ClockAt(now);
+  const double left =
+    aUntilWorkerMs > workerNow
+      ? static_cast<double>(aUntilWorkerMs - workerNow) / kSlowestClockRate
+      : 0;
+  const TimePoint expiredBy =
+    now + std::chrono::milliseconds(static_cast<std::int64_t>(left) + 1) +
+    kLeaseMargin;
+  aWorker.leasesExpiredBy = std::max(aWorker.leasesExpiredBy, expiredBy);
+}
+
+TimePoint
+CellScheduler::LongestLeaseExpiresBy(TimePoint aGrantedAt) const
+{
+  const double longest =
+    static_cast<double>(this->bounds.longestWorkerLease.count()) /
+    kSlowestClockRate;
+  return aGrantedAt +
+         std::chrono::milliseconds(static_cast<std::int64_t>(longest) + 1) +
+         kLeaseMargin;
+}
+
+bool
+CellScheduler::MayHaveRestarted(const std::string& aWorker,
+                                std::uint64_t aIncarnation) const
+{
+  if (!this->awaitedWorkers.contains(aWorker) &&
+      !this->AwaitsUnresponsive(aWorker)) {
+    return false;
+  }
+  const auto settled = this->restoredSettled.find(aWorker);
+  return settled == this->restoredSettled.end() ||
+         settled->second != aIncarnation;
+}
+
+TimePoint
+CellScheduler::EarlierOwnersLeasesExpiredBy(const std::string& aWorker) const
+{
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  const auto settled = this->restoredSettled.find(aWorker);
+  const bool unlisted =
+    worker == nullptr && settled != this->restoredSettled.end();
+  if (unlisted ||
+      !this->MayHaveRestarted(
+        aWorker, worker == nullptr ? 0 : worker->description.incarnation)) {
+    return this->earlierLeasesExpiredBy;
+  }
+  // A command of the earlier owner that was meant for an earlier incarnation
+  // can have granted the longest lease.
+  const auto longer =
+    this->bounds.longestWorkerLease - this->bounds.workerLease;
+  return this->earlierLeasesExpiredBy + kLongestCommandTimeout +
+         longer * 103 / 100;
+}
+
+std::map<std::string, std::uint64_t>
+CellScheduler::SettledIncarnations() const
+{
+  std::map<std::string, std::uint64_t> settled;
+  const TimePoint now = this->clock.Now();
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker.reported) {
+      const auto known = this->restoredSettled.find(id);
+      if (known != this->restoredSettled.end()) {
+        settled.insert(*known);
+      } else if (!this->MayHaveRestarted(id, worker.description.incarnation)) {
+        settled[id] = worker.description.incarnation;
+      }
+      continue;
+    }
+    if (!worker.takesStaleCommands && now > worker.staleLeasesExpiredBy) {
+      settled[id] = worker.reportedIncarnation;
+    }
+  }
+  return settled;
+}
+
+TimePoint
+CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
+{
+  return this->LongestLeaseExpiresBy(
+    aCommitment.allCopiesAnswered ? aCommitment.confirmedAt
+                                  : aCommitment.startedAt + kMaxCommandDelay);
+}
+
+std::optional<TimePoint>
+CellScheduler::LastOpenGrant(const ScheduledWorker& aWorker) const
+{
+  std::optional<TimePoint> last =
+    std::max(aWorker.openRenewalAt, aWorker.unansweredGrantAt);
+  for (const auto& [task, commitment] : aWorker.Commitments()) {
+    const bool open =
+      commitment.mayBeInFlight || commitment.confirmedAt == TimePoint();
+    if (!commitment.held && open) {
+      last = std::max(last, std::optional(commitment.startedAt));
+    }
+  }
+  return last;
+}
+
+bool
+CellScheduler::HasCommandsInFlight(const ScheduledWorker& aWorker) const
+{
+  const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
+  return open && this->clock.Now() <= *open + kMaxCommandDelay;
+}
+
+void
+CellScheduler::BoundStaleLeases(ScheduledWorker& aWorker) const
+{
+  aWorker.needsFencingToken = true;
+  aWorker.takesStaleCommands = true;
+  aWorker.staleGrantAt = aWorker.lastGrantAt;
+  if (!aWorker.lastGrantAt) {
+    return;
+  }
+  // The end of the lease that such a command names is a time of the earlier
+  // incarnation's clock. On the new clock it can lie beyond the longest lease,
+  // which the worker then grants when the command arrives.
+  const TimePoint now = this->clock.Now();
+  const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
+  aWorker.staleLeasesExpiredBy = this->LongestLeaseExpiresBy(
+    open ? std::max(now, *open + kMaxCommandDelay) : now);
+}
+
+void
+CellScheduler::ExpireLeases()
+{
+  const TimePoint now = this->clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    if (now <= worker.AllLeasesExpiredBy()) {
+      continue;
+    }
+    const std::size_t runs = this->RunsThatMayBeLost(worker).size();
+    if (runs == 0) {
+      continue;
+    }
+    Event("leases_expired")
+      .Add("worker", id)
+      .Add("incarnation", worker.reportedIncarnation)
+      .Add("runs", static_cast<std::uint64_t>(runs))
+      .Add("report_age_ms", MillisecondsSince(now, worker.lastReportAt))
+      .Add("grant_age_ms", MillisecondsSince(now, worker.lastGrantAt))
+      .Add("earlier_grant_age_ms", MillisecondsSince(now, worker.staleGrantAt));
+    this->MarkAllRunsLost(worker, "lease expired");
+  }
+  this->CheckRecovered();
+}
+
+} // namespace sequoiakeel
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -9,26 +9,11 @@
 
 namespace {
 
-/** Longest time after its decision at which a command can be carried out: a
- * start command is sent for up to 1.5 s, and a command without an answer can
- * arrive up to 12 s after it was sent. */
-constexpr std::chrono::milliseconds kMaxCommandDelay{ 13500 };
-
 /** A worker that rejected a start command gets no further ones for this long;
  * the worker's free capacity and health rarely change faster than its reports
  * arrive. */
 constexpr std::chrono::milliseconds kStartRejectedBackoff{ 300 };
 
-/** Returns the time since a command was sent for the log; -1 if none was. */
-std::int64_t
-MillisecondsSince(TimePoint aNow, std::optional<TimePoint> aSentAt)
-{
-  return aSentAt ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                     aNow - *aSentAt)
-                     .count()
-                 : -1;
-}
-
 } // namespace
 
 void
@@ -55,7 +40,7 @@
     worker->reportedIncarnation = aReport.incarnation;
     if (this->MayHaveRestarted(aWorker, aReport.incarnation)) {
       // It rejects the commands of earlier owners from now on.
-      worker->earlierLeasesExpiredBy = this->LongestLeaseExpiresBy(now);
+      worker->staleLeasesExpiredBy = this->LongestLeaseExpiresBy(now);
     }
     const LostWorker* const loss = this->crashes.FindLoss(aWorker);
     if (loss != nullptr && aReport.incarnation > loss->incarnation) {
@@ -364,14 +349,6 @@
   }
 }
 
-TimePoint
-CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
-{
-  return this->LongestLeaseExpiresBy(
-    aCommitment.allCopiesAnswered ? aCommitment.confirmedAt
-                                  : aCommitment.startedAt + kMaxCommandDelay);
-}
-
 std::vector<std::string>
 CellScheduler::RunsThatMayBeLost(const ScheduledWorker& aWorker) const
 {
@@ -401,46 +378,6 @@
   }
 }
 
-std::optional<TimePoint>
-CellScheduler::LastOpenGrant(const ScheduledWorker& aWorker) const
-{
-  std::optional<TimePoint> last =
-    std::max(aWorker.openRenewalAt, aWorker.unansweredGrantAt);
-  for (const auto& [task, commitment] : aWorker.Commitments()) {
-    const bool open =
-      commitment.mayBeInFlight || commitment.confirmedAt == TimePoint();
-    if (!commitment.held && open) {
-      last = std::max(last, std::optional(commitment.startedAt));
-    }
-  }
-  return last;
-}
-
-bool
-CellScheduler::HasCommandsInFlight(const ScheduledWorker& aWorker) const
-{
-  const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
-  return open && this->clock.Now() <= *open + kMaxCommandDelay;
-}
-
-void
-CellScheduler::BoundEarlierLeases(ScheduledWorker& aWorker) const
-{
-  aWorker.needsFencingToken = true;
-  aWorker.takesEarlierCommands = true;
-  aWorker.earlierGrantAt = aWorker.lastGrantAt;
-  if (!aWorker.lastGrantAt) {
-    return;
-  }
-  // The end of the lease that such a command names is a time of the earlier
-  // incarnation's clock. On the new clock it can lie beyond the longest lease,
-  // which the worker then grants when the command arrives.
-  const TimePoint now = this->clock.Now();
-  const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
-  aWorker.earlierLeasesExpiredBy = this->LongestLeaseExpiresBy(
-    open ? std::max(now, *open + kMaxCommandDelay) : now);
-}
-
 void
 CellScheduler::BeginIncarnation(ScheduledWorker& aWorker,
                                 std::uint64_t aIncarnation)
@@ -451,7 +388,7 @@
     .Add("incarnation", aIncarnation);
   this->RecordLoss(aWorker, std::nullopt);
   this->HandleCrash(aWorker.description.id, "restarted under its id");
-  this->BoundEarlierLeases(aWorker);
+  this->BoundStaleLeases(aWorker);
   std::vector<std::string> inFlight;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
     // A start that was confirmed after the last report may have been carried
@@ -478,31 +415,6 @@
   aWorker.clockReadingMs = 0;
 }
 
-void
-CellScheduler::ExpireLeases()
-{
-  const TimePoint now = this->clock.Now();
-  for (auto& [id, worker] : this->workers) {
-    if (now <= worker.AllLeasesExpiredBy()) {
-      continue;
-    }
-    const std::size_t runs = this->RunsThatMayBeLost(worker).size();
-    if (runs == 0) {
-      continue;
-    }
-    Event("leases_expired")
-      .Add("worker", id)
-      .Add("incarnation", worker.reportedIncarnation)
-      .Add("runs", static_cast<std::uint64_t>(runs))
-      .Add("report_age_ms", MillisecondsSince(now, worker.lastReportAt))
-      .Add("grant_age_ms", MillisecondsSince(now, worker.lastGrantAt))
-      .Add("earlier_grant_age_ms",
-           MillisecondsSince(now, worker.earlierGrantAt));
-    this->MarkAllRunsLost(worker, "lease expired");
-  }
-  this->CheckRecovered();
-}
-
 void
 CellScheduler::HandleStart(const std::string& aWorker,
                            const std::string& aTask,
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -207,7 +207,7 @@
   TimePoint leasesExpiredBy;
   /** Time by which the leases have expired that the worker's current
    * incarnation may get from commands which were meant for an earlier one. */
-  TimePoint earlierLeasesExpiredBy;
+  TimePoint staleLeasesExpiredBy;
   /** Fencing token of the commands to the worker's current incarnation; 0: that
    * of the owner. */
   std::uint64_t fencingToken = 0;
@@ -216,7 +216,7 @@
   bool needsFencingToken = false;
   /** The worker's current incarnation may not have seen its fencing token yet,
    * so that it would carry out commands which were meant for an earlier one. */
-  bool takesEarlierCommands = false;
+  bool takesStaleCommands = false;
   /** When the last command that grants a lease was sent; unset if none was. */
   std::optional<TimePoint> lastGrantAt;
   /** When the renewal that has no answer yet was sent; unset if there is none.
@@ -227,7 +227,7 @@
   std::optional<TimePoint> unansweredGrantAt;
   /** lastGrantAt when a new incarnation of the worker became known. Until then
    * commands were meant for an earlier incarnation; unset if none was. */
-  std::optional<TimePoint> earlierGrantAt;
+  std::optional<TimePoint> staleGrantAt;
   TimePoint lastReportAt;
   /** Reading of the worker's clock at clockReadAt; 0: unknown. */
   std::uint64_t clockReadingMs = 0;
@@ -261,7 +261,7 @@
    * expired. */
   TimePoint AllLeasesExpiredBy() const
   {
-    return std::max(this->leasesExpiredBy, this->earlierLeasesExpiredBy);
+    return std::max(this->leasesExpiredBy, this->staleLeasesExpiredBy);
   }
 
   const std::map<std::string, Commitment>& Commitments() const
@@ -340,7 +340,7 @@
   bool NeedsReportNow() const
   {
     const bool bringsToken =
-      this->takesEarlierCommands && !this->needsFencingToken;
+      this->takesStaleCommands && !this->needsFencingToken;
     return !this->reported || this->unresponsive || this->clockReadingMs == 0 ||
            this->handledEnds > this->durableEnds || bringsToken;
   }
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -358,7 +358,7 @@
   const bool outdated =
     described != 0 && described < aWorker.reportedIncarnation;
   return aWorker.listed && aWorker.reported && !silent && !outdated &&
-         !aWorker.foreignRuns && !aWorker.takesEarlierCommands &&
+         !aWorker.foreignRuns && !aWorker.takesStaleCommands &&
          aWorker.Committed().unknownSizes == 0 &&
          !aWorker.description.draining && aNow >= aWorker.backoffUntil &&
          aWorker.clockReadingMs != 0;
