Log the incarnation of runs and each unanswered copy of a start

A run that a restarted worker lists could not be told from one that was started for its present incarnation, and copies of a start that got no answer were not in the log when a later copy was confirmed. task_start, task_found, task_ended and run_lost now name the incarnation, and start_unanswered is written for each such copy. No change of logic.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -217,6 +217,11 @@
       break;
     }
     mayBeInFlight = true;
+    Event("start_unanswered", LogLevel::Warning)
+      .Add("task", aStart.command.task)
+      .Add("run", aStart.command.run)
+      .Add("worker", aStart.worker)
+      .Add("attempt", attempt + 1);
     if (!this->scheduler.AwaitsStart(
           aStart.worker, aStart.command.task, aStart.command.run)) {
       break;
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -95,6 +95,7 @@
     .Add("task", start.command.task)
     .Add("run", start.command.run)
     .Add("worker", start.worker)
+    .Add("incarnation", aWorker.reportedIncarnation)
     .Add("rack", aWorker.description.rack)
     .Add("image", step.image)
     .Add("waited_ms", static_cast<std::int64_t>(waited.count()))
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -97,6 +97,7 @@
     .Add("task", aRow.task)
     .Add("run", aRow.run)
     .Add("worker", aWorker.description.id)
+    .Add("incarnation", aWorker.reportedIncarnation)
     .Add("end", ToString(aRow.end));
   if (entry == nullptr || entry->job.Find(*name) == nullptr) {
     return;
@@ -268,6 +269,7 @@
     .Add("task", aRow.task)
     .Add("run", aRow.run)
     .Add("worker", aWorker.description.id)
+    .Add("incarnation", aWorker.reportedIncarnation)
     .Add("adopted", wanted);
   if (!wanted) {
     this->StopRun(aWorker, aRow.task, "run is no longer needed");
@@ -328,6 +330,7 @@
     .Add("task", aTask)
     .Add("run", commitment->run)
     .Add("worker", aWorker.description.id)
+    .Add("incarnation", aWorker.reportedIncarnation)
     .Add("confirmed", commitment->confirmedAt != TimePoint())
     .Add("reason", aReason);
   this->policies.observer.RunLost();
