Reset the connection of an exchange that is given up

After a normal close the kernel goes on sending what a partition holds up, so that starts and renewals reach whatever incarnation is up when the partition ends. A reset drops these bytes.

The linger option is set once per connection, since the stream closes the socket itself when an exchange times out; a connection without an open exchange is closed normally as before.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -106,6 +106,9 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   bool reusable = false;
+  /** A request was written, at least in part, and its response is incomplete.
+   */
+  bool exchanging = false;
 };
 
 HttpConnection::HttpConnection(asio::any_io_executor aExecutor)
@@ -113,7 +116,10 @@
 {
 }
 
-HttpConnection::~HttpConnection() = default;
+HttpConnection::~HttpConnection()
+{
+  this->Close();
+}
 
 asio::awaitable<std::string>
 HttpConnection::Connect(Endpoint aEndpoint, Duration aTimeout)
@@ -134,6 +140,10 @@
   }
   auto& socket = this->implementation->stream.socket();
   socket.set_option(asio::ip::tcp::no_delay(true), error);
+  // After a normal close the kernel goes on sending what a partition holds up,
+  // and the peer would carry the request out once the partition ends. The
+  // stream closes the socket itself when an exchange times out.
+  socket.set_option(asio::socket_base::linger(true, 0), error);
   DetectSilence(socket.native_handle());
   this->implementation->reusable = true;
   co_return std::string();
@@ -147,6 +157,7 @@
   error_code error;
   http::request<http::string_body> message = ToBeast(aRequest);
   state.reusable = false;
+  state.exchanging = true;
   state.stream.expires_after(aTimeout);
   const std::size_t written = co_await http::async_write(
     state.stream, message, asio::redirect_error(use_awaitable, error));
@@ -172,6 +183,7 @@
     this->Close();
     co_return result;
   }
+  state.exchanging = false;
   const bool keepAlive = parser.get().keep_alive();
   result.progress = ExchangeProgress::Complete;
   result.response = FromBeast(parser.release());
@@ -204,9 +216,14 @@
 void
 HttpConnection::Close()
 {
+  Implementation& state = *this->implementation;
   error_code error;
-  this->implementation->reusable = false;
-  this->implementation->stream.socket().close(error);
+  if (!std::exchange(state.exchanging, false)) {
+    state.stream.socket().set_option(asio::socket_base::linger(false, 0),
+                                     error);
+  }
+  state.reusable = false;
+  state.stream.socket().close(error);
 }
 
 HttpClient::HttpClient(asio::any_io_executor aExecutor,
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -72,7 +72,9 @@
    * has no unread data from an earlier exchange. */
   bool Reusable();
 
-  /** Closes the connection. An exchange in progress fails with an error. */
+  /** Closes the connection. An exchange in progress fails with an error, and
+   * the connection is then reset, so that the network drops what it has not
+   * delivered of the request. */
   void Close();
 
 private:
