Keep a task at its worker while an earlier start of it may be carried out

A start command that got no answer can be carried out seconds later by whichever incarnation is then up. An incarnation that has seen neither the run number nor a fencing token carries it out, although the task has been started elsewhere since: when the worker's lease had expired, or when the worker had reported without the run and restarted later.

Such a start now keeps its task from other workers until no copy of it can be carried out or be running any more. A silent worker's run is kept until then. If the worker reports without the run, the task is started again at once, but on that worker, which rejects the earlier run number; should it restart, the new incarnation is told to stop the run as before. A new incarnation does not inherit the pause after a rejected start. Long-running tasks on silent workers and members of gangs are left out, since they may not be idle for so long.

Two earlier cases of unit_RestartedWorkers needed a task that has moved to another worker within 7 s and check the fencing token; they use a task that lasts now and check the same.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -430,6 +430,13 @@
     /** Number of the progress change that has to be durable. */
     std::uint64_t change = 0;
   };
+  /** A start command of which a copy got no answer, so that it may still be
+   * carried out although its run has ended. */
+  struct UnansweredStart
+  {
+    std::string worker;
+    TimePoint sentAt;
+  };
   /** Pending tasks of one step: those of a long-running step that have run, if
    * order.interrupted is set, otherwise all others. */
   struct Candidate
@@ -489,6 +496,18 @@
     const ScheduledWorker& aWorker) const;
   void MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason);
   TimePoint NoCopyRunsAfter(const Commitment& aCommitment) const;
+  /** Records that a run has ended of whose start command a copy may still be
+   * carried out, by a later incarnation of the worker. */
+  void NoteUnansweredStart(const ScheduledWorker& aWorker,
+                           const std::string& aTask,
+                           const Commitment& aCommitment);
+  /** Returns the earlier start of a task that may still be carried out, or
+   * null. The task may then be started only on the same worker, which rejects
+   * the earlier start once it has a later run of the task. */
+  const UnansweredStart* FindUnansweredStart(const std::string& aTask) const;
+  /** Returns whether a copy of a start can be carried out or can be running. */
+  bool MayCopyRun(const UnansweredStart& aStart) const;
+  void RemoveExpiredStarts();
   /** Records that a command is about to be sent which grants a lease until
    * aUntilWorkerMs on the worker's clock. Precondition: the reading of that
    * clock is known. */
@@ -638,6 +657,13 @@
   void PlanStep(const Candidate& aCandidate,
                 PlannedCommands& aOrders,
                 bool aFirstOnly);
+  /** Starts a task at the worker that may still carry out an earlier start of
+   * it, if that worker takes it now. */
+  void RepeatStart(const Candidate& aCandidate,
+                   const TaskName& aName,
+                   const TaskToPlace& aTask,
+                   const UnansweredStart& aEarlier,
+                   PlannedCommands& aOrders);
   /** Returns whether only the first task of a step is started before the other
    * steps get their turn. */
   bool StartsFirstOnly(const Candidate& aCandidate) const;
@@ -646,6 +672,10 @@
   /** Returns the worker on which a task is to be started, or null if it has to
    * wait. */
   ScheduledWorker* ChooseWorker(const TaskToPlace& aTask);
+  /** Returns the worker of an earlier start if a task can be started there now,
+   * or null. */
+  ScheduledWorker* WorkerOfStart(const UnansweredStart& aStart,
+                                 const TaskToPlace& aTask);
   ScheduledWorker* ChooseWorkerAmong(std::span<ScheduledWorker* const> aWorkers,
                                      const TaskToPlace& aTask);
   /** Returns whether the search for a worker for aTask can be skipped: in this
@@ -736,6 +766,9 @@
    * assignmentsRecorded, if all runs are known. */
   std::optional<std::uint64_t> recordingChange;
   std::vector<HeldStart> heldStarts;
+  /** By task; tasks that last and members of gangs are not included, since they
+   * cannot wait for one worker. */
+  std::map<std::string, UnansweredStart> unansweredStarts;
   /** Long-running tasks that the current planning pass skipped since they wait
    * for their recorded worker. */
   std::vector<TaskName> awaitedTasks;
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -190,8 +190,62 @@
 CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
 {
   return this->LongestLeaseExpiresBy(
-    aCommitment.allCopiesAnswered ? aCommitment.confirmedAt
-                                  : aCommitment.startedAt + kMaxCommandDelay);
+    aCommitment.allCopiesAnswered
+      ? aCommitment.confirmedAt
+      : std::max(aCommitment.startedAt,
+                 aCommitment.unansweredAt.value_or(TimePoint())) +
+          kMaxCommandDelay);
+}
+
+void
+CellScheduler::NoteUnansweredStart(const ScheduledWorker& aWorker,
+                                   const std::string& aTask,
+                                   const Commitment& aCommitment)
+{
+  const WorkflowStep& step = aCommitment.step;
+  if (!aCommitment.unansweredAt || step.longRunning || step.gang ||
+      this->clock.Now() > *aCommitment.unansweredAt + kMaxCommandDelay) {
+    return;
+  }
+  const std::string& worker = aWorker.description.id;
+  this->unansweredStarts[aTask] =
+    UnansweredStart{ worker, *aCommitment.unansweredAt };
+  Event("start_still_open")
+    .Add("task", aTask)
+    .Add("run", aCommitment.run)
+    .Add("worker", worker)
+    .Add("age_ms",
+         MillisecondsSince(this->clock.Now(), aCommitment.unansweredAt));
+}
+
+const CellScheduler::UnansweredStart*
+CellScheduler::FindUnansweredStart(const std::string& aTask) const
+{
+  const auto found = this->unansweredStarts.find(aTask);
+  if (found == this->unansweredStarts.end()) {
+    return nullptr;
+  }
+  return this->MayCopyRun(found->second) ? &found->second : nullptr;
+}
+
+bool
+CellScheduler::MayCopyRun(const UnansweredStart& aStart) const
+{
+  const TimePoint now = this->clock.Now();
+  const TimePoint lastStart = aStart.sentAt + kMaxCommandDelay;
+  const ScheduledWorker* const worker = this->FindWorker(aStart.worker);
+  // A report that is newer than the last possible start lists the run.
+  const bool reported = worker != nullptr && worker->lastReportAt > lastStart;
+  return now <= lastStart ||
+         (!reported && now <= this->LongestLeaseExpiresBy(lastStart));
+}
+
+void
+CellScheduler::RemoveExpiredStarts()
+{
+  std::erase_if(this->unansweredStarts, [this](const auto& aItem) {
+    return !this->MayCopyRun(aItem.second);
+  });
 }
 
 std::optional<TimePoint>
@@ -201,7 +255,7 @@
     std::max(aWorker.openRenewalAt, aWorker.unansweredGrantAt);
   for (const auto& [task, commitment] : aWorker.Commitments()) {
     const bool open =
-      commitment.mayBeInFlight || commitment.confirmedAt == TimePoint();
+      commitment.unansweredAt || commitment.confirmedAt == TimePoint();
     if (!commitment.held && open) {
       last = std::max(last, std::optional(commitment.startedAt));
     }
@@ -238,11 +292,19 @@
 CellScheduler::ExpireLeases()
 {
   const TimePoint now = this->clock.Now();
+  this->RemoveExpiredStarts();
   for (auto& [id, worker] : this->workers) {
     if (now <= worker.AllLeasesExpiredBy()) {
       continue;
     }
     const std::size_t runs = this->RunsThatMayBeLost(worker).size();
+    const std::size_t kept = worker.Commitments().size() - runs;
+    if (kept != worker.keptRuns) {
+      Event("runs_kept")
+        .Add("worker", id)
+        .Add("runs", static_cast<std::uint64_t>(kept));
+      worker.keptRuns = kept;
+    }
     if (runs == 0) {
       continue;
     }
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -218,6 +218,18 @@
   return nullptr;
 }
 
+ScheduledWorker*
+CellScheduler::WorkerOfStart(const UnansweredStart& aStart,
+                             const TaskToPlace& aTask)
+{
+  ScheduledWorker* const worker = this->Worker(aStart.worker);
+  const auto end = this->availableWorkers.end();
+  if (std::find(this->availableWorkers.begin(), end, worker) == end) {
+    return nullptr;
+  }
+  return this->ChooseWorkerAmong(std::span(&worker, 1), aTask);
+}
+
 bool
 CellScheduler::MayReserve(const ScheduledWorker& aWorker,
                           const TaskToPlace& aTask) const
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -601,6 +601,12 @@
     placed.interrupted = aCandidate.order.interrupted;
     placed.firstStart = !tasks[i].hasRun;
     placed.suspect = this->IsSuspect(name, tasks[i]);
+    const UnansweredStart* const earlier =
+      this->FindUnansweredStart(FormatTaskName(name));
+    if (earlier != nullptr) {
+      this->RepeatStart(aCandidate, name, placed, *earlier, aOrders);
+      continue;
+    }
     const bool missed = longestMissed && placed.waited <= *longestMissed;
     ScheduledWorker* const worker =
       missed ? nullptr : this->ChooseWorker(placed);
@@ -641,6 +647,31 @@
   }
 }
 
+void
+CellScheduler::RepeatStart(const Candidate& aCandidate,
+                           const TaskName& aName,
+                           const TaskToPlace& aTask,
+                           const UnansweredStart& aEarlier,
+                           PlannedCommands& aOrders)
+{
+  const std::string task = FormatTaskName(aName);
+  ScheduledWorker* const worker = this->WorkerOfStart(aEarlier, aTask);
+  if (worker == nullptr || worker->Find(task) != nullptr) {
+    return;
+  }
+  const TimePoint sentAt = aEarlier.sentAt;
+  Entry& entry = this->jobs.at(aCandidate.job);
+  this->CountStart(aCandidate);
+  this->PlanStart(entry,
+                  aName,
+                  entry.job.Find(aName)->run + 1,
+                  *worker,
+                  aTask.stepKey,
+                  aOrders);
+  worker->Find(task)->unansweredAt = sentAt;
+  this->unansweredStarts.erase(task);
+}
+
 bool
 CellScheduler::PlanGang(const Candidate& aCandidate, PlannedCommands& aOrders)
 {
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -88,6 +88,7 @@
   const Commitment* const commitment = aWorker.Find(aRow.task);
   if (commitment != nullptr && commitment->run <= aRow.run) {
     aWorker.NoteFillerEnd(*commitment, this->clock.Now());
+    this->NoteUnansweredStart(aWorker, aRow.task, *commitment);
     aWorker.Release(aRow.task);
   }
   this->policies.observer.RunEnded(aRow.end);
@@ -337,6 +338,7 @@
   // A start that was rejected or not carried out does not end the wait of the
   // task, otherwise a worker that rejects every start would keep renewing it.
   const bool began = commitment->confirmedAt != TimePoint();
+  this->NoteUnansweredStart(aWorker, aTask, *commitment);
   aWorker.Release(aTask);
   const std::optional<TaskName> name = ParseTaskName(aTask);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
@@ -358,8 +360,14 @@
   const TimePoint now = this->clock.Now();
   std::vector<std::string> tasks;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
+    // The worker may have restarted unnoticed. Long-running tasks have to run
+    // again before the last copy has expired.
+    const bool mayStillStart =
+      commitment.awaitsStop ||
+      (!commitment.step.longRunning &&
+       (commitment.unansweredAt || commitment.confirmedAt == TimePoint()));
     if (commitment.held ||
-        (commitment.awaitsStop && now <= this->NoCopyRunsAfter(commitment))) {
+        (mayStillStart && now <= this->NoCopyRunsAfter(commitment))) {
       continue;
     }
     tasks.push_back(task);
@@ -398,7 +406,7 @@
     // out by the new incarnation. A held start was never sent.
     const bool unreported = commitment.confirmedAt == TimePoint() ||
                             commitment.confirmedAt > aWorker.lastReportAt;
-    if (commitment.mayBeInFlight || (unreported && !commitment.held)) {
+    if (commitment.unansweredAt || (unreported && !commitment.held)) {
       inFlight.push_back(task);
     }
   }
@@ -407,11 +415,16 @@
     // clock, to which the validity of the command does not apply, so it would
     // carry out a copy that arrives late. A stop makes it reject the run.
     this->StopRun(aWorker, task, "worker restarted with the start in flight");
-    aWorker.Find(task)->awaitsStop = true;
-    aWorker.Find(task)->stopSentAt = TimePoint();
+    Commitment& commitment = *aWorker.Find(task);
+    commitment.awaitsStop = true;
+    commitment.stopSentAt = TimePoint();
+    if (commitment.confirmedAt == TimePoint()) {
+      commitment.unansweredAt = commitment.startedAt;
+    }
   }
   this->MarkAllRunsLost(aWorker, "worker restarted");
   aWorker.reportedIncarnation = aIncarnation;
+  aWorker.backoffUntil = TimePoint();
   aWorker.handledEnds = 0;
   aWorker.durableEnds = 0;
   // The new incarnation's clock is unknown until it reports.
@@ -436,14 +449,16 @@
   if (commitment->awaitsStop) {
     return;
   }
-  commitment->mayBeInFlight = commitment->mayBeInFlight || aMayBeInFlight;
+  if (aMayBeInFlight) {
+    commitment->unansweredAt = commitment->startedAt;
+  }
   const TimePoint now = this->clock.Now();
   if (aReply.result == WorkerCommandResult::Done) {
     if (commitment->phase == CommitmentPhase::Starting) {
       commitment->phase = CommitmentPhase::Running;
     }
     commitment->confirmedAt = now;
-    commitment->allCopiesAnswered = !commitment->mayBeInFlight;
+    commitment->allCopiesAnswered = !commitment->unansweredAt;
     return;
   }
   Event("start_turned_away", LogLevel::Warning)
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -53,9 +53,10 @@
   /** While Starting: time from which the start command can no longer take
    * effect. */
   TimePoint startExpiresAt;
-  /** A copy of the start command was not answered and may still be carried out.
-   */
-  bool mayBeInFlight = false;
+  /** When the start command, or one for an earlier run of the task on this
+   * worker, was decided on of which a copy got no answer, so that it may still
+   * be carried out; unset if every copy was answered. */
+  std::optional<TimePoint> unansweredAt;
   /** The worker has confirmed the start command and answered every copy of it,
    * so that no copy can be carried out after confirmedAt. */
   bool allCopiesAnswered = false;
@@ -229,6 +230,9 @@
    * commands were meant for an earlier incarnation; unset if none was. */
   std::optional<TimePoint> staleGrantAt;
   TimePoint lastReportAt;
+  /** Number of runs that were kept when the leases had expired, since a copy of
+   * their start may still be carried out, as logged last. */
+  std::size_t keptRuns = 0;
   /** Reading of the worker's clock at clockReadAt; 0: unknown. */
   std::uint64_t clockReadingMs = 0;
   TimePoint clockReadAt;
--- a/test/unit/RestartedWorkers.cpp
+++ b/test/unit/RestartedWorkers.cpp
@@ -93,7 +93,7 @@
   RestartingCell cell(2, 1, RestartingCell::kLateDelay);
   cell.SetDelay(seconds(10));
   cell.Cut(0, milliseconds(6500));
-  cell.Submit("job", 1, seconds(30));
+  cell.Submit("job", 1, seconds(30), true);
   cell.Simulate(seconds(6));
   REQUIRE(cell.NodeOf("job.0.0.0") == 1);
   cell.Restart(0, milliseconds(600), 1);
@@ -107,13 +107,58 @@
   RestartingCell cell(2, 1, RestartingCell::kLateDelay);
   cell.SetDelay(milliseconds(11500));
   cell.Restart(0, seconds(8), 1);
-  cell.Submit("job", 1, seconds(30));
+  cell.Submit("job", 1, seconds(30), true);
   cell.Simulate(seconds(7));
   REQUIRE(cell.NodeOf("job.0.0.0") == 1);
   cell.Simulate(seconds(7));
   CHECK(cell.secondRuns.empty());
 }
 
+// Guards against a second run of a task whose start a worker carries out when
+// it is back under its id, after the lease of its earlier incarnation expired.
+TEST_CASE("a start without an answer keeps its task from other workers")
+{
+  for (const milliseconds delay : { milliseconds(7010), milliseconds(7100) }) {
+    RestartingCell cell(2, 1, RestartingCell::kLateDelay);
+    cell.SetDelay(delay);
+    cell.Restart(0, seconds(7), 1);
+    cell.Submit("job", 1, seconds(3));
+    cell.Simulate(seconds(21));
+    CAPTURE(delay.count());
+    CHECK(cell.secondRuns.empty());
+    CHECK(cell.harness.scheduler.StateOf("job") == WorkflowState::Completed);
+  }
+}
+
+// Guards against a task that waits without limit for a worker that is gone.
+TEST_CASE("a start that no worker can carry out any more is repeated elsewhere")
+{
+  RestartingCell cell(2, 1, RestartingCell::kLateDelay);
+  cell.Restart(0, seconds(60), 1);
+  cell.Submit("job", 1, seconds(30));
+  cell.Simulate(RestartingCell::kLateDelay + RestartingCell::kLongestLease +
+                milliseconds(2000));
+  CHECK(cell.NodeOf("job.0.0.0") == 1);
+}
+
+// Guards against a second run of a task that was started elsewhere after its
+// worker had reported without it, if that worker restarts afterwards.
+TEST_CASE("a start without an answer is repeated at its worker")
+{
+  RestartingCell cell(2, 1, RestartingCell::kLateDelay);
+  cell.SetDelay(milliseconds(8600));
+  cell.Cut(0, milliseconds(1900));
+  cell.Submit("job", 16, seconds(30));
+  cell.Simulate(milliseconds(4000));
+  for (int i = 0; i < 16; ++i) {
+    CHECK(cell.NodeOf("job.0.0." + std::to_string(i)) >= 0);
+  }
+  cell.Simulate(milliseconds(4100));
+  cell.Restart(0, milliseconds(450), 1);
+  cell.Simulate(seconds(3));
+  CHECK(cell.secondRuns.empty());
+}
+
 // Guards against a second run of a task on a worker that restarted shortly
 // before its owner was replaced.
 TEST_CASE("a new owner waits for the longest lease on a restarted worker")
