Date a crash by the last report if its break is noticed late

Cause: a worker that a task crashes before the next renewal is sent gets this renewal after the crash. Its connection breaks only when the next incarnation is up, and the time of the break was taken for that of the crash. The run then counts as up for over 0.5 s, and no task is suspected.

The time of a break now counts only if the worker is away after it: the next request has no answer, or no other incarnation is heard of for 1 s. Otherwise the loss is dated by the worker's last report, with the limit of four. A break during a renewal, as with a worker that crashes while a request waits, keeps its exact time, since requests fail after it. The record of losses that may have a common cause is corrected as well.

The new cases of unit_CrashingTasks and unit_CrashAttribution: the first fails on the sources before in all three ways in which the next incarnation shows. The one that keeps the exact time fails without the failed retry, the one of CrashAttribution without the corrected record (trials). All other cases are unchanged.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -137,7 +137,12 @@
     if (this->EndIfFenced(target, reply.outcome.result)) {
       co_return;
     }
-    const bool done = reply.outcome.result == WorkerCommandResult::Done;
+    const WorkerCommandResult result = reply.outcome.result;
+    const bool done = result == WorkerCommandResult::Done;
+    if (!reachable && (result == WorkerCommandResult::NotSent ||
+                       result == WorkerCommandResult::Unknown)) {
+      this->scheduler.HandleFailedRetry(aWorker);
+    }
     if (done != reachable) {
       Event(done ? "worker_regained" : "worker_lost", LogLevel::Warning)
         .Add("worker", aWorker)
@@ -145,8 +150,8 @@
     }
     reachable = done;
     if (!done) {
-      // A connection that breaks before the time-out shows that the worker was
-      // up until then.
+      // A connection that breaks before the time-out mostly does so when the
+      // worker goes down.
       const TimePoint now = this->dependencies.clock.Now();
       const bool broke = reply.outcome.result == WorkerCommandResult::Unknown &&
                          now - sentAt < wait + kWorkerTimeout;
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -267,10 +267,15 @@
   /** Marks a worker that did not answer a lease renewal as unresponsive. It
    * gets no further lease until it reports again, so that its tasks can be
    * restarted on other workers once the current lease has expired.
-   * aContactUntil: when the worker went down, if its connection broke then. */
+   * aContactUntil: when its connection broke. The worker went down then, unless
+   * its next incarnation is the first to be heard of. */
   void HandleUnresponsive(const std::string& aWorker,
                           std::optional<TimePoint> aContactUntil = {});
 
+  /** Handles a further lease renewal without an answer to a worker that is
+   * unresponsive already. To be called before HandleUnresponsive. */
+  void HandleFailedRetry(const std::string& aWorker);
+
   /** Handles the outcome of a start command. aMayBeInFlight: an earlier copy of
    * the command was not answered and may still be carried out. */
   void HandleStart(const std::string& aWorker,
--- a/src/CellSchedulerCrashes.cpp
+++ b/src/CellSchedulerCrashes.cpp
@@ -18,6 +18,20 @@
  * as well. Otherwise tasks that are placed together could not be told apart. */
 constexpr std::size_t kSuspectBystander = 2;
 
+/** Returns how long a run had been up at a time at which its worker was up. */
+Duration
+AgeAt(const Commitment& aCommitment, TimePoint aTime)
+{
+  const bool confirmed = aCommitment.confirmedAt != TimePoint();
+  const Duration age = confirmed && aCommitment.confirmedAt <= aTime
+                         ? aTime - aCommitment.confirmedAt
+                         : Duration::zero();
+  // A run that was found on its worker began earlier.
+  return aCommitment.adopted
+           ? std::max<Duration>(age, CrashAttribution::kProvenAfter)
+           : age;
+}
+
 } // namespace
 
 void
@@ -35,24 +49,30 @@
   loss.service = aWorker.description.service;
   loss.lostAt = aContactUntil.value_or(aWorker.lastReportAt);
   loss.approximate = !aContactUntil.has_value();
+  if (aContactUntil) {
+    loss.lastReportAt = aWorker.lastReportAt;
+  }
   for (const auto& [task, commitment] : aWorker.Commitments()) {
     // A run that awaits a stop is that of an incarnation that is gone.
     if (commitment.held || commitment.awaitsStop) {
       continue;
     }
-    const bool confirmed = commitment.confirmedAt != TimePoint();
-    Duration age = confirmed && commitment.confirmedAt <= loss.lostAt
-                     ? loss.lostAt - commitment.confirmedAt
-                     : Duration::zero();
-    if (commitment.adopted) {
-      age = std::max<Duration>(age, CrashAttribution::kProvenAfter);
-    }
-    loss.runs.push_back(
-      RunAtLoss{ task, commitment.run, age, commitment.suspect, !confirmed });
+    loss.runs.push_back(RunAtLoss{ task,
+                                   commitment.run,
+                                   AgeAt(commitment, loss.lostAt),
+                                   commitment.suspect,
+                                   commitment.confirmedAt == TimePoint(),
+                                   AgeAt(commitment, aWorker.lastReportAt) });
   }
   this->crashes.RecordLoss(std::move(loss));
 }
 
+void
+CellScheduler::HandleFailedRetry(const std::string& aWorker)
+{
+  this->crashes.RecordFailedRetry(aWorker);
+}
+
 void
 CellScheduler::RestoreLosses(const WorkerRoster& aRoster)
 {
--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -39,6 +39,10 @@
 constexpr std::size_t kMinCellLosses = 4;
 constexpr std::size_t kCellPerLosses = 10;
 
+/** The first request after a broken connection has an answer or has failed by
+ * then. */
+constexpr std::chrono::milliseconds kRetryDone{ 1000 };
+
 /** How long the cause of a crash may still be found out. */
 constexpr std::chrono::seconds kUnresolvedWindow{ 60 };
 
@@ -118,6 +122,15 @@
   this->losses.erase(found);
 }
 
+void
+CrashAttribution::RecordFailedRetry(const std::string& aWorker)
+{
+  const auto found = this->losses.find(aWorker);
+  if (found != this->losses.end()) {
+    found->second.lastReportAt.reset();
+  }
+}
+
 void
 CrashAttribution::RecordReturn(const std::string& aWorker)
 {
@@ -146,6 +159,36 @@
   return replaced;
 }
 
+void
+CrashAttribution::CheckDate(TimePoint aNow, LostWorker& aLoss)
+{
+  // A request that was sent after the crash is on a connection that may break
+  // only when the next incarnation is up.
+  if (!aLoss.lastReportAt || aNow - aLoss.lostAt >= kRetryDone) {
+    return;
+  }
+  const auto past = std::find_if(
+    this->past.begin(), this->past.end(), [&aLoss](const PastLoss& aPast) {
+      return aPast.lostAt == aLoss.lostAt && aPast.rack == aLoss.rack &&
+             aPast.recentStart == HasRecentStart(aLoss);
+    });
+  for (const SuspectedRun& run : SuspectsOf(aLoss)) {
+    this->suspected.erase(this->suspected.find(run.task));
+  }
+  aLoss.lostAt = *aLoss.lastReportAt;
+  aLoss.lastReportAt.reset();
+  aLoss.approximate = true;
+  for (RunAtLoss& run : aLoss.runs) {
+    run.age = run.ageAtReport;
+  }
+  for (const SuspectedRun& run : SuspectsOf(aLoss)) {
+    this->suspected.insert(run.task);
+  }
+  if (past != this->past.end()) {
+    *past = PastLoss{ aLoss.lostAt, aLoss.rack, HasRecentStart(aLoss) };
+  }
+}
+
 CrashAttribution::Coincidence
 CrashAttribution::CoincidenceOf(const LostWorker& aLoss,
                                 std::size_t aWorkers) const
@@ -177,10 +220,12 @@
                               const std::string& aWorker,
                               std::size_t aWorkers)
 {
-  const LostWorker* const loss = this->FindLoss(aWorker);
-  if (loss == nullptr) {
+  const auto found = this->losses.find(aWorker);
+  if (found == this->losses.end()) {
     return std::nullopt;
   }
+  this->CheckDate(aNow, found->second);
+  const LostWorker* const loss = &found->second;
   WorkerCrash crash;
   crash.runs = loss->runs.size();
   const auto recent = std::count_if(
--- a/src/CrashAttribution.h
+++ b/src/CrashAttribution.h
@@ -29,6 +29,9 @@
   bool suspected = false;
   /** The start was not confirmed, so the run may never have begun. */
   bool unconfirmed = false;
+  /** Time between the confirmed start and the worker's last report; zero if the
+   * report came first. Used if the time of the loss turns out to be wrong. */
+  Duration ageAtReport{};
 };
 
 /** A worker with which contact was lost. */
@@ -43,6 +46,9 @@
   TimePoint lostAt;
   /** The worker may have been up for some time after lostAt. */
   bool approximate = false;
+  /** The worker's last report. Set if lostAt is when a connection broke, until
+   * a later request shows that the worker is down. */
+  std::optional<TimePoint> lastReportAt;
   std::vector<RunAtLoss> runs;
 };
 
@@ -96,6 +102,10 @@
   /** Records the workers of a roster that an earlier owner had lost. */
   void Restore(TimePoint aNow, std::span<const UnresponsiveWorker> aWorkers);
 
+  /** Records that a later request to a lost worker had no answer, so the worker
+   * did not come back as its connection broke. */
+  void RecordFailedRetry(const std::string& aWorker);
+
   /** Records that a worker is up in the incarnation in which it was lost. */
   void RecordReturn(const std::string& aWorker);
 
@@ -175,6 +185,10 @@
     CommonCause,
   };
 
+  /** Dates a loss by the last report if the connection may have broken only
+   * when the next incarnation was up. */
+  void CheckDate(TimePoint aNow, LostWorker& aLoss);
+
   Coincidence CoincidenceOf(const LostWorker& aLoss,
                             std::size_t aWorkers) const;
   void Remove(const std::string& aWorker);
--- a/test/unit/CrashAttribution.cpp
+++ b/test/unit/CrashAttribution.cpp
@@ -365,3 +365,31 @@
     CHECK(crash->suspects == worker.suspects);
   }
 }
+
+// Guards against taking crashes with a wrong date for a failure of the rack
+// that excuses the suspect of another crash.
+TEST_CASE("workers lost before a late break do not fail together with others")
+{
+  ManualClock clock;
+  CrashAttribution crashes;
+  clock.Advance(seconds(10));
+  for (const std::string id : { "w1", "w2" }) {
+    RunAtLoss run{ "task " + id, 1, milliseconds(1500) };
+    LostWorker loss = Loss(id, clock.Now(), { run });
+    loss.lastReportAt = clock.Now() - milliseconds(1500);
+    crashes.RecordLoss(loss);
+  }
+  crashes.RecordLoss(Loss("w3", clock.Now(), { { "c", 1, milliseconds(10) } }));
+  clock.Advance(milliseconds(200));
+  for (const std::string id : { "w1", "w2" }) {
+    const auto crash = crashes.RecordCrash(clock.Now(), id, kWorkers);
+    REQUIRE(crash);
+    CHECK(TasksOf(crash->suspects) == std::vector<std::string>{ "task " + id });
+    CHECK(crash->crashLimit == CrashAttribution::kMaxCrashes);
+  }
+  clock.Advance(seconds(2));
+  const auto crash = crashes.RecordCrash(clock.Now(), "w3", kWorkers);
+  REQUIRE(crash);
+  CHECK(TasksOf(crash->suspects) == std::vector<std::string>{ "c" });
+  CHECK(!crashes.HasSuspects());
+}
--- a/test/unit/CrashingTasks.cpp
+++ b/test/unit/CrashingTasks.cpp
@@ -13,6 +13,20 @@
 
 constexpr Rebirth kRebirths[] = { Rebirth::NewId, Rebirth::SameId };
 
+/** Returns the runs under which a crash counts against the only task of the
+ * only job. */
+std::vector<std::uint64_t>
+SuspectedRunsOf(SchedulerHarness& aHarness)
+{
+  const ProgressBatch batch = aHarness.scheduler.TakeProgress();
+  for (const ProgressRecord& record : batch.records) {
+    for (const TaskCrashes& crashes : record.progress.crashes) {
+      return crashes.runs;
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 // Guards against BUDGET, and against failing the jobs that ran beside the task.
@@ -583,3 +597,58 @@
   CHECK(harness.scheduler.StateOf("bad") == WorkflowState::Failed);
   CHECK(harness.scheduler.StateOf("service") == WorkflowState::Running);
 }
+
+// Guards against BUDGET: a worker that a task crashes before the next renewal
+// is sent is up again when the connection of that renewal breaks.
+TEST_CASE("a break that its next incarnation follows does not date a crash")
+{
+  enum class Sign : std::uint8_t
+  {
+    Report,
+    Registry,
+    OtherWorker,
+  };
+  for (const Sign sign : { Sign::Report, Sign::Registry, Sign::OtherWorker }) {
+    CAPTURE(static_cast<int>(sign));
+    SchedulerHarness harness;
+    harness.AddWorkers({ "w1" });
+    harness.scheduler.Accept(harness.Job("bad"));
+    REQUIRE(harness.PlanAndConfirm().size() == 1);
+    harness.clock.Advance(milliseconds(1500));
+    harness.scheduler.HandleUnresponsive("w1", harness.clock.Now());
+    harness.clock.Advance(milliseconds(200));
+    if (sign == Sign::Report) {
+      harness.Report("w1", 2, {}, {});
+    } else if (sign == Sign::Registry) {
+      harness.scheduler.UpdateWorkers(
+        std::vector{ SchedulerHarness::Worker("w1", 2) });
+    } else {
+      harness.scheduler.HandleUnresponsive("w1");
+      harness.scheduler.HandleWrongWorker("w1");
+    }
+    CHECK(SuspectedRunsOf(harness) == std::vector<std::uint64_t>{ 1 });
+  }
+}
+
+// Guards against suspecting runs that had been up for long, as that delays and
+// may end harmless tasks.
+TEST_CASE("a break dates a crash if the worker is away after it")
+{
+  for (const bool retried : { false, true }) {
+    CAPTURE(retried);
+    SchedulerHarness harness;
+    harness.AddWorkers({ "w1" });
+    harness.scheduler.Accept(harness.Job("a"));
+    REQUIRE(harness.PlanAndConfirm().size() == 1);
+    harness.clock.Advance(milliseconds(700));
+    harness.scheduler.HandleUnresponsive("w1", harness.clock.Now());
+    harness.clock.Advance(milliseconds(200));
+    if (retried) {
+      harness.scheduler.HandleFailedRetry("w1");
+      harness.scheduler.HandleUnresponsive("w1");
+    }
+    harness.clock.Advance(milliseconds(retried ? 400 : 1000));
+    harness.Report("w1", 2, {}, {});
+    CHECK(SuspectedRunsOf(harness).empty());
+  }
+}
