Fence the commands of before with the first renewal after a loss of contact

A worker that does not answer a renewal now gets a newer fencing token with the write of the roster that names it as silent, so that already the first renewal after the loss brings it. Renewals of a silent worker grant no lease, so the token is newer than all commands that do; a restart that is noticed without a failed renewal needs another write as before.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -231,7 +231,8 @@
     return worker != nullptr && worker->needsFencingToken;
   }
 
-  /** Sets the fencing token of the workers that need a newer one. Precondition:
+  /** Sets the fencing token of the workers for which a newer one was needed or
+   * wanted when the roster was written. Precondition:
    * this owner held the cell's key in the revision aToken of the store, so that
    * the tokens of later owners are higher, and no command was sent with aToken
    * or a higher token. */
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -47,11 +47,13 @@
 CellScheduler::AssignFencingTokens(std::uint64_t aToken)
 {
   for (auto& [id, worker] : this->workers) {
-    if (!worker.needsFencingToken) {
+    if (!worker.needsFencingToken && !worker.wantsFencingToken) {
       continue;
     }
     worker.fencingToken = aToken;
     worker.needsFencingToken = false;
+    worker.wantsFencingToken = false;
+    worker.tokenAssignedAt = this->clock.Now();
     Event("worker_token")
       .Add("worker", id)
       .Add("incarnation", worker.reportedIncarnation)
@@ -273,7 +275,10 @@
 void
 CellScheduler::BoundStaleLeases(ScheduledWorker& aWorker) const
 {
-  aWorker.needsFencingToken = true;
+  // Renewals of an unresponsive worker grant no lease, so a token that was
+  // assigned after the last grant is newer than every stale command.
+  aWorker.needsFencingToken =
+    !aWorker.tokenAssignedAt || aWorker.lastGrantAt >= aWorker.tokenAssignedAt;
   aWorker.takesStaleCommands = true;
   aWorker.staleGrantAt = aWorker.lastGrantAt;
   if (!aWorker.lastGrantAt) {
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -539,6 +539,7 @@
   }
   if (!worker->unresponsive && worker->reported) {
     this->RecordLoss(*worker, aContactUntil);
+    worker->wantsFencingToken = true;
   }
   worker->unansweredGrantAt =
     std::max(worker->unansweredGrantAt,
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -215,6 +215,11 @@
   /** Commands that were meant for an earlier incarnation have the fencing token
    * of the current one, so that it cannot tell them apart. */
   bool needsFencingToken = false;
+  /** Contact with the worker was lost since the fencing token was assigned.
+   * With a newer one a later incarnation rejects the commands without an answer
+   * from its first answer on. */
+  bool wantsFencingToken = false;
+  std::optional<TimePoint> tokenAssignedAt;
   /** The worker's current incarnation may not have seen its fencing token yet,
    * so that it would carry out commands which were meant for an earlier one. */
   bool takesStaleCommands = false;
--- a/test/support/RestartingCell.h
+++ b/test/support/RestartingCell.h
@@ -105,6 +105,12 @@
     this->fixedDelay = aDelay;
   }
 
+  /** Sets how long after a restart the registry shows the new incarnation. */
+  void SetHeartbeat(std::chrono::milliseconds aInterval)
+  {
+    this->heartbeat = aInterval;
+  }
+
   /** Returns the number of workers that run a task. */
   int CountRuns(const std::string& aTask) const
   {
@@ -132,6 +138,9 @@
   Random random;
   /** Starts of a task that was running on another worker. */
   std::vector<std::string> secondRuns;
+  /** Starts that an incarnation carried out after its first report, although
+   * they were meant for an earlier one. */
+  std::vector<std::string> staleStarts;
 
 private:
   struct Run
@@ -151,6 +160,8 @@
     std::uint64_t firstClockMs = 0;
     std::uint64_t leaseUntilMs = 0;
     std::uint64_t fencingToken = 0;
+    std::uint64_t earlierIncarnation = 0;
+    bool hasReported = false;
     std::map<std::string, Run> runs;
     std::map<std::string, std::uint64_t> highestRun;
     std::vector<EndedRun> ended;
@@ -173,6 +184,8 @@
     std::uint64_t run = 0;
     std::uint64_t untilMs = 0;
     std::uint64_t fencingToken = 0;
+    /** Incarnation that the owner knew. */
+    std::uint64_t incarnation = 0;
   };
   struct DelayedCommand
   {
@@ -198,11 +211,13 @@
   {
     aNode.up = true;
     aNode.bornAt = this->Now();
+    aNode.earlierIncarnation = aNode.worker.incarnation;
     aNode.worker.incarnation += 1000;
     aNode.firstClockMs =
       aNode.nextClockMs.value_or(1 + DrawIndex(this->random, 10000000));
     aNode.leaseUntilMs = 0;
     aNode.fencingToken = 0;
+    aNode.hasReported = false;
     aNode.highestRun.clear();
     aNode.nextEnd = 1;
   }
@@ -310,6 +325,9 @@
       return WorkerCommandResult::OldRun;
     }
     aHighest = aCommand.run;
+    if (aNode.hasReported && aCommand.incarnation < aNode.worker.incarnation) {
+      this->staleStarts.push_back(aCommand.task);
+    }
     if (this->CountRuns(aCommand.task) > 0) {
       this->secondRuns.push_back(aCommand.task);
     }
@@ -356,6 +374,9 @@
     for (const Node& node : this->nodes) {
       if (node.up || this->Now() - node.downAt < kRegistryExpiry) {
         listed.push_back(node.worker);
+        if (this->Now() - node.bornAt < this->heartbeat) {
+          listed.back().incarnation = node.earlierIncarnation;
+        }
       }
     }
     this->harness.scheduler.UpdateWorkers(listed);
@@ -389,6 +410,7 @@
     }
     if (std::exchange(node.renewalFailed, false)) {
       owner.HandleUnresponsive(id);
+      this->WriteRosterIfStale();
     }
     Command command;
     command.untilMs = owner.LeaseUntil(id);
@@ -416,6 +438,7 @@
         return aRow.sequence <= known->durableEnds;
       });
     }
+    aNode.hasReported = true;
     WorkerReport report;
     report.incarnation = aNode.worker.incarnation;
     report.ended = aNode.ended;
@@ -439,11 +462,14 @@
   void SendStart(const PlannedStart& aStart)
   {
     const int node = this->NodeNamed(aStart.worker);
-    const Command command{ Command::Kind::Start,
-                           aStart.command.task,
-                           aStart.command.run,
-                           aStart.command.validUntilWorkerMs,
-                           this->FencingToken(aStart.worker) };
+    const Command command{
+      Command::Kind::Start,
+      aStart.command.task,
+      aStart.command.run,
+      aStart.command.validUntilWorkerMs,
+      this->FencingToken(aStart.worker),
+      this->harness.scheduler.FindWorker(aStart.worker)->reportedIncarnation
+    };
     if (!this->Reaches(this->nodes[node])) {
       this->Delay(node, command);
       this->openStarts.push_back(
@@ -505,6 +531,7 @@
   std::vector<OpenStart> openStarts;
   std::map<std::string, std::chrono::milliseconds> durations;
   std::optional<std::chrono::milliseconds> fixedDelay;
+  std::chrono::milliseconds heartbeat{ 0 };
   TimePoint listedAt;
   std::uint64_t storeRevision = 1;
 };
--- a/test/unit/RestartedWorkers.cpp
+++ b/test/unit/RestartedWorkers.cpp
@@ -130,6 +130,23 @@
   }
 }
 
+// Guards against a start that a restarted worker carries out after its owner
+// has seen the restart.
+TEST_CASE("the first renewal after a loss of contact fences earlier starts")
+{
+  for (milliseconds delay(7000); delay < seconds(10);
+       delay += milliseconds(50)) {
+    RestartingCell cell(2, 1, RestartingCell::kLateDelay);
+    cell.SetDelay(delay);
+    cell.SetHeartbeat(milliseconds(1100));
+    cell.Restart(0, seconds(7), 1);
+    cell.Submit("job", 1, seconds(30), true);
+    cell.Simulate(seconds(11));
+    CAPTURE(delay.count());
+    CHECK(cell.staleStarts.empty());
+  }
+}
+
 // Guards against a task that waits without limit for a worker that is gone.
 TEST_CASE("a start that no worker can carry out any more is repeated elsewhere")
 {
