Recognize a restarted worker by the clock in its answer to a start

A worker restarts while its owner still waits for the answer to a renewal, or while the store is silent, so that the registry cannot show it. The owner sends a start to it; the new incarnation carries the start out and confirms it, and grants the longest lease, since the end that the start names lies on the clock of the earlier incarnation.

Every answer holds the reading of the worker's clock. If it cannot be one of the clock of the last report, the worker has restarted: its leases are bounded as if the restart were known, and it gets no leases and starts until it reports.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -538,6 +538,13 @@
   /** Sets by when the leases have expired that a new incarnation of a worker
    * may get from commands which were meant for an earlier one. */
   void BoundStaleLeases(ScheduledWorker& aWorker) const;
+  /** Compares the clock of a worker that has answered a command, sent at
+   * aSentAt, with the clock of its last report. If it is another one, the
+   * worker has restarted, and the command granted the longest lease; the worker
+   * then gets no leases and starts until it reports. */
+  void CheckClock(ScheduledWorker& aWorker,
+                  TimePoint aSentAt,
+                  std::uint64_t aReadingMs);
   void BeginIncarnation(ScheduledWorker& aWorker, std::uint64_t aIncarnation);
   /** Records that contact with a worker was lost, unless the worker drains.
    * aContactUntil: when the worker was last up; unset if that is not known. */
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -293,6 +293,37 @@
     open ? std::max(now, *open + kMaxCommandDelay) : now);
 }
 
+void
+CellScheduler::CheckClock(ScheduledWorker& aWorker,
+                          TimePoint aSentAt,
+                          std::uint64_t aReadingMs)
+{
+  if (aReadingMs == 0 || aWorker.clockReadingMs == 0) {
+    return;
+  }
+  const auto milliseconds = [](Duration aTime) {
+    return std::chrono::duration<double, std::milli>(aTime).count();
+  };
+  const auto known = static_cast<double>(aWorker.clockReadingMs);
+  const auto reading = static_cast<double>(aReadingMs);
+  const double margin = milliseconds(kLeaseMargin);
+  const double earliest =
+    known + kSlowestClockRate * milliseconds(aSentAt - aWorker.clockReadAt);
+  const double latest =
+    known + milliseconds(this->clock.Now() - aWorker.clockRequestedAt);
+  if (reading >= earliest - margin && reading <= latest + margin) {
+    return;
+  }
+  Event("worker_clock_differs", LogLevel::Warning)
+    .Add("worker", aWorker.description.id)
+    .Add("incarnation", aWorker.reportedIncarnation)
+    .Add("clock_ms", aReadingMs)
+    .Add("earliest_ms", earliest)
+    .Add("latest_ms", latest);
+  this->BoundStaleLeases(aWorker);
+  aWorker.clockReadingMs = 0;
+}
+
 void
 CellScheduler::ExpireLeases()
 {
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -62,6 +62,7 @@
   }
   worker->clockReadingMs = aWorkerMs;
   worker->clockReadAt = now;
+  worker->clockRequestedAt = aSentAt;
   for (const EndedRun& row : aReport.ended) {
     if (row.sequence > worker->handledEnds) {
       worker->handledEnds = row.sequence;
@@ -446,6 +447,7 @@
   if (commitment == nullptr || commitment->run != aRun) {
     return;
   }
+  this->CheckClock(*worker, commitment->startedAt, aReply.workerMs);
   if (commitment->awaitsStop) {
     return;
   }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -241,6 +241,8 @@
   /** Reading of the worker's clock at clockReadAt; 0: unknown. */
   std::uint64_t clockReadingMs = 0;
   TimePoint clockReadAt;
+  /** When the report with that reading was requested. */
+  TimePoint clockRequestedAt;
   /** Sequence number of the last run end that was handled. */
   std::uint64_t handledEnds = 0;
   /** Number of the scheduler's progress change that it led to. */
--- a/test/unit/RestartedWorkers.cpp
+++ b/test/unit/RestartedWorkers.cpp
@@ -130,6 +130,25 @@
   }
 }
 
+// Guards against a second run of a task whose start was confirmed by a worker
+// that had restarted unnoticed, so that it granted the longest lease.
+TEST_CASE("the clock in the answer to a start tells of a restart")
+{
+  RestartingCell cell(2);
+  cell.SetHeartbeat(seconds(8));
+  cell.SetDelay(RestartingCell::kLateDelay);
+  cell.Restart(0, milliseconds(600), 1);
+  cell.Simulate(milliseconds(700));
+  cell.Submit("job", 8, seconds(30));
+  cell.Simulate(milliseconds(100));
+  REQUIRE(cell.NodeOf("job.0.0.0") == 0);
+  cell.Cut(0, seconds(30));
+  cell.Simulate(RestartingCell::kLateDelay + RestartingCell::kLongestLease +
+                seconds(3));
+  CHECK(cell.secondRuns.empty());
+  CHECK(cell.NodeOf("job.0.0.0") == 1);
+}
+
 // Guards against a start that a restarted worker carries out after its owner
 // has seen the restart.
 TEST_CASE("the first renewal after a loss of contact fences earlier starts")
