Count a job as pending until a run of it has begun

Callers saw too few pending jobs of a queue (MIXED): a job no longer counted once a start of its first task had been decided on, also when the worker was gone, rejected the start or did not answer. Since a task keeps to its worker while a start of it may be carried out, such jobs stayed uncounted longer.

A job now counts as started once a worker has confirmed a start, lists a run or may have had one when it was lost.

--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -211,6 +211,9 @@
     commitment->progressPercent = aRow.percent;
     Entry* const entry = name ? this->FindJob(name->job) : nullptr;
     WorkflowTask* const task = entry ? entry->job.Find(*name) : nullptr;
+    if (entry != nullptr) {
+      entry->job.MarkStarted();
+    }
     if (task != nullptr &&
         (!task->crashedRuns.empty() || !task->bystanderRuns.empty()) &&
         commitment->confirmedAt != TimePoint() && !commitment->awaitsStop &&
@@ -280,6 +283,7 @@
   const bool recorded =
     task->mayRunOn == aWorker.description.id && task->run == aRow.run;
   entry->job.Assign(aName, aWorker.description.id, aRow.run);
+  entry->job.MarkStarted();
   if (!recorded) {
     this->NoteAssignmentChange(entry->job, aName);
   }
@@ -455,6 +459,11 @@
     commitment->unansweredAt = commitment->startedAt;
   }
   const TimePoint now = this->clock.Now();
+  const bool began = aReply.result == WorkerCommandResult::Done ||
+                     aReply.result == WorkerCommandResult::OldRun;
+  if (const auto known = this->FindTask(aTask); known && began) {
+    known->entry->job.MarkStarted();
+  }
   if (aReply.result == WorkerCommandResult::Done) {
     if (commitment->phase == CommitmentPhase::Starting) {
       commitment->phase = CommitmentPhase::Running;
--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -217,7 +217,6 @@
   task->mayRunOn.clear();
   task->run = std::max(task->run, aRun);
   --this->TasksOf(aName).pending;
-  this->started = true;
 }
 
 void
--- a/src/WorkflowJob.h
+++ b/src/WorkflowJob.h
@@ -185,13 +185,14 @@
    * task. */
   void MarkRun(const TaskName& aName) { this->Find(aName)->hasRun = true; }
 
-  /** Returns whether any task was started, by this owner or an earlier one. */
+  /** Returns whether a run of any task has begun, or may have begun on a worker
+   * that was lost, under this owner or an earlier one. */
   bool Started() const { return this->started; }
 
   /** Returns whether any task has a run of this owner. */
   bool AnyAssigned() const { return this->assignedTasks > 0; }
 
-  /** Records that a task was started, by this owner or an earlier one. */
+  /** Records that a run of a task has begun. */
   void MarkStarted() { this->started = true; }
 
   /** Returns the progress to store durably, with the given state of the job. */
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -94,6 +94,41 @@
   CHECK(again[0].command.run == 2);
 }
 
+// Guards against a queue that is shown as empty while workers reject the starts
+// of its jobs or do not answer them.
+TEST_CASE("a job is pending until a worker confirms a start of it")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j"));
+  const auto answer = [&](WorkerCommandResult aResult) {
+    const auto starts = harness.scheduler.Plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(harness.scheduler.CountPendingJobs("quotes") == 1);
+    harness.scheduler.HandleStart(
+      "w1",
+      "j.0.0.0",
+      starts[0].command.run,
+      WorkerCommandReply{ aResult, harness.WorkerMs() },
+      aResult == WorkerCommandResult::Unknown);
+  };
+  answer(WorkerCommandResult::Refused);
+  CHECK(harness.scheduler.CountPendingJobs("quotes") == 1);
+  harness.clock.Advance(milliseconds(500));
+  harness.Report("w1", 1, {}, {});
+  answer(WorkerCommandResult::Unknown);
+  CHECK(harness.scheduler.CountPendingJobs("quotes") == 1);
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Queued);
+  harness.Report("w1", 1, { { "j.0.0.0", 2, "", 50, 0 } }, {});
+  CHECK(harness.scheduler.CountPendingJobs("quotes") == 0);
+  CHECK(harness.scheduler.StateOf("j") == WorkflowState::Running);
+  harness.clock.Advance(milliseconds(500));
+  harness.Report("w1", 1, { { "j.0.0.0", 2, "", 50, 0 } }, {});
+  harness.scheduler.Accept(harness.Job("k"));
+  CHECK(harness.PlanAndConfirm().size() == 1);
+  CHECK(harness.scheduler.CountPendingJobs("quotes") == 0);
+}
+
 // Guards against lost run ends of a worker that was restarted under the same
 // id: the registry lists the new incarnation before its first report, and the
 // sequence numbers of its run ends start again at 1.
