Hold up data in the soak's proxy

A partition holds bytes up and delivers them when it ends, also those of a sender that has closed its connection meanwhile; only a reset takes them back. The soak's proxy could only drop data, so no start ever arrived after a cut. Held data older than 12 s is dropped, since the platform carries no call out later.

--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace sequoiakeel::soak {
 
@@ -20,6 +22,18 @@
 
 constexpr std::size_t kPieceBytes = 16 * 1024;
 
+constexpr std::chrono::milliseconds kHeldPoll{ 5 };
+
+/** The platform carries a call out up to 12 s after it was sent. */
+constexpr std::chrono::seconds kLongestHold{ 12 };
+
+/** Data of one direction that is held up. */
+struct HeldData
+{
+  std::string bytes;
+  bool delivering = false;
+};
+
 struct Link
 {
   explicit Link(const asio::any_io_executor& aExecutor)
@@ -41,14 +55,41 @@
 
   Tcp::socket near;
   Tcp::socket far;
+  HeldData towardsTarget;
+  HeldData towardsCaller;
   PathFault fault = PathFault::None;
 };
 
+/** Delivers held data once the fault is over. Closing the link drops it. */
+asio::awaitable<void>
+DeliverHeld(std::shared_ptr<Link> aLink, bool aTowardsTarget)
+{
+  Tcp::socket& to = aTowardsTarget ? aLink->far : aLink->near;
+  HeldData& held = aTowardsTarget ? aLink->towardsTarget : aLink->towardsCaller;
+  const TimePoint since = std::chrono::steady_clock::now();
+  while (aLink->fault == PathFault::Held && to.is_open()) {
+    co_await SleepFor(to.get_executor(), kHeldPoll);
+  }
+  if (std::chrono::steady_clock::now() - since > kLongestHold) {
+    aLink->Close(true);
+  }
+  boost::system::error_code error;
+  while (!held.bytes.empty() && !error) {
+    const std::string bytes = std::exchange(held.bytes, {});
+    co_await asio::async_write(
+      to,
+      asio::buffer(bytes),
+      asio::redirect_error(asio::use_awaitable, error));
+  }
+  held.delivering = false;
+}
+
 asio::awaitable<void>
 Forward(std::shared_ptr<Link> aLink, bool aTowardsTarget)
 {
   Tcp::socket& from = aTowardsTarget ? aLink->near : aLink->far;
   Tcp::socket& to = aTowardsTarget ? aLink->far : aLink->near;
+  HeldData& held = aTowardsTarget ? aLink->towardsTarget : aLink->towardsCaller;
   std::array<char, kPieceBytes> piece;
   boost::system::error_code error;
   while (!error) {
@@ -62,6 +103,16 @@
     if (dropped) {
       continue;
     }
+    if (aLink->fault == PathFault::Held || held.delivering) {
+      held.bytes.append(piece.data(), size);
+      if (!held.delivering) {
+        held.delivering = true;
+        asio::co_spawn(from.get_executor(),
+                       DeliverHeld(aLink, aTowardsTarget),
+                       asio::detached);
+      }
+      continue;
+    }
     if (aLink->fault == PathFault::Delay) {
       co_await SleepFor(from.get_executor(), kDelay);
     }
@@ -70,6 +121,17 @@
       asio::buffer(piece.data(), size),
       asio::redirect_error(asio::use_awaitable, error));
   }
+  if (error == asio::error::eof && held.delivering) {
+    while (held.delivering) {
+      co_await SleepFor(from.get_executor(), kHeldPoll);
+    }
+    if (aTowardsTarget) {
+      // Closing both sides at once could reset the connection before the target
+      // has read the data. The target closes it after its response.
+      aLink->far.shutdown(Tcp::socket::shutdown_send, error);
+      co_return;
+    }
+  }
   aLink->Close(false);
 }
 
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -19,6 +19,9 @@
   OneWay,
   /** Data is dropped in both directions; connections stay open. */
   Silent,
+  /** Data is held up in both directions and delivered in order after the fault,
+   * except that of a sender that has reset its connection meanwhile. */
+  Held,
 };
 
 /** Loopback TCP proxy to one endpoint that injects faults. All calls must run
