Let soak workers carry out commands after a restart

A worker that comes back under its id takes calls that were meant for its earlier incarnation. The soak's workers gave up each command that waited while they crashed, had one rate of the clock and one first reading of it, and were all in one zone. With WorkerTraits::keepsCommands they carry such commands out, 2 to 12 s late, and can be cut off; without it nothing changes. Commands and ends are logged at the debug level.

--- a/test/soak/SoakWorker.cpp
+++ b/test/soak/SoakWorker.cpp
@@ -2,6 +2,7 @@
 
 #include "AsyncSignal.h"
 #include "BootClock.h"
+#include "Log.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -13,9 +14,6 @@
 
 namespace {
 
-/** The platform documentation allows a worker's clock to run 2% slow. */
-constexpr double kClockRate = 0.98;
-
 constexpr std::uint64_t kLongestLeaseMs = 6000;
 
 constexpr std::uint32_t kRoomCpuMilli = 16000;
@@ -24,6 +22,18 @@
 constexpr int kLateMinMs = 2000;
 constexpr int kLateSpreadMs = 3000;
 
+/** With WorkerTraits::keepsCommands they are executed 2 to 12 s after. The
+ * remainder covers a second crash. */
+constexpr int kKeptLateSpreadMs = 9000;
+constexpr std::chrono::seconds kLongestWait{ 12 };
+
+/** Held data is delivered within this time. Commands in it are not delayed, so
+ * that they are executed in time. */
+constexpr std::chrono::milliseconds kDeliveryTime{ 500 };
+
+/** Range of the first reading of a worker's clock, which also lasts days. */
+constexpr int kFirstReadingSpreadMs = 10'000'000;
+
 /** Delay of a response that counts as lost. It exceeds the time-out of the
  * caller. */
 constexpr std::chrono::seconds kSilence{ 3 };
@@ -51,11 +61,13 @@
 SoakWorker::SoakWorker(asio::io_context& aContext,
                        std::string aId,
                        JobLedger& aLedger,
-                       Random& aRandom)
+                       Random& aRandom,
+                       WorkerTraits aTraits)
   : context(aContext)
   , id(std::move(aId))
   , ledger(aLedger)
   , random(aRandom)
+  , traits(std::move(aTraits))
   , server(aContext,
            Endpoint{ "127.0.0.1", 0 },
            HttpServerLimits{},
@@ -75,7 +87,8 @@
 {
   const std::chrono::duration<double, std::milli> age =
     std::chrono::steady_clock::now() - this->startedAt;
-  return 1 + static_cast<std::uint64_t>(age.count() * kClockRate);
+  return this->firstReadingMs +
+         static_cast<std::uint64_t>(age.count() * this->traits.clockRate);
 }
 
 std::string
@@ -85,7 +98,7 @@
   return nlohmann::json{
     { "service", "desk" },
     { "address", address.address + ":" + std::to_string(address.port) },
-    { "zone", "z1" },
+    { "zone", this->traits.zone },
     { "version", 1 },
     { "slots", 8 },
     { "state", "ready" },
@@ -105,7 +118,14 @@
 {
   this->up = false;
   ++this->crashCount;
-  this->proxy.SetFault(PathFault::Silent);
+  if (this->traits.keepsCommands) {
+    this->HoldPath();
+  } else {
+    this->proxy.SetFault(PathFault::Silent);
+  }
+  Event("worker_crash", LogLevel::Debug)
+    .Add("worker", this->id)
+    .Add("crashes", this->crashCount);
   for (const auto& [task, run] : this->runs) {
     this->ledger.RecordRunEnded(this->id, task, run.run);
     this->ledger.RecordCrash(task);
@@ -137,10 +157,38 @@
   this->leaseUntilMs = 0;
   this->leased = false;
   this->nextEnd = 1;
+  if (this->traits.keepsCommands) {
+    this->firstReadingMs = 1 + DrawIndex(this->random, kFirstReadingSpreadMs);
+    this->HoldPath();
+    return;
+  }
   this->proxy.SetFault(PathFault::None);
   this->proxy.Reset();
 }
 
+void
+SoakWorker::Cut()
+{
+  ++this->cuts;
+  this->HoldPath();
+}
+
+void
+SoakWorker::EndCut()
+{
+  --this->cuts;
+  this->HoldPath();
+}
+
+void
+SoakWorker::HoldPath()
+{
+  if (this->Reachable()) {
+    this->deliveredAt = std::chrono::steady_clock::now();
+  }
+  this->proxy.SetFault(this->Reachable() ? PathFault::None : PathFault::Held);
+}
+
 HttpResponse
 SoakWorker::Reply(unsigned aStatus, nlohmann::json aBody) const
 {
@@ -148,6 +196,12 @@
   return JsonResponse(aStatus, aBody.dump());
 }
 
+HttpResponse
+SoakWorker::FenceReply() const
+{
+  return this->Reply(409, { { "reason", "fence" } });
+}
+
 bool
 SoakWorker::Fenced(const nlohmann::json& aBody)
 {
@@ -180,31 +234,79 @@
   if (aRequest.headers.Get("Expect-Instance") != this->id) {
     co_return this->Reply(421, {});
   }
+  const TimePoint arrivedAt = std::chrono::steady_clock::now();
+  const auto waited = [arrivedAt] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - arrivedAt);
+  };
   const bool order = aRequest.target != "/-/hold";
-  const bool late =
-    order && this->lateCommands && DrawIndex(this->random, 2) == 0;
-  if (late) {
-    co_await SleepFor(this->context.get_executor(),
-                      std::chrono::milliseconds(
-                        kLateMinMs + DrawIndex(this->random, kLateSpreadMs)));
-  }
-  if (!this->up || this->crashCount != present) {
+  const bool kept = order && this->traits.keepsCommands;
+  if (order) {
+    co_await this->DelayCommand();
+  }
+  while (kept && !this->up && waited() < kLongestWait) {
+    co_await SleepFor(this->context.get_executor(), kHoldStep);
+  }
+  if (!this->up || (this->crashCount != present && !kept)) {
     co_await SleepFor(this->context.get_executor(), kSilence);
     co_return this->Reply(503, {});
   }
-  if (this->Fenced(body)) {
-    co_return this->Reply(409, { { "reason", "fence" } });
+  if (!order && !this->Fenced(body)) {
+    co_return co_await this->Hold(body);
   }
-  if (aRequest.target == "/-/run-start") {
-    co_return this->Start(body);
+  if (!order) {
+    co_return this->FenceReply();
   }
-  if (aRequest.target == "/-/run-stop") {
-    co_return this->Stop(body);
+  HttpResponse response = this->Execute(aRequest.target, body);
+  Event("command", LogLevel::Debug)
+    .Add("worker", this->id)
+    .Add("target", aRequest.target)
+    .Add("task", body.value("task", ""))
+    .Add("run", body.value<std::uint64_t>("run", 0))
+    .Add("fence", body.value<std::uint64_t>("fence", 0))
+    .Add("held", this->DeliversHeld(arrivedAt))
+    .Add("waited_ms", static_cast<std::int64_t>(waited().count()))
+    .Add("crashes_at_arrival", present)
+    .Add("crashes", this->crashCount)
+    .Add("response", response.body);
+  co_return response;
+}
+
+bool
+SoakWorker::DeliversHeld(TimePoint aArrival) const
+{
+  const Duration since = aArrival - this->deliveredAt;
+  return since >= Duration::zero() && since < kDeliveryTime;
+}
+
+asio::awaitable<void>
+SoakWorker::DelayCommand()
+{
+  if (!this->lateCommands ||
+      this->DeliversHeld(std::chrono::steady_clock::now()) ||
+      DrawIndex(this->random, 2) != 0) {
+    co_return;
   }
-  if (aRequest.target == "/-/hold") {
-    co_return co_await this->Hold(body);
+  const int spread =
+    this->traits.keepsCommands ? kKeptLateSpreadMs : kLateSpreadMs;
+  co_await SleepFor(
+    this->context.get_executor(),
+    std::chrono::milliseconds(kLateMinMs + DrawIndex(this->random, spread)));
+}
+
+HttpResponse
+SoakWorker::Execute(const std::string& aTarget, const nlohmann::json& aBody)
+{
+  if (this->Fenced(aBody)) {
+    return this->FenceReply();
+  }
+  if (aTarget == "/-/run-start") {
+    return this->Start(aBody);
+  }
+  if (aTarget == "/-/run-stop") {
+    return this->Stop(aBody);
   }
-  co_return this->Reply(aRequest.target == "/-/pace" ? 200 : 404, {});
+  return this->Reply(aTarget == "/-/pace" ? 200 : 404, {});
 }
 
 HttpResponse
@@ -298,6 +400,13 @@
     if (std::string_view(end.how) == "done") {
       this->ledger.RecordAcknowledgement(
         end.task, end.run, this->lapses != end.lapses);
+      Event("end_acknowledged", LogLevel::Debug)
+        .Add("worker", this->id)
+        .Add("task", end.task)
+        .Add("run", end.run)
+        .Add("number", end.number)
+        .Add("seen", seen)
+        .Add("lapsed", this->lapses != end.lapses);
     }
   }
   const TimePoint deadline =
@@ -334,6 +443,11 @@
   if (std::string_view(aHow) == "done") {
     this->ledger.RecordCompletion(aTask, run.run);
   }
+  Event("run_ended", LogLevel::Debug)
+    .Add("worker", this->id)
+    .Add("task", aTask)
+    .Add("run", run.run)
+    .Add("how", aHow);
   this->ends.push_back(
     End{ this->nextEnd++, aTask, run.run, aHow, this->lapses });
 }
--- a/test/soak/SoakWorker.h
+++ b/test/soak/SoakWorker.h
@@ -16,6 +16,18 @@
 
 namespace sequoiakeel::soak {
 
+/** Properties in which the workers of a platform differ. */
+struct WorkerTraits
+{
+  std::string zone = "z1";
+  /** Rate of the clock; the platform documentation allows it to be 2% slow. */
+  double clockRate = 0.98;
+  /** A command that waits while the worker crashes, or that arrives while it is
+   * down, is carried out by the next incarnation, whose clock begins anew at
+   * any reading. Late commands are executed up to 12 s after they were sent. */
+  bool keepsCommands = false;
+};
+
 /** Simulated worker that follows the platform's worker protocol: fencing
  * tokens, leases measured by the worker's own slow clock, run numbers, and
  * records of ended runs that are reported until they are acknowledged. All
@@ -26,7 +38,8 @@
   SoakWorker(boost::asio::io_context& aContext,
              std::string aId,
              JobLedger& aLedger,
-             Random& aRandom);
+             Random& aRandom,
+             WorkerTraits aTraits = {});
 
   /** Returns the value of the worker's registry entry, as JSON. */
   std::string RegistryEntry() const;
@@ -63,6 +76,16 @@
 
   bool Up() const { return this->up; }
 
+  /** Cuts the worker off: data to and from it is held up. Cuts may overlap.
+   * Precondition: WorkerTraits::keepsCommands. */
+  void Cut();
+
+  /** Ends one cut. */
+  void EndCut();
+
+  /** Returns whether the worker can write its registry entry. */
+  bool Reachable() const { return this->up && this->cuts == 0; }
+
   /** Ends runs whose duration has elapsed, and all runs when the lease has
    * expired. */
   void Tick();
@@ -84,28 +107,39 @@
   };
 
   boost::asio::awaitable<HttpResponse> Answer(HttpRequest aRequest);
+  /** Returns whether a command may have been held up before it arrived. */
+  bool DeliversHeld(TimePoint aArrival) const;
+  boost::asio::awaitable<void> DelayCommand();
+  HttpResponse Execute(const std::string& aTarget, const nlohmann::json& aBody);
   HttpResponse Start(const nlohmann::json& aBody);
   HttpResponse Stop(const nlohmann::json& aBody);
   boost::asio::awaitable<HttpResponse> Hold(nlohmann::json aBody);
   HttpResponse Reply(unsigned aStatus, nlohmann::json aBody) const;
+  HttpResponse FenceReply() const;
   bool Fenced(const nlohmann::json& aBody);
   void ExtendLease(std::uint64_t aUntilMs);
   void Finish(const std::string& aTask, const char* aHow);
   void CheckCapacity();
+  void HoldPath();
   std::uint64_t ClockMs() const;
 
   boost::asio::io_context& context;
   std::string id;
   JobLedger& ledger;
   Random& random;
+  WorkerTraits traits;
   HttpServer server;
   FaultProxy proxy;
   bool up = true;
   bool lateCommands = false;
+  int cuts = 0;
+  /** Time at which held data was last delivered. */
+  TimePoint deliveredAt;
   /** Number of crashes. A request that arrived before the latest crash is
-   * abandoned. */
+   * abandoned, unless WorkerTraits::keepsCommands is set. */
   int crashCount = 0;
   TimePoint startedAt;
+  std::uint64_t firstReadingMs = 1;
   std::uint64_t bornUnixMs = 0;
   std::uint64_t fence = 0;
   std::uint64_t leaseUntilMs = 0;
