Restart and cut off workers in the soak

The registry shows a restart within a second and removes workers that are cut off. Even seeds have the usual faults beside it. The numbers come from the generator of the other options, so that the faults of a seed stay the same without this one.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -43,6 +43,7 @@
   std::uint64_t first = 1;
   int count = 1;
   int faults = 8;
+  bool log = false;
   std::string seedFile;
   std::string folder =
     (std::filesystem::temp_directory_path() / "sequoiakeel-soak").string();
@@ -55,9 +56,11 @@
   app.add_option("--callers", plan.callers, "Callers");
   app.add_flag("--crashing-tasks", plan.crashingTasks, "Tasks crash workers");
   app.add_flag("--resizes", plan.resizes, "Workers shrink and grow");
+  app.add_flag("--restarts", plan.restarts, "Workers restart and are cut off");
+  app.add_flag("--log", log, "Log commands, ends and faults of workers");
   app.add_option("--folder", folder, "Folder of the logs");
   CLI11_PARSE(app, aArgumentCount, aArguments);
-  StartLogging("soak", LogLevel::Error);
+  StartLogging("soak", log ? LogLevel::Debug : LogLevel::Error);
   plan.faults = std::chrono::seconds(faults);
   std::vector<std::uint64_t> seeds;
   for (int i = 0; i < count; ++i) {
--- a/test/soak/SoakRun.cpp
+++ b/test/soak/SoakRun.cpp
@@ -5,10 +5,12 @@
 #include "FaultProxy.h"
 #include "HttpClient.h"
 #include "Ledger.h"
+#include "Log.h"
 #include "SoakStore.h"
 #include "SoakWorker.h"
 #include "support/ChildProcess.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -49,6 +51,12 @@
 constexpr milliseconds kPollInterval{ 120 };
 constexpr std::uint32_t kCells = 2;
 
+/** Time for which workers that restart are down. */
+constexpr milliseconds kRestartTime{ 600 };
+
+/** The registry removes a worker after this much silence or a little more. */
+constexpr milliseconds kRegistrySilence{ 2500 };
+
 /** HttpClient uses the address of the endpoint as the host name. */
 constexpr const char* kHostName = "127.0.0.1";
 
@@ -113,7 +121,11 @@
   {
     for (int i = 0; i < aPlan.workers; ++i) {
       this->workers.push_back(std::make_unique<SoakWorker>(
-        this->context, "w" + std::to_string(i), this->ledger, this->random));
+        this->context,
+        "w" + std::to_string(i),
+        this->ledger,
+        aPlan.restarts ? this->extras : this->random,
+        aPlan.restarts ? this->DrawTraits(i) : WorkerTraits()));
       SoakWorker& worker = *this->workers.back();
       worker.SetCrashHandler([this, &worker] {
         worker.Proxy().Reset();
@@ -142,6 +154,15 @@
   }
 
 private:
+  WorkerTraits DrawTraits(int aIndex)
+  {
+    WorkerTraits traits;
+    traits.zone = "z" + std::to_string(aIndex % 3);
+    traits.clockRate = 0.98 + 0.0001 * this->DrawExtra(201);
+    traits.keepsCommands = true;
+    return traits;
+  }
+
   void AddNode(int aIndex)
   {
     auto node = std::make_unique<Node>();
@@ -208,6 +229,9 @@
   asio::awaitable<void> Publish()
   {
     for (const std::unique_ptr<SoakWorker>& worker : this->workers) {
+      if (this->plan.restarts && !worker->Reachable()) {
+        continue;
+      }
       co_await this->store.Put("servers/" + worker->Id(),
                                worker->RegistryEntry());
     }
@@ -275,8 +299,13 @@
       ++this->crashingJobs;
       job.crashes = true;
     }
+    const bool slow =
+      this->plan.restarts && !step.longRunning && this->DrawExtra(2) == 0;
+    if (slow) {
+      step.durationMs = 5000 + this->DrawExtra(3000);
+    }
     job.steps.push_back(step);
-    if (!step.longRunning && this->Draw(2) == 0) {
+    if (!slow && !step.longRunning && this->Draw(2) == 0) {
       job.steps.push_back(step);
     }
     return job;
@@ -446,6 +475,7 @@
     char time[16];
     std::snprintf(time, sizeof(time), "%.2f ", at.count());
     this->faults.push_back(time + aFault);
+    Event("fault", LogLevel::Debug).Add("fault", aFault);
   }
 
   /** Starts a coroutine. An exception thrown by the coroutine ends the soak. */
@@ -540,10 +570,147 @@
     aWorker.Crash();
     this->Later(aTime, [this, &aWorker] {
       aWorker.Restart();
-      this->Spawn(this->Publish());
+      if (!this->plan.restarts) {
+        this->Spawn(this->Publish());
+        return;
+      }
+      this->PublishLater();
+      if (this->DrawExtra(2) == 0) {
+        // The connections break once what waited in them has arrived.
+        this->Later(milliseconds(50), [&aWorker] { aWorker.Proxy().Reset(); });
+      }
     });
   }
 
+  /** Writes the registry entries within a heartbeat. */
+  void PublishLater()
+  {
+    this->Later(milliseconds(100 + this->DrawExtra(900)),
+                [this] { this->Spawn(this->Publish()); });
+  }
+
+  void CutOff(SoakWorker& aWorker, Duration aTime)
+  {
+    aWorker.Cut();
+    this->Later(kRegistrySilence + milliseconds(this->DrawExtra(1000)),
+                [this, &aWorker] {
+                  if (!aWorker.Reachable()) {
+                    this->store.RemoveWorker(aWorker.Id());
+                  }
+                });
+    this->Later(aTime, [this, &aWorker] {
+      aWorker.EndCut();
+      this->PublishLater();
+    });
+  }
+
+  using Workers = std::vector<SoakWorker*>;
+
+  /** Returns the workers of one zone, or about half of all. */
+  Workers DrawWorkers()
+  {
+    Workers drawn;
+    const bool zone = this->DrawExtra(4) == 0;
+    const auto index = static_cast<std::size_t>(this->DrawExtra(3));
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+      if (zone ? i % 3 == index : this->DrawExtra(2) == 0) {
+        drawn.push_back(this->workers[i].get());
+      }
+    }
+    return drawn;
+  }
+
+  void CrashAll(const Workers& aWorkers)
+  {
+    std::string names;
+    for (SoakWorker* const worker : aWorkers) {
+      names += " " + worker->Id();
+      this->CrashWorker(*worker, kRestartTime);
+    }
+    this->Note("restart" + names);
+  }
+
+  /** Kills or pauses the owner of a cell or another process, or nothing. */
+  asio::awaitable<void> DisturbOwner()
+  {
+    const int kind = this->DrawExtra(6);
+    if (kind >= 3) {
+      co_return;
+    }
+    const auto cell = static_cast<std::uint32_t>(this->DrawExtra(kCells));
+    const std::string owner = co_await this->store.OwnerOf(cell);
+    Node* node = this->nodes[this->DrawExtra(this->plan.nodes)].get();
+    for (const std::unique_ptr<Node>& one : this->nodes) {
+      if (kind > 0 && one->name == owner) {
+        node = one.get();
+      }
+    }
+    if (kind == 2) {
+      this->Note("pause " + node->name);
+      this->PauseNode(*node, milliseconds(3000 + this->DrawExtra(1000)));
+      co_return;
+    }
+    this->Note("kill " + node->name);
+    this->KillNode(*node, SIGKILL, milliseconds(300 + this->DrawExtra(1000)));
+  }
+
+  /** Restarts workers under their ids and cuts them off soon after. */
+  asio::awaitable<void> PlayRestarts()
+  {
+    const Workers drawn = this->DrawWorkers();
+    const auto setLate = [this, drawn](bool aLate) {
+      for (SoakWorker* const worker : drawn) {
+        worker->SetLateCommands(aLate);
+      }
+      this->Note(aLate ? "late orders" : "no late orders");
+    };
+    const milliseconds cutTime(8500 + this->DrawExtra(1000));
+    // A worker that is cut off within a second may be unknown to have
+    // restarted.
+    const int cutSpread = this->DrawExtra(2) == 0 ? 700 : 2800;
+    const milliseconds cutAfter(300 + this->DrawExtra(cutSpread));
+    const auto restartAgain = [this, drawn](milliseconds aTime) {
+      this->Later(aTime, [this, drawn] { this->CrashAll(drawn); });
+    };
+    this->Disturb(kRestartTime + cutAfter + cutTime + seconds(12));
+    if (this->DrawExtra(3) > 0) {
+      setLate(true);
+      co_await this->Sleep(milliseconds(300 + this->DrawExtra(1200)));
+      this->Later(kRestartTime + milliseconds(this->DrawExtra(1500)),
+                  [setLate] { setLate(false); });
+    }
+    this->CrashAll(drawn);
+    const int again = this->DrawExtra(6);
+    if (again == 0) {
+      restartAgain(kRestartTime + milliseconds(200 + this->DrawExtra(1800)));
+    }
+    co_await this->Sleep(kRestartTime);
+    const milliseconds killBefore(
+      std::min<int>(200 + this->DrawExtra(400), cutAfter.count()));
+    co_await this->Sleep(cutAfter - killBefore);
+    co_await this->DisturbOwner();
+    co_await this->Sleep(killBefore);
+    this->Note("cut for " + std::to_string(cutTime.count()) + " ms");
+    for (SoakWorker* const worker : drawn) {
+      this->CutOff(*worker, cutTime);
+    }
+    if (again == 1) {
+      restartAgain(milliseconds(this->DrawExtra(8000)));
+    } else if (again == 2) {
+      restartAgain(cutTime + milliseconds(this->DrawExtra(1000)));
+    }
+    co_await this->Sleep(cutTime);
+  }
+
+  asio::awaitable<void> RestartWorkers()
+  {
+    while (std::chrono::steady_clock::now() - this->begun < this->plan.faults) {
+      co_await this->Sleep(milliseconds(500 + this->DrawExtra(2000)));
+      co_await this->PlayRestarts();
+    }
+    --this->open;
+  }
+
   void SetStoreFault(StoreFault aFault, Duration aTime)
   {
     this->Disturb(aTime);
@@ -642,7 +809,13 @@
   asio::awaitable<void> InjectFaults()
   {
     this->begun = std::chrono::steady_clock::now();
-    while (std::chrono::steady_clock::now() - this->begun < this->plan.faults) {
+    if (this->plan.restarts) {
+      ++this->open;
+      this->Spawn(this->RestartWorkers());
+    }
+    const bool usual = !this->plan.restarts || this->plan.seed % 2 == 0;
+    while (usual &&
+           std::chrono::steady_clock::now() - this->begun < this->plan.faults) {
       co_await this->Sleep(milliseconds(100 + this->Draw(1200)));
       this->InjectOne();
     }
@@ -729,8 +902,8 @@
 
   SoakPlan plan;
   Random random;
-  /** Numbers for crashing tasks and resizes, so that the faults of a seed are
-   * the same with and without them. */
+  /** Numbers for crashing tasks, resizes and restarts, so that the faults of a
+   * seed are the same with and without them. */
   Random extras;
   asio::io_context context;
   JobLedger ledger;
--- a/test/soak/SoakRun.h
+++ b/test/soak/SoakRun.h
@@ -19,6 +19,10 @@
   bool crashingTasks = false;
   /** Workers shrink and grow while they run. */
   bool resizes = false;
+  /** In place of the usual faults, many workers restart under their ids at the
+   * same time and are cut off soon after. Even seeds have the usual faults
+   * beside it. */
+  bool restarts = false;
   /** Time without faults of processes and the store after the other faults, in
    * which crashes and resizes go on; only with one of these options. */
   std::chrono::seconds calm{ 15 };
--- a/test/soak/SoakStore.cpp
+++ b/test/soak/SoakStore.cpp
@@ -73,6 +73,17 @@
   this->store.Remove(WorkflowKeys(aCell).Owner());
 }
 
+asio::awaitable<std::string>
+SoakStore::OwnerOf(std::uint32_t aCell)
+{
+  const StoreRangeReply read =
+    co_await this->store.Get(WorkflowKeys(aCell).Owner(), kTimeout);
+  if (read.items.empty()) {
+    co_return "";
+  }
+  co_return nlohmann::json::parse(read.items.front().value).at("node");
+}
+
 asio::awaitable<void>
 SoakStore::Put(std::string aKey, std::string aValue)
 {
--- a/test/soak/SoakStore.h
+++ b/test/soak/SoakStore.h
@@ -46,6 +46,15 @@
   /** Removes the owner key of a cell without prior notice to the owner. */
   void RevokeOwner(std::uint32_t aCell);
 
+  /** Returns the name of the process that owns a cell, or an empty string. */
+  boost::asio::awaitable<std::string> OwnerOf(std::uint32_t aCell);
+
+  /** Removes the registry entry of a worker. */
+  void RemoveWorker(const std::string& aId)
+  {
+    this->store.Remove("servers/" + aId);
+  }
+
   /** Writes a key on behalf of the platform or the operator. */
   boost::asio::awaitable<void> Put(std::string aKey, std::string aValue);
 
