Keep the fencing token of a worker that the registry removed

When the worker was listed again, the owner's commands had the lower token of its claim, the worker rejected them, and the owner took its cell for lost. Since workers get a newer token after each loss of contact, this could happen to any of them. The token is now kept by worker.

That the owner gives its cell up was read, not run.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -218,6 +218,13 @@
       ScheduledWorker worker;
       worker.description = description;
       worker.drainingSince = this->clock.Now();
+      // The worker rejects lower tokens, and the owner would take its cell for
+      // lost.
+      if (const auto dropped = this->droppedTokens.find(description.id);
+          dropped != this->droppedTokens.end()) {
+        worker.fencingToken = dropped->second;
+        this->droppedTokens.erase(dropped);
+      }
       const auto added =
         this->workers.emplace(description.id, std::move(worker)).first;
       added->second.leasesExpiredBy =
@@ -301,6 +308,9 @@
       return false;
     }
     Event("worker_dropped").Add("worker", aItem.first);
+    if (worker.fencingToken > 0) {
+      this->droppedTokens[aItem.first] = worker.fencingToken;
+    }
     return true;
   });
 }
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -798,6 +798,8 @@
   std::unordered_map<std::string, Entry> jobs;
   std::unordered_map<std::string, EndedJob> ended;
   std::map<std::string, ScheduledWorker> workers;
+  /** Fencing tokens of dropped workers, which may be listed again. */
+  std::map<std::string, std::uint64_t> droppedTokens;
   std::set<std::string> dirty;
   std::size_t dirtyEndedJobs = 0;
   /** Number of the last change of durable progress. */
