Repeat an unanswered start once at its worker and note each open copy

A start is now repeated once; after that the task waits until no copy can run, and another worker is tried first. Members of gangs waited for a silent worker although they were meant to be left out: runs are given up when the leases have expired, and the note alone makes the task wait. A copy that gets no answer is noted at once, not when the last attempt is over, so that a run which ends in between leaves a note. Repeated starts share processors like others, and a worker that does not answer gets no acknowledgement, which a later incarnation could take for its own ends.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -127,8 +127,11 @@
     const TimePoint sentAt = this->dependencies.clock.Now();
     const WorkerCommandTarget target =
       this->Target(aWorker, worker->description.endpoint);
+    // After a loss of contact another incarnation may answer.
     const EndsAcknowledgement ends{ worker->reportedIncarnation,
-                                    worker->durableEnds };
+                                    worker->unresponsive
+                                      ? 0
+                                      : worker->durableEnds };
     const RenewReply reply = co_await this->dependencies.workerCommands.Renew(
       target, until, ends, wait, wait + kWorkerTimeout);
     if (this->ended) {
@@ -227,6 +230,8 @@
       .Add("run", aStart.command.run)
       .Add("worker", aStart.worker)
       .Add("attempt", attempt + 1);
+    this->scheduler.HandleUnansweredStart(
+      aStart.worker, aStart.command.task, aStart.command.run);
     if (!this->scheduler.AwaitsStart(
           aStart.worker, aStart.command.task, aStart.command.run)) {
       break;
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -277,6 +277,12 @@
    * unresponsive already. To be called before HandleUnresponsive. */
   void HandleFailedRetry(const std::string& aWorker);
 
+  /** Handles a copy of a start command that got no answer and may still be
+   * carried out. */
+  void HandleUnansweredStart(const std::string& aWorker,
+                             const std::string& aTask,
+                             std::uint64_t aRun);
+
   /** Handles the outcome of a start command. aMayBeInFlight: an earlier copy of
    * the command was not answered and may still be carried out. */
   void HandleStart(const std::string& aWorker,
@@ -441,7 +447,11 @@
   struct UnansweredStart
   {
     std::string worker;
-    TimePoint sentAt;
+    /** When the start was decided on. */
+    TimePoint decidedAt;
+    /** The task may be started on the worker meanwhile. Only one start is
+     * repeated so, since the worker may be one that leaves all unanswered. */
+    bool repeatable = true;
   };
   /** Pending tasks of one step: those of a long-running step that have run, if
    * order.interrupted is set, otherwise all others. */
@@ -670,13 +680,6 @@
   void PlanStep(const Candidate& aCandidate,
                 PlannedCommands& aOrders,
                 bool aFirstOnly);
-  /** Starts a task at the worker that may still carry out an earlier start of
-   * it, if that worker takes it now. */
-  void RepeatStart(const Candidate& aCandidate,
-                   const TaskName& aName,
-                   const TaskToPlace& aTask,
-                   const UnansweredStart& aEarlier,
-                   PlannedCommands& aOrders);
   /** Returns whether only the first task of a step is started before the other
    * steps get their turn. */
   bool StartsFirstOnly(const Candidate& aCandidate) const;
@@ -779,8 +782,8 @@
    * assignmentsRecorded, if all runs are known. */
   std::optional<std::uint64_t> recordingChange;
   std::vector<HeldStart> heldStarts;
-  /** By task; tasks that last and members of gangs are not included, since they
-   * cannot wait for one worker. */
+  /** By task; long-running tasks and members of gangs are not included, since
+   * they cannot wait for one worker. */
   std::map<std::string, UnansweredStart> unansweredStarts;
   /** Long-running tasks that the current planning pass skipped since they wait
    * for their recorded worker. */
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -47,12 +47,12 @@
 CellScheduler::AssignFencingTokens(std::uint64_t aToken)
 {
   for (auto& [id, worker] : this->workers) {
-    if (!worker.needsFencingToken && !worker.wantsFencingToken) {
+    if (!worker.needsFencingToken && !worker.lostSinceToken) {
       continue;
     }
     worker.fencingToken = aToken;
     worker.needsFencingToken = false;
-    worker.wantsFencingToken = false;
+    worker.lostSinceToken = false;
     worker.tokenAssignedAt = this->clock.Now();
     Event("worker_token")
       .Add("worker", id)
@@ -211,7 +211,7 @@
   }
   const std::string& worker = aWorker.description.id;
   this->unansweredStarts[aTask] =
-    UnansweredStart{ worker, *aCommitment.unansweredAt };
+    UnansweredStart{ worker, *aCommitment.unansweredAt, !aCommitment.repeated };
   Event("start_still_open")
     .Add("task", aTask)
     .Add("run", aCommitment.run)
@@ -234,10 +234,11 @@
 CellScheduler::MayCopyRun(const UnansweredStart& aStart) const
 {
   const TimePoint now = this->clock.Now();
-  const TimePoint lastStart = aStart.sentAt + kMaxCommandDelay;
+  const TimePoint lastStart = aStart.decidedAt + kMaxCommandDelay;
   const ScheduledWorker* const worker = this->FindWorker(aStart.worker);
   // A report that is newer than the last possible start lists the run.
-  const bool reported = worker != nullptr && worker->lastReportAt > lastStart;
+  const bool reported =
+    worker != nullptr && worker->clockRequestedAt > lastStart;
   return now <= lastStart ||
          (!reported && now <= this->LongestLeaseExpiresBy(lastStart));
 }
@@ -246,7 +247,17 @@
 CellScheduler::RemoveExpiredStarts()
 {
   std::erase_if(this->unansweredStarts, [this](const auto& aItem) {
-    return !this->MayCopyRun(aItem.second);
+    const UnansweredStart& start = aItem.second;
+    if (this->MayCopyRun(start)) {
+      return false;
+    }
+    ScheduledWorker* const worker = this->Worker(start.worker);
+    if (worker != nullptr && !start.repeatable) {
+      // It left two starts unanswered, so another worker is tried next.
+      worker->backoffUntil =
+        this->clock.Now() + ScheduledWorker::kStartRejectedBackoff;
+    }
+    return true;
   });
 }
 
@@ -334,13 +345,6 @@
       continue;
     }
     const std::size_t runs = this->RunsThatMayBeLost(worker).size();
-    const std::size_t kept = worker.Commitments().size() - runs;
-    if (kept != worker.keptRuns) {
-      Event("runs_kept")
-        .Add("worker", id)
-        .Add("runs", static_cast<std::uint64_t>(kept));
-      worker.keptRuns = kept;
-    }
     if (runs == 0) {
       continue;
     }
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -224,7 +224,8 @@
 {
   ScheduledWorker* const worker = this->Worker(aStart.worker);
   const auto end = this->availableWorkers.end();
-  if (std::find(this->availableWorkers.begin(), end, worker) == end) {
+  if (!aStart.repeatable ||
+      std::find(this->availableWorkers.begin(), end, worker) == end) {
     return nullptr;
   }
   return this->ChooseWorkerAmong(std::span(&worker, 1), aTask);
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -603,13 +603,14 @@
     placed.suspect = this->IsSuspect(name, tasks[i]);
     const UnansweredStart* const earlier =
       this->FindUnansweredStart(FormatTaskName(name));
-    if (earlier != nullptr) {
-      this->RepeatStart(aCandidate, name, placed, *earlier, aOrders);
+    const bool missed = longestMissed && placed.waited <= *longestMissed;
+    ScheduledWorker* const worker = earlier != nullptr
+                                      ? this->WorkerOfStart(*earlier, placed)
+                                    : missed ? nullptr
+                                             : this->ChooseWorker(placed);
+    if (worker == nullptr && earlier != nullptr) {
       continue;
     }
-    const bool missed = longestMissed && placed.waited <= *longestMissed;
-    ScheduledWorker* const worker =
-      missed ? nullptr : this->ChooseWorker(placed);
     if (worker == nullptr && this->AwaitsIsolation(placed)) {
       continue;
     }
@@ -638,6 +639,12 @@
     placed.rack = worker->description.rack;
     this->CountStart(aCandidate);
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
+    if (earlier != nullptr) {
+      Commitment& commitment = *worker->Find(FormatTaskName(name));
+      commitment.unansweredAt = earlier->decidedAt;
+      commitment.repeated = true;
+      this->unansweredStarts.erase(FormatTaskName(name));
+    }
     if (placed.mayShare) {
       this->SlowToShare(*worker);
     }
@@ -647,31 +654,6 @@
   }
 }
 
-void
-CellScheduler::RepeatStart(const Candidate& aCandidate,
-                           const TaskName& aName,
-                           const TaskToPlace& aTask,
-                           const UnansweredStart& aEarlier,
-                           PlannedCommands& aOrders)
-{
-  const std::string task = FormatTaskName(aName);
-  ScheduledWorker* const worker = this->WorkerOfStart(aEarlier, aTask);
-  if (worker == nullptr || worker->Find(task) != nullptr) {
-    return;
-  }
-  const TimePoint sentAt = aEarlier.sentAt;
-  Entry& entry = this->jobs.at(aCandidate.job);
-  this->CountStart(aCandidate);
-  this->PlanStart(entry,
-                  aName,
-                  entry.job.Find(aName)->run + 1,
-                  *worker,
-                  aTask.stepKey,
-                  aOrders);
-  worker->Find(task)->unansweredAt = sentAt;
-  this->unansweredStarts.erase(task);
-}
-
 bool
 CellScheduler::PlanGang(const Candidate& aCandidate, PlannedCommands& aOrders)
 {
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -7,15 +7,6 @@
 
 namespace sequoiakeel {
 
-namespace {
-
-/** A worker that rejected a start command gets no further ones for this long;
- * the worker's free capacity and health rarely change faster than its reports
- * arrive. */
-constexpr std::chrono::milliseconds kStartRejectedBackoff{ 300 };
-
-} // namespace
-
 void
 CellScheduler::HandleReport(const std::string& aWorker,
                             TimePoint aSentAt,
@@ -365,14 +356,8 @@
   const TimePoint now = this->clock.Now();
   std::vector<std::string> tasks;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    // The worker may have restarted unnoticed. Long-running tasks have to run
-    // again before the last copy has expired.
-    const bool mayStillStart =
-      commitment.awaitsStop ||
-      (!commitment.step.longRunning &&
-       (commitment.unansweredAt || commitment.confirmedAt == TimePoint()));
     if (commitment.held ||
-        (mayStillStart && now <= this->NoCopyRunsAfter(commitment))) {
+        (commitment.awaitsStop && now <= this->NoCopyRunsAfter(commitment))) {
       continue;
     }
     tasks.push_back(task);
@@ -436,6 +421,22 @@
   aWorker.clockReadingMs = 0;
 }
 
+void
+CellScheduler::HandleUnansweredStart(const std::string& aWorker,
+                                     const std::string& aTask,
+                                     std::uint64_t aRun)
+{
+  ScheduledWorker* const worker = this->Worker(aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->unansweredGrantAt = this->clock.Now();
+  Commitment* const commitment = worker->Find(aTask);
+  if (commitment != nullptr && commitment->run == aRun) {
+    commitment->unansweredAt = commitment->startedAt;
+  }
+}
+
 void
 CellScheduler::HandleStart(const std::string& aWorker,
                            const std::string& aTask,
@@ -479,7 +480,7 @@
     .Add("result", ToString(aReply.result))
     .Add("in_flight", aMayBeInFlight);
   this->policies.observer.StartRejected(aReply.result);
-  worker->backoffUntil = now + kStartRejectedBackoff;
+  worker->backoffUntil = now + ScheduledWorker::kStartRejectedBackoff;
   if (aReply.result == WorkerCommandResult::OldRun) {
     // An earlier copy of the start command was carried out and its run has
     // ended. The next report lists how the run ended.
@@ -550,7 +551,7 @@
   }
   if (!worker->unresponsive && worker->reported) {
     this->RecordLoss(*worker, aContactUntil);
-    worker->wantsFencingToken = true;
+    worker->lostSinceToken = true;
   }
   worker->unansweredGrantAt =
     std::max(worker->unansweredGrantAt,
@@ -563,7 +564,8 @@
 {
   ScheduledWorker* const worker = this->Worker(aWorker);
   if (worker != nullptr) {
-    worker->backoffUntil = this->clock.Now() + kStartRejectedBackoff;
+    worker->backoffUntil =
+      this->clock.Now() + ScheduledWorker::kStartRejectedBackoff;
   }
   this->HandleCrash(aWorker, "address belongs to another worker");
 }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -57,6 +57,8 @@
    * worker, was decided on of which a copy got no answer, so that it may still
    * be carried out; unset if every copy was answered. */
   std::optional<TimePoint> unansweredAt;
+  /** The run repeats an earlier start of the task that got no answer. */
+  bool repeated = false;
   /** The worker has confirmed the start command and answered every copy of it,
    * so that no copy can be carried out after confirmedAt. */
   bool allCopiesAnswered = false;
@@ -189,6 +191,11 @@
 class ScheduledWorker
 {
 public:
+  /** A worker that rejected a start command gets no further ones for this long;
+   * the worker's free capacity and health rarely change faster than its reports
+   * arrive. */
+  static constexpr std::chrono::milliseconds kStartRejectedBackoff{ 300 };
+
   WorkerDescription description;
   /** The registry lists the worker. */
   bool listed = true;
@@ -218,7 +225,8 @@
   /** Contact with the worker was lost since the fencing token was assigned.
    * With a newer one a later incarnation rejects the commands without an answer
    * from its first answer on. */
-  bool wantsFencingToken = false;
+  bool lostSinceToken = false;
+  /** When this owner assigned the fencing token; unset if it did not. */
   std::optional<TimePoint> tokenAssignedAt;
   /** The worker's current incarnation may not have seen its fencing token yet,
    * so that it would carry out commands which were meant for an earlier one. */
@@ -235,9 +243,6 @@
    * commands were meant for an earlier incarnation; unset if none was. */
   std::optional<TimePoint> staleGrantAt;
   TimePoint lastReportAt;
-  /** Number of runs that were kept when the leases had expired, since a copy of
-   * their start may still be carried out, as logged last. */
-  std::size_t keptRuns = 0;
   /** Reading of the worker's clock at clockReadAt; 0: unknown. */
   std::uint64_t clockReadingMs = 0;
   TimePoint clockReadAt;
--- a/test/unit/UnansweredStarts.cpp
+++ b/test/unit/UnansweredStarts.cpp
@@ -3,8 +3,24 @@
 #include <doctest/doctest.h>
 
 using namespace sequoiakeel;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/** Returns the harness's start of one task of job "a" on w1. */
+PlannedStart
+StartOnW1(SchedulerHarness& aHarness)
+{
+  aHarness.AddWorkers({ "w1" });
+  aHarness.scheduler.Accept(aHarness.Job("a"));
+  const std::vector<PlannedStart> starts = aHarness.PlanStarts();
+  REQUIRE(starts.size() == 1);
+  return starts[0];
+}
+
+} // namespace
+
 // Guards against an owner that gives its cell up since it forgot the token
 // that a worker has seen, when the registry had removed the worker.
 TEST_CASE("a worker that is listed again keeps its fencing token")
@@ -26,3 +42,139 @@
     SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
   CHECK(harness.scheduler.FencingToken("w1") == 7);
 }
+
+// Guards against a task that waits without limit for a worker which reports
+// but leaves starts unanswered.
+TEST_CASE("a worker that leaves all starts unanswered does not keep a task")
+{
+  SchedulerHarness harness;
+  PlannedStart start = StartOnW1(harness);
+  const auto w2 = SchedulerHarness::Worker("w2");
+  harness.scheduler.UpdateWorkers(
+    std::vector{ SchedulerHarness::Worker("w1"), w2 });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.Report("w2", 1, {}, {});
+  const TimePoint begun = harness.clock.Now();
+  int starts = 1;
+  bool elsewhere = false;
+  TimePoint unansweredAt = harness.clock.Now() + milliseconds(1500);
+  bool open = true;
+  while (!elsewhere && harness.clock.Now() - begun < seconds(120)) {
+    harness.clock.Advance(milliseconds(100));
+    harness.Report("w1", 1, {}, {});
+    harness.Report("w2", 1, {}, {});
+    if (open && harness.clock.Now() >= unansweredAt) {
+      open = false;
+      harness.scheduler.HandleStart(
+        "w1",
+        start.command.task,
+        start.command.run,
+        WorkerCommandReply{ WorkerCommandResult::Unknown, 0 },
+        true);
+    }
+    for (const PlannedStart& next : harness.PlanStarts()) {
+      start = next;
+      ++starts;
+      open = true;
+      unansweredAt = harness.clock.Now() + milliseconds(1500);
+      elsewhere = next.worker == "w2";
+    }
+  }
+  CAPTURE(starts);
+  CHECK(elsewhere);
+}
+
+// Guards against a second run if a start's run fails before its sender has
+// given up an earlier copy.
+TEST_CASE("a copy of a start whose run has failed meanwhile is noted")
+{
+  for (const bool endFirst : { false, true }) {
+    CAPTURE(endFirst);
+    SchedulerHarness harness;
+    const PlannedStart start = StartOnW1(harness);
+    harness.scheduler.UpdateWorkers(std::vector{
+      SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+    harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+    harness.Report("w2", 1, {}, {});
+    const auto reportEnd = [&] {
+      harness.clock.Advance(milliseconds(700));
+      harness.Report(
+        "w1",
+        1,
+        {},
+        { EndedRun{ 1, start.command.task, 1, RunEnd::Failed, "" } });
+      harness.Report("w2", 1, {}, {});
+    };
+    // The second copy is carried out; neither copy has an answer.
+    harness.scheduler.HandleUnansweredStart("w1", start.command.task, 1);
+    if (endFirst) {
+      reportEnd();
+    }
+    harness.scheduler.HandleStart(
+      "w1",
+      start.command.task,
+      1,
+      WorkerCommandReply{ WorkerCommandResult::Unknown, 0 },
+      true);
+    if (!endFirst) {
+      reportEnd();
+    }
+    harness.scheduler.HandleUnresponsive("w1");
+    for (const PlannedStart& next : harness.PlanStarts()) {
+      CHECK(next.worker == "w1");
+    }
+  }
+}
+
+// Guards against a gang that waits for one worker, while its other members are
+// of no use.
+TEST_CASE("a gang does not wait for a worker that left a start unanswered")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  WorkflowSubmission job = harness.Job("a", 2);
+  job.steps[0].gang = true;
+  harness.scheduler.Accept(job);
+  const std::vector<PlannedStart> starts = harness.PlanStarts();
+  REQUIRE(starts.size() == 2);
+  for (const PlannedStart& start : starts) {
+    harness.scheduler.HandleUnansweredStart("w1", start.command.task, 1);
+  }
+  harness.scheduler.HandleUnresponsive("w1");
+  harness.scheduler.UpdateWorkers(std::vector{
+    SchedulerHarness::Worker("w1"), SchedulerHarness::Worker("w2") });
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  const TimePoint begun = harness.clock.Now();
+  while (harness.clock.Now() - begun < seconds(10)) {
+    harness.clock.Advance(milliseconds(100));
+    harness.Report("w2", 1, {}, {});
+    if (!harness.PlanStarts().empty()) {
+      break;
+    }
+  }
+  CHECK(harness.clock.Now() - begun < seconds(10));
+}
+
+// Guards against commands of before a restart that have the token of the new
+// incarnation: contact had been lost and regained before.
+TEST_CASE("a token is too old for a restart after later grants")
+{
+  for (const bool regained : { false, true }) {
+    CAPTURE(regained);
+    SchedulerHarness harness;
+    harness.AddWorkers({ "w1" });
+    harness.scheduler.NoteLease("w1", harness.scheduler.LeaseUntil("w1"));
+    harness.clock.Advance(milliseconds(100));
+    harness.scheduler.HandleUnresponsive("w1");
+    harness.clock.Advance(milliseconds(100));
+    harness.scheduler.AssignFencingTokens(7);
+    harness.clock.Advance(milliseconds(100));
+    if (regained) {
+      harness.Report("w1", 1, {}, {});
+      harness.scheduler.NoteLease("w1", harness.scheduler.LeaseUntil("w1"));
+    }
+    harness.scheduler.UpdateWorkers(
+      std::vector{ SchedulerHarness::Worker("w1", 2) });
+    CHECK(harness.scheduler.NeedsFencingToken("w1") == regained);
+  }
+}
