Name tasks whose ends are not durable in the roster of silent workers

Their owner had handled the ends that w0 reported, then lost the store before it could write them, and then lost w0. The roster names the tasks that may be on a silent worker by the runs that are committed to it, and these had ended. The owner lost its cell, won it again, and started the tasks on w2 before w0 had reported to it, which still held the ends.

The roster now also names the tasks whose ends a silent worker has reported and that are not durable.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -363,6 +363,13 @@
     for (const auto& [task, commitment] : worker.Commitments()) {
       silent.tasks.push_back(task);
     }
+    // The worker holds these ends and reports them to the next owner.
+    for (const auto& [task, change] : worker.endsToRecord) {
+      if (change > this->durableChange &&
+          !worker.Commitments().contains(task)) {
+        silent.tasks.push_back(task);
+      }
+    }
     result.silent.push_back(std::move(silent));
   }
   for (const auto& [id, tasks] : this->tasksOnUnresponsive) {
@@ -518,6 +525,9 @@
   this->durableChange = std::max(this->durableChange, aChange);
   this->CheckAssignmentsRecorded();
   for (auto& [id, worker] : this->workers) {
+    std::erase_if(worker.endsToRecord, [aChange](const auto& aItem) {
+      return aItem.second <= aChange;
+    });
     if (worker.handledEndsChange <= aChange) {
       worker.durableEnds = worker.handledEnds;
     }
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -59,6 +59,7 @@
       worker->handledEnds = row.sequence;
       this->HandleRunEnd(*worker, row);
       worker->handledEndsChange = this->change;
+      worker->endsToRecord[row.task] = this->change;
     }
   }
   worker->foreignRuns = false;
@@ -416,6 +417,7 @@
   aWorker.reportedIncarnation = aIncarnation;
   aWorker.backoffUntil = TimePoint();
   aWorker.handledEnds = 0;
+  aWorker.endsToRecord.clear();
   aWorker.durableEnds = 0;
   // The new incarnation's clock is unknown until it reports.
   aWorker.clockReadingMs = 0;
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -252,6 +252,9 @@
   std::uint64_t handledEnds = 0;
   /** Number of the scheduler's progress change that it led to. */
   std::uint64_t handledEndsChange = 0;
+  /** Tasks whose run ends were handled and may not be durable, with the number
+   * of the progress change. */
+  std::map<std::string, std::uint64_t> endsToRecord;
   /** Sequence number up to which all run ends that the worker reported are
    * durable, so that the worker may discard them. */
   std::uint64_t durableEnds = 0;
--- a/test/unit/UnansweredStarts.cpp
+++ b/test/unit/UnansweredStarts.cpp
@@ -126,6 +126,33 @@
   }
 }
 
+// Guards against a second run of a task whose end an earlier owner could not
+// make durable: the worker holds it and reports it to the next owner.
+TEST_CASE("a new owner waits for ends that an earlier one could not write")
+{
+  SchedulerHarness earlier;
+  earlier.AddWorkers({ "w1" });
+  earlier.scheduler.Accept(earlier.Job("a"));
+  REQUIRE(earlier.PlanAndConfirm().size() == 1);
+  const EndedRun end{ 1, "a.0.0.0", 1, RunEnd::Done, "" };
+  earlier.Report("w1", 1, {}, { end });
+  earlier.scheduler.HandleUnresponsive("w1");
+  SchedulerHarness next;
+  next.scheduler.Restore(next.Job("a"), WorkflowProgress{});
+  next.scheduler.SetRoster(earlier.scheduler.RosterToWrite());
+  next.scheduler.UpdateWorkers(std::vector{ SchedulerHarness::Worker("w1"),
+                                            SchedulerHarness::Worker("w2") });
+  next.scheduler.RosterWritten(next.scheduler.RosterToWrite());
+  next.Report("w2", 1, {}, {});
+  CHECK(next.PlanStarts().empty());
+  next.Report("w1", 1, {}, { end });
+  next.WriteProgress();
+  CHECK(next.scheduler.StateOf("a") == WorkflowState::Completed);
+  // Once the end is durable, nobody has to wait for it.
+  earlier.WriteProgress();
+  CHECK(earlier.scheduler.RosterToWrite().silent.at(0).tasks.empty());
+}
+
 // Guards against a gang that waits for one worker, while its other members are
 // of no use.
 TEST_CASE("a gang does not wait for a worker that left a start unanswered")
