--- a/test/support/RestartMix.h
+++ b/test/support/RestartMix.h
@@ -10,7 +10,9 @@
  * delayed by up to aMaxDelay, and checks that no task has two runs at a time.
  */
 inline void
-PlayRestartMixes(std::uint64_t aSeeds, std::chrono::milliseconds aMaxDelay)
+PlayRestartMixes(std::uint64_t aSeeds,
+                 std::chrono::milliseconds aMaxDelay,
+                 bool aLongRunning = false)
 {
   using std::chrono::milliseconds;
   for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
@@ -25,7 +27,8 @@
       cell.Cut(node, milliseconds(500 + 10 * DrawIndex(cell.random, 900)));
       cell.Submit("j" + std::to_string(i),
                   static_cast<std::uint32_t>(1 + DrawIndex(cell.random, 12)),
-                  milliseconds(500 + 10 * DrawIndex(cell.random, 1500)));
+                  milliseconds(500 + 10 * DrawIndex(cell.random, 1500)),
+                  aLongRunning);
       cell.Simulate(milliseconds(10 * DrawIndex(cell.random, 300)));
     }
     CAPTURE(seed);
