Start no tasks on a worker that an unanswered roster write calls silent

The owner lost contact with a worker and wrote the roster that names it as silent. The store was at fault and did not answer, but the write took effect. The worker answered again, and the owner started tasks on it, since the last roster that it knew to be durable named the worker.

A worker now gets tasks only if every roster that may be durable names it: what a write leaves out counts from the time at which the write is sent.

--- a/src/CellOwnershipSessionWrites.cpp
+++ b/src/CellOwnershipSessionWrites.cpp
@@ -68,6 +68,7 @@
   change.expect = { { this->keys.Owner(), this->claim.fencingToken },
                     { this->keys.Roster(), this->rosterRevision } };
   change.puts = { { this->keys.Roster(), nlohmann::json(roster).dump() } };
+  this->scheduler.BeginRosterWrite(roster);
   const StoreTransactionReply reply =
     co_await this->dependencies.store.Commit(change, kSessionStoreTimeout);
   if (reply.result == StoreResult::Ok) {
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -392,6 +392,16 @@
   return result;
 }
 
+void
+CellScheduler::BeginRosterWrite(const WorkerRoster& aRoster)
+{
+  const std::set<std::string> named(aRoster.workers.begin(),
+                                    aRoster.workers.end());
+  std::erase_if(this->roster, [&named](const std::string& aWorker) {
+    return !named.contains(aWorker);
+  });
+}
+
 void
 CellScheduler::RosterWritten(const WorkerRoster& aRoster)
 {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -207,8 +207,8 @@
    * worker has settled. */
   bool RosterIsStale() const;
 
-  /** Returns whether the durable roster names a worker, so that it may get
-   * tasks. */
+  /** Returns whether every roster that may be durable names a worker, so that
+   * it may get tasks. */
   bool IsOnRoster(const std::string& aWorker) const
   {
     return this->roster.contains(aWorker);
@@ -217,6 +217,11 @@
   /** Returns the roster that should be durable now. */
   WorkerRoster RosterToWrite() const;
 
+  /** Records that a roster is about to be written. Until RosterWritten() it is
+   * not known which one is durable, so only workers that both name get tasks.
+   */
+  void BeginRosterWrite(const WorkerRoster& aRoster);
+
   /** Records that a roster is durable. */
   void RosterWritten(const WorkerRoster& aRoster);
 
@@ -791,8 +796,8 @@
   /** Long-running tasks that the current planning pass skipped since they wait
    * for their recorded worker. */
   std::vector<TaskName> awaitedTasks;
-  /** The durable roster: workers that may get tasks, and workers that are
-   * listed as unresponsive. */
+  /** The durable roster: workers that may get tasks, unless one that is being
+   * written does not name them, and workers that are listed as unresponsive. */
   std::set<std::string> roster;
   std::set<std::string> rosterUnresponsive;
   /** Settled incarnations of the durable roster, by worker, and of the roster
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -430,6 +430,24 @@
   CHECK(harness.scheduler.Plan().starts.size() == 1);
 }
 
+// Guards against the same if the write that lists the worker as unresponsive
+// got no answer and took effect.
+TEST_CASE("a worker that a write without an answer calls silent gets no tasks")
+{
+  SchedulerHarness harness;
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.HandleUnresponsive("w1");
+  harness.scheduler.BeginRosterWrite(harness.scheduler.RosterToWrite());
+  harness.Report("w1", 1, {}, {});
+  harness.scheduler.Accept(harness.Job("j"));
+  CHECK(harness.scheduler.Plan().starts.empty());
+  CHECK(harness.scheduler.RosterIsStale());
+  const WorkerRoster next = harness.scheduler.RosterToWrite();
+  harness.scheduler.BeginRosterWrite(next);
+  harness.scheduler.RosterWritten(next);
+  CHECK(harness.scheduler.Plan().starts.size() == 1);
+}
+
 // Guards against more attempts than a queue allows: the new owner finds a later
 // run of a task before the worker of the earlier run reports its failure.
 TEST_CASE("a failure counts even if the task already runs elsewhere")
