--- a/review/standins-2/Platform.h
+++ b/review/standins-2/Platform.h
@@ -624,6 +624,16 @@
     this->failing = aOn;
   }
 
+  /** From now on every start is refused with 503 and nothing is done, or no
+   * longer is. */
+  void RefuseStarts(bool aOn)
+  {
+    const std::lock_guard lock(this->mutex);
+    this->record.Write("worker " + this->id +
+                       (aOn ? " refuses starts" : " takes starts again"));
+    this->refusing = aOn;
+  }
+
   std::size_t RunCount()
   {
     const std::lock_guard lock(this->mutex);
@@ -735,6 +745,9 @@
       return this->Reply(409, { { "reason", "fence" } });
     }
     this->fence = token;
+    if (aRequest.target == "/-/run-start" && this->refusing) {
+      return this->Reply(503, Json::object());
+    }
     if (aRequest.target == "/-/run-start") {
       return this->Start(body);
     }
@@ -881,6 +894,7 @@
   std::atomic<bool> up{ true };
   std::atomic<int> life{ 0 };
   bool failing = false;
+  bool refusing = false;
   SteadyClock::time_point begun;
   std::uint64_t born = 0;
   std::uint64_t fence = 0;
@@ -942,7 +956,21 @@
   std::uint16_t Front() const { return this->front; }
   std::uint16_t Health() const { return this->health; }
   const std::string& Name() const { return this->name; }
-  pid_t Pid() const { return this->pid; }
+
+  /** Returns when this process last logged that it owns the cell, as text that
+   * sorts by time; empty if it never did. */
+  std::string LastOwnership() const
+  {
+    std::ifstream file(this->folder + "/" + this->name + ".log");
+    std::string line;
+    std::string last;
+    while (std::getline(file, line)) {
+      if (line.find("event=ownership_won") != std::string::npos) {
+        last = line.substr(0, line.find(' '));
+      }
+    }
+    return last;
+  }
 
   void Start()
   {
