--- a/review/standins-2/LabelledWorkers.cpp
+++ b/review/standins-2/LabelledWorkers.cpp
@@ -74,8 +74,7 @@
   for (int i = 0; i < kNothingRunsMs / 50; ++i) {
     bool any = false;
     for (std::size_t k = 22; k < kinds.size(); ++k) {
-      any = any ||
-            system.Workers()[k]->CpuInUse() + 4 * kTaskCpu <= 32000;
+      any = any || system.Workers()[k]->CpuInUse() + 4 * kTaskCpu <= 32000;
     }
     room = room && any;
     for (const auto& worker : system.Workers()) {
--- a/review/standins-2/LateCopy.cpp
+++ b/review/standins-2/LateCopy.cpp
@@ -1,7 +1,7 @@
-/** A worker leaves one copy of a start unanswered and runs the other copy. After
- * that run has ended `done` and its end is acknowledged, the worker is cut off,
- * crashes behind the cut, starts again under its id and carries the first copy
- * out late. The task must not start again. */
+/** A worker leaves one copy of a start unanswered and runs the other copy.
+ * After that run has ended `done` and its end is acknowledged, the worker is
+ * cut off, crashes behind the cut, starts again under its id and carries the
+ * first copy out late. The task must not start again. */
 #include "Platform.h"
 
 using namespace review;
@@ -87,8 +87,8 @@
   for (const auto& one : system.Schedulers()) {
     one->Kill();
   }
-  std::cout << jobs.size() << " jobs accepted, " << open
-            << " not completed; " << twice
+  std::cout << jobs.size() << " jobs accepted, " << open << " not completed; "
+            << twice
             << " tasks were started after an end done that was acknowledged\n"
             << (twice > 0 ? "TWICE is broken\n" : "the rule held\n")
             << std::flush;
--- a/review/standins-2/LateStart.cpp
+++ b/review/standins-2/LateStart.cpp
@@ -1,6 +1,6 @@
-/** A worker leaves the start of a task that lasts unanswered, is cut off, crashes
- * behind the cut, starts again under its id and carries the start out late. The
- * task must not run on two workers at the same time. */
+/** A worker leaves the start of a task that lasts unanswered, is cut off,
+ * crashes behind the cut, starts again under its id and carries the start out
+ * late. The task must not run on two workers at the same time. */
 #include "Platform.h"
 
 using namespace review;
--- a/review/standins-2/PendingJobs.cpp
+++ b/review/standins-2/PendingJobs.cpp
@@ -1,6 +1,6 @@
 /** Two workers of one kind refuse starts while jobs that need this kind are
- * handed in, and the owner is restarted; the count of pending jobs must name the
- * jobs that have not begun. */
+ * handed in, and the owner is restarted; the count of pending jobs must name
+ * the jobs that have not begun. */
 #include "Platform.h"
 
 using namespace review;
--- a/review/standins-2/Platform.h
+++ b/review/standins-2/Platform.h
@@ -329,10 +329,11 @@
   void Erase(const std::string& aKey, std::uint64_t aRevision)
   {
     if (this->items.erase(aKey) > 0) {
-      this->history.push_back(
-        { aRevision,
-          aKey,
-          { { "key", aKey }, { "revision", aRevision }, { "tombstone", true } } });
+      this->history.push_back({ aRevision,
+                                aKey,
+                                { { "key", aKey },
+                                  { "revision", aRevision },
+                                  { "tombstone", true } } });
     }
   }
 
@@ -387,7 +388,8 @@
       const std::string raw = part.substr(equals + 1);
       for (std::size_t i = 0; i < raw.size(); ++i) {
         if (raw[i] == '%') {
-          value += static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
+          value +=
+            static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
           i += 2;
           continue;
         }
@@ -400,7 +402,8 @@
 
   std::optional<Response> Answer(const Request& aRequest)
   {
-    const std::string path = aRequest.target.substr(0, aRequest.target.find('?'));
+    const std::string path =
+      aRequest.target.substr(0, aRequest.target.find('?'));
     auto query = Query(aRequest.target);
     if (path != "/-/kv-watch") {
       Sleep(kAnswerMs);
@@ -427,9 +430,10 @@
     if (path == "/-/kv-txn") {
       return this->Commit(Json::parse(aRequest.body));
     }
-    const std::uint64_t id = path.rfind('/') > 2
-                               ? std::strtoull(path.c_str() + path.rfind('/') + 1, nullptr, 10)
-                               : 0;
+    const std::uint64_t id =
+      path.rfind('/') > 2
+        ? std::strtoull(path.c_str() + path.rfind('/') + 1, nullptr, 10)
+        : 0;
     if (path == "/-/kv-lease") {
       const std::int64_t ttl = Json::parse(aRequest.body).at("ttlMs");
       const std::uint64_t granted = ++this->lastLease;
@@ -441,7 +445,8 @@
       return Response{ 404, Json::object() };
     }
     if (path.starts_with("/-/kv-keep/")) {
-      lease->second.until = SteadyClock::now() + milliseconds(lease->second.ttlMs);
+      lease->second.until =
+        SteadyClock::now() + milliseconds(lease->second.ttlMs);
       return Response{ 200, { { "ttlMs", lease->second.ttlMs } } };
     }
     this->EndLease(id);
@@ -591,7 +596,8 @@
              { "slots", 8 },
              { "state", "ready" },
              { "coldRemainingMs", 0 },
-             { "room", { { "cpu", 32000 }, { "memMb", 128000 }, { "gpu", 0 } } },
+             { "room",
+               { { "cpu", 32000 }, { "memMb", 128000 }, { "gpu", 0 } } },
              { "labels", { this->kind, this->rack } },
              { "born", this->born },
              { "clockMs", this->ClockMs() },
@@ -619,9 +625,9 @@
     this->server.Restart();
   }
 
-  /** The worker is cut off from the machines of the system and runs on, or is no
-   * longer. What arrives meanwhile is lost, since its sender gives up. It still
-   * reaches the store. */
+  /** The worker is cut off from the machines of the system and runs on, or is
+   * no longer. What arrives meanwhile is lost, since its sender gives up. It
+   * still reaches the store. */
   void CutOff(bool aOn)
   {
     const std::lock_guard lock(this->mutex);
@@ -666,12 +672,13 @@
     const Response answer =
       fenced ? this->Reply(409, { { "reason", "fence" } }) : this->Start(body);
     this->record.Write("worker " + this->id + " carries out the start of " +
-                       body.at("task").get<std::string>() + " late: " +
-                       std::to_string(answer.status) + " " +
+                       body.at("task").get<std::string>() +
+                       " late: " + std::to_string(answer.status) + " " +
                        answer.body.dump());
   }
 
-  /** Tasks with a run that ended `done`, where a renewal acknowledged the end. */
+  /** Tasks with a run that ended `done`, where a renewal acknowledged the end.
+   */
   static std::set<std::string>& AcknowledgedDone()
   {
     static std::set<std::string> tasks;
@@ -886,7 +893,8 @@
     if (aRequest.target == "/-/hold") {
       return this->Hold(lock, body, present);
     }
-    return this->Reply(aRequest.target == "/-/pace" ? 200 : 404, Json::object());
+    return this->Reply(aRequest.target == "/-/pace" ? 200 : 404,
+                       Json::object());
   }
 
   /** Keeps a channel silent as long as the worker is cut off. */
@@ -1020,14 +1028,14 @@
       const bool lapsed = this->ClockMs() >= this->leaseUntil;
       std::vector<std::string> over;
       for (const auto& [task, run] : this->runs) {
-        if (lapsed || ((!run.lasts || run.fails) &&
-                       SteadyClock::now() >= run.endsAt)) {
+        if (lapsed ||
+            ((!run.lasts || run.fails) && SteadyClock::now() >= run.endsAt)) {
           over.push_back(task);
         }
       }
       for (const std::string& task : over) {
         this->Finish(task,
-                     lapsed                        ? "lapsed"
+                     lapsed                      ? "lapsed"
                      : this->runs.at(task).fails ? "failed"
                                                  : "done");
       }
@@ -1245,7 +1253,8 @@
        << aBody;
   const std::string sent = text.str();
   std::string got;
-  if (::connect(handle, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) == 0 &&
+  if (::connect(handle, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) ==
+        0 &&
       ::send(handle, sent.data(), sent.size(), MSG_NOSIGNAL) ==
         static_cast<ssize_t>(sent.size())) {
     char bytes[8192];
@@ -1400,7 +1409,7 @@
   std::string State(const std::string& aQueue, const std::string& aId)
   {
     const auto answer = this->Call("GET", "/" + aQueue + "/" + aId);
-    return !answer                ? "no answer"
+    return !answer                 ? "no answer"
            : answer->status == 200 ? answer->body.value("state", "unreadable")
                                    : std::to_string(answer->status);
   }
