--- a/review/standins-2/PendingJobs.cpp
+++ b/review/standins-2/PendingJobs.cpp
@@ -64,20 +64,21 @@
   if (trouble && restart) {
     record.Write("SIGTERM for " + owner->Name());
     owner->Signal(SIGTERM);
-    // The platform starts a process again after its end.
-    std::thread([owner] {
-      while (owner->Running()) {
-        Sleep(50);
-      }
-      Sleep(500);
-      owner->Start();
-    }).detach();
   }
   while (record.NowMs() - begun < kVisibleMs + 400) {
     Sleep(10);
   }
   int asked = 0;
   int wrong = 0;
+  // The platform starts a process again after its end.
+  bool restarted = !trouble || !restart;
+  const auto startAgain = [&] {
+    if (!restarted && !owner->Running()) {
+      record.Write(owner->Name() + " has ended and is started again");
+      owner->Start();
+      restarted = true;
+    }
+  };
   while (record.NowMs() - begun < kRefusingMs - 300) {
     for (const auto& one : system.Schedulers()) {
       if (one.get() == owner) {
@@ -110,10 +111,14 @@
                    std::to_string(pending) + "; accepted over 5 s before and " +
                    "not begun: " + std::to_string(notBegun));
     }
+    startAgain();
     Sleep(100);
   }
   refuse(false);
-  Sleep(4000);
+  for (int i = 0; i < 80; ++i) {
+    startAgain();
+    Sleep(100);
+  }
   int running = 0;
   for (const auto& [id, since] : accepted) {
     running += system.State("mouldwatch", id) == "running" ? 1 : 0;
--- a/review/standins-2/Platform.h
+++ b/review/standins-2/Platform.h
@@ -1135,6 +1135,8 @@
     return last;
   }
 
+  /** Starts the process. It ends with the calling thread, which therefore has
+   * to be the main one. */
   void Start()
   {
     const std::string settings = this->folder + "/" + this->name + ".json";
