Keep every task from other workers while a start of it is open

Its start got no answer, the worker was cut off and restarted, and the next incarnation carried the start out after the task had been started elsewhere.

Cause: the wait for starts without an answer left out long-running tasks and members of gangs, and a new owner knew of no open start. Ruled out: a lease that was counted too short, and an older fencing token.

Change: OpenStarts is the one place that knows the starts of which a copy may be carried out or running, and says where their tasks may be started. It holds for all tasks. It is settled by a later report, by 2 s without an entry in the registry, or by the longest lease. The roster names open starts, and a start is repeated only after that is durable.

--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -187,6 +187,9 @@
                                                 WorkerLoop& aLoop);
   void StartWorkerLoops();
   boost::asio::awaitable<void> SendStart(PlannedStart aStart);
+  /** Waits until a start without an answer may be repeated. Returns false if it
+   * is not awaited any more. */
+  boost::asio::awaitable<bool> AwaitRepeatedStart(const PlannedStart& aStart);
   boost::asio::awaitable<void> SendStop(PlannedStop aStop);
   boost::asio::awaitable<void> SendThrottle(PlannedThrottle aThrottle);
   WorkerCommandTarget Target(const std::string& aWorker,
--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -48,6 +48,10 @@
  * arrive after the command's validity. */
 constexpr int kStartAttempts = 3;
 
+/** Interval at which a start that is to be repeated looks whether the roster
+ * names it. */
+constexpr std::chrono::milliseconds kRecordedPoll{ 20 };
+
 /** Longest wait for the run ends that a worker reported to become durable.
  * After it, the worker's lease is renewed without acknowledging these ends. */
 constexpr std::chrono::milliseconds kAcknowledgeWait{ 500 };
@@ -232,8 +236,9 @@
       .Add("attempt", attempt + 1);
     this->scheduler.HandleUnansweredStart(
       aStart.worker, aStart.command.task, aStart.command.run);
-    if (!this->scheduler.AwaitsStart(
-          aStart.worker, aStart.command.task, aStart.command.run)) {
+    // The roster tells the next owner of the start.
+    this->rosterSignal.Notify();
+    if (!co_await this->AwaitRepeatedStart(aStart)) {
       break;
     }
   }
@@ -253,6 +258,21 @@
   }
 }
 
+asio::awaitable<bool>
+CellOwnershipSession::AwaitRepeatedStart(const PlannedStart& aStart)
+{
+  while (!this->ended && this->scheduler.AwaitsStart(aStart.worker,
+                                                     aStart.command.task,
+                                                     aStart.command.run)) {
+    if (this->scheduler.BeginRepeatedStart(
+          aStart.worker, aStart.command.task, aStart.command.run)) {
+      co_return true;
+    }
+    co_await SleepFor(this->dependencies.strand, kRecordedPoll);
+  }
+  co_return false;
+}
+
 asio::awaitable<void>
 CellOwnershipSession::SendStop(PlannedStop aStop)
 {
--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -222,6 +222,7 @@
   const Duration interval = this->dependencies.bounds.RegistryInterval();
   TimePoint lastAnswer = this->dependencies.clock.Now();
   while (!this->ended) {
+    const TimePoint readAt = this->dependencies.clock.Now();
     auto listed = co_await this->dependencies.registry.List();
     if (this->ended) {
       co_return;
@@ -250,7 +251,7 @@
       }
     }
     this->lastListed = *listed;
-    this->scheduler.UpdateWorkers(*listed);
+    this->scheduler.UpdateWorkers(*listed, readAt);
     this->StartWorkerLoops();
     this->rosterSignal.Notify();
     this->planSignal.Notify();
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -31,6 +31,7 @@
   , wallClock(aWallClock)
   , earlierLeasesExpiredBy(aEarlierLeasesExpiredBy)
   , createdAt(aClock.Now())
+  , openStarts(this->LongestLeaseExpiresBy(TimePoint()) - TimePoint())
 {
 }
 
@@ -92,6 +93,7 @@
                                                  silent.tasks.end() };
   }
   this->RestoreLosses(aRoster);
+  this->RestoreOpenStarts(aRoster);
   this->CheckRecovered();
 }
 
@@ -207,8 +209,10 @@
 }
 
 void
-CellScheduler::UpdateWorkers(std::span<const WorkerDescription> aWorkers)
+CellScheduler::UpdateWorkers(std::span<const WorkerDescription> aWorkers,
+                             std::optional<TimePoint> aReadAt)
 {
+  this->registryReadAt = aReadAt.value_or(this->clock.Now());
   for (auto& [id, worker] : this->workers) {
     worker.listed = false;
   }
@@ -324,7 +328,8 @@
       return true;
     }
   }
-  if (this->SettledIncarnations() != this->rosterSettled) {
+  if (this->SettledIncarnations() != this->rosterSettled ||
+      this->openStarts.RecordIsStale()) {
     return true;
   }
   const WorkerRoster wanted = this->RosterToWrite();
@@ -388,6 +393,7 @@
   for (const auto& [id, incarnation] : this->SettledIncarnations()) {
     result.settled.push_back(WorkerIncarnation{ id, incarnation });
   }
+  result.openStarts = this->openStarts.ToRecord();
   result.assignmentsRecorded = this->assignmentsRecorded;
   return result;
 }
@@ -411,6 +417,7 @@
   for (const WorkerIncarnation& settled : aRoster.settled) {
     this->rosterSettled[settled.worker] = settled.incarnation;
   }
+  this->openStarts.Recorded(aRoster.openStarts);
   this->rosterUnresponsive.clear();
   this->rosterSuspects.clear();
   for (const UnresponsiveWorker& silent : aRoster.silent) {
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -6,6 +6,7 @@
 #include "CrashAttribution.h"
 #include "FillerThrottle.h"
 #include "HandOverTarget.h"
+#include "OpenStarts.h"
 #include "Quarantine.h"
 #include "ScheduledWorker.h"
 #include "SchedulerObserver.h"
@@ -197,14 +198,16 @@
   /** Cancels a job; returns false if it is unknown or has ended. */
   bool Cancel(const std::string& aJob);
 
-  /** Applies the worker list of the registry. */
-  void UpdateWorkers(std::span<const WorkerDescription> aWorkers);
+  /** Applies the worker list of the registry. aReadAt: when its read began;
+   * unset: now. */
+  void UpdateWorkers(std::span<const WorkerDescription> aWorkers,
+                     std::optional<TimePoint> aReadAt = {});
 
   /** Returns whether the durable roster has to be rewritten: it lacks a listed
    * worker, which gets no tasks until the roster names it, it names a removed
    * worker, for whose report the next owner would wait, a restarted worker
-   * needs a newer fencing token, which is the revision of the write, or a
-   * worker has settled. */
+   * needs a newer fencing token, which is the revision of the write, a worker
+   * has settled, or a start is open that the next owner does not know. */
   bool RosterIsStale() const;
 
   /** Returns whether every roster that may be durable names a worker, so that
@@ -296,12 +299,20 @@
                    const WorkerCommandReply& aReply,
                    bool aMayBeInFlight);
 
-  /** Returns whether a start command may still be repeated. It may not once
-   * the worker's capacity has shrunk below its commitments. */
+  /** Returns whether a start command without an answer may still be repeated.
+   * It may not once it is no longer valid or the worker's capacity has shrunk
+   * below its commitments. */
   bool AwaitsStart(const std::string& aWorker,
                    const std::string& aTask,
                    std::uint64_t aRun) const;
 
+  /** Records that another copy of a start command is about to be sent. Returns
+   * false if it must not be sent yet, since the next owner would not know of
+   * the earlier copy. Precondition: AwaitsStart(). */
+  bool BeginRepeatedStart(const std::string& aWorker,
+                          const std::string& aTask,
+                          std::uint64_t aRun);
+
   /** Handles the outcome of a stop command. */
   void HandleStop(const std::string& aWorker,
                   const std::string& aTask,
@@ -447,17 +458,6 @@
     /** Number of the progress change that has to be durable. */
     std::uint64_t change = 0;
   };
-  /** A start command of which a copy got no answer, so that it may still be
-   * carried out although its run has ended. */
-  struct UnansweredStart
-  {
-    std::string worker;
-    /** When the start was decided on. */
-    TimePoint decidedAt;
-    /** The task may be started on the worker meanwhile. Only one start is
-     * repeated so, since the worker may be one that leaves all unanswered. */
-    bool repeatable = true;
-  };
   /** Pending tasks of one step: those of a long-running step that have run, if
    * order.interrupted is set, otherwise all others. */
   struct Candidate
@@ -507,28 +507,35 @@
   void MarkMissingRunsLost(ScheduledWorker& aWorker,
                            TimePoint aSentAt,
                            const WorkerReport& aReport);
+  /** Releases a run that is certain to have ended. aRejected: the worker
+   * rejected its start, so that no copy of it is in flight. */
   void MarkRunLost(ScheduledWorker& aWorker,
                    const std::string& aTask,
-                   const char* aReason);
+                   const char* aReason,
+                   bool aRejected = false);
   /** Returns the runs that are lost if the worker was restarted or its leases
    * have expired: all but those of which a copy of the start command may still
    * be carried out. */
   std::vector<std::string> RunsThatMayBeLost(
     const ScheduledWorker& aWorker) const;
   void MarkAllRunsLost(ScheduledWorker& aWorker, const char* aReason);
-  TimePoint NoCopyRunsAfter(const Commitment& aCommitment) const;
-  /** Records that a run has ended of whose start command a copy may still be
-   * carried out, by a later incarnation of the worker. */
-  void NoteUnansweredStart(const ScheduledWorker& aWorker,
-                           const std::string& aTask,
-                           const Commitment& aCommitment);
-  /** Returns the earlier start of a task that may still be carried out, or
-   * null. The task may then be started only on the same worker, which rejects
-   * the earlier start once it has a later run of the task. */
-  const UnansweredStart* FindUnansweredStart(const std::string& aTask) const;
-  /** Returns whether a copy of a start can be carried out or can be running. */
-  bool MayCopyRun(const UnansweredStart& aStart) const;
-  void RemoveExpiredStarts();
+  /** Returns the time after which a run cannot exist of which a copy of the
+   * start command may still be carried out. */
+  TimePoint NoCopyRunsAfter(const std::string& aWorker,
+                            const std::string& aTask,
+                            const Commitment& aCommitment) const;
+  /** Records that a copy of the start command of a run may be carried out until
+   * aClosesAt, also by later incarnations of the worker. */
+  void AddOpenStart(const std::string& aWorker,
+                    const std::string& aTask,
+                    const Commitment& aCommitment,
+                    TimePoint aClosesAt);
+  /** Restores the open starts that an earlier owner recorded. Their run numbers
+   * are not used again, so that the workers reject them after a later run. */
+  void RestoreOpenStarts(const WorkerRoster& aRoster);
+  /** Returns what is known about a worker on which a copy may be running. */
+  WorkerEvidence EvidenceAbout(const std::string& aWorker) const;
+  void RemoveSettledStarts();
   /** Records that a command is about to be sent which grants a lease until
    * aUntilWorkerMs on the worker's clock. Precondition: the reading of that
    * clock is known. */
@@ -696,10 +703,10 @@
   /** Returns the worker on which a task is to be started, or null if it has to
    * wait. */
   ScheduledWorker* ChooseWorker(const TaskToPlace& aTask);
-  /** Returns the worker of an earlier start if a task can be started there now,
-   * or null. */
-  ScheduledWorker* WorkerOfStart(const UnansweredStart& aStart,
-                                 const TaskToPlace& aTask);
+  /** Returns the worker on which a task is to be started that may be started
+   * only where aRestriction allows, or null if it has to wait. */
+  ScheduledWorker* ChooseWorkerWithin(const StartRestriction& aRestriction,
+                                      const TaskToPlace& aTask);
   ScheduledWorker* ChooseWorkerAmong(std::span<ScheduledWorker* const> aWorkers,
                                      const TaskToPlace& aTask);
   /** Returns whether the search for a worker for aTask can be skipped: in this
@@ -790,9 +797,9 @@
    * assignmentsRecorded, if all runs are known. */
   std::optional<std::uint64_t> recordingChange;
   std::vector<HeldStart> heldStarts;
-  /** By task; long-running tasks and members of gangs are not included, since
-   * they cannot wait for one worker. */
-  std::map<std::string, UnansweredStart> unansweredStarts;
+  OpenStarts openStarts;
+  /** When the read of the registry began that UpdateWorkers() applied last. */
+  TimePoint registryReadAt;
   /** Long-running tasks that the current planning pass skipped since they wait
    * for their recorded worker. */
   std::vector<TaskName> awaitedTasks;
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -19,10 +19,9 @@
 /** Covers rounding and the timer granularity of a worker. */
 constexpr std::chrono::milliseconds kLeaseMargin{ 100 };
 
-/** Longest time after its decision at which a command can be carried out: a
- * start command is sent for up to 1.5 s, and a command without an answer can
- * arrive up to 12 s after it was sent. */
-constexpr std::chrono::milliseconds kMaxCommandDelay{ 13500 };
+/** An earlier owner that has not noticed the takeover sends commands for this
+ * long at most. */
+constexpr std::chrono::milliseconds kEarlierOwnerCommands{ 2500 };
 
 /** Returns the time since a command was sent for the log; -1 if none was. */
 std::int64_t
@@ -189,76 +188,95 @@
 }
 
 TimePoint
-CellScheduler::NoCopyRunsAfter(const Commitment& aCommitment) const
+CellScheduler::NoCopyRunsAfter(const std::string& aWorker,
+                               const std::string& aTask,
+                               const Commitment& aCommitment) const
 {
-  return this->LongestLeaseExpiresBy(
-    aCommitment.allCopiesAnswered
-      ? aCommitment.confirmedAt
-      : std::max(aCommitment.startedAt,
-                 aCommitment.unansweredAt.value_or(TimePoint())) +
-          kMaxCommandDelay);
+  if (aCommitment.allCopiesAnswered) {
+    return this->LongestLeaseExpiresBy(aCommitment.confirmedAt);
+  }
+  const TimePoint closesAt =
+    this->openStarts.ClosesAt(aTask, aWorker).value_or(TimePoint());
+  return this->LongestLeaseExpiresBy(std::max(
+    aCommitment.startedAt + OpenStarts::kLongestDelayFromDecision, closesAt));
 }
 
 void
-CellScheduler::NoteUnansweredStart(const ScheduledWorker& aWorker,
-                                   const std::string& aTask,
-                                   const Commitment& aCommitment)
+CellScheduler::AddOpenStart(const std::string& aWorker,
+                            const std::string& aTask,
+                            const Commitment& aCommitment,
+                            TimePoint aClosesAt)
 {
-  const WorkflowStep& step = aCommitment.step;
-  if (!aCommitment.unansweredAt || step.longRunning || step.gang ||
-      this->clock.Now() > *aCommitment.unansweredAt + kMaxCommandDelay) {
+  const OpenStart start{
+    aTask, aCommitment.run, aWorker, aCommitment.step.gang
+  };
+  if (!this->openStarts.Add(start, aClosesAt)) {
     return;
   }
-  const std::string& worker = aWorker.description.id;
-  this->unansweredStarts[aTask] =
-    UnansweredStart{ worker, *aCommitment.unansweredAt, !aCommitment.repeated };
+  const TimePoint now = this->clock.Now();
   Event("start_still_open")
     .Add("task", aTask)
     .Add("run", aCommitment.run)
-    .Add("worker", worker)
-    .Add("age_ms",
-         MillisecondsSince(this->clock.Now(), aCommitment.unansweredAt));
+    .Add("worker", aWorker)
+    .Add("age_ms", MillisecondsSince(now, aCommitment.startedAt))
+    .Add("closes_in_ms", -MillisecondsSince(now, aClosesAt));
 }
 
-const CellScheduler::UnansweredStart*
-CellScheduler::FindUnansweredStart(const std::string& aTask) const
+void
+CellScheduler::RestoreOpenStarts(const WorkerRoster& aRoster)
 {
-  const auto found = this->unansweredStarts.find(aTask);
-  if (found == this->unansweredStarts.end()) {
-    return nullptr;
+  // The earlier owner may have sent another copy until its commands were no
+  // longer valid.
+  const TimePoint closesAt = this->createdAt + kEarlierOwnerCommands +
+                             OpenStarts::kLongestDelayFromDecision;
+  for (const OpenStart& start : aRoster.openStarts) {
+    this->openStarts.Restore(start, closesAt);
+    if (const auto known = this->FindTask(start.task)) {
+      known->task->run = std::max(known->task->run, start.run);
+    }
+    Event("start_still_open")
+      .Add("task", start.task)
+      .Add("run", start.run)
+      .Add("worker", start.worker)
+      .Add("age_ms", -1)
+      .Add("closes_in_ms", -MillisecondsSince(this->clock.Now(), closesAt));
   }
-  return this->MayCopyRun(found->second) ? &found->second : nullptr;
 }
 
-bool
-CellScheduler::MayCopyRun(const UnansweredStart& aStart) const
+WorkerEvidence
+CellScheduler::EvidenceAbout(const std::string& aWorker) const
 {
-  const TimePoint now = this->clock.Now();
-  const TimePoint lastStart = aStart.decidedAt + kMaxCommandDelay;
-  const ScheduledWorker* const worker = this->FindWorker(aStart.worker);
-  // A report that is newer than the last possible start lists the run.
-  const bool reported =
-    worker != nullptr && worker->clockRequestedAt > lastStart;
-  return now <= lastStart ||
-         (!reported && now <= this->LongestLeaseExpiresBy(lastStart));
+  const ScheduledWorker* const worker = this->FindWorker(aWorker);
+  WorkerEvidence evidence;
+  if (worker != nullptr && worker->reported) {
+    evidence.reportRequestedAt = worker->clockRequestedAt;
+  }
+  if (worker == nullptr || !worker->listed) {
+    evidence.missingAt = this->registryReadAt;
+  }
+  return evidence;
 }
 
 void
-CellScheduler::RemoveExpiredStarts()
+CellScheduler::RemoveSettledStarts()
 {
-  std::erase_if(this->unansweredStarts, [this](const auto& aItem) {
-    const UnansweredStart& start = aItem.second;
-    if (this->MayCopyRun(start)) {
-      return false;
-    }
-    ScheduledWorker* const worker = this->Worker(start.worker);
-    if (worker != nullptr && !start.repeatable) {
+  const TimePoint now = this->clock.Now();
+  const auto settled =
+    this->openStarts.RemoveSettled(now, [this](const std::string& aWorker) {
+      return this->EvidenceAbout(aWorker);
+    });
+  for (const OpenStarts::Settled& one : settled) {
+    Event("start_settled")
+      .Add("task", one.start.task)
+      .Add("run", one.start.run)
+      .Add("worker", one.start.worker)
+      .Add("reason", one.reason);
+    ScheduledWorker* const worker = this->Worker(one.start.worker);
+    if (worker != nullptr && one.follows) {
       // It left two starts unanswered, so another worker is tried next.
-      worker->backoffUntil =
-        this->clock.Now() + ScheduledWorker::kStartRejectedBackoff;
+      worker->backoffUntil = now + ScheduledWorker::kStartRejectedBackoff;
     }
-    return true;
-  });
+  }
 }
 
 std::optional<TimePoint>
@@ -267,9 +285,7 @@
   std::optional<TimePoint> last =
     std::max(aWorker.openRenewalAt, aWorker.unansweredGrantAt);
   for (const auto& [task, commitment] : aWorker.Commitments()) {
-    const bool open =
-      commitment.unansweredAt || commitment.confirmedAt == TimePoint();
-    if (!commitment.held && open) {
+    if (!commitment.held && commitment.confirmedAt == TimePoint()) {
       last = std::max(last, std::optional(commitment.startedAt));
     }
   }
@@ -280,7 +296,8 @@
 CellScheduler::HasCommandsInFlight(const ScheduledWorker& aWorker) const
 {
   const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
-  return open && this->clock.Now() <= *open + kMaxCommandDelay;
+  return open &&
+         this->clock.Now() <= *open + OpenStarts::kLongestDelayFromDecision;
 }
 
 void
@@ -301,7 +318,7 @@
   const TimePoint now = this->clock.Now();
   const std::optional<TimePoint> open = this->LastOpenGrant(aWorker);
   aWorker.staleLeasesExpiredBy = this->LongestLeaseExpiresBy(
-    open ? std::max(now, *open + kMaxCommandDelay) : now);
+    open ? std::max(now, *open + OpenStarts::kLongestDelayFromDecision) : now);
 }
 
 void
@@ -339,7 +356,7 @@
 CellScheduler::ExpireLeases()
 {
   const TimePoint now = this->clock.Now();
-  this->RemoveExpiredStarts();
+  this->RemoveSettledStarts();
   for (auto& [id, worker] : this->workers) {
     if (now <= worker.AllLeasesExpiredBy()) {
       continue;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -219,12 +219,15 @@
 }
 
 ScheduledWorker*
-CellScheduler::WorkerOfStart(const UnansweredStart& aStart,
-                             const TaskToPlace& aTask)
+CellScheduler::ChooseWorkerWithin(const StartRestriction& aRestriction,
+                                  const TaskToPlace& aTask)
 {
-  ScheduledWorker* const worker = this->Worker(aStart.worker);
+  if (aRestriction.kind == StartRestriction::Kind::AnyWorker) {
+    return this->ChooseWorker(aTask);
+  }
+  ScheduledWorker* const worker = this->Worker(aRestriction.worker);
   const auto end = this->availableWorkers.end();
-  if (!aStart.repeatable ||
+  if (aRestriction.kind == StartRestriction::Kind::NoWorker ||
       std::find(this->availableWorkers.begin(), end, worker) == end) {
     return nullptr;
   }
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -601,14 +601,15 @@
     placed.interrupted = aCandidate.order.interrupted;
     placed.firstStart = !tasks[i].hasRun;
     placed.suspect = this->IsSuspect(name, tasks[i]);
-    const UnansweredStart* const earlier =
-      this->FindUnansweredStart(FormatTaskName(name));
-    const bool missed = longestMissed && placed.waited <= *longestMissed;
-    ScheduledWorker* const worker = earlier != nullptr
-                                      ? this->WorkerOfStart(*earlier, placed)
-                                    : missed ? nullptr
-                                             : this->ChooseWorker(placed);
-    if (worker == nullptr && earlier != nullptr) {
+    const StartRestriction restriction =
+      this->openStarts.RestrictionOf(FormatTaskName(name));
+    const bool restricted =
+      restriction.kind != StartRestriction::Kind::AnyWorker;
+    const bool missed =
+      !restricted && longestMissed && placed.waited <= *longestMissed;
+    ScheduledWorker* const worker =
+      missed ? nullptr : this->ChooseWorkerWithin(restriction, placed);
+    if (worker == nullptr && restricted) {
       continue;
     }
     if (worker == nullptr && this->AwaitsIsolation(placed)) {
@@ -639,12 +640,6 @@
     placed.rack = worker->description.rack;
     this->CountStart(aCandidate);
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
-    if (earlier != nullptr) {
-      Commitment& commitment = *worker->Find(FormatTaskName(name));
-      commitment.unansweredAt = earlier->decidedAt;
-      commitment.repeated = true;
-      this->unansweredStarts.erase(FormatTaskName(name));
-    }
     if (placed.mayShare) {
       this->SlowToShare(*worker);
     }
@@ -696,10 +691,17 @@
     placed.waited = this->clock.Now() - pendingSince;
   }
   for (std::uint32_t i = 0; i < step.count; ++i) {
-    ScheduledWorker* const worker = this->ChooseWorker(placed);
+    const StartRestriction restriction =
+      this->openStarts.RestrictionOf(FormatTaskName(
+        { aCandidate.job, aCandidate.occurrence, aCandidate.step, i }));
+    ScheduledWorker* const worker =
+      this->ChooseWorkerWithin(restriction, placed);
+    const bool restricted =
+      restriction.kind != StartRestriction::Kind::AnyWorker;
     // Later searches see the capacity of the members before, so that what they
     // miss says nothing about other steps.
-    if (worker == nullptr && chosen.empty() && !this->AwaitsIsolation(placed)) {
+    if (worker == nullptr && chosen.empty() && !restricted &&
+        !this->AwaitsIsolation(placed)) {
       this->NoteUnplaced(placed);
     }
     const bool earlierRun =
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -81,9 +81,14 @@
   const Commitment* const commitment = aWorker.Find(aRow.task);
   if (commitment != nullptr && commitment->run <= aRow.run) {
     aWorker.NoteFillerEnd(*commitment, this->clock.Now());
-    this->NoteUnansweredStart(aWorker, aRow.task, *commitment);
     aWorker.Release(aRow.task);
   }
+  // A worker can list the end of a run that it was told to stop and that never
+  // began there.
+  if (aRow.end != RunEnd::Stopped) {
+    this->openStarts.NoteCarriedOut(
+      aRow.task, aWorker.description.id, aRow.run);
+  }
   this->policies.observer.RunEnded(aRow.end);
   const std::optional<TaskName> name = ParseTaskName(aRow.task);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
@@ -194,6 +199,7 @@
 {
   Commitment* const commitment = aWorker.Find(aRow.task);
   const std::optional<TaskName> name = ParseTaskName(aRow.task);
+  this->openStarts.NoteCarriedOut(aRow.task, aWorker.description.id, aRow.run);
   if (commitment != nullptr && commitment->run == aRow.run) {
     if (commitment->phase == CommitmentPhase::Starting) {
       commitment->phase = CommitmentPhase::Running;
@@ -318,7 +324,8 @@
 void
 CellScheduler::MarkRunLost(ScheduledWorker& aWorker,
                            const std::string& aTask,
-                           const char* aReason)
+                           const char* aReason,
+                           bool aRejected)
 {
   const Commitment* const commitment = aWorker.Find(aTask);
   if (commitment == nullptr) {
@@ -335,7 +342,16 @@
   // A start that was rejected or not carried out does not end the wait of the
   // task, otherwise a worker that rejects every start would keep renewing it.
   const bool began = commitment->confirmedAt != TimePoint();
-  this->NoteUnansweredStart(aWorker, aTask, *commitment);
+  const bool awaitsAnswer =
+    !began && !commitment->awaitsStop &&
+    !this->openStarts.Contains(aTask, aWorker.description.id, commitment->run);
+  if (awaitsAnswer && !aRejected) {
+    this->AddOpenStart(aWorker.description.id,
+                       aTask,
+                       *commitment,
+                       commitment->startedAt +
+                         OpenStarts::kLongestDelayFromDecision);
+  }
   aWorker.Release(aTask);
   const std::optional<TaskName> name = ParseTaskName(aTask);
   Entry* const entry = name ? this->FindJob(name->job) : nullptr;
@@ -358,7 +374,9 @@
   std::vector<std::string> tasks;
   for (const auto& [task, commitment] : aWorker.Commitments()) {
     if (commitment.held ||
-        (commitment.awaitsStop && now <= this->NoCopyRunsAfter(commitment))) {
+        (commitment.awaitsStop &&
+         now <=
+           this->NoCopyRunsAfter(aWorker.description.id, task, commitment))) {
       continue;
     }
     tasks.push_back(task);
@@ -397,7 +415,9 @@
     // out by the new incarnation. A held start was never sent.
     const bool unreported = commitment.confirmedAt == TimePoint() ||
                             commitment.confirmedAt > aWorker.lastReportAt;
-    if (commitment.unansweredAt || (unreported && !commitment.held)) {
+    const bool open =
+      this->openStarts.Contains(task, aWorker.description.id, commitment.run);
+    if (open || (unreported && !commitment.held)) {
       inFlight.push_back(task);
     }
   }
@@ -410,7 +430,11 @@
     commitment.awaitsStop = true;
     commitment.stopSentAt = TimePoint();
     if (commitment.confirmedAt == TimePoint()) {
-      commitment.unansweredAt = commitment.startedAt;
+      this->AddOpenStart(aWorker.description.id,
+                         task,
+                         commitment,
+                         commitment.startedAt +
+                           OpenStarts::kLongestDelayFromDecision);
     }
   }
   this->MarkAllRunsLost(aWorker, "worker restarted");
@@ -432,10 +456,19 @@
   if (worker == nullptr) {
     return;
   }
-  worker->unansweredGrantAt = this->clock.Now();
-  Commitment* const commitment = worker->Find(aTask);
-  if (commitment != nullptr && commitment->run == aRun) {
-    commitment->unansweredAt = commitment->startedAt;
+  const TimePoint now = this->clock.Now();
+  worker->unansweredGrantAt = now;
+  const Commitment* const commitment = worker->Find(aTask);
+  // Without a commitment, or with a confirmed one, a report has listed the run
+  // of the only copy that was sent, unless the start is known to be open.
+  const bool awaited = commitment != nullptr && commitment->run == aRun &&
+                       commitment->confirmedAt == TimePoint();
+  if (awaited) {
+    this->AddOpenStart(
+      aWorker, aTask, *commitment, now + OpenStarts::kLongestDelay);
+  } else if (this->openStarts.Contains(aTask, aWorker, aRun)) {
+    this->openStarts.Add(OpenStart{ aTask, aRun, aWorker },
+                         now + OpenStarts::kLongestDelay);
   }
 }
 
@@ -458,10 +491,13 @@
   if (commitment->awaitsStop) {
     return;
   }
-  if (aMayBeInFlight) {
-    commitment->unansweredAt = commitment->startedAt;
-  }
   const TimePoint now = this->clock.Now();
+  const bool listed = commitment->confirmedAt != TimePoint();
+  if (aMayBeInFlight && !listed &&
+      !this->openStarts.Contains(aTask, aWorker, aRun)) {
+    this->AddOpenStart(
+      aWorker, aTask, *commitment, now + OpenStarts::kLongestDelay);
+  }
   const bool began = aReply.result == WorkerCommandResult::Done ||
                      aReply.result == WorkerCommandResult::OldRun;
   if (const auto known = this->FindTask(aTask); known && began) {
@@ -472,7 +508,8 @@
       commitment->phase = CommitmentPhase::Running;
     }
     commitment->confirmedAt = now;
-    commitment->allCopiesAnswered = !commitment->unansweredAt;
+    commitment->allCopiesAnswered =
+      !this->openStarts.Contains(aTask, aWorker, aRun);
     return;
   }
   Event("start_turned_away", LogLevel::Warning)
@@ -494,7 +531,19 @@
       aReply.result == WorkerCommandResult::Fenced || aMayBeInFlight) {
     return;
   }
-  this->MarkRunLost(*worker, aTask, "start turned away");
+  this->MarkRunLost(*worker, aTask, "start turned away", true);
+}
+
+bool
+CellScheduler::BeginRepeatedStart(const std::string& aWorker,
+                                  const std::string& aTask,
+                                  std::uint64_t aRun)
+{
+  if (!this->openStarts.IsRecorded(aTask, aWorker, aRun)) {
+    return false;
+  }
+  this->openStarts.NoteRepeated(aTask, aWorker, aRun);
+  return true;
 }
 
 bool
@@ -509,6 +558,7 @@
   const auto found = worker->Commitments().find(aTask);
   return found != worker->Commitments().end() && found->second.run == aRun &&
          found->second.phase == CommitmentPhase::Starting &&
+         this->clock.Now() < found->second.startExpiresAt &&
          !worker->IsExceededFor(found->second.step);
 }
 
--- /dev/null
+++ b/src/OpenStarts.cpp
@@ -0,0 +1,233 @@
+#include "OpenStarts.h"
+
+#include "TaskName.h"
+
+#include <algorithm>
+
+namespace sequoiakeel {
+
+bool
+OpenStarts::Add(const OpenStart& aStart, TimePoint aClosesAt)
+{
+  if (Entry* const known = this->Find(aStart.task, aStart.worker, aStart.run)) {
+    known->closesAt = std::max(known->closesAt, aClosesAt);
+    return false;
+  }
+  Entry entry;
+  entry.start = aStart;
+  entry.closesAt = aClosesAt;
+  std::vector<Entry>& entries = this->starts[aStart.task];
+  entry.follows = !entries.empty();
+  entries.push_back(std::move(entry));
+  return true;
+}
+
+void
+OpenStarts::Restore(const OpenStart& aStart, TimePoint aClosesAt)
+{
+  this->Add(aStart, aClosesAt);
+  Entry& entry = *this->Find(aStart.task, aStart.worker, aStart.run);
+  entry.single = false;
+  entry.recorded = true;
+}
+
+void
+OpenStarts::NoteRepeated(const std::string& aTask,
+                         const std::string& aWorker,
+                         std::uint64_t aRun)
+{
+  if (Entry* const known = this->Find(aTask, aWorker, aRun)) {
+    known->single = false;
+  }
+}
+
+void
+OpenStarts::NoteCarriedOut(const std::string& aTask,
+                           const std::string& aWorker,
+                           std::uint64_t aRun)
+{
+  const auto found = this->starts.find(aTask);
+  if (found == this->starts.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const Entry& aEntry) {
+    return aEntry.single && aEntry.start.worker == aWorker &&
+           aEntry.start.run == aRun;
+  });
+  if (found->second.empty()) {
+    this->starts.erase(found);
+  }
+}
+
+const OpenStarts::Entry*
+OpenStarts::Find(const std::string& aTask,
+                 const std::string& aWorker,
+                 std::uint64_t aRun) const
+{
+  const auto found = this->starts.find(aTask);
+  if (found == this->starts.end()) {
+    return nullptr;
+  }
+  const auto entry =
+    std::ranges::find_if(found->second, [&](const Entry& aEntry) {
+      return aEntry.start.worker == aWorker && aEntry.start.run == aRun;
+    });
+  return entry == found->second.end() ? nullptr : &*entry;
+}
+
+OpenStarts::Entry*
+OpenStarts::Find(const std::string& aTask,
+                 const std::string& aWorker,
+                 std::uint64_t aRun)
+{
+  return const_cast<Entry*>(std::as_const(*this).Find(aTask, aWorker, aRun));
+}
+
+bool
+OpenStarts::Contains(const std::string& aTask,
+                     const std::string& aWorker,
+                     std::uint64_t aRun) const
+{
+  return this->Find(aTask, aWorker, aRun) != nullptr;
+}
+
+bool
+OpenStarts::IsRecorded(const std::string& aTask,
+                       const std::string& aWorker,
+                       std::uint64_t aRun) const
+{
+  const Entry* const entry = this->Find(aTask, aWorker, aRun);
+  return entry != nullptr && entry->recorded;
+}
+
+std::optional<TimePoint>
+OpenStarts::ClosesAt(const std::string& aTask, const std::string& aWorker) const
+{
+  const auto found = this->starts.find(aTask);
+  if (found == this->starts.end()) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> last;
+  for (const Entry& entry : found->second) {
+    if (entry.start.worker == aWorker) {
+      last = std::max(last, std::optional(entry.closesAt));
+    }
+  }
+  return last;
+}
+
+StartRestriction
+OpenStarts::RestrictionOf(const std::string& aTask) const
+{
+  const auto found = this->starts.find(aTask);
+  if (found == this->starts.end()) {
+    return {};
+  }
+  const Entry& first = found->second.front();
+  if (found->second.size() > 1 || first.follows || !first.recorded) {
+    return { StartRestriction::Kind::NoWorker, "" };
+  }
+  return { StartRestriction::Kind::OneWorker, first.start.worker };
+}
+
+bool
+OpenStarts::MayBeCarriedOut(const std::string& aTask, TimePoint aNow) const
+{
+  const std::optional<TaskName> name = ParseTaskName(aTask);
+  if (this->starts.empty() || !name) {
+    return false;
+  }
+  const std::string step = FormatStepKey(*name) + ".";
+  for (auto found = this->starts.lower_bound(step);
+       found != this->starts.end() && found->first.starts_with(step);
+       ++found) {
+    for (const Entry& entry : found->second) {
+      const bool concerns = found->first == aTask || entry.start.gang;
+      if (concerns && aNow <= entry.closesAt) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+const char*
+OpenStarts::SettledBy(const Entry& aEntry,
+                      TimePoint aNow,
+                      const WorkerEvidence& aEvidence) const
+{
+  if (aEvidence.reportRequestedAt > aEntry.closesAt) {
+    return "reported without it";
+  }
+  if (aEvidence.missingAt > aEntry.closesAt + kRegistrationTime) {
+    return "worker is gone";
+  }
+  return aNow > aEntry.closesAt + this->longestLease ? "leases expired" : "";
+}
+
+std::vector<OpenStarts::Settled>
+OpenStarts::RemoveSettled(
+  TimePoint aNow,
+  const std::function<WorkerEvidence(const std::string&)>& aEvidence)
+{
+  std::vector<Settled> settled;
+  for (auto& [task, entries] : this->starts) {
+    std::erase_if(entries, [&](const Entry& aEntry) {
+      if (aNow <= aEntry.closesAt) {
+        return false;
+      }
+      const char* const reason =
+        this->SettledBy(aEntry, aNow, aEvidence(aEntry.start.worker));
+      if (*reason == '\0') {
+        return false;
+      }
+      settled.push_back({ aEntry.start, reason, aEntry.follows });
+      return true;
+    });
+  }
+  std::erase_if(this->starts,
+                [](const auto& aItem) { return aItem.second.empty(); });
+  return settled;
+}
+
+std::vector<OpenStart>
+OpenStarts::ToRecord() const
+{
+  std::vector<OpenStart> result;
+  for (const auto& [task, entries] : this->starts) {
+    for (const Entry& entry : entries) {
+      result.push_back(entry.start);
+    }
+  }
+  return result;
+}
+
+void
+OpenStarts::Recorded(std::span<const OpenStart> aStarts)
+{
+  this->recordNamesStarts = !aStarts.empty();
+  for (auto& [task, entries] : this->starts) {
+    for (Entry& entry : entries) {
+      entry.recorded = false;
+    }
+  }
+  for (const OpenStart& start : aStarts) {
+    if (Entry* const known = this->Find(start.task, start.worker, start.run)) {
+      known->recorded = true;
+    }
+  }
+}
+
+bool
+OpenStarts::RecordIsStale() const
+{
+  if (this->starts.empty()) {
+    return this->recordNamesStarts;
+  }
+  return std::ranges::any_of(this->starts, [](const auto& aItem) {
+    return std::ranges::any_of(
+      aItem.second, [](const Entry& aEntry) { return !aEntry.recorded; });
+  });
+}
+
+} // namespace sequoiakeel
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -53,12 +53,6 @@
   /** While Starting: time from which the start command can no longer take
    * effect. */
   TimePoint startExpiresAt;
-  /** When the start command, or one for an earlier run of the task on this
-   * worker, was decided on of which a copy got no answer, so that it may still
-   * be carried out; unset if every copy was answered. */
-  std::optional<TimePoint> unansweredAt;
-  /** The run repeats an earlier start of the task that got no answer. */
-  bool repeated = false;
   /** The worker has confirmed the start command and answered every copy of it,
    * so that no copy can be carried out after confirmedAt. */
   bool allCopiesAnswered = false;
--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -4,6 +4,9 @@
 #include "ManualClock.h"
 
 #include <algorithm>
+#include <map>
+#include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -51,6 +54,33 @@
                            wallClock,
                            clock.Now() + std::chrono::seconds(8) };
   std::uint64_t storeRevision = 1;
+  /** Durable progress by job. */
+  std::map<std::string, WorkflowProgress> progress;
+
+  /** Replaces the scheduler by that of a new owner, which knows only what is
+   * durable. */
+  void TakeOver(std::span<const WorkflowSubmission> aSubmissions,
+                const WorkerRoster& aRoster)
+  {
+    std::destroy_at(&this->scheduler);
+    std::construct_at(
+      &this->scheduler,
+      this->bounds,
+      SchedulerPolicies{
+        this->order, this->choice, this->throttle, this->observer },
+      this->clock,
+      this->wallClock,
+      this->clock.Now() + std::chrono::seconds(8));
+    for (const WorkflowSubmission& submission : aSubmissions) {
+      const WorkflowProgress& known = this->progress[submission.id];
+      if (known.endedUnixMs > 0) {
+        this->scheduler.RestoreEnded(known);
+        continue;
+      }
+      this->scheduler.Restore(submission, known);
+    }
+    this->scheduler.SetRoster(aRoster);
+  }
 
   static WorkerDescription Worker(const std::string& aId,
                                   std::uint64_t aIncarnation = 1)
@@ -162,6 +192,7 @@
     const ProgressBatch batch = this->scheduler.TakeProgress();
     for (const ProgressRecord& record : batch.records) {
       this->scheduler.ProgressWritten(record);
+      this->progress[record.progress.id] = record.progress;
     }
     this->scheduler.BatchWritten(batch.change);
   }
--- a/test/unit/LateCommandsAfterRestarts.cpp
+++ b/test/unit/LateCommandsAfterRestarts.cpp
@@ -8,3 +8,16 @@
 {
   PlayRestartMixes(40, RestartingCell::kLateDelay);
 }
+
+// Guards against the same if workers that are up leave starts unanswered.
+TEST_CASE("starts that are left unanswered start no task twice")
+{
+  PlayRestartMixes(40, RestartingCell::kLateDelay, { .lateOneIn = 5 });
+}
+
+// Guards against a new owner that does not know which starts are open.
+TEST_CASE("a change of the owner starts no task twice")
+{
+  PlayRestartMixes(
+    40, RestartingCell::kLateDelay, { .lateOneIn = 5, .takeOvers = true });
+}
