Keep run ends while a copy of the start may be carried out

Its start was sent twice; the second copy ran and its end was acknowledged, and the next incarnation of the worker carried the first copy out.

Cause: an end was acknowledged as soon as it was durable. From then on it stands for good, although a copy of the start was still under way. Ruled out: a lost end, and an answer of the new incarnation to the owner.

Change: a worker keeps the end of a run while OpenStarts says that a start of the task, or of another member of its gang, may be carried out. The job is shown as completed and dependent steps start as before. The next owner knows the open starts from the roster. A worker that keeps more than 300 ends gets no new tasks, and one that keeps ends is asked again after 200 ms.

--- a/src/CellOwnershipSessionCommands.cpp
+++ b/src/CellOwnershipSessionCommands.cpp
@@ -35,6 +35,10 @@
  * time. */
 constexpr std::chrono::milliseconds kMinReportInterval{ 60 };
 
+/** The same after a report without a new end by a worker that keeps ends, which
+ * need not wait for the next end before it answers. */
+constexpr std::chrono::milliseconds kKeptEndsReportInterval{ 200 };
+
 /** Time-out of a report request in addition to the requested wait. */
 constexpr std::chrono::milliseconds kWorkerTimeout{ 600 };
 
@@ -135,7 +139,8 @@
     const EndsAcknowledgement ends{ worker->reportedIncarnation,
                                     worker->unresponsive
                                       ? 0
-                                      : worker->durableEnds };
+                                      : worker->EndsToAcknowledge() };
+    const std::uint64_t handledBefore = worker->handledEnds;
     const RenewReply reply = co_await this->dependencies.workerCommands.Renew(
       target, until, ends, wait, wait + kWorkerTimeout);
     if (this->ended) {
@@ -185,10 +190,15 @@
       this->writeSignal.Notify();
     }
     co_await this->AwaitDurableEnds(aWorker, *aLoop);
+    // A worker that keeps ends lists them at once instead of waiting.
+    worker = this->scheduler.FindWorker(aWorker);
+    const bool nothingNew = worker != nullptr && !worker->endsToKeep.empty() &&
+                            worker->handledEnds == handledBefore;
+    const Duration interval =
+      nothingNew ? kKeptEndsReportInterval : kMinReportInterval;
     const Duration sinceRequest = this->dependencies.clock.Now() - sentAt;
-    if (sinceRequest < kMinReportInterval) {
-      co_await SleepFor(this->dependencies.strand,
-                        kMinReportInterval - sinceRequest);
+    if (sinceRequest < interval) {
+      co_await SleepFor(this->dependencies.strand, interval - sinceRequest);
     }
   }
   this->workerLoops.erase(aWorker);
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -490,6 +490,10 @@
   double LatencyRatioFor(const ScheduledWorker& aWorker,
                          const std::string& aFillerImage) const;
   void HandleRunEnd(ScheduledWorker& aWorker, const EndedRun& aRow);
+  /** Has a worker keep a run end while a copy of a start of the task may still
+   * be carried out. Once it is acknowledged, that copy would be a second run of
+   * an ended task; an end that is lost with its worker counts for nothing. */
+  void KeepEndOfOpenStart(ScheduledWorker& aWorker, const EndedRun& aRow);
   void ApplyRunEnd(const std::string& aWorker,
                    const TaskName& aName,
                    Entry& aEntry,
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -277,6 +277,11 @@
       worker->backoffUntil = now + ScheduledWorker::kStartRejectedBackoff;
     }
   }
+  for (auto& [id, worker] : this->workers) {
+    std::erase_if(worker.endsToKeep, [&](const auto& aItem) {
+      return !this->openStarts.MayBeCarriedOut(aItem.second, now);
+    });
+  }
 }
 
 std::optional<TimePoint>
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -58,6 +58,7 @@
     if (row.sequence > worker->handledEnds) {
       worker->handledEnds = row.sequence;
       this->HandleRunEnd(*worker, row);
+      this->KeepEndOfOpenStart(*worker, row);
       worker->handledEndsChange = this->change;
       worker->endsToRecord[row.task] = this->change;
     }
@@ -104,6 +105,21 @@
   this->ApplyRunEnd(aWorker.description.id, *name, *entry, aRow);
 }
 
+void
+CellScheduler::KeepEndOfOpenStart(ScheduledWorker& aWorker,
+                                  const EndedRun& aRow)
+{
+  if (!this->openStarts.MayBeCarriedOut(aRow.task, this->clock.Now())) {
+    return;
+  }
+  aWorker.endsToKeep[aRow.sequence] = aRow.task;
+  Event("end_kept")
+    .Add("task", aRow.task)
+    .Add("run", aRow.run)
+    .Add("worker", aWorker.description.id)
+    .Add("sequence", aRow.sequence);
+}
+
 void
 CellScheduler::ApplyRunEnd(const std::string& aWorker,
                            const TaskName& aName,
@@ -442,6 +458,7 @@
   aWorker.backoffUntil = TimePoint();
   aWorker.handledEnds = 0;
   aWorker.endsToRecord.clear();
+  aWorker.endsToKeep.clear();
   aWorker.durableEnds = 0;
   // The new incarnation's clock is unknown until it reports.
   aWorker.clockReadingMs = 0;
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -252,6 +252,9 @@
   /** Sequence number up to which all run ends that the worker reported are
    * durable, so that the worker may discard them. */
   std::uint64_t durableEnds = 0;
+  /** Run ends that the worker must keep, with the tasks, by sequence number: a
+   * copy of a start of the task may still be carried out. */
+  std::map<std::uint64_t, std::string> endsToKeep;
   /** Speed of best-effort tasks by image, in percent; full speed if not listed.
    */
   std::map<std::string, int> fillerPercents;
@@ -270,6 +273,15 @@
    * thousandths of a core; unset after a change of one of its inputs. */
   mutable std::optional<double> fillerSpare;
 
+  /** Returns the sequence number up to which the worker may discard run ends.
+   */
+  std::uint64_t EndsToAcknowledge() const
+  {
+    return this->endsToKeep.empty()
+             ? this->durableEnds
+             : std::min(this->durableEnds, this->endsToKeep.begin()->first - 1);
+  }
+
   /** Returns the time by which the leases of all runs on the worker have
    * expired. */
   TimePoint AllLeasesExpiredBy() const
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -57,6 +57,10 @@
  * wait for as long as smaller ones take what becomes free. */
 constexpr double kMinUnusedShareIdle = 0.4;
 
+/** Number of run ends that a worker keeps from which it gets no new tasks. It
+ * lists at most 500 ends at a time, so that it would not list newer ones. */
+constexpr std::uint64_t kMostKeptEnds = 300;
+
 /** Age from which the last report counts as overdue. Workers report at least
  * once a second; one that is late may hang. */
 constexpr std::chrono::milliseconds kReportOverdue{ 1500 };
@@ -357,8 +361,11 @@
   const std::uint64_t described = aWorker.description.incarnation;
   const bool outdated =
     described != 0 && described < aWorker.reportedIncarnation;
+  const bool keepsTooMany =
+    !aWorker.endsToKeep.empty() &&
+    aWorker.handledEnds - aWorker.EndsToAcknowledge() > kMostKeptEnds;
   return aWorker.listed && aWorker.reported && !silent && !outdated &&
-         !aWorker.foreignRuns && !aWorker.takesStaleCommands &&
+         !keepsTooMany && !aWorker.foreignRuns && !aWorker.takesStaleCommands &&
          aWorker.Committed().unknownSizes == 0 &&
          !aWorker.description.draining && aNow >= aWorker.backoffUntil &&
          aWorker.clockReadingMs != 0;
--- a/test/support/CrashingCell.h
+++ b/test/support/CrashingCell.h
@@ -391,7 +391,7 @@
     }
     if (known->reportedIncarnation == machine.worker.incarnation) {
       std::erase_if(machine.ended, [&](const EndedRun& aRow) {
-        return aRow.sequence <= known->durableEnds;
+        return aRow.sequence <= known->EndsToAcknowledge();
       });
     }
     machine.reportedAt = this->Now();
--- a/test/support/RestartMix.h
+++ b/test/support/RestartMix.h
@@ -51,6 +51,7 @@
     }
     CAPTURE(seed);
     CHECK(cell.secondRuns.empty());
+    CHECK(cell.startsAfterEnd.empty());
   }
 }
 
--- a/test/support/RestartingCell.h
+++ b/test/support/RestartingCell.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -72,6 +73,9 @@
     WorkflowSubmission job = this->harness.Job(aId, aTasks);
     job.steps[0].longRunning = aLongRunning;
     this->durations[aId] = aDuration;
+    if (aLongRunning) {
+      this->longRunning.insert(aId);
+    }
     this->submissions.push_back(job);
     this->harness.scheduler.Accept(job);
   }
@@ -171,6 +175,9 @@
   Random random;
   /** Starts of a task that was running on another worker. */
   std::vector<std::string> secondRuns;
+  /** Tasks that were started after an end of them that was acknowledged then or
+   * later. */
+  std::vector<std::string> startsAfterEnd;
   /** Starts that an incarnation carried out after its first report, although
    * they were meant for an earlier one. */
   std::vector<std::string> staleStarts;
@@ -199,6 +206,10 @@
     std::map<std::string, std::uint64_t> highestRun;
     std::vector<EndedRun> ended;
     std::uint64_t nextEnd = 1;
+    /** When the listed runs ended, by sequence number. */
+    std::map<std::uint64_t, TimePoint> endedAt;
+    /** When the worker last had no lease. */
+    TimePoint lapsedAt;
     /** State of the owner's renewal loop for the worker. */
     TimePoint renewAt;
     bool renewalFailed = false;
@@ -255,6 +266,7 @@
     aNode.hasReported = false;
     aNode.highestRun.clear();
     aNode.nextEnd = 1;
+    aNode.endedAt.clear();
   }
 
   /** Returns the worker's clock, which runs 2% slow. */
@@ -305,11 +317,15 @@
       return;
     }
     const bool expired = this->ClockMs(aNode) >= aNode.leaseUntilMs;
+    if (expired) {
+      aNode.lapsedAt = this->Now();
+    }
     for (auto run = aNode.runs.begin(); run != aNode.runs.end();) {
       if (!expired && this->Now() < run->second.endsAt) {
         ++run;
         continue;
       }
+      aNode.endedAt[aNode.nextEnd] = this->Now();
       aNode.ended.push_back(
         EndedRun{ aNode.nextEnd++,
                   run->first,
@@ -366,6 +382,10 @@
     if (this->CountRuns(aCommand.task) > 0) {
       this->secondRuns.push_back(aCommand.task);
     }
+    if (this->doneTasks.contains(aCommand.task)) {
+      this->startsAfterEnd.push_back(aCommand.task);
+    }
+    this->startedAt[aCommand.task] = this->Now();
     const std::string job = ParseTaskName(aCommand.task)->job;
     aNode.runs[aCommand.task] =
       Run{ aCommand.run, this->Now() + this->durations.at(job) };
@@ -469,9 +489,7 @@
     const std::string& id = aNode.worker.id;
     const ScheduledWorker* const known = owner.FindWorker(id);
     if (known->reportedIncarnation == aNode.worker.incarnation) {
-      std::erase_if(aNode.ended, [&](const EndedRun& aRow) {
-        return aRow.sequence <= known->durableEnds;
-      });
+      this->Acknowledge(aNode, known->EndsToAcknowledge());
     }
     aNode.hasReported = true;
     WorkerReport report;
@@ -485,6 +503,26 @@
     this->WriteRosterIfStale();
   }
 
+  void Acknowledge(Node& aNode, std::uint64_t aUpTo)
+  {
+    std::erase_if(aNode.ended, [&](const EndedRun& aRow) {
+      if (aRow.sequence > aUpTo) {
+        return false;
+      }
+      const std::string job = ParseTaskName(aRow.task)->job;
+      const TimePoint endedAt = aNode.endedAt[aRow.sequence];
+      // An end does not count if the lease lapsed before its acknowledgement.
+      if (aRow.end == RunEnd::Done && !this->longRunning.contains(job) &&
+          endedAt > aNode.lapsedAt) {
+        this->doneTasks.insert(aRow.task);
+        if (this->startedAt[aRow.task] > endedAt) {
+          this->startsAfterEnd.push_back(aRow.task);
+        }
+      }
+      return true;
+    });
+  }
+
   int NodeNamed(const std::string& aWorker) const
   {
     int node = 0;
@@ -588,6 +626,11 @@
   std::map<std::string, std::chrono::milliseconds> durations;
   std::optional<std::chrono::milliseconds> fixedDelay;
   int lateOneIn = 0;
+  /** Jobs of long-running tasks, which are started again when they end. */
+  std::set<std::string> longRunning;
+  /** Tasks with an end that was acknowledged. */
+  std::set<std::string> doneTasks;
+  std::map<std::string, TimePoint> startedAt;
   std::vector<WorkflowSubmission> submissions;
   WorkerRoster durableRoster;
   std::uint64_t ownerToken = 1;
