Try tasks on quarantined workers that no other worker takes

Cause: a quarantine lasts a minute and longer, and nothing tried the worker meanwhile, also if no other worker could run a task. Its limit counts the whole cell and not the workers that a task can use. Ruled out: capacity (the workers were idle) and used-up attempts.

Change: a task that no available worker takes for a second is tried on a quarantined worker, one task or gang at a time, with pauses of 2 s that double up to 8 s. Two successes in a row end the quarantine. The log names quarantined, tried and readmitted workers.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -707,6 +707,8 @@
   /** Returns the worker on which a task is to be started, or null if it has to
    * wait. */
   ScheduledWorker* ChooseWorker(const TaskToPlace& aTask);
+  /** Returns a quarantined worker on which a task is to be tried, or null. */
+  ScheduledWorker* ChooseWorkerToTry(const TaskToPlace& aTask);
   /** Returns the worker on which a task is to be started that may be started
    * only where aRestriction allows, or null if it has to wait. */
   ScheduledWorker* ChooseWorkerWithin(const StartRestriction& aRestriction,
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -42,6 +42,17 @@
   commitment.backfill = !step.longRunning && !aWorker.Fits(step);
   commitment.held = step.longRunning;
   commitment.suspect = this->IsSuspect(aName, *aEntry.job.Find(aName));
+  commitment.trial =
+    !step.longRunning && this->quarantine.IsQuarantined(commitment.startedAt,
+                                                        aWorker.description.id);
+  if (commitment.trial) {
+    this->quarantine.BeginTrial(
+      commitment.startedAt, aWorker.description.id, aName.job);
+    Event("worker_tried")
+      .Add("worker", aWorker.description.id)
+      .Add("task", FormatTaskName(aName))
+      .Add("run", aRun);
+  }
   // A held start is not in flight, so a report without it proves nothing.
   commitment.startExpiresAt = TimePoint::max();
   aWorker.Commit(FormatTaskName(aName), std::move(commitment));
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -30,6 +30,10 @@
  * waiting. */
 constexpr std::chrono::milliseconds kQuarantinedWorkerWait{ 2500 };
 
+/** Wait after which a task that no other worker takes is tried on a quarantined
+ * one. Most tasks that wait for capacity get it before. */
+constexpr std::chrono::milliseconds kTrialWait{ 1000 };
+
 /** Wait after which an interrupted long-running task is started on capacity
  * that is reserved for another one: the other task could not start in this
  * time, and the capacity must not stay unused for longer than half of the six
@@ -204,18 +208,39 @@
 ScheduledWorker*
 CellScheduler::ChooseWorker(const TaskToPlace& aTask)
 {
-  if (this->IsUnplaced(aTask)) {
-    return nullptr;
+  if (!this->IsUnplaced(aTask)) {
+    ScheduledWorker* const best =
+      this->ChooseWorkerAmong(this->availableWorkers, aTask);
+    if (best != nullptr) {
+      return best;
+    }
   }
-  ScheduledWorker* const best =
-    this->ChooseWorkerAmong(this->availableWorkers, aTask);
-  if (best != nullptr || this->AwaitsIsolation(aTask)) {
-    return best;
+  if (this->AwaitsIsolation(aTask)) {
+    return nullptr;
   }
   if (aTask.step.longRunning && aTask.waited > kQuarantinedWorkerWait) {
     return this->ChooseWorkerAmong(this->quarantinedWorkers, aTask);
   }
-  return nullptr;
+  return this->ChooseWorkerToTry(aTask);
+}
+
+ScheduledWorker*
+CellScheduler::ChooseWorkerToTry(const TaskToPlace& aTask)
+{
+  if (aTask.step.longRunning || aTask.waited <= kTrialWait) {
+    return nullptr;
+  }
+  const TimePoint now = this->clock.Now();
+  std::vector<ScheduledWorker*> triable;
+  for (ScheduledWorker* const worker : this->quarantinedWorkers) {
+    const bool tried =
+      std::ranges::any_of(worker->Commitments(),
+                          [](const auto& aItem) { return aItem.second.trial; });
+    if (!tried && this->quarantine.MayTry(now, worker->description.id)) {
+      triable.push_back(worker);
+    }
+  }
+  return this->ChooseWorkerAmong(triable, aTask);
 }
 
 ScheduledWorker*
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -686,10 +686,8 @@
   TaskToPlace placed{ entry.job.Submission(), step, key, "" };
   placed.limits = this->LimitsFor(aCandidate);
   placed.mayShare = this->MayShare(aCandidate);
-  if (anySuspect) {
-    placed.suspect = true;
-    placed.waited = this->clock.Now() - pendingSince;
-  }
+  placed.suspect = anySuspect;
+  placed.waited = this->clock.Now() - pendingSince;
   for (std::uint32_t i = 0; i < step.count; ++i) {
     const StartRestriction restriction =
       this->openStarts.RestrictionOf(FormatTaskName(
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -149,11 +149,19 @@
   }
   if (aRow.end == RunEnd::Done || aRow.end == RunEnd::Failed) {
     const ScheduledWorker* const worker = this->FindWorker(aWorker);
-    this->quarantine.Report(this->clock.Now(),
+    const TimePoint now = this->clock.Now();
+    const bool before = this->quarantine.IsQuarantined(now, aWorker);
+    this->quarantine.Report(now,
                             aWorker,
                             worker != nullptr ? worker->description.rack : "",
                             aName.job,
                             aRow.end == RunEnd::Failed);
+    const bool after = this->quarantine.IsQuarantined(now, aWorker);
+    if (after != before) {
+      Event(after ? "worker_quarantined" : "worker_readmitted")
+        .Add("worker", aWorker)
+        .Add("job", aName.job);
+    }
   }
   if (aRow.end == RunEnd::Done && !step.longRunning) {
     if (step.gang) {
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -32,6 +32,14 @@
  * kLongestQuarantine. */
 constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
 constexpr Duration kLongestQuarantine = std::chrono::hours(1);
+/** Interval between tasks that are tried on a quarantined worker; it doubles
+ * with each up to kLongestTrialPause. Each failure uses up one of a task's
+ * attempts. A worker that is sound again has to be found before its tasks have
+ * waited for 14 s, which is when callers take them for lost. */
+constexpr Duration kFirstTrialPause = std::chrono::seconds(2);
+constexpr Duration kLongestTrialPause = std::chrono::seconds(8);
+/** Number of tasks in a row that have to succeed there to end a quarantine. */
+constexpr int kTrialSuccesses = 2;
 /** Losses within this time of each other may have a common cause. */
 constexpr Duration kLossWindow = std::chrono::seconds(30);
 /** Minimum number of losses of workers in one rack within kLossWindow that are
@@ -78,7 +86,7 @@
     job.succeededOn.insert(aWorker);
     job.failedOn.erase(aWorker);
     this->UpdateSuspicion(aJob);
-    this->RecordSuccess(worker);
+    this->RecordSuccess(aNow, worker, aJob);
     return;
   }
   // A failure counts against the job only on a healthy worker where some task
@@ -91,10 +99,21 @@
 }
 
 void
-Quarantine::RecordSuccess(Worker& aWorker)
+Quarantine::RecordSuccess(TimePoint aNow,
+                          Worker& aWorker,
+                          const std::string& aJob)
 {
   aWorker.hasSucceeded = true;
   aWorker.failures.clear();
+  if (aWorker.state == QuarantineState::Quarantined &&
+      aWorker.trialJob == aJob) {
+    if (++aWorker.trialSuccesses >= kTrialSuccesses) {
+      Release(aWorker);
+      return;
+    }
+    aWorker.nextTrialAt = aNow;
+    return;
+  }
   if (aWorker.state != QuarantineState::Probation) {
     return;
   }
@@ -102,8 +121,15 @@
   if (aWorker.probationSuccesses < kProbationSuccesses) {
     return;
   }
+  Release(aWorker);
+}
+
+void
+Quarantine::Release(Worker& aWorker)
+{
   aWorker.state = QuarantineState::Healthy;
   aWorker.timesQuarantined = 0;
+  aWorker.trialPause = Duration::zero();
 }
 
 void
@@ -117,6 +143,8 @@
   aWorker.lastFailure = aNow;
   ++aWorker.failures[aJob];
   if (aWorker.state == QuarantineState::Quarantined) {
+    aWorker.trialJob.clear();
+    aWorker.trialSuccesses = 0;
     return;
   }
   const int evidence = this->Evidence(aNow, aWorker);
@@ -144,6 +172,10 @@
   aWorker.state = QuarantineState::Quarantined;
   aWorker.quarantinedUntil = aNow + std::min(length, kLongestQuarantine);
   aWorker.probationSuccesses = 0;
+  aWorker.trialJob.clear();
+  aWorker.trialSuccesses = 0;
+  aWorker.trialPause = std::max(aWorker.trialPause, kFirstTrialPause);
+  aWorker.nextTrialAt = aNow + aWorker.trialPause;
 }
 
 int
@@ -270,6 +302,29 @@
          aNow < found->second.quarantinedUntil;
 }
 
+bool
+Quarantine::MayTry(TimePoint aNow, const std::string& aWorker) const
+{
+  const auto found = this->workers.find(aWorker);
+  return found != this->workers.end() &&
+         found->second.state == QuarantineState::Quarantined &&
+         aNow >= found->second.nextTrialAt;
+}
+
+void
+Quarantine::BeginTrial(TimePoint aNow,
+                       const std::string& aWorker,
+                       const std::string& aJob)
+{
+  if (!this->MayTry(aNow, aWorker)) {
+    return;
+  }
+  Worker& worker = this->workers.at(aWorker);
+  worker.trialJob = aJob;
+  worker.trialPause = std::min(2 * worker.trialPause, kLongestTrialPause);
+  worker.nextTrialAt = aNow + worker.trialPause;
+}
+
 double
 Quarantine::Suspicion(TimePoint aNow, const std::string& aWorker) const
 {
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -16,8 +16,9 @@
  * worker. A failure counts against a worker only if the job itself is not
  * suspected. Less evidence is required against a worker whose rack has other
  * failing workers. At most a fifth of the workers is quarantined at a time,
- * since a fault that more of them share is not remedied by avoiding them. Not
- * thread safe.
+ * since a fault that more of them share is not remedied by avoiding them. A
+ * task that only quarantined workers can run is tried there, at growing
+ * intervals. Not thread safe.
  */
 class Quarantine
 {
@@ -42,6 +43,20 @@
   /** Returns whether a worker is in a quarantine that has not expired. */
   bool IsQuarantined(TimePoint aNow, const std::string& aWorker) const;
 
+  /** Returns whether a quarantined worker may get a task to find out whether it
+   * still fails; for tasks that no other worker can run. */
+  bool MayTry(TimePoint aNow, const std::string& aWorker) const;
+
+  /** Records that a task of aJob is started on a quarantined worker to find out
+   * whether it still fails. Does nothing if MayTry() is false, so that it may
+   * be called for each task of a gang. Tasks of the job that succeed there then
+   * end the quarantine after kTrialSuccesses in a row; a failure ends the
+   * trial.
+   */
+  void BeginTrial(TimePoint aNow,
+                  const std::string& aWorker,
+                  const std::string& aJob);
+
   /** Returns the evidence against a worker relative to the threshold, from 0 to
    * 1; at 1 the worker is quarantined. */
   double Suspicion(TimePoint aNow, const std::string& aWorker) const;
@@ -81,6 +96,12 @@
     TimePoint quarantinedUntil;
     TimePoint lastFailure;
     bool hasSucceeded = false;
+    /** Job whose task was started last to find out whether the worker still
+     * fails; empty if it has failed since. */
+    std::string trialJob;
+    int trialSuccesses = 0;
+    TimePoint nextTrialAt;
+    Duration trialPause{};
   };
   struct Job
   {
@@ -98,7 +119,8 @@
   };
 
   Job& GetJob(TimePoint aNow, const std::string& aJob);
-  void RecordSuccess(Worker& aWorker);
+  void RecordSuccess(TimePoint aNow, Worker& aWorker, const std::string& aJob);
+  static void Release(Worker& aWorker);
   void RecordFailure(TimePoint aNow, Worker& aWorker, const std::string& aJob);
   void StartQuarantine(TimePoint aNow, Worker& aWorker);
   int Evidence(TimePoint aNow, const Worker& aWorker) const;
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -58,6 +58,9 @@
   bool allCopiesAnswered = false;
   /** The task is suspected of crashing its workers. */
   bool suspect = false;
+  /** The run was started to find out whether its quarantined worker still
+   * fails. */
+  bool trial = false;
   /** The run was found on the worker and not started by this owner, so it is
    * not known when it began. */
   bool adopted = false;
--- a/test/unit/Quarantine.cpp
+++ b/test/unit/Quarantine.cpp
@@ -183,3 +183,40 @@
   }
   CHECK(knowledge.StateOf(kStart, "w0") == QuarantineState::Healthy);
 }
+
+// Guards against a worker that is sound again and stays in quarantine although
+// only it can run some tasks.
+TEST_CASE("tasks are tried on a quarantined worker until two succeed")
+{
+  using std::chrono::seconds;
+  Quarantine quarantine;
+  ReportSuccesses(quarantine, 20);
+  TimePoint now = kStart;
+  for (const char* const job : { "a", "b", "c" }) {
+    quarantine.Report(now, "w1", "r0", job, true);
+  }
+  REQUIRE(quarantine.IsQuarantined(now, "w1"));
+  CHECK_FALSE(quarantine.MayTry(now, "w1"));
+  CHECK_FALSE(quarantine.MayTry(now, "w2"));
+  // The pauses grow up to a limit while tasks fail.
+  for (const seconds pause :
+       { seconds(2), seconds(4), seconds(8), seconds(8) }) {
+    CHECK_FALSE(quarantine.MayTry(now + pause - seconds(1), "w1"));
+    now += pause;
+    REQUIRE(quarantine.MayTry(now, "w1"));
+    quarantine.BeginTrial(now, "w1", "d");
+    CHECK_FALSE(quarantine.MayTry(now, "w1"));
+    quarantine.Report(now, "w1", "r0", "d", true);
+  }
+  now += seconds(8);
+  quarantine.BeginTrial(now, "w1", "e");
+  // A task that was started before the quarantine proves nothing.
+  quarantine.Report(now, "w1", "r0", "f", false);
+  CHECK_FALSE(quarantine.MayTry(now, "w1"));
+  quarantine.Report(now, "w1", "r0", "e", false);
+  CHECK(quarantine.IsQuarantined(now, "w1"));
+  REQUIRE(quarantine.MayTry(now, "w1"));
+  quarantine.BeginTrial(now, "w1", "e");
+  quarantine.Report(now, "w1", "r0", "e", false);
+  CHECK(quarantine.StateOf(now, "w1") == QuarantineState::Healthy);
+}
