Take a worker for gone only after two reads of the registry

An entry that is unreadable for a short time hides a worker that is up, so one read without it must not settle an open start. A worker is also dropped one read later. The new test fails with one read: the task is started elsewhere while its copy may be running; it passes now. Found by reading.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -3,6 +3,7 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiakeel {
 
@@ -214,7 +215,7 @@
 {
   this->registryReadAt = aReadAt.value_or(this->clock.Now());
   for (auto& [id, worker] : this->workers) {
-    worker.listed = false;
+    worker.listedBefore = std::exchange(worker.listed, false);
   }
   for (const WorkerDescription& description : aWorkers) {
     const auto found = this->workers.find(description.id);
@@ -308,7 +309,8 @@
       worker.Commitments().empty() && now > worker.AllLeasesExpiredBy();
     // A worker that is listed again has to be known as restarted, since it
     // would carry out the commands that were meant for its earlier incarnation.
-    if (worker.listed || !idle || this->HasCommandsInFlight(worker)) {
+    if (worker.listed || worker.listedBefore || !idle ||
+        this->HasCommandsInFlight(worker)) {
       return false;
     }
     Event("worker_dropped").Add("worker", aItem.first);
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -251,7 +251,8 @@
   if (worker != nullptr && worker->reported) {
     evidence.reportRequestedAt = worker->clockRequestedAt;
   }
-  if (worker == nullptr || !worker->listed) {
+  // The entry of a worker that is up can be unreadable for a short time.
+  if (worker == nullptr || (!worker->listed && !worker->listedBefore)) {
     evidence.missingAt = this->registryReadAt;
   }
   return evidence;
--- a/src/OpenStarts.h
+++ b/src/OpenStarts.h
@@ -18,8 +18,8 @@
 {
   /** When the worker's last report was requested; unset if there is none. */
   std::optional<TimePoint> reportRequestedAt;
-  /** When the last read of the registry began if it did not list the worker,
-   * otherwise unset. */
+  /** When the last read of the registry began if neither it nor the one before
+   * listed the worker, otherwise unset. */
   std::optional<TimePoint> missingAt;
 };
 
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -194,8 +194,9 @@
   static constexpr std::chrono::milliseconds kStartRejectedBackoff{ 300 };
 
   WorkerDescription description;
-  /** The registry lists the worker. */
+  /** The registry lists the worker, or did so when it was read before. */
   bool listed = true;
+  bool listedBefore = true;
   /** The worker has reported to this owner. */
   bool reported = false;
   /** Incarnation of the worker whose run ends are counted in handledEnds; the
--- a/test/unit/UnansweredStarts.cpp
+++ b/test/unit/UnansweredStarts.cpp
@@ -157,6 +157,34 @@
   CHECK(earlier.scheduler.RosterToWrite().silent.at(0).tasks.empty());
 }
 
+// Guards against a second run if the entry of a worker that runs a copy of a
+// start is unreadable when the registry is read, and against a task that waits
+// for the longest lease of a worker that is gone.
+TEST_CASE("a worker is gone if the registry has not listed it twice")
+{
+  for (const int reads : { 1, 2 }) {
+    CAPTURE(reads);
+    SchedulerHarness harness;
+    const PlannedStart start = StartOnW1(harness);
+    const std::vector both{ SchedulerHarness::Worker("w1"),
+                            SchedulerHarness::Worker("w2") };
+    harness.scheduler.UpdateWorkers(both);
+    harness.scheduler.HandleUnansweredStart("w1", start.command.task, 1);
+    harness.scheduler.HandleUnresponsive("w1");
+    for (int i = 0; i < 15; ++i) {
+      harness.clock.Advance(seconds(1));
+      harness.scheduler.UpdateWorkers(both);
+      harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+      harness.Report("w2", 1, {}, {});
+      CHECK(harness.PlanStarts().empty());
+    }
+    for (int i = 0; i < reads; ++i) {
+      harness.scheduler.UpdateWorkers(std::span(both).subspan(1));
+    }
+    CHECK(harness.PlanStarts().size() == (reads == 2 ? 1 : 0));
+  }
+}
+
 // Guards against two runs of a member of a gang, and against a gang that waits
 // without limit for the worker of one member.
 TEST_CASE("a gang waits while a copy of a member's start may be running")
