Count jobs whose starts were rejected as pending after a takeover

Cause: the record of a long-running task's assignment is written before its start, and the next owner took it as proof that the job had begun, also if the worker had rejected the start.

Change: the progress record says whether a task of the job has begun. A job whose record was written before its first run shows as queued until a worker reports the run.

--- a/src/WorkflowJob.cpp
+++ b/src/WorkflowJob.cpp
@@ -150,8 +150,9 @@
       found->hasRun = found->run > 0;
       found->mayRunOn = assignment.worker;
     }
-    this->started = true;
   }
+  // An assignment is recorded before its start, which the worker may reject.
+  this->started = this->started || aProgress.begun;
   for (const TaskFailures& failures : aProgress.failures) {
     const TaskName name{
       this->submission.id, failures.occurrence, failures.step, failures.index
@@ -403,6 +404,7 @@
   progress.id = this->submission.id;
   progress.queue = this->submission.queue;
   progress.state = aState;
+  progress.begun = this->started;
   progress.partial = this->IsPart();
   for (std::uint32_t k = 0; k < this->occurrences.size(); ++k) {
     for (std::uint32_t s = 0; s < this->occurrences[k].steps.size(); ++s) {
--- a/test/unit/CellScheduler.cpp
+++ b/test/unit/CellScheduler.cpp
@@ -133,6 +133,39 @@
   CHECK(harness.scheduler.CountPendingJobs("quotes") == 0);
 }
 
+// Guards against a queue that is shown as empty after a change of the owner
+// while workers have rejected all starts of its jobs.
+TEST_CASE("a job whose starts were rejected is pending for the next owner")
+{
+  for (const bool begun : { false, true }) {
+    CAPTURE(begun);
+    SchedulerHarness harness;
+    harness.AddWorkers({ "w1" });
+    WorkflowSubmission job = harness.Job("j");
+    job.steps[0].longRunning = true;
+    harness.scheduler.Accept(job);
+    const auto starts = harness.PlanStarts();
+    REQUIRE(starts.size() == 1);
+    harness.scheduler.HandleStart(
+      "w1",
+      "j.0.0.0",
+      1,
+      WorkerCommandReply{ begun ? WorkerCommandResult::Done
+                                : WorkerCommandResult::Refused,
+                          harness.WorkerMs() },
+      false);
+    if (begun) {
+      harness.clock.Advance(milliseconds(100));
+      harness.Report("w1", 1, {}, {});
+    }
+    harness.WriteProgress();
+    harness.TakeOver(std::vector{ job }, harness.scheduler.RosterToWrite());
+    CHECK(harness.scheduler.CountPendingJobs("quotes") == (begun ? 0 : 1));
+    CHECK(harness.scheduler.StateOf("j") ==
+          (begun ? WorkflowState::Running : WorkflowState::Queued));
+  }
+}
+
 // Guards against lost run ends of a worker that was restarted under the same
 // id: the registry lists the new incarnation before its first report, and the
 // sequence numbers of its run ends start again at 1.
