Stop a repeated start at the next incarnation while an earlier one is open

The move to OpenStarts had lost a guard: a worker that restarts under its id could get a further start of a task while a copy of an earlier start was under way to the same incarnation. The stop of the present run rejects both. The new test fails without it and passes with it.

The quarantined workers on which a task may be tried are listed once in each planning pass and not for each waiting task.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -834,6 +834,9 @@
    * workers that would accept them if they were not quarantined. */
   std::vector<ScheduledWorker*> availableWorkers;
   std::vector<ScheduledWorker*> quarantinedWorkers;
+  /** Quarantined workers on which a task may be tried in the current planning
+   * pass. */
+  std::vector<ScheduledWorker*> workersToTry;
   /** Smallest step for which no worker was found in the current planning pass,
    * by the PlacementKey() of the step. */
   std::map<std::string, WorkflowStep> unplaced;
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -192,13 +192,14 @@
                                const std::string& aTask,
                                const Commitment& aCommitment) const
 {
-  if (aCommitment.allCopiesAnswered) {
-    return this->LongestLeaseExpiresBy(aCommitment.confirmedAt);
-  }
-  const TimePoint closesAt =
-    this->openStarts.ClosesAt(aTask, aWorker).value_or(TimePoint());
-  return this->LongestLeaseExpiresBy(std::max(
-    aCommitment.startedAt + OpenStarts::kLongestDelayFromDecision, closesAt));
+  const TimePoint last =
+    aCommitment.allCopiesAnswered
+      ? aCommitment.confirmedAt
+      : aCommitment.startedAt + OpenStarts::kLongestDelayFromDecision;
+  // A start of an earlier run of the task can be open as well.
+  const std::optional<TimePoint> closesAt =
+    this->openStarts.ClosesAt(aTask, aWorker);
+  return this->LongestLeaseExpiresBy(std::max(last, closesAt.value_or(last)));
 }
 
 void
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -101,6 +101,7 @@
   const TimePoint now = this->clock.Now();
   this->availableWorkers.clear();
   this->quarantinedWorkers.clear();
+  this->workersToTry.clear();
   this->unplaced.clear();
   this->unplaceable.clear();
   this->anyBackfillable = false;
@@ -118,6 +119,9 @@
       this->quarantine.StateOf(now, id) == QuarantineState::Quarantined;
     (quarantined ? this->quarantinedWorkers : this->availableWorkers)
       .push_back(&worker);
+    if (quarantined && this->quarantine.MayTry(now, id) && !worker.HasTrial()) {
+      this->workersToTry.push_back(&worker);
+    }
   }
 }
 
@@ -230,17 +234,12 @@
   if (aTask.step.longRunning || aTask.waited <= kTrialWait) {
     return nullptr;
   }
+  // A task that was placed earlier in this pass may have begun a trial.
   const TimePoint now = this->clock.Now();
-  std::vector<ScheduledWorker*> triable;
-  for (ScheduledWorker* const worker : this->quarantinedWorkers) {
-    const bool tried =
-      std::ranges::any_of(worker->Commitments(),
-                          [](const auto& aItem) { return aItem.second.trial; });
-    if (!tried && this->quarantine.MayTry(now, worker->description.id)) {
-      triable.push_back(worker);
-    }
-  }
-  return this->ChooseWorkerAmong(triable, aTask);
+  std::erase_if(this->workersToTry, [&](const ScheduledWorker* aWorker) {
+    return !this->quarantine.MayTry(now, aWorker->description.id);
+  });
+  return this->ChooseWorkerAmong(this->workersToTry, aTask);
 }
 
 ScheduledWorker*
--- a/src/CellSchedulerReports.cpp
+++ b/src/CellSchedulerReports.cpp
@@ -439,9 +439,10 @@
     // out by the new incarnation. A held start was never sent.
     const bool unreported = commitment.confirmedAt == TimePoint() ||
                             commitment.confirmedAt > aWorker.lastReportAt;
+    // The stop also rejects the starts of earlier runs of the task.
     const bool open =
-      this->openStarts.Contains(task, aWorker.description.id, commitment.run);
-    if (open || (unreported && !commitment.held)) {
+      this->openStarts.ClosesAt(task, aWorker.description.id).has_value();
+    if (!commitment.held && (open || unreported)) {
       inFlight.push_back(task);
     }
   }
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -374,6 +374,13 @@
            this->handledEnds > this->durableEnds || bringsToken;
   }
 
+  /** Returns whether a run was started to try the worker. */
+  bool HasTrial() const
+  {
+    return std::ranges::any_of(
+      this->commitments, [](const auto& aItem) { return aItem.second.trial; });
+  }
+
   /** Returns whether every run on the worker is proven, except those of one
    * step. aExceptStep: empty if there is no exception. */
   bool AllRunsProven(TimePoint aNow, const std::string& aExceptStep) const;
--- a/test/unit/UnansweredStarts.cpp
+++ b/test/unit/UnansweredStarts.cpp
@@ -157,6 +157,30 @@
   CHECK(earlier.scheduler.RosterToWrite().silent.at(0).tasks.empty());
 }
 
+// Guards against a start that meets a copy of an earlier one at the next
+// incarnation of the worker: a stop there rejects both.
+TEST_CASE("a repeated start is stopped at the next incarnation of its worker")
+{
+  SchedulerHarness harness;
+  const PlannedStart first = StartOnW1(harness);
+  harness.scheduler.HandleUnansweredStart("w1", first.command.task, 1);
+  harness.scheduler.RosterWritten(harness.scheduler.RosterToWrite());
+  harness.clock.Advance(seconds(2));
+  harness.Report("w1", 1, {}, {});
+  const std::vector<PlannedStart> again = harness.PlanAndConfirm();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].command.run == 2);
+  harness.clock.Advance(milliseconds(100));
+  harness.Report("w1", 1, { { first.command.task, 2, "", 50, 0 } }, {});
+  harness.scheduler.UpdateWorkers(
+    std::vector{ SchedulerHarness::Worker("w1", 2) });
+  harness.Report("w1", 2, {}, {});
+  const PlannedCommands commands = harness.scheduler.Plan();
+  CHECK(commands.starts.empty());
+  REQUIRE(commands.stops.size() == 1);
+  CHECK(commands.stops[0].run == 2);
+}
+
 // Guards against a second run if the entry of a worker that runs a copy of a
 // start is unreadable when the registry is read, and against a task that waits
 // for the longest lease of a worker that is gone.
