Test that a task does not wait for the lease of a worker that is gone

OpenStarts takes a worker for gone that the registry has not listed for 2 s after the last possible start, which bounds the wait to 17 s. The new test asks for these 17 s, the 14 s and 3 s of the users' rule, for short and long-running tasks.

--- a/test/unit/RestartedWorkers.cpp
+++ b/test/unit/RestartedWorkers.cpp
@@ -182,6 +182,21 @@
   CHECK(cell.NodeOf("job.0.0.0") == 1);
 }
 
+// Guards against a task that has nothing running at the time at which callers
+// take it for lost: 14 s after the end of the traffic, for 3 s.
+TEST_CASE("a task does not wait for the lease of a worker that is gone")
+{
+  for (const bool longRunning : { false, true }) {
+    CAPTURE(longRunning);
+    RestartingCell cell(2, 1, RestartingCell::kLateDelay);
+    cell.Restart(0, seconds(60), 1);
+    cell.Submit("job", 1, seconds(30), longRunning);
+    cell.Simulate(seconds(17));
+    CHECK(cell.NodeOf("job.0.0.0") == 1);
+    CHECK(cell.secondRuns.empty());
+  }
+}
+
 // Guards against a second run of a task that was started elsewhere after its
 // worker had reported without it, if that worker restarts afterwards.
 TEST_CASE("a start without an answer is repeated at its worker")
