--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -395,8 +395,7 @@
   for (const auto& [id, incarnation] : this->SettledIncarnations()) {
     result.settled.push_back(WorkerIncarnation{ id, incarnation });
   }
-  result.openStarts =
-    this->openStarts.ToRecord(this->clock.Now(), this->wallClock.UnixMs());
+  result.openStarts = this->openStarts.ToRecord();
   result.assignmentsRecorded = this->assignmentsRecorded;
   return result;
 }
--- a/src/CellSchedulerLeases.cpp
+++ b/src/CellSchedulerLeases.cpp
@@ -23,11 +23,6 @@
  * long at most. */
 constexpr std::chrono::milliseconds kEarlierOwnerCommands{ 2500 };
 
-/** Added to the time of day at which an earlier owner recorded that a start
- * closes: 5 s for the difference of the clocks of two hosts, and 1.5 s for
- * copies that were sent after the record. */
-constexpr std::chrono::milliseconds kRecordTolerance{ 6500 };
-
 /** Returns the time since a command was sent for the log; -1 if none was. */
 std::int64_t
 MillisecondsSince(TimePoint aNow, std::optional<TimePoint> aSentAt)
@@ -232,16 +227,10 @@
 CellScheduler::RestoreOpenStarts(const WorkerRoster& aRoster)
 {
   // The earlier owner may have sent another copy until its commands were no
-  // longer valid. The recorded time keeps changes of the owner from beginning
-  // the wait anew.
-  const TimePoint latest = this->createdAt + kEarlierOwnerCommands +
-                           OpenStarts::kLongestDelayFromDecision;
-  const auto nowUnixMs = static_cast<std::int64_t>(this->wallClock.UnixMs());
+  // longer valid.
+  const TimePoint closesAt = this->createdAt + kEarlierOwnerCommands +
+                             OpenStarts::kLongestDelayFromDecision;
   for (const OpenStart& start : aRoster.openStarts) {
-    const std::chrono::milliseconds left(
-      static_cast<std::int64_t>(start.closesUnixMs) - nowUnixMs);
-    const TimePoint closesAt =
-      std::min(latest, this->clock.Now() + left + kRecordTolerance);
     this->openStarts.Restore(start, closesAt);
     if (const auto known = this->FindTask(start.task)) {
       known->task->run = std::max(known->task->run, start.run);
--- a/src/OpenStarts.cpp
+++ b/src/OpenStarts.cpp
@@ -191,16 +191,12 @@
 }
 
 std::vector<OpenStart>
-OpenStarts::ToRecord(TimePoint aNow, std::uint64_t aUnixMs) const
+OpenStarts::ToRecord() const
 {
   std::vector<OpenStart> result;
   for (const auto& [task, entries] : this->starts) {
     for (const Entry& entry : entries) {
-      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        entry.closesAt - aNow);
       result.push_back(entry.start);
-      result.back().closesUnixMs =
-        aUnixMs + static_cast<std::uint64_t>(left.count());
     }
   }
   return result;
--- a/src/OpenStarts.h
+++ b/src/OpenStarts.h
@@ -127,8 +127,8 @@
     TimePoint aNow,
     const std::function<WorkerEvidence(const std::string&)>& aEvidence);
 
-  /** Returns all open starts for the roster. aUnixMs: time of day at aNow. */
-  std::vector<OpenStart> ToRecord(TimePoint aNow, std::uint64_t aUnixMs) const;
+  /** Returns all open starts for the roster. */
+  std::vector<OpenStart> ToRecord() const;
 
   /** Records which open starts the durable roster names. */
   void Recorded(std::span<const OpenStart> aStarts);
--- a/test/unit/OpenStarts.cpp
+++ b/test/unit/OpenStarts.cpp
@@ -10,7 +10,7 @@
 
 constexpr seconds kLease{ 6 };
 constexpr TimePoint kClosesAt{ seconds(100) };
-const OpenStart kStart{ "j.0.0.0", 1, "w1", false, 0 };
+const OpenStart kStart{ "j.0.0.0", 1, "w1", false };
 
 /** Returns evidence about no worker. */
 WorkerEvidence
@@ -64,7 +64,7 @@
   CHECK(starts.RecordIsStale());
   CHECK(starts.RestrictionOf(kStart.task).kind ==
         StartRestriction::Kind::NoWorker);
-  starts.Recorded(starts.ToRecord(kClosesAt, 1000));
+  starts.Recorded(starts.ToRecord());
   CHECK_FALSE(starts.RecordIsStale());
   CHECK(starts.IsRecorded(kStart.task, "w1", 1));
   CHECK(starts.RestrictionOf(kStart.task).kind ==
@@ -72,8 +72,8 @@
   CHECK(starts.RestrictionOf(kStart.task).worker == "w1");
   CHECK(starts.RestrictionOf("j.0.0.1").kind ==
         StartRestriction::Kind::AnyWorker);
-  starts.Add({ kStart.task, 2, "w1", false, 0 }, kClosesAt + seconds(9));
-  starts.Recorded(starts.ToRecord(kClosesAt, 1000));
+  starts.Add({ kStart.task, 2, "w1" }, kClosesAt + seconds(9));
+  starts.Recorded(starts.ToRecord());
   CHECK(starts.RestrictionOf(kStart.task).kind ==
         StartRestriction::Kind::NoWorker);
   const auto settled = starts.RemoveSettled(kClosesAt + seconds(8), NoEvidence);
@@ -84,7 +84,7 @@
         StartRestriction::Kind::NoWorker);
   starts.RemoveSettled(kClosesAt + seconds(16), NoEvidence);
   CHECK(starts.RecordIsStale());
-  starts.Recorded(starts.ToRecord(kClosesAt, 1000));
+  starts.Recorded(starts.ToRecord());
   CHECK_FALSE(starts.RecordIsStale());
 }
 
@@ -118,7 +118,7 @@
   for (const bool gang : { false, true }) {
     CAPTURE(gang);
     OpenStarts starts(kLease);
-    starts.Add({ "j.0.1.10", 1, "w1", gang, 0 }, kClosesAt);
+    starts.Add({ "j.0.1.10", 1, "w1", gang }, kClosesAt);
     CHECK(starts.MayBeCarriedOut("j.0.1.10", kClosesAt));
     CHECK(starts.MayBeCarriedOut("j.0.1.2", kClosesAt) == gang);
     CHECK_FALSE(starts.MayBeCarriedOut("j.0.10.10", kClosesAt));
