--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -29,6 +29,8 @@
 
   bool Running();
 
+  pid_t Pid() const { return this->pid; }
+
 private:
   pid_t pid = -1;
   int exitCode = -1;
