Start nothing in availability zones that the operator closes

Ruled out: a watch, since one that was pending when the store failed hears no more events and proves nothing; moving what runs there, since each move is a gap of a service and the request asks only that nothing more be sent.

Change: a cell owner reads the closed zones once a second where the settings name a time within which a zone has to be closed (zone_close_ms, from the platform's bound). Each start is decided on a read whose age, plus the longest time until a start takes effect, is below that time; without one, as after a takeover or a pause, nothing starts. Held starts, hand-overs, published capacity and trials leave closed zones out. Log lines zone_closed, zone_opened, closed_zones_unknown; gauge sequoiakeel_closed_zones. The declarations of timings and of planned commands move out of CellScheduler.h.

--- a/src/CellOwnershipSession.cpp
+++ b/src/CellOwnershipSession.cpp
@@ -97,6 +97,10 @@
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.WatchInbox(); });
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.KeepRoster(); });
   this->Spawn([](CellOwnershipSession& aSelf) { return aSelf.PollRegistry(); });
+  if (this->dependencies.closedZones != nullptr) {
+    this->Spawn(
+      [](CellOwnershipSession& aSelf) { return aSelf.PollClosedZones(); });
+  }
   this->Spawn(
     [](CellOwnershipSession& aSelf) { return aSelf.WriteProgress(); });
   this->Spawn(
--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -50,6 +50,8 @@
   std::uint32_t cells = 1;
   /** Returns whether a registered worker belongs to this cell. */
   std::function<bool(const WorkerDescription&)> isOwnWorker;
+  /** Null if zones cannot be closed. */
+  ClosedZoneSource* closedZones = nullptr;
 };
 
 /** Ownership of a cell, as it was acquired. */
@@ -135,6 +137,7 @@
   boost::asio::awaitable<void> RenewOwnership();
   boost::asio::awaitable<void> WatchInbox();
   boost::asio::awaitable<void> PollRegistry();
+  boost::asio::awaitable<void> PollClosedZones();
   /** Writes the roster whenever it is stale and rosterSignal is set. */
   boost::asio::awaitable<void> KeepRoster();
   boost::asio::awaitable<void> WriteRoster();
--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -21,6 +21,11 @@
  * within about 2 s of the store's recovery. */
 constexpr std::chrono::milliseconds kRegistryGrace{ 2500 };
 
+/** Interval at which the closed zones are read. Two reads in a row may fail
+ * before the last one is too old for starts, with the shortest time in use of 5
+ * s within which a zone has to be closed. */
+constexpr std::chrono::milliseconds kClosedZonesInterval{ 1000 };
+
 } // namespace
 
 asio::awaitable<std::optional<StoreRangeReply>>
@@ -216,6 +221,32 @@
   }
 }
 
+asio::awaitable<void>
+CellOwnershipSession::PollClosedZones()
+{
+  bool known = true;
+  while (!this->ended) {
+    const TimePoint readAt = this->dependencies.clock.Now();
+    auto zones = co_await this->dependencies.closedZones->List();
+    if (this->ended) {
+      co_return;
+    }
+    if (zones) {
+      this->scheduler.UpdateClosedZones(std::move(*zones), readAt);
+      this->planSignal.Notify();
+    }
+    if (this->scheduler.KnowsClosedZones() != known) {
+      known = !known;
+      Event(known ? "closed_zones_known" : "closed_zones_unknown",
+            LogLevel::Warning)
+        .Add("cell", this->claim.cell);
+    }
+    const Duration pause =
+      zones ? Duration(kClosedZonesInterval) : kSessionStoreRetryDelay;
+    co_await SleepFor(this->dependencies.strand, pause);
+  }
+}
+
 asio::awaitable<void>
 CellOwnershipSession::PollRegistry()
 {
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -33,6 +33,7 @@
   , earlierLeasesExpiredBy(aEarlierLeasesExpiredBy)
   , createdAt(aClock.Now())
   , openStarts(this->LongestLeaseExpiresBy(TimePoint()) - TimePoint())
+  , closedZones(aBounds.zoneClose, SchedulerTimings::kLongestStart)
 {
 }
 
@@ -280,6 +281,53 @@
   this->quarantine.SetFleetSize(this->workers.size());
 }
 
+void
+CellScheduler::UpdateClosedZones(std::set<std::string> aZones,
+                                 TimePoint aReadAt)
+{
+  const ZoneChanges changes =
+    this->closedZones.Update(std::move(aZones), aReadAt);
+  this->ApplyClosedZones();
+  const auto log = [&](const std::string& aZone, bool aClosed) {
+    std::uint64_t workersIn = 0;
+    std::uint64_t runs = 0;
+    for (const auto& [id, worker] : this->workers) {
+      if (worker.description.zone == aZone) {
+        ++workersIn;
+        runs += worker.Commitments().size();
+      }
+    }
+    // A zone without workers may be a typing error of the operator.
+    Event(aClosed ? "zone_closed" : "zone_opened",
+          workersIn == 0 ? LogLevel::Warning : LogLevel::Info)
+      .Add("zone", aZone)
+      .Add("workers", workersIn)
+      .Add("runs", runs)
+      .Add("read_ms",
+           static_cast<std::int64_t>(
+             std::chrono::duration_cast<std::chrono::milliseconds>(
+               this->clock.Now() - aReadAt)
+               .count()));
+  };
+  for (const std::string& zone : changes.closed) {
+    log(zone, true);
+  }
+  for (const std::string& zone : changes.opened) {
+    log(zone, false);
+  }
+  this->policies.observer.ZonesClosed(this->closedZones.Zones().size());
+}
+
+void
+CellScheduler::ApplyClosedZones()
+{
+  const TimePoint now = this->clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    worker.zoneTakesStarts =
+      this->closedZones.MayStart(worker.description.zone, now);
+  }
+}
+
 void
 CellScheduler::HandleResize(ScheduledWorker& aWorker,
                             const WorkerCapacity& aCapacity)
@@ -596,7 +644,8 @@
   CellLoad load;
   for (const auto& [id, worker] : this->workers) {
     if (worker.listed && worker.reported && !worker.unresponsive &&
-        !worker.description.draining) {
+        !worker.description.draining &&
+        !this->closedZones.IsClosed(worker.description.zone)) {
       load.capacityCpuMilli += worker.description.capacity.cpuMilli;
     }
   }
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -3,13 +3,15 @@
 #include "BootClock.h"
 #include "CapacityForecast.h"
 #include "Clock.h"
+#include "ClosedZones.h"
 #include "CrashAttribution.h"
 #include "FillerThrottle.h"
-#include "HandOverTarget.h"
 #include "OpenStarts.h"
+#include "PlannedCommands.h"
 #include "Quarantine.h"
 #include "ScheduledWorker.h"
 #include "SchedulerObserver.h"
+#include "SchedulerTimings.h"
 #include "StepOrder.h"
 #include "WorkerChoice.h"
 #include "WorkflowJob.h"
@@ -26,34 +28,6 @@
 
 namespace sequoiakeel {
 
-/** Durations that the platform guarantees or requires. */
-struct SchedulerTimings
-{
-  /** Lease that the owner asks for. */
-  std::chrono::milliseconds workerLease{ 6000 };
-  /** Longest lease that a worker grants. */
-  std::chrono::milliseconds longestWorkerLease{ 6000 };
-  /** Shortest time for which a draining worker keeps running. */
-  std::chrono::milliseconds drain{ 2000 };
-  /** How long before its due time an instance of a recurring job may start. */
-  std::chrono::milliseconds earlyStart{ 250 };
-  /** How long the state of an ended job can be queried. */
-  std::chrono::milliseconds stateRetention{ 120000 };
-
-  /** Returns the interval at which the list of workers is read from the
-   * registry. It is derived from the drain time, since a start command must
-   * not reach a worker later than the drain time after the worker's drain
-   * notice, and the command can be in transit for 1.5 s. The upper bound
-   * follows from the 3 s after which a smaller capacity counts: 1.6 s of
-   * transit on a slow clock and 0.2 s for the reading itself remain. */
-  std::chrono::milliseconds RegistryInterval() const
-  {
-    return std::clamp(this->drain / 3,
-                      std::chrono::milliseconds(700),
-                      std::chrono::milliseconds(1200));
-  }
-};
-
 /** Replaceable policies of the scheduler; the objects must outlive it. */
 struct SchedulerPolicies
 {
@@ -63,74 +37,6 @@
   SchedulerObserver& observer;
 };
 
-/** A decision to start a run. */
-struct PlannedStart
-{
-  std::string worker;
-  Endpoint endpoint;
-  StartCommand command;
-};
-
-/** A decision to stop a run. */
-struct PlannedStop
-{
-  std::string worker;
-  Endpoint endpoint;
-  std::string task;
-  std::uint64_t run = 0;
-  /** Reason, for the log. */
-  const char* reason = "";
-};
-
-/** A decision to change the speed of a best-effort task. */
-struct PlannedThrottle
-{
-  std::string worker;
-  Endpoint endpoint;
-  std::string task;
-  std::uint64_t run = 0;
-  int percent = 100;
-  /** Number of the order among those for the run. */
-  std::uint64_t order = 0;
-};
-
-/** Commands to workers that result from one planning pass. */
-struct PlannedCommands
-{
-  std::vector<PlannedStart> starts;
-  std::vector<PlannedStop> stops;
-  std::vector<PlannedThrottle> throttles;
-  /** Number of starts that were decided on and are held until the progress that
-   * names them is durable. */
-  std::size_t heldStarts = 0;
-};
-
-/** A change of a job's progress that has to be made durable. */
-struct ProgressRecord
-{
-  WorkflowProgress progress;
-  /** The job has ended, so its submission can be deleted. */
-  bool final = false;
-};
-
-/** Progress records that are written together. */
-struct ProgressBatch
-{
-  std::vector<ProgressRecord> records;
-  /** Number of the last progress change that the records cover. */
-  std::uint64_t change = 0;
-};
-
-/** Tasks of one job that no worker of the cell can run and that can be handed
- * over to another cell. */
-struct HandOver
-{
-  WorkflowSubmission submission;
-  std::vector<TaskRun> tasks;
-  /** What the tasks need; all are of one step. */
-  HandOverDemand demand;
-};
-
 /**
  * Decides where and when the tasks of one cell run. It tracks the jobs, the
  * workers and the runs committed to each worker, and turns worker reports into
@@ -203,6 +109,17 @@
   void UpdateWorkers(std::span<const WorkerDescription> aWorkers,
                      std::optional<TimePoint> aReadAt = {});
 
+  /** Applies a read of the zones that the operator has closed. aReadAt: when
+   * the read began. */
+  void UpdateClosedZones(std::set<std::string> aZones, TimePoint aReadAt);
+
+  /** Returns whether the closed zones were read recently enough to start tasks.
+   */
+  bool KnowsClosedZones() const
+  {
+    return this->closedZones.IsKnown(this->clock.Now());
+  }
+
   /** Returns whether the durable roster has to be rewritten: it lacks a listed
    * worker, which gets no tasks until the roster names it, it names a removed
    * worker, for whose report the next owner would wait, a restarted worker
@@ -772,6 +689,8 @@
    * description of the worker changes. */
   void HandleResize(ScheduledWorker& aWorker, const WorkerCapacity& aCapacity);
   void RemoveUnlistedWorkers();
+  /** Notes for each worker whether its zone takes starts now. */
+  void ApplyClosedZones();
   ScheduledWorker* Worker(const std::string& aWorker);
   Entry* FindJob(const std::string& aJob);
 
@@ -804,6 +723,7 @@
   std::optional<std::uint64_t> recordingChange;
   std::vector<HeldStart> heldStarts;
   OpenStarts openStarts;
+  ClosedZones closedZones;
   /** When the read of the registry began that UpdateWorkers() applied last. */
   TimePoint registryReadAt;
   /** Long-running tasks that the current planning pass skipped since they wait
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/** Validity of a start command. A command without an answer can arrive up to 12
- * s later; after its validity the worker rejects it, and the task may be
- * started on another worker. */
-constexpr std::chrono::milliseconds kStartValidity{ 1500 };
-
 /** Workers that are up report to a new owner within this time. Before, nearly
  * every restored task waits for its worker, so that a reservation for each
  * would cover the whole cell. */
@@ -90,15 +85,14 @@
   start.command.payload = aEntry.job.Submission().payload;
   start.command.checkpoint = task.checkpoint;
   start.command.validUntilWorkerMs =
-    aWorker.ClockAt(now) + static_cast<std::uint64_t>(kStartValidity.count());
+    aWorker.ClockAt(now) +
+    static_cast<std::uint64_t>(SchedulerTimings::kStartValidity.count());
   this->ExtendLease(aWorker, start.command.validUntilWorkerMs);
   Commitment& commitment = *aWorker.Find(start.command.task);
   start.command.run = commitment.run;
   commitment.held = false;
   commitment.startedAt = now;
-  // The worker compares the validity with its own clock, which may run slow, so
-  // by the local clock the command stays valid slightly longer.
-  commitment.startExpiresAt = now + kStartValidity + kStartValidity / 20;
+  commitment.startExpiresAt = now + SchedulerTimings::kLongestStart;
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
     now - task.pendingSince);
   const std::int64_t own = step.filler ? 0 : step.cpuMilli;
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -110,6 +110,7 @@
   this->previousReservations = std::move(this->reservations);
   this->reservations.clear();
   this->reservationSearches = kReservationSearchesPerPass;
+  this->ApplyClosedZones();
   for (auto& [id, worker] : this->workers) {
     worker.ClearReservations();
     if (!AcceptsNewTasks(worker, now) || !this->roster.contains(id)) {
@@ -476,12 +477,14 @@
 void
 CellScheduler::NoteUnplaceable(const TaskName& aName, const TaskToPlace& aTask)
 {
-  // If fewer than half of the workers that do not drain accept starts, the
+  // If fewer than half of the workers that should accept starts do so, the
   // owner itself is probably disconnected, and handing over tasks would be
   // wrong.
   const auto expected = std::count_if(
-    this->workers.begin(), this->workers.end(), [](const auto& aWorker) {
-      return !aWorker.second.description.draining;
+    this->workers.begin(), this->workers.end(), [this](const auto& aWorker) {
+      const WorkerDescription& description = aWorker.second.description;
+      return !description.draining &&
+             !this->closedZones.IsClosed(description.zone);
     });
   if (this->availableWorkers.size() * 2 < static_cast<std::size_t>(expected)) {
     return;
--- a/src/ScheduledWorker.h
+++ b/src/ScheduledWorker.h
@@ -197,6 +197,8 @@
   /** The registry lists the worker, or did so when it was read before. */
   bool listed = true;
   bool listedBefore = true;
+  /** The worker's availability zone takes starts. */
+  bool zoneTakesStarts = true;
   /** The worker has reported to this owner. */
   bool reported = false;
   /** Incarnation of the worker whose run ends are counted in handledEnds; the
--- a/src/SchedulerMetrics.cpp
+++ b/src/SchedulerMetrics.cpp
@@ -3,6 +3,7 @@
 #include "Log.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -12,9 +13,11 @@
 namespace {
 
 using prometheus::BuildCounter;
+using prometheus::BuildGauge;
 using prometheus::BuildHistogram;
 using prometheus::Counter;
 using prometheus::Family;
+using prometheus::Gauge;
 using prometheus::Histogram;
 
 /** Upper bounds of the latency histogram buckets in seconds. They range from
@@ -91,6 +94,11 @@
   Family<Counter>& ownership =
     Counters("sequoiakeel_ownership_changes_total",
              "Changes of the ownership of cells, by kind");
+  Family<Gauge>& closedZones =
+    BuildGauge()
+      .Name("sequoiakeel_closed_zones")
+      .Help("Availability zones that take no new tasks")
+      .Register(registry);
   Family<Counter>& logDropped =
     Counters("sequoiakeel_log_lines_dropped_total",
              "Log lines over the limit of their event or on a full output");
@@ -149,6 +157,12 @@
     .Observe(Seconds(aAge));
 }
 
+void
+SchedulerMetrics::ZonesClosed(std::size_t aCount)
+{
+  this->implementation->closedZones.Add({}).Set(static_cast<double>(aCount));
+}
+
 void
 SchedulerMetrics::FillersAdjusted()
 {
--- a/src/SchedulerMetrics.h
+++ b/src/SchedulerMetrics.h
@@ -29,6 +29,7 @@
   void RunLost() override;
   void RunPreempted() override;
   void JobEnded(WorkflowState aState, Duration aAge) override;
+  void ZonesClosed(std::size_t aCount) override;
   void FillersAdjusted() override;
 
   /** Records the latency of a caller's request. aCall and aOutcome must come
--- a/src/SchedulerObserver.h
+++ b/src/SchedulerObserver.h
@@ -4,6 +4,8 @@
 #include "WorkerReport.h"
 #include "generated/Workflow.h"
 
+#include <cstddef>
+
 namespace sequoiakeel {
 
 /** Receives a scheduler's decisions, for metrics. The base class ignores them.
@@ -34,6 +36,9 @@
   /** A job ended, aAge after its acceptance. */
   virtual void JobEnded(WorkflowState /*aState*/, Duration /*aAge*/) {}
 
+  /** The zones that take no new tasks were read; aCount of them are closed. */
+  virtual void ZonesClosed(std::size_t /*aCount*/) {}
+
   /** The speed of the best-effort tasks of an image was changed. */
   virtual void FillersAdjusted() {}
 };
--- a/src/WorkerChoice.cpp
+++ b/src/WorkerChoice.cpp
@@ -367,8 +367,8 @@
   return aWorker.listed && aWorker.reported && !silent && !outdated &&
          !keepsTooMany && !aWorker.foreignRuns && !aWorker.takesStaleCommands &&
          aWorker.Committed().unknownSizes == 0 &&
-         !aWorker.description.draining && aNow >= aWorker.backoffUntil &&
-         aWorker.clockReadingMs != 0;
+         !aWorker.description.draining && aWorker.zoneTakesStarts &&
+         aNow >= aWorker.backoffUntil && aWorker.clockReadingMs != 0;
 }
 
 bool
