Bound the memory and the connections of clients

Cause: the parser's limits cover header and body, not trailers, chunk extensions or the sum over all connections; the read buffer had no maximum.

Change: RequestMemory accounts for the memory of requests and the connections of all HTTP listeners of a process. The buffer of a connection has a maximum, so that trailers and chunk extensions end with 431. The body limit of the operator's document applies before a body is read.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -31,6 +31,9 @@
 
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
 
+/** Largest read from a connection. */
+constexpr std::size_t kReadBytes = 64 * 1024;
+
 /** A connection is normally established within milliseconds. TCP retransmits a
  * lost SYN after one second and then at increasing intervals, so a new attempt
  * is faster than waiting for the retransmission. */
@@ -104,7 +107,8 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  /** Trailers or a chunk extension without end do not fit into it. */
+  beast::flat_buffer buffer{ kMaxHeaderBytes + kReadBytes };
   bool reusable = false;
   /** A request was written, at least in part, and its response is incomplete.
    */
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -40,6 +40,17 @@
  * the client may lose the response. */
 constexpr std::chrono::milliseconds kLingerTime{ 1000 };
 constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
+/** Largest read from a connection. */
+constexpr std::size_t kReadBytes = 16 * 1024;
+/** Time to send the refusal to a client whose request is evicted. */
+constexpr std::chrono::milliseconds kEvictionReplyTime{ 1000 };
+
+std::shared_ptr<RequestMemory>
+DefaultMemory()
+{
+  static const SystemClock clock;
+  return std::make_shared<RequestMemory>(RequestMemoryLimits(), clock);
+}
 
 HttpRequest
 FromBeast(http::request<http::string_body>&& aMessage)
@@ -78,7 +89,9 @@
   if (aError == http::error::body_limit) {
     return 413;
   }
-  if (aError == http::error::header_limit) {
+  // A header, the trailers or a chunk extension has to fit into the buffer.
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
     return 431;
   }
   return aError.category() ==
@@ -94,17 +107,22 @@
 /** One accepted connection. */
 struct Connection
 {
-  explicit Connection(asio::ip::tcp::socket aSocket)
+  Connection(asio::ip::tcp::socket aSocket, std::size_t aMaxBuffer)
     : stream(std::move(aSocket))
+    , buffer(aMaxBuffer)
   {
   }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   std::atomic<bool> busy{ false };
-  /** Set when the grace period after StopAccepting() has ended. Accessed only
-   * on the strand of the connection. */
+  RequestMemory::Key key = 0;
+  // The following are accessed only on the strand of the connection.
+  /** The grace period after StopAccepting() has ended. */
   bool closing = false;
+  bool evicted = false;
+  /** A response is being sent, which an eviction does not interrupt. */
+  bool replying = false;
 };
 
 struct HttpServer::Shared
@@ -114,14 +132,25 @@
          HttpHandler aHandler)
     : context(aContext)
     , acceptor(asio::make_strand(aContext))
-    , limits(aLimits)
+    , limits(std::move(aLimits))
+    , maxBodyBytes(limits.maxBodyBytes)
+    , memory(limits.memory ? limits.memory : DefaultMemory())
     , handler(std::move(aHandler))
   {
   }
 
+  /** The buffer of a connection holds a header and what follows it in the same
+   * read. */
+  std::size_t MaxBuffer() const
+  {
+    return this->limits.maxHeaderBytes + kReadBytes;
+  }
+
   asio::io_context& context;
   asio::ip::tcp::acceptor acceptor;
   HttpServerLimits limits;
+  std::atomic<std::size_t> maxBodyBytes;
+  std::shared_ptr<RequestMemory> memory;
   HttpHandler handler;
   std::uint16_t port = 0;
   std::atomic<std::size_t> inFlight{ 0 };
@@ -151,6 +180,7 @@
   Registration& operator=(const Registration&) = delete;
   ~Registration()
   {
+    this->shared->memory->Disconnect(this->connection->key);
     const std::lock_guard lock(this->shared->mutex);
     this->shared->connections.erase(this->connection);
   }
@@ -205,8 +235,10 @@
 {
   error_code error;
   http::response<http::string_body> message = ToBeast(aResponse, aKeepAlive);
+  aConnection->replying = true;
   co_await http::async_write(
     aConnection->stream, message, asio::redirect_error(use_awaitable, error));
+  aConnection->replying = false;
   co_return !error && aKeepAlive;
 }
 
@@ -240,36 +272,91 @@
   co_return true;
 }
 
+using RequestParser = http::request_parser<http::string_body>;
+
+/** Receives the rest of a request of which the first bytes are in the buffer.
+ * Returns the error that ended it; none if the request is complete or the
+ * connection was evicted. */
+asio::awaitable<error_code>
+Receive(SharedPointer aShared,
+        std::shared_ptr<Connection> aConnection,
+        RequestParser& aParser)
+{
+  aShared->memory->BeginRequest(aConnection->key);
+  aParser.body_limit(aShared->maxBodyBytes.load());
+  aParser.header_limit(
+    static_cast<std::uint32_t>(aShared->limits.maxHeaderBytes));
+  aParser.eager(true);
+  aConnection->stream.expires_after(aShared->limits.requestTimeout);
+  while (!aParser.is_done()) {
+    error_code error;
+    co_await http::async_read_some(aConnection->stream,
+                                   aConnection->buffer,
+                                   aParser,
+                                   asio::redirect_error(use_awaitable, error));
+    if (aConnection->evicted) {
+      co_return error_code();
+    }
+    if (error) {
+      co_return error;
+    }
+    const std::size_t held =
+      aConnection->buffer.capacity() + aParser.get().body().capacity();
+    if (!aShared->memory->Received(aConnection->key, held)) {
+      aConnection->evicted = true;
+      co_return error_code();
+    }
+  }
+  co_return error_code();
+}
+
+/** Refuses a request that is not complete, and so has not run. */
+asio::awaitable<void>
+Refuse(std::shared_ptr<Connection> aConnection,
+       unsigned aStatus,
+       const char* aReason,
+       Duration aTimeout)
+{
+  const bool evicted = aStatus == 503;
+  aConnection->stream.expires_after(aTimeout);
+  HttpResponse refusal =
+    JsonResponse(aStatus,
+                 evicted ? R"({"error":"too many requests are being received"})"
+                         : R"({"error":"malformed or oversized request"})");
+  refusal.headers.Set("Sequoiakeel-Outcome", "not-run");
+  refusal.headers.Set("Sequoiakeel-Reason", aReason);
+  if (evicted) {
+    refusal.headers.Set("Retry-After", "1");
+  }
+  co_await Reply(aConnection, std::move(refusal), false);
+}
+
 /** Serves one request; returns whether the connection stays open. */
 asio::awaitable<bool>
 ServeOne(SharedPointer aShared, std::shared_ptr<Connection> aConnection)
 {
-  error_code error;
-  http::request_parser<http::string_body> parser;
-  parser.body_limit(aShared->limits.maxBodyBytes);
-  parser.header_limit(
-    static_cast<std::uint32_t>(aShared->limits.maxHeaderBytes));
   const bool arrived = co_await AwaitRequest(aShared, aConnection);
   if (!arrived) {
     co_return false;
   }
   const InFlightCount count(aShared->inFlight, aConnection->busy);
-  aConnection->stream.expires_after(aShared->limits.requestTimeout);
-  co_await http::async_read(aConnection->stream,
-                            aConnection->buffer,
-                            parser,
-                            asio::redirect_error(use_awaitable, error));
+  RequestParser parser;
+  const error_code error = co_await Receive(aShared, aConnection, parser);
+  const unsigned status = StatusOf(error);
+  if (error && status == 0) {
+    co_return false;
+  }
   if (error) {
-    const unsigned status = StatusOf(error);
-    if (status == 0) {
-      co_return false;
-    }
-    aConnection->stream.expires_after(aShared->limits.requestTimeout);
-    HttpResponse refusal =
-      JsonResponse(status, R"({"error":"malformed or oversized request"})");
-    refusal.headers.Set("Sequoiakeel-Outcome", "not-run");
-    refusal.headers.Set("Sequoiakeel-Reason", "bad-request");
-    co_await Reply(aConnection, std::move(refusal), false);
+    co_await Refuse(
+      aConnection, status, "bad-request", aShared->limits.requestTimeout);
+    co_return false;
+  }
+  const std::size_t held = parser.get().body().capacity();
+  if (aConnection->evicted ||
+      !aShared->memory->BeginService(aConnection->key, held)) {
+    aConnection->evicted = true;
+    std::string().swap(parser.get().body());
+    co_await Refuse(aConnection, 503, "request-memory", kEvictionReplyTime);
     co_return false;
   }
   const bool clientKeepsAlive = parser.get().keep_alive();
@@ -279,6 +366,10 @@
   aConnection->stream.expires_after(aShared->limits.requestTimeout);
   const bool keepAlive = clientKeepsAlive && !aShared->stopping;
   const bool open = co_await Reply(aConnection, std::move(response), keepAlive);
+  if (aConnection->buffer.size() == 0) {
+    aConnection->buffer.shrink_to_fit();
+  }
+  aShared->memory->EndRequest(aConnection->key);
   co_return open;
 }
 
@@ -310,6 +401,11 @@
   while (open) {
     open = co_await ServeOne(aShared, aConnection);
   }
+  if (aConnection->evicted) {
+    error_code ignored;
+    aConnection->stream.socket().close(ignored);
+    co_return;
+  }
   co_await CloseGently(aConnection);
 }
 
@@ -320,19 +416,41 @@
   return aShared.connections.size();
 }
 
+/** Has a connection end its incomplete request, if there is one, and close. */
+void
+Evict(const std::shared_ptr<Connection>& aConnection, EvictionCause aCause)
+{
+  Event("connection_evicted", LogLevel::Warning)
+    .Add("cause", aCause == EvictionCause::Memory ? "memory" : "connections");
+  asio::post(aConnection->stream.get_executor(), [aConnection] {
+    aConnection->evicted = true;
+    if (!aConnection->replying) {
+      aConnection->stream.cancel();
+    }
+  });
+}
+
 void
 ServeAccepted(SharedPointer aShared,
               asio::any_io_executor aStrand,
               asio::ip::tcp::socket aSocket)
 {
-  if (ConnectionCount(*aShared) >= aShared->limits.maxConnections) {
+  error_code error;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), error);
+  auto connection =
+    std::make_shared<Connection>(std::move(aSocket), aShared->MaxBuffer());
+  const std::weak_ptr<Connection> weak = connection;
+  const auto key = aShared->memory->Connect([weak](EvictionCause aCause) {
+    if (const std::shared_ptr<Connection> victim = weak.lock()) {
+      Evict(victim, aCause);
+    }
+  });
+  if (!key) {
     Event("connection_refused", LogLevel::Warning)
       .Add("reason", "connection-limit");
     return;
   }
-  error_code error;
-  aSocket.set_option(asio::ip::tcp::no_delay(true), error);
-  auto connection = std::make_shared<Connection>(std::move(aSocket));
+  connection->key = *key;
   // The connection is registered before the coroutine starts, so that Drain()
   // waits for it.
   auto registration = std::make_shared<Registration>(aShared, connection);
@@ -403,7 +521,9 @@
                        const Endpoint& aEndpoint,
                        HttpServerLimits aLimits,
                        HttpHandler aHandler)
-  : shared(std::make_shared<Shared>(aContext, aLimits, std::move(aHandler)))
+  : shared(std::make_shared<Shared>(aContext,
+                                    std::move(aLimits),
+                                    std::move(aHandler)))
 {
   error_code error;
   const auto address = asio::ip::make_address(aEndpoint.address, error);
@@ -436,6 +556,12 @@
                  asio::detached);
 }
 
+void
+HttpServer::LimitBody(std::size_t aBytes)
+{
+  this->shared->maxBodyBytes = aBytes;
+}
+
 std::uint16_t
 HttpServer::Port() const
 {
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "Clock.h"
 #include "HttpMessage.h"
+#include "RequestMemory.h"
 #include "generated/Settings.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -16,9 +17,13 @@
 /** Limits on the size, number and duration of requests and connections. */
 struct HttpServerLimits
 {
+  /** Also limits the trailers and each chunk extension of a body. */
   std::size_t maxHeaderBytes = 16 * 1024;
   std::size_t maxBodyBytes = 1024 * 1024;
-  std::size_t maxConnections = 4096;
+  /** Accounts for the connections and the memory of requests, together with the
+   * other listeners that have the same object. Null: the server has its own,
+   * with the default limits. */
+  std::shared_ptr<RequestMemory> memory;
   /** Maximum time to receive a complete request after its first bytes, and to
    * send a response. */
   std::chrono::milliseconds requestTimeout{ 10000 };
@@ -38,8 +43,10 @@
 
 /**
  * HTTP/1.1 server based on Boost.Beast. Malformed or oversized requests are
- * answered with 400, 413 or 431 and the connection is closed. If the handler
- * throws, the server responds with 500. All methods are thread safe.
+ * answered with 400, 413 or 431 and the connection is closed; an announced body
+ * over the limit is refused before any of it is read. An incomplete request
+ * that is evicted for others is answered with 503. If the handler throws, the
+ * server responds with 500. All methods are thread safe.
  */
 class HttpServer
 {
@@ -58,6 +65,10 @@
   /** Starts accepting connections. Must be called at most once. */
   void Start();
 
+  /** Changes HttpServerLimits::maxBodyBytes for the requests that begin from
+   * now on. */
+  void LimitBody(std::size_t aBytes);
+
   /** Returns the port that the listener is bound to. */
   std::uint16_t Port() const;
 
--- a/src/SchedulerMetrics.cpp
+++ b/src/SchedulerMetrics.cpp
@@ -99,6 +99,21 @@
       .Name("sequoiakeel_closed_zones")
       .Help("Availability zones that take no new tasks")
       .Register(registry);
+  Family<Gauge>& requestBytes =
+    BuildGauge()
+      .Name("sequoiakeel_request_memory_bytes")
+      .Help("Memory of requests that are being received or served")
+      .Register(registry);
+  Family<Gauge>& connections =
+    BuildGauge()
+      .Name("sequoiakeel_client_connections")
+      .Help("Open connections of all listeners for HTTP")
+      .Register(registry);
+  Family<Gauge>& evicted =
+    BuildGauge()
+      .Name("sequoiakeel_connections_evicted")
+      .Help("Connections closed since the start to relieve others, by cause")
+      .Register(registry);
   Family<Counter>& logDropped =
     Counters("sequoiakeel_log_lines_dropped_total",
              "Log lines over the limit of their event or on a full output");
@@ -199,6 +214,18 @@
     .Increment();
 }
 
+void
+SchedulerMetrics::SetRequestMemory(const RequestMemoryUsage& aUsage)
+{
+  Implementation& metrics = *this->implementation;
+  metrics.requestBytes.Add({}).Set(static_cast<double>(aUsage.bytes));
+  metrics.connections.Add({}).Set(static_cast<double>(aUsage.connections));
+  metrics.evicted.Add({ { "cause", "memory" } })
+    .Set(static_cast<double>(aUsage.evictedForMemory));
+  metrics.evicted.Add({ { "cause", "connections" } })
+    .Set(static_cast<double>(aUsage.evictedForConnections));
+}
+
 std::string
 SchedulerMetrics::Export()
 {
--- a/src/SchedulerMetrics.h
+++ b/src/SchedulerMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RequestMemory.h"
 #include "SchedulerObserver.h"
 #include "TransactionalStore.h"
 
@@ -49,6 +50,9 @@
    * bounds the number of time series. */
   void OwnershipChanged(std::string_view aChange);
 
+  /** Sets what the connections of the process hold. */
+  void SetRequestMemory(const RequestMemoryUsage& aUsage);
+
   /** Returns all metrics in the Prometheus text format. */
   std::string Export();
 
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -406,8 +406,11 @@
     Runtime runtime(2);
     Agent agent(options);
     RequestSide requests(options, agent);
+    const SystemClock clock;
+    RequestMemoryLimits memory;
+    memory.connections = options.connections;
     HttpServerLimits limits;
-    limits.maxConnections = options.connections;
+    limits.memory = std::make_shared<RequestMemory>(memory, clock);
     HttpServer requestServer(runtime.Context(),
                              Endpoint{ options.address, options.requestPort },
                              limits,
