Keep processors for short tasks while long-running jobs arrive

Cause: long-running tasks precede short ones of the same priority and never give their processors back.

The jobs that came to be of no use waited 11 s for a worker (median) and then ran as long as others.

Change: with short_task_headroom, first starts of long-running tasks leave as many processors as short tasks use and wait for, for at most 15 s. Interrupted tasks are not delayed. ShortTaskHeadroom decides it without a clock or a network; unit_ShortTaskHeadroom plays the load and compares what callers get with and without it.

--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -12,6 +12,7 @@
 #include "ScheduledWorker.h"
 #include "SchedulerObserver.h"
 #include "SchedulerTimings.h"
+#include "ShortTaskHeadroom.h"
 #include "StepOrder.h"
 #include "WorkerChoice.h"
 #include "WorkflowJob.h"
@@ -35,6 +36,8 @@
   const WorkerChoice& choice;
   const FillerThrottle& throttle;
   SchedulerObserver& observer;
+  /** First starts of long-running tasks leave headroom for short tasks. */
+  bool shortTaskHeadroom = false;
 };
 
 /**
@@ -576,6 +579,11 @@
   /** Measures at intervals how the cell's processors are used and what the
    * tasks that wait demand, and logs it. */
   void MeasureCellUsage(std::span<const Candidate> aWaiting);
+  /** Determines the headroom for short tasks in the current planning pass. */
+  void UpdateHeadroom(std::span<const Candidate> aWaiting);
+  /** Returns whether a long-running task may start now or has to leave its
+   * processors to short tasks. */
+  bool LeavesHeadroom(const TaskToPlace& aTask) const;
   /** Logs at intervals what the interrupted long-running task that has waited
    * longest waits for, and what delays the recovery of the cell. */
   void LogDelays(std::span<const Candidate> aWaiting);
@@ -776,6 +784,10 @@
   /** Remaining searches in the current planning pass for a worker on which to
    * reserve capacity. */
   int reservationSearches = 0;
+  ShortTaskHeadroom headroom;
+  /** Number of delays of first starts for the headroom since the usage of the
+   * cell was last logged, by step and planning pass. */
+  std::uint64_t delayedSteps = 0;
   PreemptionBudget preemptionBudget;
   Quarantine quarantine;
   CrashAttribution crashes;
--- a/src/CellSchedulerPlan.cpp
+++ b/src/CellSchedulerPlan.cpp
@@ -63,6 +63,7 @@
   this->UpdateIdleTimes();
   const auto nowUnixMs = static_cast<double>(this->wallClock.UnixMs());
   std::vector<Candidate> candidates = this->Candidates();
+  this->UpdateHeadroom(candidates);
   this->MeasureCellUsage(candidates);
   this->fewWaitInTime = this->FewWaitInTime(candidates);
   std::stable_sort(candidates.begin(),
@@ -95,6 +96,42 @@
   return orders;
 }
 
+void
+CellScheduler::UpdateHeadroom(std::span<const Candidate> aWaiting)
+{
+  if (!this->policies.shortTaskHeadroom) {
+    return;
+  }
+  ProcessorDemand demand;
+  for (const ScheduledWorker* const worker : this->availableWorkers) {
+    const std::int64_t shortRuns = worker->UsedByShortRuns().cpuMilli;
+    demand.capacity += worker->description.capacity.cpuMilli;
+    demand.shortRunning += shortRuns;
+    demand.longRunning += worker->Committed().cpuMilli - shortRuns;
+  }
+  const auto now = static_cast<double>(this->wallClock.UnixMs());
+  for (const Candidate& candidate : aWaiting) {
+    if (candidate.order.longRunning || candidate.order.filler ||
+        ExpectedOutcomeOf(candidate.order, now) == ExpectedOutcome::Useless) {
+      continue;
+    }
+    const WorkflowStep& step =
+      this->jobs.at(candidate.job).job.Submission().steps[candidate.step];
+    demand.shortWaiting +=
+      static_cast<std::int64_t>(step.cpuMilli) * candidate.pending;
+  }
+  this->headroom.Begin(demand, this->clock.Now());
+}
+
+bool
+CellScheduler::LeavesHeadroom(const TaskToPlace& aTask) const
+{
+  const bool delayable = this->policies.shortTaskHeadroom &&
+                         aTask.step.longRunning && aTask.firstStart;
+  return !delayable ||
+         this->headroom.AllowsFirstStart(aTask.step.cpuMilli, aTask.waited);
+}
+
 void
 CellScheduler::MeasureCellUsage(std::span<const Candidate> aWaiting)
 {
@@ -129,7 +166,9 @@
     .Add("waiting_long_running_milli", waitingLongRunning)
     .Add("waiting_short_milli", waitingShort)
     .Add("waiting_filler_milli", waitingFillers)
-    .Add("workers_over_target", usage.workersOverTarget);
+    .Add("workers_over_target", usage.workersOverTarget)
+    .Add("headroom_milli", this->headroom.Target())
+    .Add("delayed_steps", std::exchange(this->delayedSteps, 0));
 }
 
 void
@@ -601,6 +640,10 @@
     placed.interrupted = aCandidate.order.interrupted;
     placed.firstStart = !tasks[i].hasRun;
     placed.suspect = this->IsSuspect(name, tasks[i]);
+    if (!this->LeavesHeadroom(placed)) {
+      ++this->delayedSteps;
+      return;
+    }
     const StartRestriction restriction =
       this->openStarts.RestrictionOf(FormatTaskName(name));
     const bool restricted =
@@ -640,6 +683,9 @@
     placed.rack = worker->description.rack;
     this->CountStart(aCandidate);
     this->PlanStart(entry, name, tasks[i].run + 1, *worker, key, aOrders);
+    if (step.longRunning) {
+      this->headroom.RecordPlacement(step.cpuMilli);
+    }
     if (placed.mayShare) {
       this->SlowToShare(*worker);
     }
--- a/test/support/LoadSimulator.h
+++ b/test/support/LoadSimulator.h
@@ -29,8 +29,9 @@
    * worker that runs at the slowest rate. */
   static constexpr std::chrono::milliseconds kMaxTransit{ 1575 };
 
-  LoadSimulator(int aWorkers, std::uint64_t aSeed)
-    : random(aSeed)
+  LoadSimulator(int aWorkers, std::uint64_t aSeed, bool aHeadroom = false)
+    : harness(SchedulerTimings(), aHeadroom)
+    , random(aSeed)
   {
     for (int i = 0; i < aWorkers; ++i) {
       const std::string id = "w" + std::to_string(i);
--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -36,8 +36,10 @@
 /** A scheduler with its policies and a manual clock. */
 struct SchedulerHarness
 {
-  explicit SchedulerHarness(SchedulerTimings aBounds = SchedulerTimings())
+  explicit SchedulerHarness(SchedulerTimings aBounds = SchedulerTimings(),
+                            bool aHeadroom = false)
     : bounds(aBounds)
+    , headroom(aHeadroom)
   {
   }
 
@@ -48,8 +50,10 @@
   MultiplicativeThrottle throttle;
   SchedulerObserver observer;
   SchedulerTimings bounds;
+  /** See SchedulerPolicies::shortTaskHeadroom. */
+  bool headroom = false;
   CellScheduler scheduler{ bounds,
-                           { order, choice, throttle, observer },
+                           { order, choice, throttle, observer, headroom },
                            clock,
                            wallClock,
                            clock.Now() + std::chrono::seconds(8) };
@@ -63,14 +67,16 @@
                 const WorkerRoster& aRoster)
   {
     std::destroy_at(&this->scheduler);
-    std::construct_at(
-      &this->scheduler,
-      this->bounds,
-      SchedulerPolicies{
-        this->order, this->choice, this->throttle, this->observer },
-      this->clock,
-      this->wallClock,
-      this->clock.Now() + std::chrono::seconds(8));
+    std::construct_at(&this->scheduler,
+                      this->bounds,
+                      SchedulerPolicies{ this->order,
+                                         this->choice,
+                                         this->throttle,
+                                         this->observer,
+                                         this->headroom },
+                      this->clock,
+                      this->wallClock,
+                      this->clock.Now() + std::chrono::seconds(8));
     for (const WorkflowSubmission& submission : aSubmissions) {
       const WorkflowProgress& known = this->progress[submission.id];
       if (known.endedUnixMs > 0) {
