--- a/test/path/ClientsOutsideLimits.cpp
+++ b/test/path/ClientsOutsideLimits.cpp
@@ -5,10 +5,7 @@
  * checks that the process lives within its host and answers an ordinary caller
  * beside the crowd.
  */
-#include "HttpClient.h"
-#include "soak/SoakStore.h"
-#include "soak/SoakWorker.h"
-#include "support/ChildProcess.h"
+#include "soak/SchedulerFixture.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,8 +25,6 @@
 
 using namespace sequoiakeel;
 namespace asio = boost::asio;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
@@ -50,33 +45,11 @@
  */
 constexpr int kStoppingClients = 160;
 
+constexpr std::uint16_t kPort = 21700;
+
 /** Clients that connect and send nothing. */
 constexpr int kSilentClients = 200;
 
-/** Time after which a condition that has not come is a failure. */
-constexpr seconds kLimit{ 60 };
-
-/** Returns an endpoint with an address of its own below the ports that the
- * system assigns. */
-Endpoint
-FreeEndpoint()
-{
-  constexpr int kRange = 250;
-  constexpr std::uint16_t kPort = 21700;
-  static int next = 0;
-  const int process = getpid();
-  return Endpoint{ "127." + std::to_string(1 + process / kRange % kRange) +
-                     "." + std::to_string(process % kRange) + "." +
-                     std::to_string(1 + next++ % kRange),
-                   kPort };
-}
-
-std::string
-Text(const Endpoint& aEndpoint)
-{
-  return aEndpoint.address + ":" + std::to_string(aEndpoint.port);
-}
-
 /** What a client sends: a head, then a block again and again up to a number of
  * bytes. */
 struct Sending
@@ -123,58 +96,21 @@
   aClient->settled = true;
 }
 
-/** One scheduler process with a store, a worker and a crowd. Everything but the
- * process runs on the thread of the test. */
-class CrowdedScheduler
+/** A scheduler process with a crowd. */
+class CrowdedScheduler : public soak::SchedulerFixture
 {
 public:
   CrowdedScheduler()
-    : folder(std::filesystem::temp_directory_path() /
-             ("sequoiakeel-crowd-" + std::to_string(getpid())))
-    , front(FreeEndpoint())
-    , store(context, random)
-    , worker(context, "w", ledger, random)
+    : SchedulerFixture(
+        "crowd",
+        kPort,
+        { { "memory_mb", kMemoryMb }, { "max_descriptors", kDescriptors } },
+        { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", kBodyBytes } },
+        { "z1" })
   {
-    std::filesystem::create_directories(this->folder);
-    this->Put("servers/w", nlohmann::json::parse(this->worker.RegistryEntry()));
-    const nlohmann::json route{
-      { "name", "jobs" },          { "hostname", this->front.address },
-      { "prefix", "/jobs/" },      { "service", "desk" },
-      { "attempts", 3 },           { "stretch", 2.0 },
-      { "targetDurationMs", 1000 }
-    };
-    this->Put("op/config",
-              nlohmann::json{ { "version", 1 },
-                              { "routes", { route } },
-                              { "limits",
-                                { { "maxHeaderBytes", 16384 },
-                                  { "maxBodyBytes", kBodyBytes } } } });
-    const Endpoint peer = FreeEndpoint();
-    const std::string settings = (this->folder / "settings.json").string();
-    std::ofstream(settings) << nlohmann::json{
-      { "name", "n" },
-      { "zone", "z" },
-      { "front", Text(this->front) },
-      { "health", Text(FreeEndpoint()) },
-      { "peer_ip", peer.address },
-      { "peer_port", peer.port },
-      { "store", "127.0.0.1:" + std::to_string(this->store.Address().port) },
-      { "memory_mb", kMemoryMb },
-      { "max_descriptors", kDescriptors }
-    };
-    this->process = std::make_unique<ChildProcess>(
-      "sequoiakeel-scheduler",
-      std::vector<std::string>{ "--settings", settings },
-      (this->folder / "log").string());
     REQUIRE(this->Until([this] { return this->SubmitOne() == 200; }));
   }
 
-  ~CrowdedScheduler()
-  {
-    this->process.reset();
-    std::filesystem::remove_all(this->folder);
-  }
-
   /** Connects clients and waits until all have sent what they would. */
   void Admit(int aClients, const Sending& aSending)
   {
@@ -182,7 +118,7 @@
       auto client = std::make_shared<Client>(this->context);
       this->clients.push_back(client);
       asio::co_spawn(
-        this->context, Send(client, this->front, aSending), asio::detached);
+        this->context, Send(client, this->Front(), aSending), asio::detached);
     }
     REQUIRE(this->Until([this] {
       return std::all_of(this->clients.begin(),
@@ -208,59 +144,16 @@
       std::distance(begin(entries), end(entries)));
   }
 
-  /** Submits one small job and returns the status, or 0 without an answer. */
-  unsigned SubmitOne()
-  {
-    const nlohmann::json step{
-      { "count", 1 }, { "cpu", 1000 }, { "memMb", 100 }, { "estimateMs", 300 }
-    };
-    const nlohmann::json body{ { "spec", "work" }, { "steps", { step } } };
-    return this->Submit(body.dump());
-  }
-
-  unsigned Submit(const std::string& aBody)
-  {
-    std::string id = std::to_string(++this->jobs);
-    id.insert(0, 16 - id.size(), '0');
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/jobs/" + id;
-    request.headers.Set("Content-Type", "application/json");
-    request.body = aBody;
-    HttpClient client(this->context.get_executor(), this->front);
-    std::optional<ExchangeResult> result;
-    asio::co_spawn(this->context,
-                   client.Call(request, seconds(10)),
-                   [&](std::exception_ptr, ExchangeResult aResult) {
-                     result = std::move(aResult);
-                   });
-    this->Until([&] { return result.has_value(); });
-    return result && result->Complete() ? result->response.status : 0;
-  }
-
-  bool Until(const std::function<bool()>& aCondition)
-  {
-    const TimePoint deadline = std::chrono::steady_clock::now() + kLimit;
-    while (!aCondition()) {
-      if (std::chrono::steady_clock::now() > deadline) {
-        return false;
-      }
-      this->context.restart();
-      this->context.run_for(milliseconds(10));
-    }
-    return true;
-  }
-
 private:
   /** Returns whether no connection of the front has bytes that the process has
    * not read. */
   bool HasReadAll() const
   {
-    const auto address = asio::ip::make_address_v4(this->front.address);
+    const auto address = asio::ip::make_address_v4(this->Front().address);
     std::ostringstream front;
     front << std::hex << std::uppercase << std::setfill('0') << std::setw(8)
           << htonl(address.to_uint()) << ":" << std::setw(4)
-          << this->front.port;
+          << this->Front().port;
     std::ifstream connections(this->Proc("net/tcp"));
     std::string line;
     while (std::getline(connections, line)) {
@@ -298,23 +191,7 @@
     return 0;
   }
 
-  void Put(const std::string& aKey, const nlohmann::json& aValue)
-  {
-    asio::co_spawn(this->context,
-                   this->store.Put(aKey, aValue.dump()),
-                   [](std::exception_ptr aError) { REQUIRE(!aError); });
-  }
-
-  std::filesystem::path folder;
-  Endpoint front;
-  asio::io_context context;
-  Random random{ 1 };
-  soak::JobLedger ledger;
-  soak::SoakStore store;
-  soak::SoakWorker worker;
-  std::unique_ptr<ChildProcess> process;
   std::vector<std::shared_ptr<Client>> clients;
-  int jobs = 0;
 };
 
 const std::string kHead =
@@ -432,11 +309,7 @@
 TEST_CASE("a single request inside the limits is served")
 {
   CrowdedScheduler scheduler;
-  const nlohmann::json step{
-    { "count", 1 }, { "cpu", 1000 }, { "memMb", 100 }, { "estimateMs", 300 }
-  };
-  std::string body =
-    nlohmann::json{ { "spec", "work" }, { "steps", { step } } }.dump();
+  auto [id, body] = scheduler.SmallJob();
   body.append(kBodyBytes - body.size(), ' ');
-  CHECK(scheduler.Submit(body) == 200);
+  CHECK(scheduler.Call("POST", id, body).status == 200);
 }
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -41,6 +41,7 @@
                        std::uint64_t aRun)
 {
   ++this->starts;
+  ++this->startsByWorker[aWorker];
   const std::string detail =
     aTask + " run " + std::to_string(aRun) + " on " + aWorker;
   const auto name = ParseTaskName(aTask);
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -98,10 +98,18 @@
   const std::vector<std::string>& Violations() const { return this->broken; }
   std::uint64_t Starts() const { return this->starts; }
 
+  /** Returns the number of starts on one worker. */
+  std::uint64_t StartsOn(const std::string& aWorker) const
+  {
+    const auto found = this->startsByWorker.find(aWorker);
+    return found == this->startsByWorker.end() ? 0 : found->second;
+  }
+
 private:
   void CheckCrashLimit(const std::string& aTask, const std::string& aDetail);
   bool StepDone(const JobPlan& aJob, std::uint32_t aStep) const;
 
+  std::map<std::string, std::uint64_t> startsByWorker;
   /** Workers and run numbers of the runs in progress, by task. */
   std::map<std::string, std::set<std::pair<std::string, std::uint64_t>>>
     running;
--- a/test/soak/SoakStore.h
+++ b/test/soak/SoakStore.h
@@ -55,6 +55,9 @@
     this->store.Remove("servers/" + aId);
   }
 
+  /** Removes a key on behalf of the operator. */
+  void Remove(const std::string& aKey) { this->store.Remove(aKey); }
+
   /** Writes a key on behalf of the platform or the operator. */
   boost::asio::awaitable<void> Put(std::string aKey, std::string aValue);
 
