Decide no start on a list of workers older than their drain time

Cause: nothing limited the age of the list of workers on which starts are decided, so that an owner whose reads of the registry take long starts tasks on workers that began to drain since.

Measured: a case of unit_ClosedZones that fails without the check.

--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -34,6 +34,7 @@
   , createdAt(aClock.Now())
   , openStarts(this->LongestLeaseExpiresBy(TimePoint()) - TimePoint())
   , closedZones(aBounds.zoneClose, SchedulerTimings::kLongestStart)
+  , registryFreshness(aBounds.longestRegistryAge)
 {
 }
 
@@ -215,6 +216,7 @@
                              std::optional<TimePoint> aReadAt)
 {
   this->registryReadAt = aReadAt.value_or(this->clock.Now());
+  this->registryFreshness.Renew(this->registryReadAt);
   for (auto& [id, worker] : this->workers) {
     worker.listedBefore = std::exchange(worker.listed, false);
   }
--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -734,6 +734,7 @@
   ClosedZones closedZones;
   /** When the read of the registry began that UpdateWorkers() applied last. */
   TimePoint registryReadAt;
+  Freshness registryFreshness;
   /** Long-running tasks that the current planning pass skipped since they wait
    * for their recorded worker. */
   std::vector<TaskName> awaitedTasks;
--- a/src/CellSchedulerAssignments.cpp
+++ b/src/CellSchedulerAssignments.cpp
@@ -137,7 +137,8 @@
     const ScheduledWorker& worker = *this->FindWorker(aHeld.worker);
     const WorkflowStep& step =
       worker.Commitments().at(FormatTaskName(aHeld.name)).step;
-    return AcceptsNewTasks(worker, now) &&
+    return this->registryFreshness.IsFresh(now) &&
+           AcceptsNewTasks(worker, now) &&
            this->roster.contains(aHeld.worker) &&
            worker.reportedIncarnation == aHeld.incarnation &&
            !worker.IsExceededFor(step);
--- a/src/CellSchedulerPlacement.cpp
+++ b/src/CellSchedulerPlacement.cpp
@@ -111,6 +111,9 @@
   this->reservations.clear();
   this->reservationSearches = kReservationSearchesPerPass;
   this->ApplyClosedZones();
+  if (!this->registryFreshness.IsFresh(now)) {
+    return;
+  }
   for (auto& [id, worker] : this->workers) {
     worker.ClearReservations();
     if (!AcceptsNewTasks(worker, now) || !this->roster.contains(id)) {
--- a/src/SchedulerTimings.h
+++ b/src/SchedulerTimings.h
@@ -19,6 +19,9 @@
   std::chrono::milliseconds earlyStart{ 250 };
   /** How long the state of an ended job can be queried. */
   std::chrono::milliseconds stateRetention{ 120000 };
+  /** Age of the list of workers up to which starts are decided on it; unset:
+   * any. A worker may have begun to drain since. */
+  std::optional<std::chrono::milliseconds> longestRegistryAge;
   /** Time after the operator's request to close a zone from which no task may
    * start there; unset if zones cannot be closed. */
   std::optional<std::chrono::milliseconds> zoneClose;
--- a/test/unit/ClosedZones.cpp
+++ b/test/unit/ClosedZones.cpp
@@ -190,3 +190,22 @@
     cell.harness.scheduler.CapacityForLongRunning().groups[0].freeCpuMilli ==
     all / 2);
 }
+
+// Guards against starts on a worker that began to drain while its owner could
+// not read the list of workers.
+TEST_CASE("nothing is started on a list of workers that is too old")
+{
+  SchedulerTimings timings;
+  timings.longestRegistryAge = 1700ms;
+  SchedulerHarness harness(timings);
+  harness.AddWorkers({ "w1" });
+  harness.scheduler.Accept(harness.Job("j1"));
+  CHECK(harness.PlanAndConfirm().size() == 1);
+  harness.clock.Advance(1701ms);
+  harness.Report("w1", 1, {}, {});
+  harness.scheduler.Accept(harness.Job("j2"));
+  CHECK(harness.PlanAndConfirm().empty());
+  const std::vector<WorkerDescription> listed{ SchedulerHarness::Worker("w1") };
+  harness.scheduler.UpdateWorkers(listed);
+  CHECK_FALSE(harness.PlanAndConfirm().empty());
+}
