Account for requests that come in very small chunks, and for served ones

Cause: the library's read of a message returns only at its end if the buffer always ends within a chunk's head, as with chunks of one byte. What such requests held was not accounted for.

Change: HttpServer reads piece by piece, parses what is there, and reports what the request occupies after each piece. A served request counts as four bodies and is refused with 503 if there is no memory for it.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "Error.h"
 #include "Log.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <mutex>
@@ -42,14 +43,17 @@
 constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
 /** Largest read from a connection. */
 constexpr std::size_t kReadBytes = 16 * 1024;
+/** Memory that a request holds while it is served, as a multiple of its body:
+ * the body, what it is decoded to, and what is sent to the store for it. */
+constexpr std::size_t kServedBodies = 4;
 /** Time to send the refusal to a client whose request is evicted. */
 constexpr std::chrono::milliseconds kEvictionReplyTime{ 1000 };
 
 std::shared_ptr<RequestMemory>
 DefaultMemory()
 {
-  static const SystemClock clock;
-  return std::make_shared<RequestMemory>(RequestMemoryLimits(), clock);
+  static const SystemClock kClock;
+  return std::make_shared<RequestMemory>(RequestMemoryLimits(), kClock);
 }
 
 HttpRequest
@@ -274,9 +278,47 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
+/** Parses the bytes in the buffer as far as they go. */
+error_code
+ParseReceived(Connection& aConnection, RequestParser& aParser)
+{
+  error_code error;
+  while (!error && !aParser.is_done() && aConnection.buffer.size() > 0) {
+    const std::size_t used = aParser.put(aConnection.buffer.data(), error);
+    aConnection.buffer.consume(used);
+    if (used == 0) {
+      break;
+    }
+  }
+  return error == http::error::need_more ? error_code() : error;
+}
+
+/** Reads further bytes of a request into the buffer. */
+asio::awaitable<error_code>
+ReadMore(std::shared_ptr<Connection> aConnection, RequestParser& aParser)
+{
+  beast::flat_buffer& buffer = aConnection->buffer;
+  const std::size_t room = buffer.max_size() - buffer.size();
+  if (room == 0) {
+    co_return http::error::buffer_overflow;
+  }
+  error_code error;
+  const std::size_t received = co_await aConnection->stream.async_read_some(
+    buffer.prepare(std::min(room, kReadBytes)),
+    asio::redirect_error(use_awaitable, error));
+  buffer.commit(received);
+  if (error == asio::error::eof) {
+    error = {};
+    aParser.put_eof(error);
+  }
+  co_return error;
+}
+
 /** Receives the rest of a request of which the first bytes are in the buffer.
  * Returns the error that ended it; none if the request is complete or the
- * connection was evicted. */
+ * connection was evicted. It reads by itself, since Beast's read of a message
+ * returns only at the end of one that comes in very small chunks, so that its
+ * memory would not be accounted for. */
 asio::awaitable<error_code>
 Receive(SharedPointer aShared,
         std::shared_ptr<Connection> aConnection,
@@ -288,26 +330,22 @@
     static_cast<std::uint32_t>(aShared->limits.maxHeaderBytes));
   aParser.eager(true);
   aConnection->stream.expires_after(aShared->limits.requestTimeout);
-  while (!aParser.is_done()) {
-    error_code error;
-    co_await http::async_read_some(aConnection->stream,
-                                   aConnection->buffer,
-                                   aParser,
-                                   asio::redirect_error(use_awaitable, error));
-    if (aConnection->evicted) {
-      co_return error_code();
-    }
-    if (error) {
-      co_return error;
-    }
+  error_code error = ParseReceived(*aConnection, aParser);
+  while (!error && !aParser.is_done()) {
     const std::size_t held =
       aConnection->buffer.capacity() + aParser.get().body().capacity();
     if (!aShared->memory->Received(aConnection->key, held)) {
       aConnection->evicted = true;
+    }
+    if (aConnection->evicted) {
       co_return error_code();
     }
+    error = co_await ReadMore(aConnection, aParser);
+    if (!error && !aParser.is_done()) {
+      error = ParseReceived(*aConnection, aParser);
+    }
   }
-  co_return error_code();
+  co_return aConnection->evicted ? error_code() : error;
 }
 
 /** Refuses a request that is not complete, and so has not run. */
@@ -351,7 +389,7 @@
       aConnection, status, "bad-request", aShared->limits.requestTimeout);
     co_return false;
   }
-  const std::size_t held = parser.get().body().capacity();
+  const std::size_t held = kServedBodies * parser.get().body().size();
   if (aConnection->evicted ||
       !aShared->memory->BeginService(aConnection->key, held)) {
     aConnection->evicted = true;
--- a/src/RequestMemory.cpp
+++ b/src/RequestMemory.cpp
@@ -113,6 +113,22 @@
   entry.lastReceivedAt = entry.since;
 }
 
+std::vector<RequestMemory::Evict>
+RequestMemory::Relieve()
+{
+  const TimePoint now = this->clock.Now();
+  std::vector<Evict> victims;
+  while (this->usage.bytes > this->limits.bytes) {
+    Evict victim = this->TakeVictim(&RequestMemory::RateByMemory, now);
+    if (!victim) {
+      break;
+    }
+    ++this->usage.evictedForMemory;
+    victims.push_back(std::move(victim));
+  }
+  return victims;
+}
+
 bool
 RequestMemory::Received(Key aKey, std::size_t aBytes)
 {
@@ -120,21 +136,13 @@
   bool kept = false;
   {
     const std::lock_guard lock(this->mutex);
-    const TimePoint now = this->clock.Now();
     Entry& entry = this->entries.at(aKey);
     if (entry.phase == Phase::Evicted) {
       return false;
     }
-    entry.lastReceivedAt = now;
+    entry.lastReceivedAt = this->clock.Now();
     this->SetBytes(entry, aBytes);
-    while (this->usage.bytes > this->limits.bytes) {
-      Evict victim = this->TakeVictim(&RequestMemory::RateByMemory, now);
-      if (!victim) {
-        break;
-      }
-      ++this->usage.evictedForMemory;
-      victims.push_back(std::move(victim));
-    }
+    victims = this->Relieve();
     kept = entry.phase != Phase::Evicted;
   }
   for (const Evict& victim : victims) {
@@ -146,14 +154,29 @@
 bool
 RequestMemory::BeginService(Key aKey, std::size_t aBytes)
 {
-  const std::lock_guard lock(this->mutex);
-  Entry& entry = this->entries.at(aKey);
-  if (entry.phase == Phase::Evicted) {
-    return false;
+  std::vector<Evict> victims;
+  bool served = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    Entry& entry = this->entries.at(aKey);
+    if (entry.phase == Phase::Evicted) {
+      return false;
+    }
+    entry.phase = Phase::Serving;
+    this->SetBytes(entry, aBytes);
+    victims = this->Relieve();
+    served = this->usage.bytes <= this->limits.bytes;
+    if (!served) {
+      this->SetBytes(entry, 0);
+      entry.phase = Phase::Evicted;
+      --this->usage.connections;
+      ++this->usage.evictedForMemory;
+    }
+  }
+  for (const Evict& victim : victims) {
+    victim(EvictionCause::Memory);
   }
-  entry.phase = Phase::Serving;
-  this->SetBytes(entry, aBytes);
-  return true;
+  return served;
 }
 
 void
--- a/src/RequestMemory.h
+++ b/src/RequestMemory.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace sequoiakeel {
 
@@ -75,7 +76,9 @@
   bool Received(Key aKey, std::size_t aBytes);
 
   /** Records that the request is complete and occupies aBytes until
-   * EndRequest(). Returns false if the connection was evicted before. */
+   * EndRequest(), and evicts connections if memory is short. Returns false if
+   * the connection was evicted before, or if there is not enough memory; it is
+   * evicted then. */
   bool BeginService(Key aKey, std::size_t aBytes);
 
   /** Records that the request no longer occupies memory. */
@@ -115,6 +118,9 @@
    * close it, or nothing if there is none. */
   Evict TakeVictim(Rating aRating, TimePoint aNow);
   void SetBytes(Entry& aEntry, std::size_t aBytes);
+  /** Evicts connections until the memory suffices or no request is incomplete,
+   * and returns how to close them. */
+  std::vector<Evict> Relieve();
 
   RequestMemoryLimits limits;
   const Clock& clock;
--- a/test/path/ClientsOutsideLimits.cpp
+++ b/test/path/ClientsOutsideLimits.cpp
@@ -45,6 +45,9 @@
  */
 constexpr int kStoppingClients = 160;
 
+/** Steps of a job whose record still fits into a value of the store. */
+constexpr int kStorableSteps = 2000;
+
 constexpr std::uint16_t kPort = 21700;
 
 /** Clients that connect and send nothing. */
@@ -305,6 +308,33 @@
   CHECK(scheduler.Descriptors() <= kDescriptors);
 }
 
+// Guards against bodies inside the limit that are decoded to many times their
+// size, and held while the store does not answer.
+TEST_CASE("many complete bodies with very many steps beside a silent store")
+{
+  CrowdedScheduler scheduler;
+  std::string steps = R"({"count":1})";
+  while (steps.size() < kBodyBytes - 100) {
+    steps += R"(,{"count":1})";
+  }
+  const std::string large = R"({"spec":"","steps":[)" + steps + "]}";
+  std::string most = R"({"spec":"","steps":[{"count":1})";
+  for (int i = 1; i < kStorableSteps; ++i) {
+    most += R"(,{"count":1})";
+  }
+  most += "]}";
+  scheduler.store.SetFault(soak::StoreFault::Silent);
+  for (const std::string& body : { large, most }) {
+    scheduler.Admit(
+      kStoppingClients,
+      { kHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n",
+        body,
+        1 });
+  }
+  scheduler.store.SetFault(soak::StoreFault::None);
+  scheduler.CheckAlive();
+}
+
 // A limit must not refuse what the pages allow.
 TEST_CASE("a single request inside the limits is served")
 {
--- a/test/unit/RequestMemory.cpp
+++ b/test/unit/RequestMemory.cpp
@@ -83,6 +83,25 @@
   CHECK(all.memory.Usage().bytes == 0);
 }
 
+// Guards against many complete requests whose decoded form exceeds the memory.
+TEST_CASE("a complete request for which there is no memory is refused")
+{
+  Connections all;
+  all.Open("served");
+  all.Open("stalled");
+  all.Open("new");
+  CHECK(all.Serve("served", 60 * kKilobyte));
+  CHECK(all.Receive("stalled", 10 * kKilobyte));
+  all.clock.Advance(1s);
+  CHECK(all.Receive("new", 5 * kKilobyte));
+  CHECK(all.Serve("new", 39 * kKilobyte));
+  CHECK(all.evicted.contains("stalled"));
+  all.Open("next");
+  CHECK(all.Receive("next", kKilobyte));
+  CHECK_FALSE(all.Serve("next", 16 * kKilobyte));
+  CHECK(all.memory.Usage().bytes == 99 * kKilobyte);
+}
+
 // Guards against callers that cannot connect beside clients that send nothing.
 TEST_CASE("the connection that is silent for longest gives way to a new one")
 {
