Let the settings of the entry name the memory of its host

The limits on clients follow from the host's memory and descriptors in sequoiakeel-entry as they do in the scheduler (memory_mb, max_descriptors); LimitsForHost computes both. path_ClientsOutsideLimits, the settings, samples and entry tests pass.

--- a/src/EntryService.cpp
+++ b/src/EntryService.cpp
@@ -54,9 +54,13 @@
 }
 
 HttpServerLimits
-ServerLimits()
+ServerLimits(const Settings& aSettings)
 {
-  return HttpServerLimits{};
+  static const SystemClock kClock;
+  HttpServerLimits limits;
+  limits.memory = std::make_shared<RequestMemory>(
+    LimitsForHost(aSettings.memoryMb, aSettings.maxDescriptors), kClock);
+  return limits;
 }
 
 } // namespace
@@ -161,7 +165,7 @@
   this->server = std::make_unique<HttpServer>(
     aContext,
     this->settings.http,
-    ServerLimits(),
+    ServerLimits(this->settings),
     [this](HttpRequest aRequest) { return this->Route(std::move(aRequest)); });
 }
 
--- a/src/RequestMemory.cpp
+++ b/src/RequestMemory.cpp
@@ -5,6 +5,26 @@
 
 namespace sequoiakeel {
 
+namespace {
+
+/** Part of a host's memory that requests may hold. */
+constexpr std::size_t kRequestMemoryPart = 4;
+
+/** Part of the descriptors that clients may use. */
+constexpr std::size_t kClientDescriptorPart = 2;
+
+} // namespace
+
+RequestMemoryLimits
+LimitsForHost(std::size_t aMemoryMb, std::size_t aDescriptors)
+{
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  RequestMemoryLimits limits;
+  limits.bytes = aMemoryMb * kMegabyte / kRequestMemoryPart;
+  limits.connections = aDescriptors / kClientDescriptorPart;
+  return limits;
+}
+
 RequestMemory::RequestMemory(RequestMemoryLimits aLimits, const Clock& aClock)
   : limits(aLimits)
   , clock(aClock)
--- a/src/RequestMemory.h
+++ b/src/RequestMemory.h
@@ -20,6 +20,13 @@
   std::size_t connections = 4096;
 };
 
+/** Returns the limits of a process on a host with aMemoryMb of memory that may
+ * use aDescriptors file descriptors. The rest of the memory is for decoding and
+ * everything else, that of the descriptors for the store, the workers and the
+ * peers. Thread safe. */
+RequestMemoryLimits
+LimitsForHost(std::size_t aMemoryMb, std::size_t aDescriptors);
+
 /** What the connections of a process hold, and how many were evicted. */
 struct RequestMemoryUsage
 {
