--- a/review/standins-3/sim.py
+++ b/review/standins-3/sim.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -25,10 +26,22 @@
     return int(time.monotonic() * 1000)
 
 
+given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the system gives to connections."""
+    while True:
+        port = random.randrange(20000, 32000)
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 class Record:
