--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,8 +1,9 @@
-"""Large jobs come at once, then small ones."""
+"""The owner is killed while many jobs wait, and links carry 10 Mbit/s."""
 import asyncio
 import json
 import os
 import random
+import signal
 import sys
 import time
 
@@ -12,19 +13,24 @@
 
 SERVICE = "huvo11a"
 HOSTNAME, PREFIX = "nony24.example", "/lohu930/"
+LINK_MBPS = 10
+JOBS = 420
+SPEC_BYTES = 4000
 WORKERS = 6
-LARGE_JOBS = 16
-STEPS = 2600
-SMALL_JOBS = 20
+TASK_MS = 3000
+RECOVER_S = 15
 FINISH_S = 14
 
 
-async def submit(deployment, job, body, accepted):
+async def submit(deployment, job, accepted):
+    text = json.dumps({"ms": TASK_MS})
+    spec = text + " " * (SPEC_BYTES - len(text))
+    step = {"count": 1, "cpu": 8000, "memMb": 1000, "estimateMs": TASK_MS}
     for _ in range(5):
         port = random.choice(deployment.schedulers).front
         status, _ = await sim.call(
-            port, "POST", PREFIX + job, HOSTNAME, body,
-            fields=[("Deadline-Ms", "3000")])
+            port, "POST", PREFIX + job, HOSTNAME,
+            {"spec": spec, "steps": [step]}, fields=[("Deadline-Ms", "3000")])
         deployment.record.add(f"POST {job} -> {status}")
         if status == 200:
             accepted.append(job)
@@ -32,13 +38,12 @@
         await asyncio.sleep(0.5)
 
 
-def large_job():
-    """A job that is due in an hour, in a body of less than 262,144 bytes."""
-    step = {"count": 1, "cpu": 2000, "memMb": 1000, "estimateMs": 2000,
-            "checkpointing": True}
-    return {"spec": json.dumps({"ms": 2000}), "steps": [step] * STEPS,
-            "repeats": 1, "firstMs": int(time.time() * 1000) + 3600000,
-            "intervalMs": 86400000}
+def owner_of(deployment):
+    item = deployment.store.items.get("sequoiakeel/cell-0/inbox/owner")
+    if item is None:
+        return None
+    import base64
+    return json.loads(base64.b64decode(item["value"]))["node"]
 
 
 async def case(deployment, trouble):
@@ -49,42 +54,57 @@
             f"i-{i:08x}", SERVICE, "zone-0", ["a", f"r{i // 3}"],
             {"cpu": 32000, "memMb": 128000, "gpu": 0})
     for i in range(3):
-        await deployment.add_scheduler(f"edge-{i}", f"zone-{i}")
+        await deployment.add_scheduler(f"edge-{i}", f"zone-{i}", share=0.12,
+                                       memory_mb=160, mbps=LINK_MBPS)
     if not await deployment.all_ready():
         return 2
     await asyncio.sleep(2)
-    rng = random.Random(16)
-    large, small, sent = [], [], []
-    body = large_job()
-    deployment.record.add(f"large body: {len(json.dumps(body))} bytes")
-    for _ in range(LARGE_JOBS):
+    accepted, sent = [], []
+    rng = random.Random(12)
+    for i in range(JOBS):
         job = f"{rng.getrandbits(64):016x}"
-        sent.append(asyncio.ensure_future(
-            submit(deployment, job, body, large)))
-        if not trouble:
-            await sent[-1]
-            await asyncio.sleep(0.5)
+        sent.append(asyncio.ensure_future(submit(deployment, job, accepted)))
+        await asyncio.sleep(0.03)
     await asyncio.gather(*sent)
-    await asyncio.sleep(2)
-    for _ in range(SMALL_JOBS):
-        job = f"{rng.getrandbits(64):016x}"
-        step = {"count": 2, "cpu": 1000, "memMb": 500, "estimateMs": 300}
-        await submit(deployment, job, {"spec": json.dumps({"ms": 300}),
-                                       "steps": [step]}, small)
-        await asyncio.sleep(0.2)
-    await asyncio.sleep(FINISH_S + 3)
-    for job in small:
-        _, answer = await sim.call(deployment.schedulers[0].front, "GET",
-                                   PREFIX + job, HOSTNAME)
-        if answer is None or answer.get("state") != "completed":
-            deployment.problem("LOST", f"{job} is {answer} {FINISH_S + 3} s "
-                               "after the last submission; all workers are "
-                               "idle" if not any(
-                                   w.runs for w in
-                                   deployment.workers.values()) else "late")
-    deployment.record.add(f"{len(large)} large and {len(small)} small jobs "
-                          f"accepted, {len(deployment.problems)} not run")
+    deployment.record.add(f"{len(accepted)} jobs accepted, "
+                          f"{len(deployment.ends)} ended")
+    killed = time.monotonic()
+    if trouble:
+        name = owner_of(deployment)
+        victim = next(s for s in deployment.schedulers if s.name == name)
+        victim.signal(signal.SIGKILL)
+        await victim.process.wait()
+        await asyncio.sleep(1)
+        await victim.start()
+    # Jobs wait and no worker has anything to do.
+    idle_since = None
+    while time.monotonic() - killed < 75:
+        await asyncio.sleep(0.25)
+        done = {task for _, _, task, _, how in deployment.ends
+                if how == "done"}
+        if len(done) >= len(accepted):
+            break
+        idle = not any(w.runs for w in deployment.workers.values())
+        if time.monotonic() - killed < RECOVER_S or not idle:
+            idle_since = None
+            continue
+        idle_since = idle_since or time.monotonic()
+        if time.monotonic() - idle_since > 3 + FINISH_S:
+            deployment.problem(
+                "LOST", f"{len(accepted) - len(done)} accepted jobs have "
+                f"nothing running for {time.monotonic() - idle_since:.1f} s "
+                f"while all workers are idle, "
+                f"{time.monotonic() - killed:.1f} s after the kill; the "
+                f"owner is {owner_of(deployment)}")
+            break
+    if not deployment.problems and len(done) < len(accepted):
+        deployment.problem("LOST", f"{len(accepted) - len(done)} jobs did not "
+                           "end")
+    for job in accepted[-3:]:
+        answer = await sim.call(deployment.schedulers[0].front, "GET",
+                                PREFIX + job, HOSTNAME)
+        deployment.record.add(f"GET {job} -> {answer}")
     return 1 if deployment.problems else 0
 
 
-sim.main(case, HERE)
+sim.main(case, HERE, limit_s=118)
--- a/review/standins-3/sim.py
+++ b/review/standins-3/sim.py
@@ -650,8 +650,7 @@
                 f"lastSeen reached that end at {self.record.time():.3f}")
 
     def configure(self, version, routes, services):
-        self.record.add(f"op/config version {version}: " + ", ".join(
-            f"{r['hostname']}{r['prefix']} -> {r['service']}" for r in routes))
+        """Writes op/config; returns its size in bytes."""
         document = {
             "version": version, "routes": routes,
             "services": [{"name": s, "healthCheck": "/health",
@@ -660,7 +659,13 @@
                          for s in services],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
-        self.store.put("op/config", json.dumps(document).encode())
+        text = json.dumps(document, separators=(",", ":"))
+        names = ", ".join(f"{r['hostname']}{r['prefix']} -> {r['service']}"
+                          for r in routes[:3])
+        self.record.add(f"op/config version {version}, {len(routes)} routes, "
+                        f"{len(text)} bytes: {names}")
+        self.store.put("op/config", text.encode())
+        return len(text)
 
     async def begin(self):
         self.store_port = await self.store.listen()
