--- a/review/standins-3/sim.py
+++ b/review/standins-3/sim.py
@@ -719,8 +719,12 @@
     """Runs a case; exits with 1 if a rule was broken, 0 if not, 2 if it could
     not run."""
     async def guarded():
+        loop = asyncio.get_running_loop()
         # Connections of a case that ends are cut.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop.set_exception_handler(lambda *_: None)
+        # The processes of a case that is ended from outside end with it.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         deployment = Deployment(folder)
         try:
             await deployment.begin()
@@ -733,6 +737,9 @@
         finally:
             deployment.record.add("end")
             deployment.close()
-    code = asyncio.run(guarded())
+    try:
+        code = asyncio.run(guarded())
+    except asyncio.CancelledError:
+        code = 2
     print(f"exit {code}")
     sys.exit(code)
