Load a cell's state over a slow link: limit a transfer by its progress

Cause: every call to the store had a limit of 1 s for the whole exchange. A full page of the inbox takes 1,163 ms on a link of 10 Mbit/s, so that the read timed out, began again from its first page, and never ended; renewals went on.

Change: TransferDeadline says when an exchange is given up: after a second without progress, as before for a silent store, or when it is slower than a part of the slowest link. ContinueRange keeps the pages that were read. The ownership session uses both for its reads and writes.

--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -128,6 +128,8 @@
   bool CanSendCommands() const;
   void End(const char* aReason);
   boost::asio::awaitable<bool> Load();
+  /** Reads a range, however often pages of it fail. Returns nothing once the
+   * session has ended. */
   boost::asio::awaitable<std::optional<StoreRangeReply>> ReadAll(
     std::string aPrefix);
   void HandleInboxItem(const StoreItem& aItem);
--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -31,15 +31,22 @@
 asio::awaitable<std::optional<StoreRangeReply>>
 CellOwnershipSession::ReadAll(std::string aPrefix)
 {
-  while (!this->ended) {
-    StoreRangeReply reply = co_await this->dependencies.store.Range(
-      aPrefix, ReadFreshness::Linearizable, kSessionStoreTimeout);
-    if (reply.result == StoreResult::Ok) {
-      co_return reply;
+  RangeCursor cursor;
+  while (!this->ended && !cursor.complete) {
+    const StoreResult result = co_await this->dependencies.store.ContinueRange(
+      cursor, aPrefix, ReadFreshness::Linearizable, kSessionStoreTimeout);
+    if (result != StoreResult::Ok) {
+      co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
     }
-    co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
   }
-  co_return std::nullopt;
+  if (!cursor.complete) {
+    co_return std::nullopt;
+  }
+  StoreRangeReply reply;
+  reply.result = StoreResult::Ok;
+  reply.items = std::move(cursor.items);
+  reply.revision = cursor.revision;
+  co_return reply;
 }
 
 asio::awaitable<bool>
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -239,21 +239,64 @@
   co_return std::string();
 }
 
+namespace {
+
+/** Writes a request, as far as the deadline allows. */
+asio::awaitable<error_code>
+WriteRequest(beast::tcp_stream& aStream,
+             const http::request<http::string_body>& aMessage,
+             TransferDeadline& aDeadline)
+{
+  http::request_serializer<http::string_body> serializer(aMessage);
+  error_code error;
+  while (!error && !serializer.is_done()) {
+    aStream.expires_at(aDeadline.Expiry());
+    const std::size_t written = co_await http::async_write_some(
+      aStream, serializer, asio::redirect_error(use_awaitable, error));
+    aDeadline.Sent(written, std::chrono::steady_clock::now());
+  }
+  co_return error;
+}
+
+/** Reads a response, as far as the deadline allows. */
+asio::awaitable<error_code>
+ReadResponse(beast::tcp_stream& aStream,
+             beast::flat_buffer& aBuffer,
+             http::response_parser<LimitedBody>& aParser,
+             TransferDeadline& aDeadline)
+{
+  error_code error;
+  while (!error && !aParser.is_done()) {
+    aStream.expires_at(aDeadline.Expiry());
+    const std::size_t read = co_await http::async_read_some(
+      aStream, aBuffer, aParser, asio::redirect_error(use_awaitable, error));
+    aDeadline.Received(read, std::chrono::steady_clock::now());
+  }
+  co_return error;
+}
+
+} // namespace
+
 asio::awaitable<ExchangeResult>
-HttpConnection::Exchange(HttpRequest aRequest, Duration aTimeout)
+HttpConnection::Exchange(HttpRequest aRequest, TransferTimeout aTimeout)
+{
+  const TransferDeadline deadline(std::chrono::steady_clock::now(), aTimeout);
+  return this->Exchange(std::move(aRequest), deadline);
+}
+
+asio::awaitable<ExchangeResult>
+HttpConnection::Exchange(HttpRequest aRequest, TransferDeadline aDeadline)
 {
   Implementation& state = *this->implementation;
   ExchangeResult result;
-  error_code error;
   http::request<http::string_body> message = ToBeast(aRequest);
   state.reusable = false;
   state.exchanging = true;
-  state.stream.expires_after(aTimeout);
-  const std::size_t written = co_await http::async_write(
-    state.stream, message, asio::redirect_error(use_awaitable, error));
+  error_code error = co_await WriteRequest(state.stream, message, aDeadline);
+  result.sentBytes = aDeadline.SentBytes();
   if (error) {
-    result.progress =
-      written == 0 ? ExchangeProgress::NotSent : ExchangeProgress::Sent;
+    result.progress = result.sentBytes == 0 ? ExchangeProgress::NotSent
+                                            : ExchangeProgress::Sent;
     result.error = error.message();
     result.timedOut = IsTimeout(error);
     this->Close();
@@ -265,10 +308,9 @@
   parser.get().body().share = &share;
   parser.body_limit(state.limits.maxBodyBytes);
   parser.header_limit(kMaxHeaderBytes);
-  co_await http::async_read(state.stream,
-                            state.buffer,
-                            parser,
-                            asio::redirect_error(use_awaitable, error));
+  parser.eager(true);
+  error = co_await ReadResponse(state.stream, state.buffer, parser, aDeadline);
+  result.receivedBytes = aDeadline.ReceivedBytes();
   if (error) {
     result.error = error.message();
     result.timedOut = IsTimeout(error);
@@ -331,7 +373,7 @@
 }
 
 asio::awaitable<ExchangeResult>
-HttpClient::Call(HttpRequest aRequest, Duration aTimeout)
+HttpClient::Call(HttpRequest aRequest, TransferTimeout aTimeout)
 {
   Idle taken = this->TakeIdle();
   const asio::any_io_executor strand = taken.strand;
@@ -345,7 +387,7 @@
 asio::awaitable<ExchangeResult>
 HttpClient::CallOn(std::uint64_t aConnection,
                    HttpRequest aRequest,
-                   Duration aTimeout)
+                   TransferTimeout aTimeout)
 {
   Idle taken = this->TakeIdle(aConnection);
   if (!taken.connection) {
@@ -361,11 +403,11 @@
 
 asio::awaitable<ExchangeResult>
 HttpClient::CallOnStrand(HttpRequest aRequest,
-                         Duration aTimeout,
+                         TransferTimeout aTimeout,
                          Idle aIdle,
                          Reconnect aReconnect)
 {
-  const TimePoint start = std::chrono::steady_clock::now();
+  const TransferDeadline deadline(std::chrono::steady_clock::now(), aTimeout);
   if (aIdle.connection && !aIdle.connection->Reusable()) {
     aIdle.connection.reset();
   }
@@ -376,8 +418,8 @@
     aIdle.number = this->NextNumber();
     aIdle.connection =
       std::make_unique<HttpConnection>(aIdle.strand, this->limits);
-    const std::string error =
-      co_await aIdle.connection->Connect(this->endpoint, aTimeout);
+    const std::string error = co_await aIdle.connection->Connect(
+      this->endpoint, std::min(aTimeout.total, aTimeout.silence));
     if (!error.empty()) {
       ExchangeResult failed;
       failed.error = error;
@@ -385,11 +427,8 @@
     }
   }
   aRequest.headers.Set("Host", this->endpoint.address);
-  const Duration spent = std::chrono::steady_clock::now() - start;
-  const Duration left =
-    std::max<Duration>(aTimeout - spent, std::chrono::milliseconds(1));
   ExchangeResult result =
-    co_await aIdle.connection->Exchange(std::move(aRequest), left);
+    co_await aIdle.connection->Exchange(std::move(aRequest), deadline);
   result.connection = aIdle.number;
   if (result.timedOut) {
     this->DropIdle();
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -3,6 +3,7 @@
 #include "Clock.h"
 #include "HttpMessage.h"
 #include "ResponseMemory.h"
+#include "TransferDeadline.h"
 #include "generated/Settings.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -40,6 +41,10 @@
   /** Number of the connection that was used, unique within its HttpClient; 0 if
    * there was none. */
   std::uint64_t connection = 0;
+  /** Bytes of the request that were passed to the network, and of the response
+   * that were received. */
+  std::size_t sentBytes = 0;
+  std::size_t receivedBytes = 0;
 
   bool Complete() const { return this->progress == ExchangeProgress::Complete; }
 };
@@ -67,7 +72,11 @@
   /** Sends a request and receives the complete response. Precondition:
    * Reusable(). */
   boost::asio::awaitable<ExchangeResult> Exchange(HttpRequest aRequest,
-                                                  Duration aTimeout);
+                                                  TransferDeadline aDeadline);
+
+  /** Like Exchange() with a deadline that begins now. */
+  boost::asio::awaitable<ExchangeResult> Exchange(HttpRequest aRequest,
+                                                  TransferTimeout aTimeout);
 
   /** Returns whether the connection is open, has no exchange in progress and
    * has no unread data from an earlier exchange. */
@@ -101,7 +110,7 @@
    * path may have lost the state of all of them at the same time.
    */
   boost::asio::awaitable<ExchangeResult> Call(HttpRequest aRequest,
-                                              Duration aTimeout);
+                                              TransferTimeout aTimeout);
 
   /** Like Call(), but sends the request only on the connection with the number
    * aConnection, which reaches the same process as the earlier requests on it.
@@ -109,7 +118,7 @@
    * result names no connection. */
   boost::asio::awaitable<ExchangeResult> CallOn(std::uint64_t aConnection,
                                                 HttpRequest aRequest,
-                                                Duration aTimeout);
+                                                TransferTimeout aTimeout);
 
   /** Closes all idle connections. */
   void DropIdle();
@@ -135,7 +144,7 @@
   std::uint64_t NextNumber();
   void NoteRefused(const std::string& aError) const;
   boost::asio::awaitable<ExchangeResult> CallOnStrand(HttpRequest aRequest,
-                                                      Duration aTimeout,
+                                                      TransferTimeout aTimeout,
                                                       Idle aIdle,
                                                       Reconnect aReconnect);
 
--- a/src/StoreRecords.h
+++ b/src/StoreRecords.h
@@ -13,8 +13,10 @@
 namespace sequoiakeel {
 
 /** Time-out of the store calls of an ownership session. The store usually
- * answers within a few milliseconds, and within 300 ms while it is slow. */
-inline constexpr std::chrono::milliseconds kSessionStoreTimeout{ 1000 };
+ * answers within a few milliseconds, and within 300 ms while it is slow. What a
+ * call carries grows with the work of the cell. */
+inline constexpr TransferTimeout kSessionStoreTimeout =
+  TransferTimeout::Silence(std::chrono::milliseconds(1000));
 
 /** Delay before a failed call to the store is repeated. */
 inline constexpr std::chrono::milliseconds kSessionStoreRetryDelay{ 100 };
--- a/src/TransactionalStore.h
+++ b/src/TransactionalStore.h
@@ -2,6 +2,7 @@
 
 #include "Clock.h"
 #include "KeyValueStore.h"
+#include "TransferDeadline.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -77,6 +78,28 @@
   std::uint64_t revision = 0;
 };
 
+/** A page of the keys with a prefix. */
+struct StorePage
+{
+  StoreResult result = StoreResult::Unavailable;
+  std::vector<StoreItem> items;
+  /** Revision of the store when the page was read. */
+  std::uint64_t revision = 0;
+  /** Key after which the next page begins; empty if this is the last page. */
+  std::string next;
+};
+
+/** What was read so far of a range, from which a read that failed continues. */
+struct RangeCursor
+{
+  std::vector<StoreItem> items;
+  /** Revision of the store when the first page was read; 0: none was read. */
+  std::uint64_t revision = 0;
+  std::string next;
+  std::size_t pages = 0;
+  bool complete = false;
+};
+
 struct StoreWatchReply
 {
   StoreResult result = StoreResult::Unavailable;
@@ -97,20 +120,39 @@
 
 /** Interface of a key-value store with multi-key transactions, leases and
  * watches. Thread safe. Every call ends within its time-out, or within the wait
- * of a watch and a margin. */
+ * of a watch and a margin; see TransferTimeout for calls that carry much. */
 class TransactionalStore
 {
 public:
   virtual ~TransactionalStore() = default;
 
   /** Reads one key. The reply has no item if the key does not exist. */
-  virtual boost::asio::awaitable<StoreRangeReply> Get(std::string aKey,
-                                                      Duration aTimeout) = 0;
+  virtual boost::asio::awaitable<StoreRangeReply> Get(
+    std::string aKey,
+    TransferTimeout aTimeout) = 0;
+
+  /** Reads the keys with a prefix that follow aAfter, as many as fit into one
+   * response. */
+  virtual boost::asio::awaitable<StorePage> ReadPage(
+    std::string aPrefix,
+    std::string aAfter,
+    ReadFreshness aFreshness,
+    TransferTimeout aTimeout) = 0;
 
   /** Reads all keys with a prefix, page by page. The pages together are not a
-   * consistent snapshot. */
-  virtual boost::asio::awaitable<StoreRangeReply>
-  Range(std::string aPrefix, ReadFreshness aFreshness, Duration aTimeout) = 0;
+   * consistent snapshot. A page that fails is read again, unless it is the
+   * first one or has failed several times. aTimeout applies to each page. */
+  boost::asio::awaitable<StoreRangeReply> Range(std::string aPrefix,
+                                                ReadFreshness aFreshness,
+                                                TransferTimeout aTimeout);
+
+  /** Reads further pages of a range until it is complete or a page fails, of
+   * which the result is returned. Pages that were read are kept in the cursor.
+   * Precondition: aCursor outlives the call and is not complete. */
+  boost::asio::awaitable<StoreResult> ContinueRange(RangeCursor& aCursor,
+                                                    std::string aPrefix,
+                                                    ReadFreshness aFreshness,
+                                                    TransferTimeout aTimeout);
 
   /** Waits up to aWait for changes after a revision. */
   virtual boost::asio::awaitable<StoreWatchReply> Watch(std::string aPrefix,
@@ -121,21 +163,21 @@
    * been applied, or may still be applied while its conditions hold. */
   virtual boost::asio::awaitable<StoreTransactionReply> Commit(
     StoreTransaction aTransaction,
-    Duration aTimeout) = 0;
+    TransferTimeout aTimeout) = 0;
 
   virtual boost::asio::awaitable<StoreLeaseReply> GrantLease(
     std::chrono::milliseconds aTtl,
-    Duration aTimeout) = 0;
+    TransferTimeout aTimeout) = 0;
 
   /** Renews a lease. Returns Conflict if the lease has expired or was ended. */
   virtual boost::asio::awaitable<StoreLeaseReply> RenewLease(
     std::uint64_t aLease,
-    Duration aTimeout) = 0;
+    TransferTimeout aTimeout) = 0;
 
   /** Ends a lease and deletes the keys attached to it. */
   virtual boost::asio::awaitable<StoreLeaseReply> EndLease(
     std::uint64_t aLease,
-    Duration aTimeout) = 0;
+    TransferTimeout aTimeout) = 0;
 };
 
 } // namespace sequoiakeel
--- /dev/null
+++ b/test/path/SlowStoreLinks.cpp
@@ -0,0 +1,79 @@
+/**
+ * Guards against a scheduler process that never serves again after a restart,
+ * since what it has to read takes longer on a link of 10 Mbit/s than the
+ * time-out of a call to the store.
+ */
+#include "WorkflowKeys.h"
+#include "generated/WorkflowJson.h"
+#include "soak/SchedulerFixture.h"
+
+#include <csignal>
+
+using namespace sequoiakeel;
+
+namespace {
+
+constexpr std::uint16_t kPort = 21900;
+
+/** Bandwidth of a link of 10 Mbit/s. */
+constexpr std::uint64_t kLinkBytesPerSecond = 10'000'000 / 8;
+
+/** Items of a page of the platform's store. */
+constexpr std::size_t kPageItems = 500;
+
+constexpr std::size_t kPayloadBytes = 4000;
+
+class SlowStoreLink : public soak::SchedulerFixture
+{
+public:
+  explicit SlowStoreLink(const std::string& aName)
+    : SchedulerFixture(aName,
+                       kPort,
+                       nlohmann::json::object(),
+                       nlohmann::json::object(),
+                       { "z1" })
+  {
+    this->store.SetPageItems(kPageItems);
+    REQUIRE(this->Until([this] { return this->SubmitOne() == 200; }));
+    this->storeLink.SetBandwidth(kLinkBytesPerSecond);
+  }
+
+  void KillProcess()
+  {
+    this->process->Signal(SIGKILL);
+    this->process->Wait();
+  }
+
+  /** Writes jobs of one small task that were accepted and wait in cell 0. */
+  void AddBacklog(std::size_t aJobs)
+  {
+    for (std::size_t i = 0; i < aJobs; ++i) {
+      WorkflowSubmission submission;
+      submission.id = this->SmallJob().first;
+      submission.queue = "jobs";
+      submission.service = "desk";
+      submission.payload = std::string(kPayloadBytes, 'x');
+      WorkflowStep step;
+      step.count = 1;
+      step.cpuMilli = 1000;
+      step.memoryMb = 100;
+      step.estimateMs = 300;
+      submission.steps.push_back(step);
+      submission.maxAttempts = 3;
+      submission.acceptedUnixMs = 1;
+      this->Put(WorkflowKeys(0).Job(submission.id), submission);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a new owner loads a backlog of several pages and starts its tasks")
+{
+  SlowStoreLink system("backlog-on-slow-link");
+  system.KillProcess();
+  const std::uint64_t before = system.ledger.Starts();
+  system.AddBacklog(700);
+  system.StartProcess();
+  CHECK(system.Until([&] { return system.ledger.Starts() > before; }));
+}
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -2,6 +2,7 @@
 
 #include "AsyncSignal.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,11 +35,22 @@
   bool delivering = false;
 };
 
+/** Bandwidth that all connections of a proxy share. */
+struct Bandwidth
+{
+  std::uint64_t bytesPerSecond = 0;
+  /** When the data that was accepted in a direction has been sent. */
+  TimePoint freeTowardsTarget;
+  TimePoint freeTowardsCaller;
+};
+
 struct Link
 {
-  explicit Link(const asio::any_io_executor& aExecutor)
+  Link(const asio::any_io_executor& aExecutor,
+       std::shared_ptr<Bandwidth> aBandwidth)
     : near(aExecutor)
     , far(aExecutor)
+    , bandwidth(std::move(aBandwidth))
   {
   }
 
@@ -57,9 +69,28 @@
   Tcp::socket far;
   HeldData towardsTarget;
   HeldData towardsCaller;
+  std::shared_ptr<Bandwidth> bandwidth;
   PathFault fault = PathFault::None;
 };
 
+/** Waits until the shared bandwidth has carried aSize more bytes. */
+asio::awaitable<void>
+AwaitBandwidth(std::shared_ptr<Link> aLink,
+               bool aTowardsTarget,
+               std::size_t aSize)
+{
+  Bandwidth& bandwidth = *aLink->bandwidth;
+  if (bandwidth.bytesPerSecond == 0) {
+    co_return;
+  }
+  TimePoint& free =
+    aTowardsTarget ? bandwidth.freeTowardsTarget : bandwidth.freeTowardsCaller;
+  const TimePoint now = std::chrono::steady_clock::now();
+  free = std::max(free, now) + std::chrono::nanoseconds(
+                                 aSize * 1000000000 / bandwidth.bytesPerSecond);
+  co_await SleepFor(aLink->near.get_executor(), free - now);
+}
+
 /** Delivers held data once the fault is over. Closing the link drops it. */
 asio::awaitable<void>
 DeliverHeld(std::shared_ptr<Link> aLink, bool aTowardsTarget)
@@ -116,6 +147,7 @@
     if (aLink->fault == PathFault::Delay) {
       co_await SleepFor(from.get_executor(), kDelay);
     }
+    co_await AwaitBandwidth(aLink, aTowardsTarget, size);
     co_await asio::async_write(
       to,
       asio::buffer(piece.data(), size),
@@ -150,6 +182,7 @@
   Tcp::acceptor acceptor;
   Tcp::endpoint target;
   PathFault faultOfNew = PathFault::None;
+  std::shared_ptr<Bandwidth> bandwidth = std::make_shared<Bandwidth>();
   std::set<std::shared_ptr<Link>> links;
 };
 
@@ -175,7 +208,7 @@
 Accept(std::shared_ptr<FaultProxy::State> aState)
 {
   while (true) {
-    auto link = std::make_shared<Link>(aState->executor);
+    auto link = std::make_shared<Link>(aState->executor, aState->bandwidth);
     boost::system::error_code error;
     co_await aState->acceptor.async_accept(
       link->near, asio::redirect_error(asio::use_awaitable, error));
@@ -218,6 +251,12 @@
   this->state->faultOfNew = aOpenOnly ? PathFault::None : aFault;
 }
 
+void
+FaultProxy::SetBandwidth(std::uint64_t aBytesPerSecond)
+{
+  this->state->bandwidth->bytesPerSecond = aBytesPerSecond;
+}
+
 void
 FaultProxy::Reset()
 {
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -42,6 +42,10 @@
    * lost its connection-tracking state. */
   void SetFault(PathFault aFault, bool aOpenOnly = false);
 
+  /** Limits the data of all connections together, in each direction. 0: no
+   * limit. */
+  void SetBandwidth(std::uint64_t aBytesPerSecond);
+
   /** Resets all open connections. */
   void Reset();
 
--- a/test/soak/SchedulerFixture.h
+++ b/test/soak/SchedulerFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "HttpClient.h"
+#include "soak/FaultProxy.h"
 #include "soak/SoakStore.h"
 #include "soak/SoakWorker.h"
 #include "support/ChildProcess.h"
@@ -41,6 +42,7 @@
     , health(this->FreeEndpoint())
     , peer(this->FreeEndpoint())
     , store(context, random)
+    , storeLink(context.get_executor(), store.Address())
   {
     std::filesystem::create_directories(this->folder);
     for (const std::string& zone : aZones) {
@@ -68,7 +70,7 @@
                              { "health", Text(this->health) },
                              { "peer_ip", this->peer.address },
                              { "peer_port", this->peer.port },
-                             { "store", Text(this->store.Address()) } };
+                             { "store", Text(this->storeLink.Address()) } };
     settings.update(aSettings);
     std::ofstream(this->SettingsFile()) << settings;
     this->StartProcess();
@@ -210,6 +212,8 @@
 
 public:
   SoakStore store;
+  /** Link between the process and the store. */
+  FaultProxy storeLink;
 
 private:
   std::vector<std::unique_ptr<SoakWorker>> workers;
--- a/test/soak/SoakStore.cpp
+++ b/test/soak/SoakStore.cpp
@@ -15,8 +15,8 @@
 constexpr int kLateMinMs = 1000;
 constexpr int kLateSpreadMs = 3000;
 
-/** Pages are small so that range reads span more than one page. */
-constexpr std::size_t kPageItems = 50;
+/** Limit of the values in a page of a range. */
+constexpr std::size_t kPageBytes = 1000000;
 
 constexpr std::chrono::seconds kTimeout{ 1 };
 
@@ -162,18 +162,18 @@
 asio::awaitable<HttpResponse>
 SoakStore::Range(HttpRequest aRequest)
 {
-  const StoreRangeReply read =
-    co_await this->store.Range(QueryParameter(aRequest.target, "prefix"),
-                               ReadFreshness::Linearizable,
-                               kTimeout);
-  const std::string after = QueryParameter(aRequest.target, "after");
+  const StorePage read =
+    co_await this->store.ReadPage(QueryParameter(aRequest.target, "prefix"),
+                                  QueryParameter(aRequest.target, "after"),
+                                  ReadFreshness::Linearizable,
+                                  kTimeout);
   nlohmann::json items = nlohmann::json::array();
+  std::size_t bytes = 0;
   bool more = false;
   for (const StoreItem& item : read.items) {
-    if (item.key <= after) {
-      continue;
-    }
-    more = items.size() == kPageItems;
+    bytes += item.value.size();
+    more =
+      items.size() == this->pageItems || (!items.empty() && bytes > kPageBytes);
     if (more) {
       break;
     }
--- a/test/soak/SoakStore.h
+++ b/test/soak/SoakStore.h
@@ -43,6 +43,10 @@
    * the fault is cleared. */
   void SetWatchesBlocked(bool aDeaf) { this->store.SetWatchesBlocked(aDeaf); }
 
+  /** Limits the items of a page of a range. Pages are small by default, so that
+   * ranges span several. */
+  void SetPageItems(std::size_t aItems) { this->pageItems = aItems; }
+
   /** Removes the owner key of a cell without prior notice to the owner. */
   void RevokeOwner(std::uint32_t aCell);
 
@@ -73,6 +77,7 @@
   FakeTransactionalStore store;
   HttpServer server;
   StoreFault fault = StoreFault::None;
+  std::size_t pageItems = 50;
 };
 
 } // namespace sequoiakeel::soak
--- a/test/support/FakePlatform.cpp
+++ b/test/support/FakePlatform.cpp
@@ -82,7 +82,7 @@
 }
 
 asio::awaitable<StoreRangeReply>
-FakeTransactionalStore::Get(std::string aKey, Duration /*aTimeout*/)
+FakeTransactionalStore::Get(std::string aKey, TransferTimeout /*aTimeout*/)
 {
   co_await SleepFor(this->executor, kCallDelay);
   const std::lock_guard lock(this->mutex);
@@ -100,26 +100,36 @@
   co_return reply;
 }
 
-asio::awaitable<StoreRangeReply>
-FakeTransactionalStore::Range(std::string aPrefix,
-                              ReadFreshness /*aFreshness*/,
-                              Duration /*aTimeout*/)
+asio::awaitable<StorePage>
+FakeTransactionalStore::ReadPage(std::string aPrefix,
+                                 std::string aAfter,
+                                 ReadFreshness /*aFreshness*/,
+                                 TransferTimeout /*aTimeout*/)
 {
   co_await SleepFor(this->executor, kCallDelay);
   const std::lock_guard lock(this->mutex);
   this->ExpireLeases();
-  StoreRangeReply reply;
-  if (this->down) {
-    co_return reply;
-  }
-  reply.result = StoreResult::Ok;
-  reply.revision = this->revision;
-  for (const auto& [key, item] : this->items) {
-    if (key.starts_with(aPrefix)) {
-      reply.items.push_back(item);
+  ++this->pagesRead;
+  StorePage page;
+  const bool fails =
+    this->failingPage > 0 && this->pagesRead % this->failingPage == 0;
+  if (this->down || fails) {
+    co_return page;
+  }
+  page.result = StoreResult::Ok;
+  page.revision = this->revision;
+  for (auto item = this->items.upper_bound(aAfter); item != this->items.end();
+       ++item) {
+    if (!item->first.starts_with(aPrefix)) {
+      continue;
     }
+    if (page.items.size() == this->pageItems) {
+      page.next = page.items.back().key;
+      break;
+    }
+    page.items.push_back(item->second);
   }
-  co_return reply;
+  co_return page;
 }
 
 asio::awaitable<StoreWatchReply>
@@ -160,7 +170,7 @@
 
 asio::awaitable<StoreTransactionReply>
 FakeTransactionalStore::Commit(StoreTransaction aTransaction,
-                               Duration /*aTimeout*/)
+                               TransferTimeout /*aTimeout*/)
 {
   co_await SleepFor(this->executor, kCallDelay);
   const std::lock_guard lock(this->mutex);
@@ -211,7 +221,7 @@
 
 asio::awaitable<StoreLeaseReply>
 FakeTransactionalStore::GrantLease(std::chrono::milliseconds aTtl,
-                                   Duration /*aTimeout*/)
+                                   TransferTimeout /*aTimeout*/)
 {
   const std::lock_guard lock(this->mutex);
   StoreLeaseReply reply;
@@ -226,7 +236,8 @@
 }
 
 asio::awaitable<StoreLeaseReply>
-FakeTransactionalStore::RenewLease(std::uint64_t aLease, Duration /*aTimeout*/)
+FakeTransactionalStore::RenewLease(std::uint64_t aLease,
+                                   TransferTimeout /*aTimeout*/)
 {
   const std::lock_guard lock(this->mutex);
   this->ExpireLeases();
@@ -246,7 +257,8 @@
 }
 
 asio::awaitable<StoreLeaseReply>
-FakeTransactionalStore::EndLease(std::uint64_t aLease, Duration /*aTimeout*/)
+FakeTransactionalStore::EndLease(std::uint64_t aLease,
+                                 TransferTimeout /*aTimeout*/)
 {
   const std::lock_guard lock(this->mutex);
   const auto found = this->leases.find(aLease);
@@ -294,6 +306,21 @@
   this->Delete(aKey);
 }
 
+void
+FakeTransactionalStore::SetPages(std::size_t aItems, int aFailing)
+{
+  const std::lock_guard lock(this->mutex);
+  this->pageItems = aItems;
+  this->failingPage = aFailing;
+}
+
+int
+FakeTransactionalStore::PagesRead()
+{
+  const std::lock_guard lock(this->mutex);
+  return this->pagesRead;
+}
+
 int
 FakeTransactionalStore::Commits()
 {
--- a/test/support/FakePlatform.h
+++ b/test/support/FakePlatform.h
@@ -22,25 +22,28 @@
 public:
   explicit FakeTransactionalStore(boost::asio::any_io_executor aExecutor);
 
-  boost::asio::awaitable<StoreRangeReply> Get(std::string aKey,
-                                              Duration aTimeout) override;
-  boost::asio::awaitable<StoreRangeReply> Range(std::string aPrefix,
-                                                ReadFreshness aFreshness,
-                                                Duration aTimeout) override;
+  boost::asio::awaitable<StoreRangeReply> Get(
+    std::string aKey,
+    TransferTimeout aTimeout) override;
+  boost::asio::awaitable<StorePage> ReadPage(std::string aPrefix,
+                                             std::string aAfter,
+                                             ReadFreshness aFreshness,
+                                             TransferTimeout aTimeout) override;
   boost::asio::awaitable<StoreWatchReply> Watch(std::string aPrefix,
                                                 std::uint64_t aAfter,
                                                 Duration aWait) override;
   boost::asio::awaitable<StoreTransactionReply> Commit(
     StoreTransaction aTransaction,
-    Duration aTimeout) override;
+    TransferTimeout aTimeout) override;
   boost::asio::awaitable<StoreLeaseReply> GrantLease(
     std::chrono::milliseconds aTtl,
-    Duration aTimeout) override;
+    TransferTimeout aTimeout) override;
   boost::asio::awaitable<StoreLeaseReply> RenewLease(
     std::uint64_t aLease,
-    Duration aTimeout) override;
-  boost::asio::awaitable<StoreLeaseReply> EndLease(std::uint64_t aLease,
-                                                   Duration aTimeout) override;
+    TransferTimeout aTimeout) override;
+  boost::asio::awaitable<StoreLeaseReply> EndLease(
+    std::uint64_t aLease,
+    TransferTimeout aTimeout) override;
 
   /** Makes the next aCount commits that write a key with a prefix return
    * StoreResult::Unknown after they were applied. */
@@ -54,9 +57,16 @@
    * history. */
   void SetWatchesBlocked(bool aBlocked, const std::string& aPrefix = "");
 
+  /** Limits the items of a page of a range. If aFailing is not 0, every
+   * aFailing-th read of a page fails. */
+  void SetPages(std::size_t aItems, int aFailing = 0);
+
   /** Removes a key without ending its lease, as an operator can. */
   void Remove(const std::string& aKey);
 
+  /** Returns the number of reads of pages. */
+  int PagesRead();
+
   /** Returns the number of transactions that were attempted. */
   int Commits();
 
@@ -87,6 +97,9 @@
   int answersToLose = 0;
   std::string answersToLosePrefix;
   int commits = 0;
+  std::size_t pageItems = SIZE_MAX;
+  int failingPage = 0;
+  int pagesRead = 0;
   bool down = false;
   bool watchesBlocked = false;
   std::string blockedPrefix;
