--- a/test/path/SlowStoreLinks.cpp
+++ b/test/path/SlowStoreLinks.cpp
@@ -68,6 +68,29 @@
 
 } // namespace
 
+TEST_CASE("a process that starts reads a configuration of the largest size")
+{
+  constexpr std::size_t kLargestValue = 1048576;
+  SlowStoreLink system("configuration-on-slow-link");
+  system.KillProcess();
+  nlohmann::json document = system.Document();
+  nlohmann::json routes = document.at("routes");
+  // Writes each route about as often as the largest value holds it.
+  const std::size_t routeBytes = routes.front().dump().size() + 8;
+  for (std::size_t i = 0; i < kLargestValue / routeBytes; ++i) {
+    nlohmann::json route = routes.front();
+    route["prefix"] = "/p" + std::to_string(i) + "/";
+    routes.push_back(route);
+  }
+  document["version"] = 2;
+  document["routes"] = routes;
+  REQUIRE(document.dump().size() > kLargestValue * 9 / 10);
+  REQUIRE(document.dump().size() < kLargestValue);
+  system.Put("op/config", document);
+  system.StartProcess();
+  CHECK(system.Until([&] { return system.SubmitOne() == 200; }));
+}
+
 TEST_CASE("a new owner loads a backlog of several pages and starts its tasks")
 {
   SlowStoreLink system("backlog-on-slow-link");
--- a/test/soak/SchedulerFixture.h
+++ b/test/soak/SchedulerFixture.h
@@ -60,10 +60,10 @@
       { "attempts", 3 },           { "stretch", 2.0 },
       { "targetDurationMs", 1000 }
     };
-    this->Put("op/config",
-              nlohmann::json{ { "version", 1 },
-                              { "routes", { route } },
-                              { "limits", aLimits } });
+    this->document = nlohmann::json{ { "version", 1 },
+                                     { "routes", { route } },
+                                     { "limits", aLimits } };
+    this->Put("op/config", this->document);
     nlohmann::json settings{ { "name", "n" },
                              { "zone", "z" },
                              { "front", Text(this->front) },
@@ -167,6 +167,9 @@
     return true;
   }
 
+  /** Returns the operator's document as it was first written. */
+  const nlohmann::json& Document() const { return this->document; }
+
   const Endpoint& Front() const { return this->front; }
 
   const Endpoint& Health() const { return this->health; }
@@ -204,6 +207,7 @@
   }
 
   std::uint16_t port;
+  nlohmann::json document;
   std::filesystem::path folder;
   Endpoint front;
   Endpoint health;
