--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -285,7 +285,9 @@
 }
 
 asio::awaitable<ExchangeResult>
-HttpConnection::Exchange(HttpRequest aRequest, TransferDeadline aDeadline)
+HttpConnection::Exchange(HttpRequest aRequest,
+                         TransferDeadline aDeadline,
+                         std::size_t aMaxBodyBytes)
 {
   Implementation& state = *this->implementation;
   ExchangeResult result;
@@ -303,10 +305,12 @@
     co_return result;
   }
   result.progress = ExchangeProgress::Sent;
-  ResponseShare share(state.limits);
+  ResponseLimits limits = state.limits;
+  limits.maxBodyBytes = std::min(limits.maxBodyBytes, aMaxBodyBytes);
+  ResponseShare share(limits);
   http::response_parser<LimitedBody> parser;
   parser.get().body().share = &share;
-  parser.body_limit(state.limits.maxBodyBytes);
+  parser.body_limit(limits.maxBodyBytes);
   parser.header_limit(kMaxHeaderBytes);
   parser.eager(true);
   error = co_await ReadResponse(state.stream, state.buffer, parser, aDeadline);
@@ -373,12 +377,18 @@
 }
 
 asio::awaitable<ExchangeResult>
-HttpClient::Call(HttpRequest aRequest, TransferTimeout aTimeout)
+HttpClient::Call(HttpRequest aRequest,
+                 TransferTimeout aTimeout,
+                 std::size_t aMaxBodyBytes)
 {
   Idle taken = this->TakeIdle();
   const asio::any_io_executor strand = taken.strand;
-  asio::awaitable<ExchangeResult> call = this->CallOnStrand(
-    std::move(aRequest), aTimeout, std::move(taken), Reconnect::IfClosed);
+  asio::awaitable<ExchangeResult> call =
+    this->CallOnStrand(std::move(aRequest),
+                       aTimeout,
+                       aMaxBodyBytes,
+                       std::move(taken),
+                       Reconnect::IfClosed);
   ExchangeResult result =
     co_await asio::co_spawn(strand, std::move(call), use_awaitable);
   co_return result;
@@ -394,8 +404,11 @@
     co_return ExchangeResult();
   }
   const asio::any_io_executor strand = taken.strand;
-  asio::awaitable<ExchangeResult> call = this->CallOnStrand(
-    std::move(aRequest), aTimeout, std::move(taken), Reconnect::Never);
+  asio::awaitable<ExchangeResult> call = this->CallOnStrand(std::move(aRequest),
+                                                            aTimeout,
+                                                            SIZE_MAX,
+                                                            std::move(taken),
+                                                            Reconnect::Never);
   ExchangeResult result =
     co_await asio::co_spawn(strand, std::move(call), use_awaitable);
   co_return result;
@@ -404,6 +417,7 @@
 asio::awaitable<ExchangeResult>
 HttpClient::CallOnStrand(HttpRequest aRequest,
                          TransferTimeout aTimeout,
+                         std::size_t aMaxBodyBytes,
                          Idle aIdle,
                          Reconnect aReconnect)
 {
@@ -427,8 +441,8 @@
     }
   }
   aRequest.headers.Set("Host", this->endpoint.address);
-  ExchangeResult result =
-    co_await aIdle.connection->Exchange(std::move(aRequest), deadline);
+  ExchangeResult result = co_await aIdle.connection->Exchange(
+    std::move(aRequest), deadline, aMaxBodyBytes);
   result.connection = aIdle.number;
   if (result.timedOut) {
     this->DropIdle();
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -9,6 +9,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -69,10 +70,12 @@
   boost::asio::awaitable<std::string> Connect(Endpoint aEndpoint,
                                               Duration aTimeout);
 
-  /** Sends a request and receives the complete response. Precondition:
-   * Reusable(). */
-  boost::asio::awaitable<ExchangeResult> Exchange(HttpRequest aRequest,
-                                                  TransferDeadline aDeadline);
+  /** Sends a request and receives the complete response. aMaxBodyBytes: limits
+   * the body of the response further. Precondition: Reusable(). */
+  boost::asio::awaitable<ExchangeResult> Exchange(
+    HttpRequest aRequest,
+    TransferDeadline aDeadline,
+    std::size_t aMaxBodyBytes = SIZE_MAX);
 
   /** Like Exchange() with a deadline that begins now. */
   boost::asio::awaitable<ExchangeResult> Exchange(HttpRequest aRequest,
@@ -105,12 +108,15 @@
              ResponseLimits aLimits = {});
 
   /**
-   * Sends one request, without retries. If sending the request or receiving the
+   * Sends one request, without retries. aMaxBodyBytes: limits the body of the
+   * response further. If sending the request or receiving the
    * response times out, all idle connections are closed, because the network
    * path may have lost the state of all of them at the same time.
    */
-  boost::asio::awaitable<ExchangeResult> Call(HttpRequest aRequest,
-                                              TransferTimeout aTimeout);
+  boost::asio::awaitable<ExchangeResult> Call(
+    HttpRequest aRequest,
+    TransferTimeout aTimeout,
+    std::size_t aMaxBodyBytes = SIZE_MAX);
 
   /** Like Call(), but sends the request only on the connection with the number
    * aConnection, which reaches the same process as the earlier requests on it.
@@ -145,6 +151,7 @@
   void NoteRefused(const std::string& aError) const;
   boost::asio::awaitable<ExchangeResult> CallOnStrand(HttpRequest aRequest,
                                                       TransferTimeout aTimeout,
+                                                      std::size_t aMaxBodyBytes,
                                                       Idle aIdle,
                                                       Reconnect aReconnect);
 
--- a/src/TransactionalStore.h
+++ b/src/TransactionalStore.h
@@ -103,8 +103,8 @@
 struct StoreWatchReply
 {
   StoreResult result = StoreResult::Unavailable;
-  /** The history after the requested revision was compacted; the range has to
-   * be read again. */
+  /** The history after the requested revision was compacted or is too large for
+   * one response; the range has to be read again, page by page. */
   bool compacted = false;
   std::vector<StoreItem> events;
   /** Revision after which the next watch has to start. */
