Store and relay a large submission over a slow link

Callers got 504 for a submission of the largest size on a link of 10 Mbit/s, although it may have been stored.

Cause: the call to the store had 700 ms and the relay to another process 600 ms for the whole exchange. The record of such a job takes a second.

Change: both are limited by their progress and by the caller's deadline. Frames between processes follow TransferDeadline.

--- a/src/PeerRpc.cpp
+++ b/src/PeerRpc.cpp
@@ -35,7 +35,8 @@
 constexpr std::size_t kHeaderBytes = 14;
 /** Delay after a failed accept. */
 constexpr std::chrono::milliseconds kAcceptBackOff{ 100 };
-/** Maximum time to receive a frame after its first bytes, and to send one. */
+/** Longest time without progress while a frame is received, after its first
+ * bytes, or sent. */
 constexpr std::chrono::seconds kFrameTimeout{ 10 };
 /** Time in which evicted connections release their memory. */
 constexpr std::chrono::milliseconds kReleaseTime{ 1 };
@@ -62,27 +63,60 @@
   return bytes;
 }
 
+/** Receives as many bytes as fit into aTo, as far as the deadline allows.
+ * Returns whether they arrived. */
+asio::awaitable<bool>
+Receive(beast::tcp_stream& aStream,
+        asio::mutable_buffer aTo,
+        TransferDeadline& aDeadline)
+{
+  error_code error;
+  while (!error && aTo.size() > 0) {
+    aStream.expires_at(aDeadline.Expiry());
+    const std::size_t size = co_await aStream.async_read_some(
+      aTo, asio::redirect_error(use_awaitable, error));
+    aDeadline.Received(size, std::chrono::steady_clock::now());
+    aTo += size;
+  }
+  co_return !error;
+}
+
+/** Sends bytes as far as the deadline allows. Returns whether all were passed
+ * to the network. */
+asio::awaitable<bool>
+Send(beast::tcp_stream& aStream,
+     asio::const_buffer aBytes,
+     TransferDeadline& aDeadline)
+{
+  error_code error;
+  while (!error && aBytes.size() > 0) {
+    aStream.expires_at(aDeadline.Expiry());
+    const std::size_t size = co_await aStream.async_write_some(
+      aBytes, asio::redirect_error(use_awaitable, error));
+    aDeadline.Sent(size, std::chrono::steady_clock::now());
+    aBytes += size;
+  }
+  co_return !error;
+}
+
 /** Reads one frame; returns nothing on an error or if the length exceeds
  * kMaxPeerMessageBytes. */
 asio::awaitable<std::optional<Frame>>
-ReadFrame(Tcp::socket& aSocket)
+ReadFrame(beast::tcp_stream& aStream, TransferDeadline& aDeadline)
 {
-  error_code error;
   std::array<unsigned char, kHeaderBytes> header{};
-  co_await asio::async_read(
-    aSocket, asio::buffer(header), asio::redirect_error(use_awaitable, error));
+  const bool begun = co_await Receive(aStream, asio::buffer(header), aDeadline);
   const std::uint32_t length = boost::endian::load_big_u32(header.data());
-  if (error || length > kMaxPeerMessageBytes) {
+  if (!begun || length > kMaxPeerMessageBytes) {
     co_return std::nullopt;
   }
   Frame frame;
   frame.kind = boost::endian::load_big_u16(header.data() + 4);
   frame.correlation = boost::endian::load_big_u64(header.data() + 6);
   frame.body.resize(length);
-  co_await asio::async_read(aSocket,
-                            asio::buffer(frame.body),
-                            asio::redirect_error(use_awaitable, error));
-  if (error) {
+  const bool complete =
+    co_await Receive(aStream, asio::buffer(frame.body), aDeadline);
+  if (!complete) {
     co_return std::nullopt;
   }
   co_return frame;
@@ -102,16 +136,21 @@
   return error == asio::error::would_block;
 }
 
-/** Writes a frame to a socket or a stream with a time-out. */
-template<typename Stream>
 asio::awaitable<bool>
-WriteFrame(Stream& aStream, const Frame& aFrame)
+WriteFrame(beast::tcp_stream& aStream,
+           const Frame& aFrame,
+           TransferDeadline& aDeadline)
 {
-  error_code error;
   const std::string bytes = EncodeFrame(aFrame);
-  co_await asio::async_write(
-    aStream, asio::buffer(bytes), asio::redirect_error(use_awaitable, error));
-  co_return !error;
+  const bool written = co_await Send(aStream, asio::buffer(bytes), aDeadline);
+  co_return written;
+}
+
+TransferDeadline
+FrameDeadline()
+{
+  return TransferDeadline(std::chrono::steady_clock::now(),
+                          TransferTimeout::Silence(kFrameTimeout));
 }
 
 } // namespace
@@ -179,7 +218,8 @@
 asio::awaitable<bool>
 ReceiveHeader(SharedPointer aShared,
               ConnectionPointer aConnection,
-              std::array<unsigned char, kHeaderBytes>& aHeader)
+              std::array<unsigned char, kHeaderBytes>& aHeader,
+              TransferDeadline& aDeadline)
 {
   error_code error;
   aConnection->stream.expires_never();
@@ -189,11 +229,10 @@
     co_return false;
   }
   aShared->memory->BeginRequest(aConnection->key);
-  aConnection->stream.expires_after(kFrameTimeout);
-  co_await asio::async_read(aConnection->stream,
-                            asio::buffer(aHeader) + first,
-                            asio::redirect_error(use_awaitable, error));
-  co_return !error;
+  aDeadline = FrameDeadline();
+  const bool complete = co_await Receive(
+    aConnection->stream, asio::buffer(aHeader) + first, aDeadline);
+  co_return complete;
 }
 
 /** Receives one frame. Its body takes memory only as it arrives, whatever
@@ -203,7 +242,9 @@
 ReceiveFrame(SharedPointer aShared, ConnectionPointer aConnection)
 {
   std::array<unsigned char, kHeaderBytes> header{};
-  const bool begun = co_await ReceiveHeader(aShared, aConnection, header);
+  TransferDeadline deadline = FrameDeadline();
+  const bool begun =
+    co_await ReceiveHeader(aShared, aConnection, header, deadline);
   if (!begun) {
     co_return std::nullopt;
   }
@@ -233,9 +274,12 @@
     }
     frame.body.resize(size);
     error_code error;
-    received += co_await aConnection->stream.async_read_some(
+    aConnection->stream.expires_at(deadline.Expiry());
+    const std::size_t piece = co_await aConnection->stream.async_read_some(
       asio::buffer(frame.body) + received,
       asio::redirect_error(use_awaitable, error));
+    deadline.Received(piece, std::chrono::steady_clock::now());
+    received += piece;
     if (error) {
       co_return std::nullopt;
     }
@@ -273,8 +317,9 @@
       .Add("error", error.what());
     co_return false;
   }
-  aConnection->stream.expires_after(kFrameTimeout);
-  const bool written = co_await WriteFrame(aConnection->stream, reply);
+  TransferDeadline deadline = FrameDeadline();
+  const bool written =
+    co_await WriteFrame(aConnection->stream, reply, deadline);
   aShared->memory->EndRequest(aConnection->key);
   co_return written;
 }
@@ -419,12 +464,12 @@
 {
   explicit Connection(asio::any_io_executor aStrand)
     : strand(aStrand)
-    , socket(aStrand)
+    , stream(aStrand)
   {
   }
 
   asio::any_io_executor strand;
-  Tcp::socket socket;
+  beast::tcp_stream stream;
 };
 
 PeerClient::PeerClient(asio::any_io_executor aExecutor)
@@ -463,7 +508,7 @@
 PeerClient::Call(Endpoint aPeer,
                  PeerMessage aKind,
                  std::string aBody,
-                 Duration aTimeout)
+                 TransferTimeout aTimeout)
 {
   std::shared_ptr<Connection> connection = this->TakeConnection(aPeer);
   const asio::any_io_executor strand = connection->strand;
@@ -478,36 +523,30 @@
 PeerClient::CallOnStrand(Endpoint aPeer,
                          PeerMessage aKind,
                          std::string aBody,
-                         Duration aTimeout,
+                         TransferTimeout aTimeout,
                          std::shared_ptr<Connection> aConnection)
 {
   PeerReply result;
   error_code error;
-  asio::steady_timer timer(aConnection->strand, aTimeout);
-  timer.async_wait(
-    [weak = std::weak_ptr<Connection>(aConnection)](const error_code& aError) {
-      const std::shared_ptr<Connection> connection = weak.lock();
-      if (!aError && connection) {
-        error_code ignored;
-        connection->socket.close(ignored);
-      }
-    });
-  if (aConnection->socket.is_open() && !IsReusable(aConnection->socket)) {
-    aConnection->socket.close(error);
+  TransferDeadline deadline(std::chrono::steady_clock::now(), aTimeout);
+  beast::tcp_stream& stream = aConnection->stream;
+  if (stream.socket().is_open() && !IsReusable(stream.socket())) {
+    stream.socket().close(error);
   }
-  if (!aConnection->socket.is_open()) {
+  if (!stream.socket().is_open()) {
     const auto address = asio::ip::make_address(aPeer.address, error);
     if (error) {
       co_return result;
     }
     const Tcp::endpoint endpoint(address,
                                  static_cast<std::uint16_t>(aPeer.port));
-    co_await aConnection->socket.async_connect(
-      endpoint, asio::redirect_error(use_awaitable, error));
+    stream.expires_at(deadline.Expiry());
+    co_await stream.async_connect(endpoint,
+                                  asio::redirect_error(use_awaitable, error));
     if (error) {
       co_return result;
     }
-    aConnection->socket.set_option(Tcp::no_delay(true), error);
+    stream.socket().set_option(Tcp::no_delay(true), error);
   }
   Frame request;
   request.kind = static_cast<std::uint16_t>(aKind);
@@ -517,17 +556,17 @@
     request.correlation = this->nextCorrelation++;
   }
   result.mayHaveArrived = true;
-  const bool written = co_await WriteFrame(aConnection->socket, request);
+  const bool written = co_await WriteFrame(stream, request, deadline);
   if (!written) {
     co_return result;
   }
-  std::optional<Frame> reply = co_await ReadFrame(aConnection->socket);
-  timer.cancel();
+  std::optional<Frame> reply = co_await ReadFrame(stream, deadline);
   if (!reply || reply->correlation != request.correlation ||
       reply->kind != request.kind) {
     co_return result;
   }
-  if (aConnection->socket.is_open()) {
+  stream.expires_never();
+  if (stream.socket().is_open()) {
     this->ReturnConnection(aPeer, std::move(aConnection));
   }
   result.body = std::move(reply->body);
--- a/src/PeerRpc.h
+++ b/src/PeerRpc.h
@@ -2,6 +2,7 @@
 
 #include "Clock.h"
 #include "RequestMemory.h"
+#include "TransferDeadline.h"
 #include "generated/Settings.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -54,7 +55,7 @@
  * bytes), the request kind (2 bytes) and a correlation id (8 bytes), all big
  * endian, followed by the body in cereal's portable binary format. An oversized
  * frame or an unknown kind closes the connection, as does a frame that is not
- * complete within ten seconds of its first bytes or that is evicted because
+ * progressing for ten seconds after its first bytes or that is evicted because
  * peers hold too much memory or too many connections.
  */
 class PeerServer
@@ -119,7 +120,7 @@
   boost::asio::awaitable<PeerReply> Call(Endpoint aPeer,
                                          PeerMessage aKind,
                                          std::string aBody,
-                                         Duration aTimeout);
+                                         TransferTimeout aTimeout);
 
 private:
   struct Connection;
@@ -131,7 +132,7 @@
     Endpoint aPeer,
     PeerMessage aKind,
     std::string aBody,
-    Duration aTimeout,
+    TransferTimeout aTimeout,
     std::shared_ptr<Connection> aConnection);
 
   boost::asio::any_io_executor executor;
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -20,9 +20,11 @@
 /** Time-out of one call to the store. It is above the latency of 0.3 s while
  * the store is slow, and leaves time to relay the change through another host.
  */
-constexpr std::chrono::milliseconds kStoreCallTimeout{ 700 };
+constexpr TransferTimeout kStoreCallTimeout =
+  TransferTimeout::Silence(std::chrono::milliseconds(700));
 
-/** Time-out of a peer that stores a change on behalf of this process. */
+/** Time-out of a peer that stores a change on behalf of this process, beyond
+ * the time that a large change takes on its way. */
 constexpr std::chrono::milliseconds kRelayTimeout{ 600 };
 
 /** Time limit of retries as long as every attempt is known to have failed
@@ -265,7 +267,7 @@
 asio::awaitable<SubmissionOutcome>
 WorkflowGateway::TryStore(const WorkflowSubmission& aSubmission,
                           std::uint32_t aCell,
-                          Duration aTimeout)
+                          TransferTimeout aTimeout)
 {
   StoreTransaction change;
   // The id must be new in every candidate cell, because another entry process
@@ -300,8 +302,8 @@
     co_return RelayOutcome::NotStored;
   }
   const Endpoint endpoint{ peer->address, peer->port };
-  const Duration timeout =
-    std::min<Duration>(kRelayTimeout, this->TimeLeft(aDeadline));
+  const TransferTimeout timeout =
+    TransferTimeout::Silence(kRelayTimeout).Within(this->TimeLeft(aDeadline));
   const PeerReply bytes = co_await this->peers.Call(
     endpoint, aKind, EncodeMessage(aMessage), timeout);
   const auto reply = bytes ? DecodeMessage<RelayReply>(*bytes) : std::nullopt;
@@ -313,13 +315,14 @@
 }
 
 asio::awaitable<RelayOutcome>
-WorkflowGateway::StoreForPeer(WorkflowSubmission aSubmission)
+WorkflowGateway::StoreForPeer(WorkflowSubmission aSubmission,
+                              Duration aTransferTime)
 {
   if (this->reachability.StoreUnreachable()) {
     co_return RelayOutcome::NotStored;
   }
   const TimePoint deadline =
-    this->clock.Now() + kRelayTimeout + kResponseReserve;
+    this->clock.Now() + kRelayTimeout + aTransferTime + kResponseReserve;
   const std::optional<std::uint32_t> cell =
     co_await this->ChooseCell(aSubmission, deadline);
   if (!cell) {
@@ -364,8 +367,8 @@
     const bool lost = this->reachability.StoreUnreachable();
     if (!lost) {
       ++attempts;
-      const Duration timeout =
-        std::min<Duration>(kStoreCallTimeout, this->TimeLeft(aDeadline));
+      const TransferTimeout timeout =
+        kStoreCallTimeout.Within(this->TimeLeft(aDeadline));
       outcome = co_await this->TryStore(aSubmission, cell, timeout);
       if (outcome == SubmissionOutcome::Accepted) {
         break;
@@ -447,7 +450,7 @@
   StoreRangeReply read;
   while (this->TimeLeft(aDeadline) > Duration::zero()) {
     read = co_await this->store.Get(
-      aKey, std::min<Duration>(kStoreCallTimeout, this->TimeLeft(aDeadline)));
+      aKey, kStoreCallTimeout.Within(this->TimeLeft(aDeadline)));
     if (read.result == StoreResult::Ok) {
       break;
     }
@@ -533,8 +536,8 @@
 asio::awaitable<CancelOutcome>
 WorkflowGateway::TryCancel(std::string aJob, TimePoint aDeadline)
 {
-  const Duration timeout =
-    std::min<Duration>(kStoreCallTimeout, this->TimeLeft(aDeadline));
+  const TransferTimeout timeout =
+    kStoreCallTimeout.Within(this->TimeLeft(aDeadline));
   // Other cells may have a part of the job. The record of the job's own cell
   // lists them, and is rewritten before another cell gets a part. The
   // cancellation is written for all of them in one transaction, which expects
@@ -674,7 +677,8 @@
       auto submission = DecodeMessage<WorkflowSubmission>(aBytes);
       RelayReply reply{ RelayOutcome::NotStored };
       if (submission && CheckSubmission(*submission).empty()) {
-        reply.outcome = co_await aGateway.StoreForPeer(std::move(*submission));
+        reply.outcome = co_await aGateway.StoreForPeer(
+          std::move(*submission), TimeToSend(aBytes.size()));
       }
       co_return EncodeMessage(reply);
     });
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -61,9 +61,12 @@
                   const Clock& aClock,
                   std::uint64_t aMaxTasks = 0);
 
-  /** Stores a change on behalf of a peer that cannot reach the store. */
+  /** Stores a change on behalf of a peer that cannot reach the store.
+   * aTransferTime: what a large submission may take beyond the time of a small
+   * one. */
   boost::asio::awaitable<RelayOutcome> StoreForPeer(
-    WorkflowSubmission aSubmission);
+    WorkflowSubmission aSubmission,
+    Duration aTransferTime);
   boost::asio::awaitable<RelayOutcome> CancelForPeer(std::string aJob);
 
   /** Stores a job unless its id exists already. Precondition: aSubmission
@@ -115,7 +118,7 @@
   boost::asio::awaitable<SubmissionOutcome> TryStore(
     const WorkflowSubmission& aSubmission,
     std::uint32_t aCell,
-    Duration aTimeout);
+    TransferTimeout aTimeout);
   boost::asio::awaitable<StoreRangeReply> GetFromStore(std::string aKey,
                                                        TimePoint aDeadline);
   boost::asio::awaitable<CancelOutcome> TryCancel(std::string aJob,
--- a/test/path/SlowStoreLinks.cpp
+++ b/test/path/SlowStoreLinks.cpp
@@ -21,6 +21,9 @@
 /** Items of a page of the platform's store. */
 constexpr std::size_t kPageItems = 500;
 
+/** Memory of a host, which limits the tasks of a job. */
+constexpr std::uint64_t kMemoryMb = 512;
+
 constexpr std::size_t kPayloadBytes = 4000;
 
 class SlowStoreLink : public soak::SchedulerFixture
@@ -29,7 +32,7 @@
   explicit SlowStoreLink(const std::string& aName)
     : SchedulerFixture(aName,
                        kPort,
-                       nlohmann::json::object(),
+                       { { "memory_mb", kMemoryMb } },
                        nlohmann::json::object(),
                        { "z1" })
   {
@@ -91,6 +94,23 @@
   CHECK(system.Until([&] { return system.SubmitOne() == 200; }));
 }
 
+// Guards against a submission that is stored although its caller is told that
+// its outcome is unknown.
+TEST_CASE("a submission of the largest size is accepted")
+{
+  constexpr std::size_t kSteps = 2600;
+  SlowStoreLink system("submission-on-slow-link");
+  auto [id, text] = system.SmallJob();
+  nlohmann::json body = nlohmann::json::parse(text);
+  body["steps"] = nlohmann::json::array_t(kSteps, body.at("steps").front());
+  body["repeats"] = 1;
+  body["firstMs"] = 4'000'000'000'000;
+  body["intervalMs"] = 1000;
+  const HttpResponse response = system.Call("POST", id, body.dump());
+  INFO(response.body);
+  CHECK(response.status == 200);
+}
+
 TEST_CASE("a new owner loads a backlog of several pages and starts its tasks")
 {
   SlowStoreLink system("backlog-on-slow-link");
--- a/test/soak/SoakStore.cpp
+++ b/test/soak/SoakStore.cpp
@@ -51,6 +51,15 @@
   return aText.empty() ? 0 : std::stoull(aText);
 }
 
+/** A transaction may hold several values of the largest size. */
+HttpServerLimits
+Limits()
+{
+  HttpServerLimits limits;
+  limits.maxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
+  return limits;
+}
+
 } // namespace
 
 SoakStore::SoakStore(asio::io_context& aContext, Random& aRandom)
@@ -59,7 +68,7 @@
   , store(aContext.get_executor())
   , server(aContext,
            Endpoint{ "127.0.0.1", 0 },
-           HttpServerLimits{},
+           Limits(),
            [this](HttpRequest aRequest) {
              return this->Answer(std::move(aRequest));
            })
