Limit the remaining reads that grow with the work by their progress

Change: they use TransferTimeout::Silence with the same times, so that a silent peer is given up as before. Starts, stops and throttles of tasks keep a limit on the whole call.

--- a/src/CellOwnerElector.cpp
+++ b/src/CellOwnerElector.cpp
@@ -17,7 +17,12 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
+constexpr TransferTimeout kStoreTimeout =
+  TransferTimeout::Silence(std::chrono::milliseconds(1000));
+
+/** Time limit of the release of an ownership that was acquired during a stop.
+ */
+constexpr std::chrono::milliseconds kReleaseTimeout{ 1000 };
 
 /** Candidates with the same claim delay spread their attempts over this time,
  * so that most of them see that another candidate has won before they try. */
@@ -323,7 +328,7 @@
     this->session =
       std::make_shared<CellOwnershipSession>(this->dependencies, *claim);
     if (this->stopped) {
-      co_await this->session->Release(kStoreTimeout);
+      co_await this->session->Release(kReleaseTimeout);
       co_return;
     }
     co_await this->session->Run();
--- a/src/ConfigurationPeers.cpp
+++ b/src/ConfigurationPeers.cpp
@@ -12,7 +12,8 @@
 
 /** A peer that has not replied within this time counts as unresponsive. Equal
  * to the default of ConfigurationTimes::startupWindow. */
-constexpr std::chrono::seconds kFetchTimeout{ 2 };
+constexpr TransferTimeout kFetchTimeout =
+  TransferTimeout::Silence(std::chrono::seconds(2));
 
 asio::awaitable<std::optional<ConfigurationReply>>
 FetchOnce(PeerClient& aClient, MemberRow aPeer, FetchConfiguration aRequest)
--- a/src/EtcdStore.cpp
+++ b/src/EtcdStore.cpp
@@ -134,7 +134,8 @@
   request.target = std::move(aTarget);
   request.headers.Set("Content-Type", "application/json");
   request.body = std::move(aBody);
-  return this->client.Call(std::move(request), this->timeout);
+  return this->client.Call(std::move(request),
+                           TransferTimeout::Silence(this->timeout));
 }
 
 asio::awaitable<StoreReadReply>
--- a/src/HttpHostList.cpp
+++ b/src/HttpHostList.cpp
@@ -87,8 +87,8 @@
 {
   HttpRequest request;
   request.target = "/v1/hosts";
-  const ExchangeResult exchange =
-    co_await this->client.Call(std::move(request), kTimeout);
+  const ExchangeResult exchange = co_await this->client.Call(
+    std::move(request), TransferTimeout::Silence(kTimeout));
   if (!exchange.Complete() || exchange.response.status != 200) {
     co_return std::nullopt;
   }
--- a/src/HttpWorkerAgent.cpp
+++ b/src/HttpWorkerAgent.cpp
@@ -102,8 +102,8 @@
   request.body = std::move(aBody);
   request.headers.Set("Content-Type", "application/json");
   const std::shared_ptr<HttpClient> client = this->ClientOf(aWorker);
-  ExchangeResult result =
-    co_await client->Call(std::move(request), this->timeout);
+  ExchangeResult result = co_await client->Call(
+    std::move(request), TransferTimeout::Silence(this->timeout));
   co_return result;
 }
 
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -311,7 +311,8 @@
                          aSubmission.cell,
                          aSubmission.spec };
       std::string body = EncodeMessage(message);
-      const Duration timeout = std::min<Duration>(left, kCallTimeout);
+      const TransferTimeout timeout =
+        TransferTimeout::Silence(kCallTimeout).Within(left);
       const PeerReply bytes = co_await this->client->Call(
         *owner, PeerMessage::SubmitJob, std::move(body), timeout);
       std::optional<SubmitReply> reply;
@@ -385,8 +386,9 @@
       co_await this->directory->OwnerOf(aCell, attempt > 0);
     if (owner) {
       const Duration left = aDeadline - this->clock->Now();
-      const Duration timeout =
-        std::clamp<Duration>(left, std::chrono::milliseconds(1), kCallTimeout);
+      const TransferTimeout timeout =
+        TransferTimeout::Silence(kCallTimeout)
+          .Within(std::max<Duration>(left, std::chrono::milliseconds(1)));
       std::string copy = body;
       const PeerReply bytes =
         co_await this->client->Call(*owner, aKind, std::move(copy), timeout);
--- a/src/NodeDirectory.cpp
+++ b/src/NodeDirectory.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
+constexpr TransferTimeout kStoreTimeout =
+  TransferTimeout::Silence(std::chrono::milliseconds(1000));
 constexpr std::chrono::milliseconds kStoreRetry{ 500 };
 
 /** Interval at which the records of the processes are read. Hosts are rarely
--- a/src/OperatorClient.cpp
+++ b/src/OperatorClient.cpp
@@ -210,8 +210,8 @@
   request.target = std::move(aTarget);
   request.headers = std::move(aHeaders);
   request.body = std::move(aBody);
-  ExchangeResult result =
-    co_await this->client.Call(std::move(request), this->times.call);
+  ExchangeResult result = co_await this->client.Call(
+    std::move(request), TransferTimeout::Silence(this->times.call));
   co_return result;
 }
 
--- a/src/OwnerDirectory.cpp
+++ b/src/OwnerDirectory.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
+constexpr TransferTimeout kStoreTimeout =
+  TransferTimeout::Silence(std::chrono::milliseconds(1000));
 constexpr std::chrono::milliseconds kStoreRetry{ 250 };
 
 /** Longest wait of a single watch, after which the watch is renewed. A watch
