Limit the values of a transaction

By reading: an owner wrote up to 15 progress records at once, whatever their size. A record of 5,000 tasks has hundreds of kilobytes, and the response to a conflict holds all of them; over 8 MB it is refused, and the owner would send the same transaction again for good.

Change: StoreTransaction::HasRoomFor limits entries and bytes.

--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -150,10 +151,13 @@
    * transaction. Returns early if the end of a job is to be written or starts
    * wait for the write. */
   boost::asio::awaitable<void> AwaitWriteWindow();
-  boost::asio::awaitable<bool> WriteRecords(
-    const std::vector<ProgressRecord>& aRecords);
+  /** Writes the first of the records, as many as fit into one transaction.
+   * Returns their number, or 0 if the session has ended. Precondition: there
+   * is a record. */
+  boost::asio::awaitable<std::size_t> WriteRecords(
+    std::span<const ProgressRecord> aRecords);
   StoreTransaction TransactionFor(
-    const std::vector<ProgressRecord>& aRecords) const;
+    std::span<const ProgressRecord> aRecords) const;
   boost::asio::awaitable<void> ExchangeEvidence();
   boost::asio::awaitable<void> LoadEvidence(ReadFreshness aFreshness);
   boost::asio::awaitable<void> LoadCapacities(ReadFreshness aFreshness);
--- a/src/CellOwnershipSessionWrites.cpp
+++ b/src/CellOwnershipSessionWrites.cpp
@@ -16,10 +16,6 @@
  * until they are acknowledged. The end of a job is written at once. */
 constexpr std::chrono::milliseconds kWriteWindow{ 100 };
 
-/** Progress records per transaction. The owner's key takes one entry; each
- * record takes an expectation and a write. */
-constexpr std::size_t kRecordsPerTransaction = (kMaxTransactionEntries - 1) / 2;
-
 /** Interval at which submissions of ended jobs are removed together. Each
  * separate removal would cost one call, and another one for this owner's watch,
  * which sees the removal. */
@@ -100,12 +96,16 @@
 
 StoreTransaction
 CellOwnershipSession::TransactionFor(
-  const std::vector<ProgressRecord>& aRecords) const
+  std::span<const ProgressRecord> aRecords) const
 {
   StoreTransaction change;
   change.expect.push_back({ this->keys.Owner(), this->claim.fencingToken });
   for (const ProgressRecord& record : aRecords) {
     const std::string& id = record.progress.id;
+    std::string value = nlohmann::json(record.progress).dump();
+    if (!change.HasRoomFor(value.size())) {
+      break;
+    }
     const auto revision = this->progressRevisions.find(id);
     // Expects the revision that this owner knows. Without this expectation, an
     // earlier write that the store applies late would overwrite a newer one.
@@ -113,35 +113,36 @@
                               revision == this->progressRevisions.end()
                                 ? kAbsentVersion
                                 : revision->second });
-    change.puts.push_back(
-      { this->keys.Progress(id), nlohmann::json(record.progress).dump() });
+    change.puts.push_back({ this->keys.Progress(id), std::move(value) });
   }
   return change;
 }
 
-asio::awaitable<bool>
-CellOwnershipSession::WriteRecords(const std::vector<ProgressRecord>& aRecords)
+asio::awaitable<std::size_t>
+CellOwnershipSession::WriteRecords(std::span<const ProgressRecord> aRecords)
 {
   while (!this->ended) {
+    StoreTransaction change = this->TransactionFor(aRecords);
+    const auto records = aRecords.first(change.puts.size());
     const StoreTransactionReply reply =
-      co_await this->dependencies.store.Commit(this->TransactionFor(aRecords),
+      co_await this->dependencies.store.Commit(std::move(change),
                                                kSessionStoreTimeout);
     if (reply.result == StoreResult::Ok) {
-      for (const ProgressRecord& record : aRecords) {
+      for (const ProgressRecord& record : records) {
         this->progressRevisions[record.progress.id] = reply.revision;
         this->scheduler.ProgressWritten(record);
         if (record.final) {
           this->jobsToClear.insert(record.progress.id);
         }
       }
-      co_return true;
+      co_return records.size();
     }
     if (reply.result != StoreResult::Conflict) {
       co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
       continue;
     }
     bool owned = false;
-    for (const ProgressRecord& record : aRecords) {
+    for (const ProgressRecord& record : records) {
       this->progressRevisions.erase(record.progress.id);
     }
     for (const StoreItem& item : reply.current) {
@@ -160,7 +161,7 @@
       this->End("owner key replaced");
     }
   }
-  co_return false;
+  co_return 0;
 }
 
 asio::awaitable<void>
@@ -194,16 +195,13 @@
     }
     co_await this->AwaitWriteWindow();
     const ProgressBatch batch = this->scheduler.TakeProgress();
-    for (std::size_t i = 0; i < batch.records.size();
-         i += kRecordsPerTransaction) {
-      const std::size_t end =
-        std::min(batch.records.size(), i + kRecordsPerTransaction);
-      const std::vector<ProgressRecord> part(batch.records.begin() + i,
-                                             batch.records.begin() + end);
-      const bool written = co_await this->WriteRecords(part);
-      if (!written) {
+    std::span<const ProgressRecord> left(batch.records);
+    while (!left.empty()) {
+      const std::size_t written = co_await this->WriteRecords(left);
+      if (written == 0) {
         co_return;
       }
+      left = left.subspan(written);
     }
     this->scheduler.BatchWritten(batch.change);
     if (this->scheduler.HasHeldStarts()) {
--- a/src/TransactionalStore.h
+++ b/src/TransactionalStore.h
@@ -42,6 +42,15 @@
   std::uint64_t lease = kNoLease;
 };
 
+/** Largest total number of conditions, writes and removals in one
+ * transaction. */
+inline constexpr std::size_t kMaxTransactionEntries = 32;
+
+/** Values in one transaction, unless a single one is larger. The response to a
+ * conflict holds the items of the conditions, and has to stay below the limit
+ * of a response. */
+inline constexpr std::size_t kMaxTransactionBytes = std::size_t{ 1024 } * 1024;
+
 /** Atomic change of several keys. */
 struct StoreTransaction
 {
@@ -53,11 +62,21 @@
   {
     return this->expect.size() + this->puts.size() + this->removes.size();
   }
-};
 
-/** Largest total number of conditions, writes and removals in one
- * transaction. */
-inline constexpr std::size_t kMaxTransactionEntries = 32;
+  /** Returns whether a condition on a key and a write of aBytes to it still fit
+   * into the transaction. The first write always does. */
+  bool HasRoomFor(std::size_t aBytes) const
+  {
+    constexpr std::size_t kEntries = 2;
+    std::size_t bytes = aBytes;
+    for (const StorePut& put : this->puts) {
+      bytes += put.value.size();
+    }
+    return this->puts.empty() ||
+           (this->Size() + kEntries <= kMaxTransactionEntries &&
+            bytes <= kMaxTransactionBytes);
+  }
+};
 
 struct StoreTransactionReply
 {
