Replace an owner, and leave out a process, that gets nowhere

Change: OwnerProgress tracks the duties of an owner, whose reply to a probe says for how long one has stalled.

--- a/src/CellOwnerElector.cpp
+++ b/src/CellOwnerElector.cpp
@@ -52,6 +52,31 @@
  * another. */
 constexpr std::chrono::seconds kRemovalInterval{ 5 };
 
+/** Stall of an ended session after which this process claims the cell only
+ * kClaimHandicap later than otherwise. */
+constexpr std::chrono::seconds kStallOfHandicap{ 5 };
+constexpr std::chrono::seconds kClaimHandicap{ 2 };
+
+/** Returns the reason for the removal of an owner, for the log. */
+const char*
+ReasonOf(OwnerHealth aHealth)
+{
+  switch (aHealth) {
+    case OwnerHealth::Unresponsive:
+      return "silent";
+    case OwnerHealth::Terminated:
+      return "dead";
+    case OwnerHealth::StoreLost:
+      return "store lost";
+    case OwnerHealth::Stalled:
+      return "stalled";
+    case OwnerHealth::Loading:
+    case OwnerHealth::Healthy:
+      break;
+  }
+  return "healthy";
+}
+
 } // namespace
 
 CellOwnerElector::CellOwnerElector(OwnershipSessionDependencies aDependencies,
@@ -120,8 +145,8 @@
     const Duration delay = this->identity.claimDelay
                              ? Duration(this->identity.claimDelay(this->cell))
                              : Duration::zero();
-    const Duration left =
-      begun + aSpread + delay - this->dependencies.clock.Now();
+    const Duration left = begun + aSpread + delay + this->claimHandicap -
+                          this->dependencies.clock.Now();
     if (left <= Duration::zero()) {
       co_return;
     }
@@ -173,7 +198,7 @@
 }
 
 asio::awaitable<OwnerHealth>
-CellOwnerElector::CheckOwner()
+CellOwnerElector::CheckOwner(Duration aStallLimit)
 {
   const CellOwnerRecord checked = *this->owner;
   const Endpoint endpoint{ checked.address, checked.port };
@@ -192,8 +217,13 @@
     co_return OwnerHealth::Terminated;
   }
   const std::chrono::milliseconds silence(reply->storeSilenceMs);
-  const bool storeLost = reply->isOwner && silence > kStoreOutageLimit;
-  co_return storeLost ? OwnerHealth::StoreLost : OwnerHealth::Healthy;
+  if (reply->isOwner && silence > kStoreOutageLimit) {
+    co_return OwnerHealth::StoreLost;
+  }
+  if (std::chrono::milliseconds(reply->stalledMs) > aStallLimit) {
+    co_return OwnerHealth::Stalled;
+  }
+  co_return reply->isOwner ? OwnerHealth::Healthy : OwnerHealth::Loading;
 }
 
 asio::awaitable<void>
@@ -231,6 +261,7 @@
   // delay: after a failure of the whole system, the owner's key can still exist
   // although the owner's process has ended.
   int failures = 1;
+  StallLimit stallLimit;
   std::uint64_t suspectedRevision = 0;
   TimePoint unresponsiveSince;
   TimePoint notBefore;
@@ -252,11 +283,16 @@
     const std::uint64_t revision = this->ownerRevision;
     if (revision != suspectedRevision) {
       failures = 0;
+      stallLimit.OwnerChanged();
       suspectedRevision = revision;
       unresponsiveSince = this->dependencies.clock.Now();
     }
-    const OwnerHealth health = co_await this->CheckOwner();
-    if (health == OwnerHealth::Healthy || revision != this->ownerRevision) {
+    const OwnerHealth health = co_await this->CheckOwner(stallLimit.Get());
+    if (health == OwnerHealth::Healthy) {
+      stallLimit.OwnerServes();
+    }
+    if (health == OwnerHealth::Healthy || health == OwnerHealth::Loading ||
+        revision != this->ownerRevision) {
       failures = 0;
       continue;
     }
@@ -271,11 +307,7 @@
     }
     notBefore = now + kRemovalInterval;
     failures = 0;
-    co_await this->RemoveOwner(revision,
-                               health == OwnerHealth::Unresponsive ? "silent"
-                               : health == OwnerHealth::Terminated
-                                 ? "dead"
-                                 : "store lost");
+    co_await this->RemoveOwner(revision, ReasonOf(health));
   }
 }
 
@@ -332,6 +364,9 @@
       co_return;
     }
     co_await this->session->Run();
+    this->claimHandicap = this->session->StalledFor() > kStallOfHandicap
+                            ? Duration(kClaimHandicap)
+                            : Duration::zero();
     this->session.reset();
     // If another process removed the owner's key, the copy of the owner's
     // record, which other processes read, may still exist. Ending the lease
@@ -361,6 +396,12 @@
 {
   WorkflowReply reply;
   reply.boot = this->identity.boot;
+  if (this->session) {
+    reply.stalledMs = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->session->StalledFor())
+        .count());
+  }
   if (!this->session || !this->session->Serving()) {
     return reply;
   }
--- a/src/CellOwnerElector.h
+++ b/src/CellOwnerElector.h
@@ -45,6 +45,10 @@
   Terminated,
   /** The owner answers but cannot reach the store. */
   StoreLost,
+  /** The owner answers but its work makes no progress. */
+  Stalled,
+  /** The owner answers and has not loaded the cell's state yet. */
+  Loading,
 };
 
 /**
@@ -98,7 +102,7 @@
   boost::asio::awaitable<void> DelayClaim(Duration aSpread);
   boost::asio::awaitable<std::optional<OwnershipClaim>> Claim();
   boost::asio::awaitable<void> ProbeOwner();
-  boost::asio::awaitable<OwnerHealth> CheckOwner();
+  boost::asio::awaitable<OwnerHealth> CheckOwner(Duration aStallLimit);
   boost::asio::awaitable<void> RemoveOwner(std::uint64_t aRevision,
                                            const char* aReason);
 
@@ -114,6 +118,9 @@
   std::uint64_t ownerRevision = 0;
   AsyncSignal ownerSignal;
   std::shared_ptr<CellOwnershipSession> session;
+  /** Set after a session that got nowhere, so that other candidates claim the
+   * cell first. */
+  Duration claimHandicap = Duration::zero();
   std::atomic<bool> isOwnerOrClaiming = false;
   bool stopped = false;
 };
--- a/src/CellOwnershipSession.h
+++ b/src/CellOwnershipSession.h
@@ -2,6 +2,7 @@
 
 #include "AsyncSignal.h"
 #include "CellScheduler.h"
+#include "OwnerProgress.h"
 #include "SchedulerMetrics.h"
 #include "TransactionalStore.h"
 #include "WorkerCommandClient.h"
@@ -104,6 +105,12 @@
     return this->dependencies.clock.Now() - this->renewedAt;
   }
 
+  /** Returns for how long the work of this owner has made no progress. */
+  Duration StalledFor() const
+  {
+    return this->progress.StalledFor(this->dependencies.clock.Now());
+  }
+
 private:
   /** Records of a job that a hand-over changes. In each item, a key without a
    * value stands for a record that does not exist. */
@@ -132,7 +139,8 @@
   /** Reads a range, however often pages of it fail. Returns nothing once the
    * session has ended. */
   boost::asio::awaitable<std::optional<StoreRangeReply>> ReadAll(
-    std::string aPrefix);
+    std::string aPrefix,
+    OwnerDuty aDuty);
   void HandleInboxItem(const StoreItem& aItem);
   /** Returns the submission in an item unless this or a newer version of it was
    * handled already. An older version may list tasks that this cell has handed
@@ -234,6 +242,7 @@
   bool releasing = false;
   /** When the last successful renewal of the ownership was sent. */
   TimePoint renewedAt;
+  OwnerProgress progress;
   std::uint64_t inboxRevision = 0;
   std::uint64_t rosterRevision = 0;
   std::map<std::string, std::uint64_t> progressRevisions;
--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -29,12 +29,18 @@
 } // namespace
 
 asio::awaitable<std::optional<StoreRangeReply>>
-CellOwnershipSession::ReadAll(std::string aPrefix)
+CellOwnershipSession::ReadAll(std::string aPrefix, OwnerDuty aDuty)
 {
   RangeCursor cursor;
+  std::size_t pages = 0;
+  this->progress.Begin(aDuty, this->dependencies.clock.Now());
   while (!this->ended && !cursor.complete) {
     const StoreResult result = co_await this->dependencies.store.ContinueRange(
       cursor, aPrefix, ReadFreshness::Linearizable, kSessionStoreTimeout);
+    if (cursor.pages > pages) {
+      pages = cursor.pages;
+      this->progress.Advance(aDuty, this->dependencies.clock.Now());
+    }
     if (result != StoreResult::Ok) {
       co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
     }
@@ -54,15 +60,18 @@
 {
   // The inbox is read before the progress records, so that a job whose end is
   // written between the two reads is recognized as ended.
-  const auto inbox = co_await this->ReadAll(this->keys.InboxPrefix());
+  const auto inbox =
+    co_await this->ReadAll(this->keys.InboxPrefix(), OwnerDuty::LoadState);
   if (!inbox) {
     co_return false;
   }
-  const auto progress = co_await this->ReadAll(this->keys.ProgressPrefix());
+  const auto progress =
+    co_await this->ReadAll(this->keys.ProgressPrefix(), OwnerDuty::LoadState);
   if (!progress) {
     co_return false;
   }
-  const auto roster = co_await this->ReadAll(this->keys.Roster());
+  const auto roster =
+    co_await this->ReadAll(this->keys.Roster(), OwnerDuty::LoadState);
   if (!roster) {
     co_return false;
   }
@@ -118,6 +127,7 @@
     }
   }
   this->scheduler.SetRoster(older);
+  this->progress.Finish(OwnerDuty::LoadState);
   co_return !this->ended;
 }
 
@@ -166,6 +176,7 @@
 asio::awaitable<void>
 CellOwnershipSession::WatchInbox()
 {
+  this->progress.Begin(OwnerDuty::ReadInbox, this->dependencies.clock.Now());
   while (!this->ended) {
     StoreWatchReply reply = co_await this->dependencies.store.Watch(
       this->keys.InboxPrefix(), this->inboxRevision, kWatchWait);
@@ -173,6 +184,8 @@
       co_return;
     }
     if (reply.result == StoreResult::Ok && !reply.compacted) {
+      this->progress.Advance(OwnerDuty::ReadInbox,
+                             this->dependencies.clock.Now());
       for (const StoreItem& event : reply.events) {
         this->HandleInboxItem(event);
       }
@@ -190,7 +203,8 @@
     Event("inbox_read_again", LogLevel::Warning)
       .Add("cell", this->claim.cell)
       .Add("revision", this->inboxRevision);
-    const auto inbox = co_await this->ReadAll(this->keys.InboxPrefix());
+    const auto inbox =
+      co_await this->ReadAll(this->keys.InboxPrefix(), OwnerDuty::ReadInbox);
     if (!inbox) {
       co_return;
     }
@@ -259,6 +273,7 @@
 {
   const Duration interval = this->dependencies.bounds.RegistryInterval();
   TimePoint lastAnswer = this->dependencies.clock.Now();
+  this->progress.Begin(OwnerDuty::ReadRegistry, lastAnswer);
   while (!this->ended) {
     const TimePoint readAt = this->dependencies.clock.Now();
     auto listed = co_await this->dependencies.registry.List();
@@ -270,6 +285,7 @@
       co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
       continue;
     }
+    this->progress.Advance(OwnerDuty::ReadRegistry, now);
     if (now - lastAnswer > 2 * interval) {
       this->registryGraceUntil = now + kRegistryGrace;
     }
