--- a/test/path/SchedulerStart.cpp
+++ b/test/path/SchedulerStart.cpp
@@ -248,7 +248,7 @@
     { "service", "desk" },
     { "address", Text(FreeEndpoint()) },
     { "zone", "z" },
-    { "version", 1 },
+    { "version", "v1" },
     { "slots", 8 },
     { "state", "ready" },
     { "coldRemainingMs", 0 },
--- a/test/soak/SoakWorker.cpp
+++ b/test/soak/SoakWorker.cpp
@@ -99,7 +99,7 @@
     { "service", "desk" },
     { "address", address.address + ":" + std::to_string(address.port) },
     { "zone", this->traits.zone },
-    { "version", 1 },
+    { "version", "v1" },
     { "slots", 8 },
     { "state", "ready" },
     { "coldRemainingMs", 0 },
--- a/test/unit/OddEntries.cpp
+++ b/test/unit/OddEntries.cpp
@@ -179,7 +179,9 @@
 TEST_CASE("a worker's entry with an odd value is rejected or in range")
 {
   const std::string good =
-    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","room":{"cpu":16000,"memMb":32768,"gpu":1},"labels":["a","r1-3"],"born":77})";
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"seq":4,"room":{"cpu":16000,"memMb":32768,"gpu":1},"labels":["a","r1-3"],"born":77})";
+  std::string none;
+  REQUIRE(platform::DecodeWorker("i-1", good, none));
   for (const std::string& value : OddValues()) {
     for (const std::string field :
          { R"("service":"s")",
--- a/test/unit/PlatformDecoders.cpp
+++ b/test/unit/PlatformDecoders.cpp
@@ -78,6 +78,16 @@
     { R"("state":"ready")", R"("state":"sleeping")" },
     { R"("cpu":16000)", R"("cpu":"much")" },
     { R"("memMb":32768)", R"("memMb":-1)" },
+    { R"("version":"v1",)", "" },
+    { R"("slots":8,)", "" },
+    { R"("slots":8)", R"("slots":"many")" },
+    { R"("coldRemainingMs":0,)", "" },
+    { R"("seq":4,)", "" },
+    { R"("seq":4)", R"("seq":-4)" },
+    { R"("born":77)", R"("born":"now")" },
+    { R"("labels":["a","r1-3"],)", "" },
+    { R"("labels":["a","r1-3"])", R"("labels":["a"])" },
+    { R"("labels":["a","r1-3"])", R"("labels":["a",3])" },
   };
   for (const auto& [from, to] : changes) {
     std::string text = kWorker;
