Reject a job whose id belongs to a job of another queue

Two queues with jobs of the same id: the second was accepted, never ran and was shown as completed, and cancelling it stopped the first.

Cause: records are keyed by the id, and a conflict counted as a repetition of the same submission.

Change: the record's queue is compared. A queue that no longer exists counts as renamed.

--- a/src/CellOwnerElector.cpp
+++ b/src/CellOwnerElector.cpp
@@ -418,6 +418,7 @@
     return reply;
   }
   reply.state = scheduler.StateOf(aQuery.id);
+  reply.queue = scheduler.QueueOf(aQuery.id);
   return reply;
 }
 
--- a/src/CellScheduler.cpp
+++ b/src/CellScheduler.cpp
@@ -642,6 +642,16 @@
   return WorkflowState::Running;
 }
 
+std::string
+CellScheduler::QueueOf(const std::string& aJob) const
+{
+  if (const auto job = this->jobs.find(aJob); job != this->jobs.end()) {
+    return job->second.job.Submission().queue;
+  }
+  const auto end = this->ended.find(aJob);
+  return end == this->ended.end() ? "" : end->second.progress.queue;
+}
+
 std::uint64_t
 CellScheduler::CountPendingJobs(const std::string& aQueue) const
 {
--- a/src/WorkflowGateway.cpp
+++ b/src/WorkflowGateway.cpp
@@ -68,6 +68,8 @@
       return "not_accepted";
     case SubmissionOutcome::TooManyTasks:
       return "too_many_tasks";
+    case SubmissionOutcome::IdInUse:
+      return "id_in_use";
     case SubmissionOutcome::Unknown:
       break;
   }
@@ -133,7 +135,8 @@
   const StoreReachability& aReachability,
   SchedulerMetrics& aMetrics,
   const Clock& aClock,
-  std::uint64_t aMaxTasks)
+  std::uint64_t aMaxTasks,
+  const ActiveQueues* aQueues)
   : store(aStore)
   , peers(aPeers)
   , nodes(aNodes)
@@ -141,10 +144,40 @@
   , reachability(aReachability)
   , metrics(aMetrics)
   , clock(aClock)
+  , queues(aQueues)
 {
   this->onlyLoad.maxTasks = aMaxTasks;
 }
 
+bool
+WorkflowGateway::IsOtherQueue(const std::string& aRecorded,
+                              const std::string& aQueue) const
+{
+  if (this->queues == nullptr || aQueue.empty() || aRecorded == aQueue) {
+    return false;
+  }
+  const std::shared_ptr<const QueueTable> table = this->queues->Get();
+  return table && std::any_of(table->queues.begin(),
+                              table->queues.end(),
+                              [&aRecorded](const QueueRule& aRule) {
+                                return aRule.name == aRecorded;
+                              });
+}
+
+SubmissionOutcome
+WorkflowGateway::OutcomeOfConflict(const WorkflowSubmission& aSubmission,
+                                   std::span<const StoreItem> aItems) const
+{
+  for (const StoreItem& item : aItems) {
+    // Submissions and progress records both name the queue.
+    const auto record = DecodeRecord<WorkflowProgress>(item);
+    if (record && this->IsOtherQueue(record->queue, aSubmission.queue)) {
+      return SubmissionOutcome::IdInUse;
+    }
+  }
+  return SubmissionOutcome::Accepted;
+}
+
 std::vector<std::uint32_t>
 WorkflowGateway::CandidateCellsOf(const std::string& aJob) const
 {
@@ -199,11 +232,11 @@
 }
 
 asio::awaitable<SubmissionOutcome>
-WorkflowGateway::RefuseUnlessStored(const std::string& aJob,
+WorkflowGateway::RefuseUnlessStored(const WorkflowSubmission& aSubmission,
                                     TimePoint aDeadline)
 {
   const std::optional<WorkflowState> state =
-    co_await this->StateInStore(aJob, aDeadline);
+    co_await this->StateInStore(aSubmission.id, aDeadline, aSubmission.queue);
   if (!state) {
     co_return SubmissionOutcome::Unknown;
   }
@@ -283,8 +316,9 @@
     co_await this->store.Commit(change, aTimeout);
   switch (reply.result) {
     case StoreResult::Ok:
-    case StoreResult::Conflict:
       co_return SubmissionOutcome::Accepted;
+    case StoreResult::Conflict:
+      co_return this->OutcomeOfConflict(aSubmission, reply.current);
     case StoreResult::Unavailable:
       co_return SubmissionOutcome::NotAccepted;
     case StoreResult::Unknown:
@@ -335,6 +369,7 @@
       co_return RelayOutcome::Stored;
     case SubmissionOutcome::NotAccepted:
     case SubmissionOutcome::TooManyTasks:
+    case SubmissionOutcome::IdInUse:
       co_return RelayOutcome::NotStored;
     case SubmissionOutcome::Unknown:
       break;
@@ -359,7 +394,7 @@
     cell = chosen.value_or(cell);
   }
   if (!room) {
-    outcome = co_await this->RefuseUnlessStored(aSubmission.id, aDeadline);
+    outcome = co_await this->RefuseUnlessStored(aSubmission, aDeadline);
   }
   // Every attempt is conditional on the id being new, so a late execution of an
   // earlier attempt cannot store the job twice.
@@ -370,7 +405,8 @@
       const TransferTimeout timeout =
         kStoreCallTimeout.Within(this->TimeLeft(aDeadline));
       outcome = co_await this->TryStore(aSubmission, cell, timeout);
-      if (outcome == SubmissionOutcome::Accepted) {
+      if (outcome == SubmissionOutcome::Accepted ||
+          outcome == SubmissionOutcome::IdInUse) {
         break;
       }
       mayBeStored = mayBeStored || outcome == SubmissionOutcome::Unknown;
@@ -398,7 +434,8 @@
     }
     co_await SleepFor(co_await asio::this_coro::executor, kStoreRetryDelay);
   }
-  if (room && outcome != SubmissionOutcome::Accepted) {
+  if (room && outcome != SubmissionOutcome::Accepted &&
+      outcome != SubmissionOutcome::IdInUse) {
     outcome =
       mayBeStored ? SubmissionOutcome::Unknown : SubmissionOutcome::NotAccepted;
   }
@@ -460,7 +497,9 @@
 }
 
 asio::awaitable<std::optional<WorkflowState>>
-WorkflowGateway::StateInStore(std::string aJob, TimePoint aDeadline)
+WorkflowGateway::StateInStore(std::string aJob,
+                              TimePoint aDeadline,
+                              std::string aQueue)
 {
   for (const std::uint32_t cell : this->CandidateCellsOf(aJob)) {
     const WorkflowKeys keys(cell);
@@ -483,7 +522,9 @@
     if (read.items.empty()) {
       const auto job =
         DecodeRecord<WorkflowSubmission>(submission.items.front());
-      if (job && (job->partial || !job->part.empty())) {
+      const bool other = job && (job->partial || !job->part.empty() ||
+                                 this->IsOtherQueue(job->queue, aQueue));
+      if (other) {
         continue;
       }
       co_return WorkflowState::Queued;
@@ -492,7 +533,7 @@
     if (!progress) {
       co_return std::nullopt;
     }
-    if (progress->partial) {
+    if (progress->partial || this->IsOtherQueue(progress->queue, aQueue)) {
       continue;
     }
     co_return progress->state;
@@ -501,7 +542,9 @@
 }
 
 asio::awaitable<std::optional<WorkflowState>>
-WorkflowGateway::State(std::string aJob, TimePoint aDeadline)
+WorkflowGateway::State(std::string aJob,
+                       TimePoint aDeadline,
+                       std::string aQueue)
 {
   const TimePoint begun = this->clock.Now();
   std::optional<WorkflowState> state;
@@ -511,14 +554,15 @@
     const std::optional<WorkflowReply> reply =
       co_await this->QueryOwner(query, aDeadline);
     answers += reply ? 1 : 0;
-    if (reply && reply->state != WorkflowState::Unknown) {
+    if (reply && reply->state != WorkflowState::Unknown &&
+        !this->IsOtherQueue(reply->queue, aQueue)) {
       state = reply->state;
       break;
     }
   }
   if (!state) {
     // The owner may not have received a job that was just accepted.
-    state = co_await this->StateInStore(aJob, aDeadline);
+    state = co_await this->StateInStore(aJob, aDeadline, aQueue);
   }
   this->metrics.CallerAnswered("state",
                                state ? std::string_view(ToString(*state))
@@ -534,7 +578,9 @@
 }
 
 asio::awaitable<CancelOutcome>
-WorkflowGateway::TryCancel(std::string aJob, TimePoint aDeadline)
+WorkflowGateway::TryCancel(std::string aJob,
+                           TimePoint aDeadline,
+                           std::string aQueue)
 {
   const TransferTimeout timeout =
     kStoreCallTimeout.Within(this->TimeLeft(aDeadline));
@@ -556,8 +602,11 @@
       continue;
     }
     change.expect.push_back({ keys.Job(aJob), read.items.front().revision });
-    cancelled.insert(cell);
     const auto job = DecodeRecord<WorkflowSubmission>(read.items.front());
+    if (job && this->IsOtherQueue(job->queue, aQueue)) {
+      continue;
+    }
+    cancelled.insert(cell);
     if (job) {
       cancelled.insert(job->partCells.begin(), job->partCells.end());
     }
@@ -571,7 +620,7 @@
     co_return reply.result == StoreResult::Ok ? CancelOutcome::Cancelled
                                               : CancelOutcome::Unknown;
   }
-  const auto state = co_await this->StateInStore(aJob, aDeadline);
+  const auto state = co_await this->StateInStore(aJob, aDeadline, aQueue);
   if (!state) {
     co_return CancelOutcome::Unknown;
   }
@@ -582,12 +631,12 @@
 }
 
 asio::awaitable<RelayOutcome>
-WorkflowGateway::CancelForPeer(std::string aJob)
+WorkflowGateway::CancelForPeer(std::string aJob, std::string aQueue)
 {
   const TimePoint deadline =
     this->clock.Now() + kRelayTimeout + kResponseReserve;
   const CancelOutcome outcome =
-    co_await this->TryCancel(std::move(aJob), deadline);
+    co_await this->TryCancel(std::move(aJob), deadline, std::move(aQueue));
   switch (outcome) {
     case CancelOutcome::Cancelled:
       co_return RelayOutcome::Stored;
@@ -600,17 +649,19 @@
 }
 
 asio::awaitable<CancelOutcome>
-WorkflowGateway::Cancel(std::string aJob, TimePoint aDeadline)
+WorkflowGateway::Cancel(std::string aJob,
+                        TimePoint aDeadline,
+                        std::string aQueue)
 {
   const TimePoint begun = this->clock.Now();
   CancelOutcome outcome = CancelOutcome::Unknown;
   while (outcome == CancelOutcome::Unknown &&
          this->TimeLeft(aDeadline) > Duration::zero()) {
-    outcome = co_await this->TryCancel(aJob, aDeadline);
+    outcome = co_await this->TryCancel(aJob, aDeadline, aQueue);
     if (outcome != CancelOutcome::Unknown) {
       break;
     }
-    const RelayCancel message{ aJob };
+    const RelayCancel message{ aJob, aQueue };
     const RelayOutcome relayed =
       co_await this->Relay(PeerMessage::RelayCancellation, message, aDeadline);
     if (relayed == RelayOutcome::Stored) {
@@ -688,7 +739,8 @@
       const auto message = DecodeMessage<RelayCancel>(aBytes);
       RelayReply reply{ RelayOutcome::NotStored };
       if (message) {
-        reply.outcome = co_await aGateway.CancelForPeer(message->id);
+        reply.outcome =
+          co_await aGateway.CancelForPeer(message->id, message->queue);
       }
       co_return EncodeMessage(reply);
     });
--- a/src/WorkflowGateway.h
+++ b/src/WorkflowGateway.h
@@ -3,6 +3,7 @@
 #include "CellOwnerElector.h"
 #include "NodeDirectory.h"
 #include "PeerRpc.h"
+#include "QueueTable.h"
 #include "StoreReachability.h"
 #include "TransactionalStore.h"
 #include "generated/Workflow.h"
@@ -29,6 +30,8 @@
   /** The job was not stored, since the cells that it may be in have too many
    * tasks. */
   TooManyTasks,
+  /** The job was not stored, since a job of another queue has its id. */
+  IdInUse,
 };
 
 /** Outcome of a cancellation. */
@@ -59,7 +62,8 @@
                   const StoreReachability& aReachability,
                   SchedulerMetrics& aMetrics,
                   const Clock& aClock,
-                  std::uint64_t aMaxTasks = 0);
+                  std::uint64_t aMaxTasks = 0,
+                  const ActiveQueues* aQueues = nullptr);
 
   /** Stores a change on behalf of a peer that cannot reach the store.
    * aTransferTime: what a large submission may take beyond the time of a small
@@ -67,7 +71,8 @@
   boost::asio::awaitable<RelayOutcome> StoreForPeer(
     WorkflowSubmission aSubmission,
     Duration aTransferTime);
-  boost::asio::awaitable<RelayOutcome> CancelForPeer(std::string aJob);
+  boost::asio::awaitable<RelayOutcome> CancelForPeer(std::string aJob,
+                                                     std::string aQueue);
 
   /** Stores a job unless its id exists already. Precondition: aSubmission
    * passes CheckSubmission(). */
@@ -75,16 +80,17 @@
     WorkflowSubmission aSubmission,
     TimePoint aDeadline);
 
-  /** Returns the state of a job. WorkflowState::Unknown: no such job; empty:
-   * the state could not be read before the deadline. */
-  boost::asio::awaitable<std::optional<WorkflowState>> State(
-    std::string aJob,
-    TimePoint aDeadline);
+  /** Returns the state of a job of a queue. WorkflowState::Unknown: no such
+   * job; empty: the state could not be read before the deadline. An empty
+   * aQueue stands for any queue, here and below. */
+  boost::asio::awaitable<std::optional<WorkflowState>>
+  State(std::string aJob, TimePoint aDeadline, std::string aQueue = "");
 
-  /** Cancels a job. A job that has ended already counts as cancelled and keeps
-   * its final state. */
+  /** Cancels a job of a queue. A job that has ended already counts as cancelled
+   * and keeps its final state. */
   boost::asio::awaitable<CancelOutcome> Cancel(std::string aJob,
-                                               TimePoint aDeadline);
+                                               TimePoint aDeadline,
+                                               std::string aQueue = "");
 
   /** Returns the number of jobs of a queue without a started task; empty if an
    * owner does not answer before the deadline. */
@@ -93,6 +99,14 @@
     TimePoint aDeadline);
 
 private:
+  /** Returns whether a record of aRecorded belongs to another queue than
+   * aQueue. A queue that no longer exists may have been renamed. */
+  bool IsOtherQueue(const std::string& aRecorded,
+                    const std::string& aQueue) const;
+  /** Returns the outcome of a submission whose id is in use, given the records
+   * that have it. */
+  SubmissionOutcome OutcomeOfConflict(const WorkflowSubmission& aSubmission,
+                                      std::span<const StoreItem> aItems) const;
   std::vector<std::uint32_t> CandidateCellsOf(const std::string& aJob) const;
   /** Returns the least loaded candidate cell that may get the job, or nothing
    * if none may. */
@@ -107,14 +121,13 @@
   /** Returns the outcome of a submission for which no cell has room. An earlier
    * submission may have stored the job. */
   boost::asio::awaitable<SubmissionOutcome> RefuseUnlessStored(
-    const std::string& aJob,
+    const WorkflowSubmission& aSubmission,
     TimePoint aDeadline);
   boost::asio::awaitable<std::optional<WorkflowReply>> QueryOwner(
     WorkflowQuery aQuery,
     TimePoint aDeadline);
-  boost::asio::awaitable<std::optional<WorkflowState>> StateInStore(
-    std::string aJob,
-    TimePoint aDeadline);
+  boost::asio::awaitable<std::optional<WorkflowState>>
+  StateInStore(std::string aJob, TimePoint aDeadline, std::string aQueue);
   boost::asio::awaitable<SubmissionOutcome> TryStore(
     const WorkflowSubmission& aSubmission,
     std::uint32_t aCell,
@@ -122,7 +135,8 @@
   boost::asio::awaitable<StoreRangeReply> GetFromStore(std::string aKey,
                                                        TimePoint aDeadline);
   boost::asio::awaitable<CancelOutcome> TryCancel(std::string aJob,
-                                                  TimePoint aDeadline);
+                                                  TimePoint aDeadline,
+                                                  std::string aQueue);
   template<class Message>
   boost::asio::awaitable<RelayOutcome> Relay(PeerMessage aKind,
                                              Message aMessage,
@@ -136,6 +150,8 @@
   const StoreReachability& reachability;
   SchedulerMetrics& metrics;
   const Clock& clock;
+  /** Null: jobs are not told apart by their queues. */
+  const ActiveQueues* queues;
   std::mutex mutex;
   /** Load of the only cell, with what was submitted here since. */
   CellLoad onlyLoad;
--- a/test/support/SchedulerCluster.h
+++ b/test/support/SchedulerCluster.h
@@ -38,7 +38,15 @@
             NodeRecord{ aName, "z", "127.0.0.1", server.Port(), 1.0 })
     , owners(aContext.get_executor(), aStore)
     , cells(this->MakeCells(aContext, aName, aStore, aWorkers, aCells))
-    , gateway(aStore, peers, nodes, cells, reachability, metrics, clock)
+    , gateway(aStore,
+              peers,
+              nodes,
+              cells,
+              reachability,
+              metrics,
+              clock,
+              0,
+              &queues)
   {
     RegisterWorkflowHandlers(this->server, this->gateway, this->cells);
     this->server.Start();
@@ -99,6 +107,8 @@
   StoreReachability reachability{ clock };
   PeerServer server;
   PeerClient peers;
+  /** Has no table by default, so that jobs are not told apart by queues. */
+  ActiveQueues queues;
   NodeDirectory nodes;
   OwnerDirectory owners;
   std::vector<std::shared_ptr<CellOwnerElector>> cells;
