--- a/test/soak/SchedulerFixture.h
+++ b/test/soak/SchedulerFixture.h
@@ -133,20 +133,16 @@
     request.target = "/jobs/" + aJob;
     request.headers.Set("Content-Type", "application/json");
     request.body = aBody;
-    HttpClient client(this->context.get_executor(), this->front);
-    std::optional<ExchangeResult> result;
-    boost::asio::co_spawn(this->context,
-                          client.Call(request, std::chrono::seconds(10)),
-                          [&](std::exception_ptr, ExchangeResult aResult) {
-                            result = std::move(aResult);
-                          });
-    this->Until([&] { return result.has_value(); });
-    if (!result || !result->Complete()) {
-      HttpResponse none;
-      none.status = 0;
-      return none;
-    }
-    return result->response;
+    return this->Answer(this->front, request);
+  }
+
+  /** Returns the status of the health check, or 0 without an answer. */
+  unsigned ReadyStatus()
+  {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/-/ready";
+    return this->Answer(this->health, request).status;
   }
 
   /** Runs store and workers until aCondition holds; returns false after kLimit.
@@ -183,6 +179,24 @@
   boost::asio::io_context context;
 
 private:
+  HttpResponse Answer(const Endpoint& aTo, const HttpRequest& aRequest)
+  {
+    HttpClient client(this->context.get_executor(), aTo);
+    std::optional<ExchangeResult> result;
+    boost::asio::co_spawn(this->context,
+                          client.Call(aRequest, std::chrono::seconds(10)),
+                          [&](std::exception_ptr, ExchangeResult aResult) {
+                            result = std::move(aResult);
+                          });
+    this->Until([&] { return result.has_value(); });
+    if (!result || !result->Complete()) {
+      HttpResponse none;
+      none.status = 0;
+      return none;
+    }
+    return result->response;
+  }
+
   /** Returns an endpoint with an address of its own. The port is below those
    * that the system assigns. */
   Endpoint FreeEndpoint()
--- a/test/soak/SoakStore.cpp
+++ b/test/soak/SoakStore.cpp
@@ -133,6 +133,13 @@
 SoakStore::Execute(HttpRequest aRequest)
 {
   const std::string path(TargetPath(aRequest.target));
+  const bool rejected =
+    !this->rejectedKey.empty() &&
+    (QueryParameter(aRequest.target, "key") == this->rejectedKey ||
+     QueryParameter(aRequest.target, "prefix") == this->rejectedKey);
+  if (rejected) {
+    co_return JsonResponse(503, "{}");
+  }
   if (path == "/-/kv-key") {
     const StoreRangeReply read = co_await this->store.Get(
       QueryParameter(aRequest.target, "key"), kTimeout);
--- a/test/soak/SoakStore.h
+++ b/test/soak/SoakStore.h
@@ -47,6 +47,10 @@
    * ranges span several. */
   void SetPageItems(std::size_t aItems) { this->pageItems = aItems; }
 
+  /** Rejects all reads and watches of a key with status 503; of none if it is
+   * empty. */
+  void RejectReadsOf(std::string aKey) { this->rejectedKey = std::move(aKey); }
+
   /** Removes the owner key of a cell without prior notice to the owner. */
   void RevokeOwner(std::uint32_t aCell);
 
@@ -78,6 +82,7 @@
   HttpServer server;
   StoreFault fault = StoreFault::None;
   std::size_t pageItems = 50;
+  std::string rejectedKey;
 };
 
 } // namespace sequoiakeel::soak
