Log a page of the state that an owner cannot read

An owner reads a page that fails again for as long as it has the cell, without a line that says why it is not serving.

Change: page_not_read is logged once for each run of failures, with the prefix, the place and the number of items that were read.

Result: the line is in the output of guarantee_StalledOwnerIsReplaced, which passes as before.

--- a/src/CellOwnershipSessionInbox.cpp
+++ b/src/CellOwnershipSessionInbox.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace sequoiakeel {
 
@@ -32,14 +33,23 @@
 CellOwnershipSession::ReadAll(std::string aPrefix, OwnerDuty aDuty)
 {
   RangeCursor cursor;
+  bool failing = false;
   this->ownerProgress.Begin(aDuty, this->dependencies.clock.Now());
   while (!this->ended && !cursor.complete) {
     const StoreResult result = co_await this->dependencies.store.ReadNextPage(
       cursor, aPrefix, ReadFreshness::Linearizable, kSessionStoreTimeout);
     if (result == StoreResult::Ok) {
       this->ownerProgress.Advance(aDuty, this->dependencies.clock.Now());
+      failing = false;
       continue;
     }
+    if (!std::exchange(failing, true)) {
+      Event("page_not_read", LogLevel::Warning)
+        .Add("cell", this->claim.cell)
+        .Add("prefix", aPrefix)
+        .Add("after", cursor.next)
+        .Add("items", static_cast<std::uint64_t>(cursor.items.size()));
+    }
     co_await SleepFor(this->dependencies.strand, kSessionStoreRetryDelay);
   }
   if (!cursor.complete) {
