--- a/src/CellScheduler.h
+++ b/src/CellScheduler.h
@@ -282,9 +282,8 @@
   /** Returns a job's state as callers see it. */
   WorkflowState StateOf(const std::string& aJob) const;
 
-  /** Returns the queue of a job, or an empty text if it is unknown. */
+  /** Returns the queue of a job; empty if it is unknown. */
   std::string QueueOf(const std::string& aJob) const;
-
   /** Returns the number of jobs in a queue of which no task has been started.
    */
   std::uint64_t CountPendingJobs(const std::string& aQueue) const;
